--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: install demo test lint bench soak binary
+
+# SKIP_INSTALL=1 uses an environment that is already complete.
+install: $(if $(SKIP_INSTALL),,$(VENV)/.installed)
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -e '.[dev]'
+	touch $@
+
+demo: install
+	$(PYTHON) -m bench.demo
+
+test: install
+	$(PYTHON) -m pytest
+
+lint: install
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+
+bench: install
+	$(PYTHON) -m bench
+
+SEEDS ?= 2000
+soak: install
+	$(PYTHON) -m tests.driver --seeds $(SEEDS)
+
+binary: install
+	$(PYTHON) -m bench.binary
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, experiments and capacity slopes."""
--- /dev/null
+++ b/knapweedtally/__init__.py
@@ -0,0 +1,3 @@
+"""A database proxy with session consistency."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/knapweedtally/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API over HTTP."""
--- /dev/null
+++ b/knapweedtally/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards callers: PostgreSQL wire protocol, server side."""
--- /dev/null
+++ b/knapweedtally/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment, and the checks on them."""
--- /dev/null
+++ b/knapweedtally/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: pure, without clock, socket or random number."""
--- /dev/null
+++ b/knapweedtally/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded queues, connection shares and fair scheduling."""
--- /dev/null
+++ b/knapweedtally/core/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration bundles: only upwards in version."""
--- /dev/null
+++ b/knapweedtally/core/draining/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops of targets and of this proxy."""
--- /dev/null
+++ b/knapweedtally/core/explanations/__init__.py
@@ -0,0 +1,1 @@
+"""Records of decisions and the answers to why."""
--- /dev/null
+++ b/knapweedtally/core/explanations/decisions.py
@@ -0,0 +1,58 @@
+"""Record decisions and find them again."""
+
+from typing import Any
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import state as explanations_state
+
+
+def record_decision(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    part: str,
+    subject: str,
+    choice: str,
+    reason: str,
+    remedy: str = "",
+    **evidence: Any,
+) -> str:
+    """Record one decision and drop the oldest beyond the ring's size.
+
+    Args:
+        state: state of the proxy.
+        moment: moment of the decision.
+        part: part of the core that decided.
+        subject: what the decision is about.
+        choice: what was decided.
+        reason: one sentence that says why.
+        remedy: what an operator can do, or empty.
+        **evidence: values that the reason rests on.
+
+    Returns:
+        The id of the record.
+    """
+    explanations = state.explanations
+    explanations.count += 1
+    identity = state.identity
+    decision_id = f"{identity.host}-{identity.incarnation}-{explanations.count}"
+    explanations.ring[decision_id] = explanations_state.Decision(
+        decision_id,
+        moment.at,
+        part,
+        subject,
+        choice,
+        reason,
+        evidence,
+        remedy,
+    )
+    if len(explanations.ring) > explanations_state.RING_SIZE:
+        explanations.ring.popitem(last=False)
+    return decision_id
+
+
+def find_decision(
+    state: state_module.ProxyState, decision_id: str
+) -> explanations_state.Decision | None:
+    """Return the decision of this id, or None when the ring dropped it."""
+    return state.explanations.ring.get(decision_id)
--- /dev/null
+++ b/knapweedtally/core/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Detect a failed primary and promote a replica."""
--- /dev/null
+++ b/knapweedtally/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Liveness of peers and the spread of versioned registers."""
--- /dev/null
+++ b/knapweedtally/core/reducer.py
@@ -0,0 +1,55 @@
+"""One reducer over all events; its effects are data.
+
+``decide`` may change the state that it is given, but reaches nothing outside
+of it: time and randomness come with the moment, input comes with the event.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+
+from knapweedtally.core import effects
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+
+Effects = list[effects.Effect]
+Handler = Callable[[state_module.ProxyState, model.Moment, Any], Effects]
+HandlerTable = Mapping[type, Handler]
+
+# One handler table per part; each part's decisions.py exports HANDLERS.
+PART_TABLES: tuple[HandlerTable, ...] = ()
+
+
+def merge_tables(
+    tables: Iterable[HandlerTable],
+) -> dict[type, tuple[Handler, ...]]:
+    """Return the handlers of each event type, in the order of the tables."""
+    merged: dict[type, list[Handler]] = collections.defaultdict(list)
+    for table in tables:
+        for event_type, handler in table.items():
+            merged[event_type].append(handler)
+    return {kind: tuple(handlers) for kind, handlers in merged.items()}
+
+
+HANDLERS = merge_tables(PART_TABLES)
+
+
+def decide(
+    state: state_module.ProxyState, moment: model.Moment, event: Any
+) -> Effects:
+    """Apply one event to the state and return the effects.
+
+    Args:
+        state: state of the proxy, changed in place.
+        moment: time and random number of this step.
+        event: any event of the core or of one of its parts.
+
+    Returns:
+        The effects, in the order in which they are to be run.
+    """
+    result: Effects = []
+    for handler in HANDLERS.get(type(event), ()):
+        result.extend(handler(state, moment, event))
+    return result
--- /dev/null
+++ b/knapweedtally/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target of a read."""
--- /dev/null
+++ b/knapweedtally/core/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Signed session tokens."""
--- /dev/null
+++ b/knapweedtally/core/state.py
@@ -0,0 +1,63 @@
+"""The state of one proxy: one attribute per part."""
+
+import dataclasses
+
+from knapweedtally.core import model
+from knapweedtally.core.explanations import state as explanations_state
+
+
+@dataclasses.dataclass(slots=True)
+class Identity:
+    """Say who this proxy is.
+
+    Attributes:
+        host: name of the entry host, unique in the system.
+        data_centre: name of its data centre.
+        incarnation: grows with each start of the host.
+    """
+
+    host: str
+    data_centre: str
+    incarnation: int
+
+
+@dataclasses.dataclass(slots=True)
+class Directory:
+    """Hold what every part reads: the bundle and the newest known terms.
+
+    Attributes:
+        bundle: bundle in force, or None before the first one.
+        records: newest record of each group, by name of the group.
+        reports: newest report of each target, with the time it arrived.
+    """
+
+    bundle: model.Bundle | None = None
+    records: dict[str, model.GroupRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    reports: dict[str, tuple[model.TargetReport, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def get_group(self, name: str) -> model.Group | None:
+        """Return the group of this name in the bundle in force."""
+        if self.bundle is None:
+            return None
+        return self.bundle.groups.get(name)
+
+
+@dataclasses.dataclass(slots=True)
+class ProxyState:
+    """Hold everything that the reducer knows.
+
+    Attributes:
+        identity: who this proxy is.
+        directory: bundle, group records and target reports.
+        explanations: ring of decision records.
+    """
+
+    identity: Identity
+    directory: Directory = dataclasses.field(default_factory=Directory)
+    explanations: explanations_state.ExplanationsState = dataclasses.field(
+        default_factory=explanations_state.ExplanationsState
+    )
--- /dev/null
+++ b/knapweedtally/core/writes/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes of requests: done, not run, unknown."""
--- /dev/null
+++ b/knapweedtally/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command."""
--- /dev/null
+++ b/knapweedtally/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The edge between proxies: CBOR over websockets."""
--- /dev/null
+++ b/knapweedtally/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators."""
--- /dev/null
+++ b/knapweedtally/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""One loop that turns input into events and runs effects."""
--- /dev/null
+++ b/knapweedtally/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards targets: PostgreSQL wire protocol, client side."""
--- /dev/null
+++ b/knapweedtally/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that know nothing of the product."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo only."""
