--- /dev/null
+++ b/knapweedtally/utils/http_server.py
@@ -0,0 +1,204 @@
+"""A small HTTP/1.1 server with bounded messages and keep-alive."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import h11
+import structlog
+
+from knapweedtally.utils import http
+
+_logger = structlog.get_logger()
+
+Handler = Callable[[http.Request], Awaitable[http.Response]]
+
+
+class Limits(NamedTuple):
+    """Bound what one connection may take.
+
+    Attributes:
+        max_header_bytes: size of a request's head.
+        max_body_bytes: size of a request's body.
+        idle_timeout_s: time for which a connection may wait for a request.
+        body_timeout_s: time in which a body has to arrive.
+        max_connections: connections at once; more are closed at once.
+    """
+
+    max_header_bytes: int = http.MAX_HEADER_BYTES
+    max_body_bytes: int = http.MAX_BODY_BYTES
+    idle_timeout_s: float = 60.0
+    body_timeout_s: float = 10.0
+    max_connections: int = 1024
+
+
+DEFAULT_LIMITS = Limits()
+
+
+class Server:
+    """Serve requests on one address through one handler."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        host: str,
+        port: int,
+        limits: Limits = DEFAULT_LIMITS,
+    ) -> None:
+        self._handler = handler
+        self._host = host
+        self._limits = limits
+        self._connections = 0
+        self.port = port
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; ``port`` is the bound one once started.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        listener = await anyio.create_tcp_listener(
+            local_host=self._host, local_port=self.port
+        )
+        async with listener:
+            self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            task_status.started()
+            await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        if self._connections >= self._limits.max_connections:
+            await stream.aclose()
+            return
+        self._connections += 1
+        try:
+            async with stream:
+                await _Exchange(self._handler, self._limits, stream).run()
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.ProtocolError,
+            http.ExchangeDropped,
+            OSError,  # TimeoutError among them.
+        ):
+            pass  # The connection is closed; the other side sees that.
+        finally:
+            self._connections -= 1
+
+
+class _Exchange:
+    """Run the requests of one connection one after the other."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits,
+        stream: anyio.abc.SocketStream,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._stream = stream
+        address = stream.extra(anyio.abc.SocketAttribute.remote_address)
+        self._peer = str(address[0])
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_request():
+                self._codec.start_next_cycle()
+        except h11.RemoteProtocolError as error:
+            if self._codec.our_state is h11.IDLE:
+                await self._send(_make_error(error.error_status_hint, error))
+
+    async def _serve_request(self) -> bool:
+        with anyio.fail_after(self._limits.idle_timeout_s):
+            head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return False
+        try:
+            with anyio.fail_after(self._limits.body_timeout_s):
+                body = await self._read_body()
+        except http.BodyTooLarge as error:
+            await self._send(_make_error(413, error))
+            return False
+        response = await self._answer(head, body)
+        await self._send(response)
+        # MUST_CLOSE and CLOSED end the connection; DONE allows the next one.
+        return (
+            self._codec.our_state is h11.DONE
+            and self._codec.their_state is h11.DONE
+        )
+
+    async def _answer(self, head: h11.Request, body: bytes) -> http.Response:
+        request = http.Request(
+            head.method.decode("ascii"),
+            head.target.decode("ascii"),
+            http.decode_headers(head.headers),
+            body,
+            self._peer,
+        )
+        try:
+            return await self._handler(request)
+        except http.ExchangeDropped:
+            raise
+        except Exception:  # One bad request must not end the process.
+            _logger.exception("http: handler failed", path=request.path)
+            return http.make_json_response(500, {"error": "internal error"})
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise http.ExchangeDropped("connection closed in a body")
+            body += event.data
+            if len(body) > self._limits.max_body_bytes:
+                limit = self._limits.max_body_bytes
+                raise http.BodyTooLarge(
+                    f"body is over {limit} bytes; send a smaller one"
+                )
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._codec.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._codec.they_are_waiting_for_100_continue:
+                await self._stream.send(
+                    self._codec.send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                )
+            try:
+                self._codec.receive_data(
+                    await self._stream.receive(http.READ_BYTES)
+                )
+            except anyio.EndOfStream:
+                self._codec.receive_data(b"")
+
+    async def _send(self, response: http.Response) -> None:
+        head = h11.Response(
+            status_code=response.status,
+            headers=http.encode_headers(response.headers, response.body),
+        )
+        data = self._codec.send(head) or b""
+        data += self._codec.send(h11.Data(data=response.body)) or b""
+        data += self._codec.send(h11.EndOfMessage()) or b""
+        with anyio.fail_after(self._limits.body_timeout_s):
+            await self._stream.send(data)
+
+
+def _make_error(status: int, error: Exception) -> http.Response:
+    return http.make_json_response(
+        status, {"error": str(error)}, {"connection": "close"}
+    )
