--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for the platform: objects, watches, hosts and faults."""
