--- a/knapweedtally/core/bundles/__init__.py
+++ b/knapweedtally/core/bundles/__init__.py
@@ -1,1 +1,1 @@
-"""Configuration bundles: only upwards in version."""
+"""Configuration bundles: their form, signatures and which one is in force."""
--- /dev/null
+++ b/knapweedtally/core/bundles/checks.py
@@ -0,0 +1,122 @@
+"""Checks of a bundle's meaning, beyond the types of its values."""
+
+import collections
+from collections.abc import Iterator
+from typing import Any
+from typing import NamedTuple
+
+Path = tuple[str | int, ...]
+
+# Allowed values of a group's numbers: smallest and largest.
+RANGES: dict[str, tuple[int, int]] = {
+    "connection_limit": (1, 10_000),
+    "slots": (1, 1_000),
+    "max_age_ms": (0, 86_400_000),
+    "request_timeout_ms": (1, 600_000),
+    "replica_wait_ms": (0, 60_000),
+}
+
+
+class Problem(NamedTuple):
+    """Describe one mistake in a bundle.
+
+    Attributes:
+        path: keys and indexes that lead to the value.
+        value: the wrong value.
+        remedy: what is allowed or what to do.
+    """
+
+    path: Path
+    value: object
+    remedy: str
+
+    def __str__(self) -> str:
+        """Return the mistake as one line."""
+        place = ".".join(str(part) for part in self.path)
+        return f"{place}: {self.value!r}: {self.remedy}"
+
+
+def find_problems(value: dict[str, Any]) -> list[Problem]:
+    """Return all mistakes of a bundle in plain form with the right types."""
+    problems = list(_check_version(value))
+    problems += _check_unique(value)
+    for index, group in enumerate(value["groups"]):
+        path: Path = ("groups", index)
+        problems += _check_ranges(path, group)
+        problems += _check_read_rules(path, group)
+        problems += _check_leaving(path, group)
+    return problems
+
+
+def _check_version(value: dict[str, Any]) -> Iterator[Problem]:
+    if value["version"] < 1:
+        yield Problem(
+            ("version",), value["version"], "use a whole number from 1"
+        )
+
+
+def _check_unique(value: dict[str, Any]) -> Iterator[Problem]:
+    names: list[tuple[Path, str]] = []
+    ids: list[tuple[Path, str]] = []
+    addresses: list[tuple[Path, str]] = []
+    for index, group in enumerate(value["groups"]):
+        path: Path = ("groups", index)
+        names.append(((*path, "name"), group["name"]))
+        for number, target in enumerate(group["targets"]):
+            place = (*path, "targets", number)
+            ids.append(((*place, "id"), target["id"]))
+            addresses.append(((*place, "address"), target["address"]))
+    for places, what in (
+        (names, "name of a group"),
+        (ids, "id of a target"),
+        (addresses, "address of a target"),
+    ):
+        yield from _find_repeated(places, what)
+
+
+def _find_repeated(
+    places: list[tuple[Path, str]], what: str
+) -> Iterator[Problem]:
+    counts = collections.Counter(name for _, name in places)
+    for path, name in places:
+        if counts[name] > 1:
+            yield Problem(path, name, f"use each {what} once in the bundle")
+
+
+def _check_ranges(path: Path, group: dict[str, Any]) -> Iterator[Problem]:
+    for name, (smallest, largest) in RANGES.items():
+        number = group.get(name, smallest)
+        if not smallest <= number <= largest:
+            yield Problem((*path, name), number, f"use {smallest} to {largest}")
+    if not group["targets"]:
+        yield Problem((*path, "targets"), [], "state at least one target")
+
+
+def _check_read_rules(path: Path, group: dict[str, Any]) -> Iterator[Problem]:
+    smallest, largest = RANGES["max_age_ms"]
+    for index, rule in enumerate(group.get("read_rules", ())):
+        place = (*path, "read_rules", index)
+        if not smallest <= rule["max_age_ms"] <= largest:
+            yield Problem(
+                (*place, "max_age_ms"),
+                rule["max_age_ms"],
+                f"use {smallest} to {largest}",
+            )
+        if not rule["tables"]:
+            yield Problem((*place, "tables"), [], "name at least one table")
+
+
+def _check_leaving(path: Path, group: dict[str, Any]) -> Iterator[Problem]:
+    ids = {target["id"] for target in group["targets"]}
+    leaving = group.get("leaving", [])
+    for index, target in enumerate(leaving):
+        if target not in ids:
+            yield Problem(
+                (*path, "leaving", index),
+                target,
+                f"name a target of the group: {', '.join(sorted(ids))}",
+            )
+    if ids and ids <= set(leaving):
+        yield Problem(
+            (*path, "leaving"), leaving, "let at least one target stay"
+        )
