Add the platform edge

Cause: the core's platform effects need an edge whose answers say whether an update may have run. A refused connection, 429 and 503 mean 'not run'; a lost, late or malformed answer to an update means 'may have run'. Changes arrive by long poll on hosts that watch and by a slow poll on the others; after a failure the whole list is read again, with randomised, bounded delays. The edge registers its host and reads the lagging host list, often at first and rarely later. Tests run against the stand-in process.

--- /dev/null
+++ b/knapweedtally/platform/edge.py
@@ -0,0 +1,167 @@
+"""The edge towards the platform: objects, watches and the list of hosts."""
+
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import structlog
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.platform import client as platform_client
+from knapweedtally.platform import hosts
+from knapweedtally.platform import watches
+from knapweedtally.runtime import edges
+
+WATCHED_KINDS = ("bundle", "group")
+MAX_CALLS = 16
+MAX_PENDING_CALLS = 1024
+
+_logger = structlog.get_logger()
+
+_Call = effects.ReadObject | effects.UpdateObject
+
+
+class PlatformEdge:
+    """Run calls to the platform and submit what it says.
+
+    A call is made once. A failure is submitted as ``PlatformFailed``; the
+    core decides whether to read back or to try again.
+    """
+
+    effect_types: tuple[type, ...] = (
+        effects.ReadObject,
+        effects.UpdateObject,
+    )
+
+    def __init__(
+        self,
+        submit: edges.Submit,
+        platform_address: tuple[str, int],
+        source_host: str,
+        host: model.ListedHost | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Make an edge; nothing is sent before ``serve``.
+
+        Args:
+            submit: takes the events.
+            platform_address: IP address and port of the platform.
+            source_host: IP address that connections are bound to.
+            host: what this host registers; None registers nothing.
+            rng: source of randomness for delays.
+        """
+        rng = rng or random.Random()
+        self._submit = submit
+        self._client = platform_client.PlatformClient(
+            platform_address, source_host
+        )
+        self._host = host
+        self._directory: hosts.HostDirectory | None = None
+        if host:
+            self._directory = hosts.HostDirectory(
+                host, submit, self._client, rng
+            )
+        self._watches = [
+            watches.Watch(kind, submit, self._client, rng)
+            for kind in WATCHED_KINDS
+        ]
+        self._group: anyio.abc.TaskGroup | None = None
+        self._limiter = anyio.Semaphore(MAX_CALLS)
+        self._pending = 0
+        self._runs: dict[type, Callable[[Any], Awaitable[Any]]] = {
+            effects.ReadObject: self._read_object,
+            effects.UpdateObject: self._update_object,
+        }
+
+    def set_watching(self, is_watching: bool) -> None:
+        """Watch by long poll, or keep up by a slow poll."""
+        for watch in self._watches:
+            watch.set_watching(is_watching)
+
+    def set_leaving(self) -> None:
+        """Tell the platform that this host is leaving."""
+        if self._directory:
+            self._directory.set_leaving()
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Keep up with the platform until cancelled."""
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                for watch in self._watches:
+                    group.start_soon(watch.run)
+                if self._directory:
+                    group.start_soon(self._directory.keep_registered)
+                    group.start_soon(self._directory.keep_listing)
+                task_status.started()
+                await anyio.sleep_forever()
+        finally:
+            self._group = None
+            await self._client.close()
+
+    def run_effect(self, effect: effects.Effect) -> None:
+        """Start a call; its outcome is submitted later.
+
+        A call beyond the bound on pending ones, or while the edge isn't
+        serving, is not made.
+        """
+        if self._group is None or not isinstance(effect, _Call):
+            return
+        if self._pending >= MAX_PENDING_CALLS:
+            _logger.warning("platform: too many calls", pending=self._pending)
+            self._group.start_soon(self._refuse, effect)
+            return
+        self._pending += 1
+        self._group.start_soon(self._run, effect)
+
+    async def _run(self, effect: _Call) -> None:
+        try:
+            async with self._limiter:
+                event = await self._runs[type(effect)](effect)
+        finally:
+            self._pending -= 1
+        self._submit(event)
+
+    async def _refuse(self, effect: _Call) -> None:
+        self._submit(_make_failure(effect, may_have_run=False))
+
+    async def _read_object(self, effect: effects.ReadObject) -> Any:
+        try:
+            found = await self._client.get_object(effect.kind, effect.name)
+        except platform_client.PlatformError:
+            return _make_failure(effect, may_have_run=False)
+        return events.ObjectSeen(*found)
+
+    async def _update_object(self, effect: effects.UpdateObject) -> Any:
+        try:
+            result = await self._client.update_object(
+                effect.kind, effect.name, effect.expected_version, effect.value
+            )
+        except platform_client.AnswerLostError:
+            return _make_failure(effect, may_have_run=True)
+        except platform_client.PlatformError as error:
+            _logger.warning("platform: update did not run", error=str(error))
+            return _make_failure(effect, may_have_run=False)
+        outcome = (
+            events.ObjectUpdated
+            if result.is_winner
+            else events.ObjectConflicted
+        )
+        return outcome(effect.operation, *result.current)
+
+
+def _make_failure(
+    effect: _Call, *, may_have_run: bool
+) -> events.PlatformFailed:
+    return events.PlatformFailed(
+        effect.operation, effect.kind, effect.name, may_have_run
+    )
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -60,7 +60,7 @@
         if call is None:
             return _make_error(404, f"no call {request.method} {request.path}")
         name, rate, run = call
-        if name == "list" and "wait_ms" in request.query:
+        if name == "list" and request.query.get("wait_ms", "0") != "0":
             name = "watch"
         self.counters[name] += 1
         return await self._run(name, rate, run, request)
