Add the settings and their system checks

Cause: a host learns everything from flags and environment, and an operator wants all mistakes at once. One typed table names each setting, its default, what is allowed and whether it is secret; the checks KW001 to KW006 collect every mistake. Secrets are held in a type that shows nothing, so that no log, error or table prints them.

--- /dev/null
+++ b/knapweedtally/conf/settings.py
@@ -0,0 +1,111 @@
+"""Load the settings: flags over environment over defaults."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+from knapweedtally.conf import checks
+from knapweedtally.conf import parsers
+from knapweedtally.conf import secrets
+from knapweedtally.conf import table
+
+
+class Settings(NamedTuple):
+    """Hold the checked settings; see ``table.SETTINGS`` for their meaning."""
+
+    host_name: str
+    data_centre: str
+    listen_address: str
+    listen_port: int
+    peer_address: str
+    peer_port: int
+    admin_address: str
+    admin_port: int
+    admin_token: secrets.Secret[str]
+    platform_address: parsers.Address
+    token_keys: secrets.Secret[tuple[parsers.TokenKey, ...]]
+    bundle_keys: dict[str, bytes]
+    seed_peers: tuple[parsers.Address, ...]
+    log_level: str
+    log_format: str
+    drain_timeout_s: float
+
+
+class SettingsError(Exception):
+    """Report all mistakes in the settings.
+
+    Attributes:
+        problems: the mistakes.
+    """
+
+    def __init__(self, problems: list[checks.Problem]) -> None:
+        super().__init__("\n".join(map(str, problems)))
+        self.problems = problems
+
+
+def load_settings(
+    options: Mapping[str, str | None], environment: Mapping[str, str]
+) -> Settings:
+    """Return the checked settings.
+
+    Args:
+        options: text of each flag by name; None or absent when not given.
+        environment: environment variables.
+
+    Raises:
+        SettingsError: there are mistakes; names all of them.
+    """
+    problems = list(checks.check_variables(environment))
+    problems += checks.check_options(options)
+    values: dict[str, Any] = {}
+    for setting in table.SETTINGS:
+        problems += _load_setting(setting, options, environment, values)
+    for check in checks.CROSS_CHECKS:
+        problems += check(values)
+    if problems:
+        raise SettingsError(problems)
+    return Settings(**values)
+
+
+def describe_settings(settings: Settings) -> dict[str, str]:
+    """Return each setting's value as text by name, secrets hidden."""
+    values = settings._asdict()
+    return {
+        setting.name: _describe_value(values[setting.field])
+        for setting in table.SETTINGS
+    }
+
+
+def _load_setting(
+    setting: table.Setting,
+    options: Mapping[str, str | None],
+    environment: Mapping[str, str],
+    values: dict[str, Any],
+) -> list[checks.Problem]:
+    """Add one setting's value to ``values``, or return its mistakes."""
+    text = options.get(setting.name)
+    if text is None:
+        text = environment.get(setting.variable)
+    if text is None and setting.default_from:
+        source = setting.default_from.replace("-", "_")
+        if source in values:
+            values[setting.field] = values[source]
+        return []
+    if text is None:
+        text = setting.default
+    if text is None:
+        return [checks.make_missing(setting)]
+    try:
+        values[setting.field] = setting.parse(text)
+    except ValueError:
+        return [checks.make_problem(checks.NOT_ALLOWED, setting, text)]
+    return []
+
+
+def _describe_value(value: Any) -> str:
+    if isinstance(value, dict):
+        pairs = [f"{name}:{key.hex()}" for name, key in value.items()]
+        return ",".join(pairs)
+    if isinstance(value, tuple) and not isinstance(value, parsers.Address):
+        return ",".join(map(str, value))
+    return str(value)
