Decide requests: routing, admission, writes and session tokens

Cause: the request path had no decisions yet. Ruled out: one queue per group (reads that wait for the primary would block reads that a replica can serve); leaving waiting requests in the queue (head-of-line blocking of one caller's other sessions).

--- /dev/null
+++ b/knapweedtally/core/admission/attempts.py
@@ -0,0 +1,293 @@
+"""Begin attempts, give them up, and end requests."""
+
+import math
+
+from knapweedtally.core import effects
+from knapweedtally.core import errors
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import queue
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.routing import decisions as routing
+from knapweedtally.core.routing import rules as routing_rules
+
+PART = "admission"
+# Share of the request's timeout that one attempt of a read may take.
+READ_ATTEMPT_SHARE = 0.4
+SERVICE_WEIGHT = 0.1
+DEFAULT_SERVICE_S = 0.005
+DEFAULT_RETRY_AFTER_MS = 500
+RETRY_DELAY_S = 0.02
+
+Effects = list[effects.Effect]
+
+
+def get_lane(request: admission_state.Request) -> admission_state.Lane:
+    """Return the lane in which a request waits."""
+    return admission_state.Lane(
+        request.group, not routing.accepts_replica(request)
+    )
+
+
+def get_queue(
+    state: state_module.ProxyState, lane: admission_state.Lane
+) -> queue.FairQueue:
+    """Return the queue of a lane, made on first use."""
+    return state.admission.queues.setdefault(lane, queue.FairQueue())
+
+
+def start_attempt(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    target: str,
+) -> Effects:
+    """Run a request on a target over a new lease."""
+    admission = state.admission
+    lease = admission_state.Lease(admission.next_lease, target)
+    admission.next_lease += 1
+    lease.is_read_only = not request.traits.needs_primary
+    admission.leases[lease.id] = lease
+    admission.usage[target] = admission.usage.get(target, 0) + 1
+    return _send(state, moment, request, lease)
+
+
+def start_pinned(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> Effects:
+    """Run a statement on the lease of its transaction."""
+    admission = state.admission
+    lease_id = admission.transactions.get(request.session, 0)
+    lease = admission.leases.get(lease_id)
+    if lease is None:
+        return give_error(
+            state,
+            moment,
+            request,
+            errors.ErrorKind.TRANSACTION_LOST,
+            "the transaction's connection was given up",
+        )
+    request.reason = "pinned to its transaction"
+    return _send(state, moment, request, lease)
+
+
+def release_lease(
+    state: state_module.ProxyState, lease_id: int, is_reusable: bool
+) -> Effects:
+    """End a lease; nothing if it has ended already."""
+    admission = state.admission
+    lease = admission.leases.pop(lease_id, None)
+    if lease is None:
+        return []
+    admission.usage[lease.target] -= 1
+    if lease.session:
+        admission.transactions.pop(lease.session, None)
+    return [effects.ReleaseLease(lease_id, is_reusable)]
+
+
+def settle_lease(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    is_open: bool,
+) -> Effects:
+    """Keep the lease of an open transaction, return any other to the pool."""
+    lease = state.admission.leases.get(request.lease)
+    if lease is None:
+        return []
+    lease.used_at = moment.at
+    if is_open and request.traits.keeps_lease:
+        lease.session = request.session
+        state.admission.transactions[request.session] = lease.id
+        return []
+    return release_lease(state, lease.id, is_reusable=not is_open)
+
+
+def note_service_time(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> None:
+    """Update the moving average of an attempt's time in the request's lane."""
+    lane = get_lane(request)
+    known = state.admission.service_s.get(lane, DEFAULT_SERVICE_S)
+    sample = moment.at - request.sent_at
+    state.admission.service_s[lane] = known + SERVICE_WEIGHT * (sample - known)
+
+
+def give_answer(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    position: model.Position | None,
+) -> Effects:
+    """End a request with the answer of its running attempt."""
+    state.admission.count(f"answered {request.kind.value}")
+    lease = state.admission.leases.get(request.lease)
+    target = lease.target if lease else request.target
+    decision = explanations.record_decision(
+        state,
+        moment,
+        "routing",
+        f"request {request.id}",
+        f"answered by {target}",
+        request.reason,
+        group=request.group,
+        kind=request.kind.value,
+        attempts=request.attempt,
+        position=position,
+        took_ms=round((moment.at - request.arrived_at) * 1000, 1),
+    )
+    del state.admission.requests[request.id]
+    return [
+        effects.DeliverAnswer(request.id, request.attempt, position, decision)
+    ]
+
+
+def give_error(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    kind: errors.ErrorKind,
+    reason: str,
+    retry_after_ms: int = DEFAULT_RETRY_AFTER_MS,
+) -> Effects:
+    """End a request with an error answer.
+
+    A write that an earlier attempt may have run never ends as "not run".
+    """
+    kind = resolve_kind(request, kind)
+    answer = errors.ANSWERS[kind]
+    state.admission.count(f"refused {kind.value}")
+    decision = explanations.record_decision(
+        state,
+        moment,
+        PART,
+        f"request {request.id}",
+        f"{answer.outcome.value}: {kind.value}",
+        reason,
+        remedy=_REMEDIES.get(kind, ""),
+        group=request.group,
+        kind=request.kind.value,
+        attempts=request.attempt,
+        target=request.target,
+        waited_ms=round((moment.at - request.arrived_at) * 1000, 1),
+    )
+    forget_request(state, request)
+    delay = retry_after_ms if answer.is_retryable else 0
+    return [effects.DeliverError(request.id, kind, delay, decision)]
+
+
+def forget_request(
+    state: state_module.ProxyState, request: admission_state.Request
+) -> None:
+    """Drop a request that needs no answer any more."""
+    state.admission.requests.pop(request.id, None)
+    lane = get_lane(request)
+    get_queue(state, lane).remove(request.caller, request.id)
+
+
+def resolve_kind(
+    request: admission_state.Request, kind: errors.ErrorKind
+) -> errors.ErrorKind:
+    """Return the kind of error that is true of a request."""
+    if not request.was_sent:
+        return kind
+    if errors.ANSWERS[kind].outcome is errors.Outcome.NOT_RUN:
+        return errors.ErrorKind.OUTCOME_UNKNOWN
+    return kind
+
+
+def wait_until(
+    moment: model.Moment, request: admission_state.Request, at: float
+) -> Effects:
+    """Choose a target for a request again at a later time."""
+    request.phase = admission_state.RequestPhase.WAITING
+    return [effects.SetTimer(("retry", request.id), max(0.0, at - moment.at))]
+
+
+def retry_request(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    delay_s: float = RETRY_DELAY_S,
+) -> Effects:
+    """Run a request again after a delay, within the group's retry budget."""
+    budget = state.admission.retry_budget.get(
+        request.group, admission_state.RETRY_BUDGET_LIMIT
+    )
+    if budget < 1.0:
+        return give_error(
+            state,
+            moment,
+            request,
+            errors.ErrorKind.TARGET_LOST,
+            "the group's retry budget is used up",
+        )
+    state.admission.retry_budget[request.group] = budget - 1.0
+    request.lease = 0
+    request.abort_at = math.inf
+    state.admission.count("retried")
+    return wait_until(moment, request, moment.at + delay_s)
+
+
+def _send(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    lease: admission_state.Lease,
+) -> Effects:
+    record = state.directory.records.get(request.group)
+    group = state.directory.get_group(request.group)
+    request.phase = admission_state.RequestPhase.RUNNING
+    request.attempt += 1
+    request.target = lease.target
+    request.lease = lease.id
+    request.term = record.term if record else 0
+    request.sent_at = moment.at
+    lease.used_at = moment.at
+    if request.traits.is_repeatable and group and request.attempt == 1:
+        timeout_s = group.request_timeout_ms / 1000.0
+        request.abort_at = moment.at + READ_ATTEMPT_SHARE * timeout_s
+    is_primary = lease.target == routing.find_primary(state, request.group)
+    return [
+        effects.RunStatement(
+            request.id,
+            request.attempt,
+            lease.target,
+            lease.id,
+            needs_barrier=_needs_barrier(request, lease, is_primary),
+            is_last=not request.traits.keeps_lease,
+            key=request.key,
+        )
+    ]
+
+
+def _needs_barrier(
+    request: admission_state.Request,
+    lease: admission_state.Lease,
+    is_primary: bool,
+) -> bool:
+    if request.traits.is_pinned:
+        return request.traits.may_write and not lease.is_read_only
+    return is_primary and routing_rules.needs_barrier(request)
+
+
+_REMEDIES = {
+    errors.ErrorKind.DEADLINE: "see `targets`: is a target slow or cut off?",
+    errors.ErrorKind.DRAINING: "connect again; the balancer has other hosts",
+    errors.ErrorKind.NO_PRIMARY: "see `groups`: is a promotion under way?",
+    errors.ErrorKind.NO_REPLICA: "see `targets`: are replicas behind?",
+    errors.ErrorKind.OUTCOME_UNKNOWN: (
+        "read the data before writing again, or use an idempotency key"
+    ),
+    errors.ErrorKind.OVERLOADED: (
+        "spread the load, or raise connection_limit in the bundle"
+    ),
+    errors.ErrorKind.TARGET_LOST: "see `targets`: which closes connections?",
+    errors.ErrorKind.TRANSACTION_LOST: "run the whole transaction again",
+    errors.ErrorKind.UNKNOWN_GROUP: "see `groups` for the names in force",
+}
--- /dev/null
+++ b/knapweedtally/core/admission/decisions.py
@@ -0,0 +1,258 @@
+"""Admit requests, give them turns, and end those that run out of time."""
+
+import math
+from collections.abc import Callable
+
+from knapweedtally.core import effects
+from knapweedtally.core import errors
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import attempts
+from knapweedtally.core.admission import dispatch
+from knapweedtally.core.admission import events as admission_events
+from knapweedtally.core.admission import shares
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.routing import rules as routing_rules
+from knapweedtally.core.writes import decisions as writes
+
+MAX_QUEUE_LENGTH = 10_000
+IDLE_TRANSACTION_LIMIT_S = 60.0
+# Time for answers under way when a term ends.
+TERM_CHANGE_GRACE_S = 0.2
+
+Effects = list[effects.Effect]
+
+
+def admit_request(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: admission_events.RequestArrived,
+) -> Effects:
+    """Run a request, queue it, or refuse it at once."""
+    group = state.directory.get_group(event.group)
+    request = _make_request(state, moment, event, group)
+    state.admission.requests[request.id] = request
+    if group is None:
+        return attempts.give_error(
+            state,
+            moment,
+            request,
+            errors.ErrorKind.UNKNOWN_GROUP,
+            "the bundle in force names no such group",
+        )
+    _refill_retry_budget(state, event.group)
+    if request.traits.is_pinned:
+        return attempts.start_pinned(state, moment, request)
+    wait_s = estimate_wait(state, group, request)
+    lane = attempts.get_lane(request)
+    waiting = attempts.get_queue(state, lane)
+    is_hopeless = moment.at + wait_s > request.deadline
+    if is_hopeless or len(waiting) >= MAX_QUEUE_LENGTH:
+        return attempts.give_error(
+            state,
+            moment,
+            request,
+            errors.ErrorKind.OVERLOADED,
+            f"estimated wait {wait_s:.1f} s is beyond the deadline",
+            retry_after_ms=max(100, math.ceil(wait_s * 500)),
+        )
+    waiting.push(request.caller, request.id)
+    return dispatch.dispatch_lane(state, moment, lane)
+
+
+def estimate_wait(
+    state: state_module.ProxyState,
+    group: model.Group,
+    request: admission_state.Request,
+) -> float:
+    """Return the expected time in the queue, in seconds."""
+    lane = attempts.get_lane(request)
+    ahead = attempts.get_queue(state, lane).count_ahead(request.caller)
+    targets = 1 if lane.is_primary else max(1, len(group.targets) - 1)
+    parallel = shares.get_share(state, group) * targets
+    service_s = state.admission.service_s.get(lane, attempts.DEFAULT_SERVICE_S)
+    return ahead * service_s / parallel
+
+
+def resume_request(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.TimerFired,
+) -> Effects:
+    """Put a waiting request back to the head of its caller's queue."""
+    if event.key[0] != "retry":
+        return []
+    request_id = event.key[1]
+    if not isinstance(request_id, int):
+        return []
+    request = state.admission.requests.get(request_id)
+    if request is None:
+        return []
+    if request.phase is not admission_state.RequestPhase.WAITING:
+        return []
+    request.phase = admission_state.RequestPhase.QUEUED
+    request.waited_for_replica = True
+    lane = attempts.get_lane(request)
+    attempts.get_queue(state, lane).push_first(request.caller, request.id)
+    return dispatch.dispatch_lane(state, moment, lane)
+
+
+def check_time(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.Ticked,
+) -> Effects:
+    """Give up attempts and requests that are out of time."""
+    result: Effects = []
+    for request in list(state.admission.requests.values()):
+        if request.deadline <= moment.at:
+            result += writes.expire_request(state, moment, request)
+        elif request.abort_at <= moment.at:
+            result += writes.abort_attempt(state, moment, request)
+    result += _release_idle_transactions(state, moment)
+    result += act_on_records(state, moment, event)
+    for group in {lane.group for lane in state.admission.queues}:
+        result += dispatch.dispatch_group(state, moment, group)
+    return result
+
+
+def act_on_records(
+    state: state_module.ProxyState, moment: model.Moment, event: object
+) -> Effects:
+    """Let work on a replaced primary run out, and start what waited."""
+    result: Effects = []
+    for group in {lane.group for lane in state.admission.queues}:
+        record = state.directory.records.get(group)
+        if record is None or record.phase is not model.Phase.OPEN:
+            continue
+        newest = (record.term, record.primary)
+        known = state.admission.known_terms.get(group)
+        if known == newest:
+            continue
+        state.admission.known_terms[group] = newest
+        state.routing.avoided_until.pop(record.primary, None)
+        if known is not None:
+            result += _run_out_term(state, moment, group, known[1])
+        result += dispatch.dispatch_group(state, moment, group)
+    return result
+
+
+def cancel_request(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: admission_events.RequestCancelled,
+) -> Effects:
+    """End a session's waiting request, or ask the target to cancel it."""
+    for request in list(state.admission.requests.values()):
+        if request.session != event.session:
+            continue
+        if request.phase is admission_state.RequestPhase.RUNNING:
+            return [effects.CancelStatement(request.lease)]
+        return attempts.give_error(
+            state,
+            moment,
+            request,
+            errors.ErrorKind.DEADLINE,
+            "the caller cancelled it",
+        )
+    return []
+
+
+def end_session(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: admission_events.SessionEnded,
+) -> Effects:
+    """Forget a session's requests and roll back its transaction."""
+    result: Effects = []
+    groups = set()
+    for request in list(state.admission.requests.values()):
+        if request.session == event.session:
+            groups.add(request.group)
+            result += attempts.release_lease(state, request.lease, False)
+            attempts.forget_request(state, request)
+    lease = state.admission.transactions.get(event.session)
+    if lease is not None:
+        target = state.admission.leases[lease].target
+        groups.add(state.directory.group_names.get(target, ""))
+        result += attempts.release_lease(state, lease, False)
+    for group in groups:
+        result += dispatch.dispatch_group(state, moment, group)
+    return result
+
+
+def _make_request(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: admission_events.RequestArrived,
+    group: model.Group | None,
+) -> admission_state.Request:
+    timeout_s = group.request_timeout_ms / 1000.0 if group else 0.0
+    return admission_state.Request(
+        event.request,
+        event.session,
+        event.caller,
+        event.group,
+        event.kind,
+        routing_rules.compute_max_age(group, event) if group else 0,
+        event.position,
+        event.key,
+        moment.at,
+        moment.at + timeout_s,
+    )
+
+
+def _refill_retry_budget(state: state_module.ProxyState, group: str) -> None:
+    limit = admission_state.RETRY_BUDGET_LIMIT
+    known = state.admission.retry_budget.get(group, limit)
+    refilled = known + admission_state.RETRY_BUDGET_PER_REQUEST
+    state.admission.retry_budget[group] = min(limit, refilled)
+
+
+def _release_idle_transactions(
+    state: state_module.ProxyState, moment: model.Moment
+) -> Effects:
+    running = {request.lease for request in state.admission.requests.values()}
+    result: Effects = []
+    for lease_id in list(state.admission.transactions.values()):
+        lease = state.admission.leases[lease_id]
+        if lease_id in running:
+            continue
+        if moment.at - lease.used_at > IDLE_TRANSACTION_LIMIT_S:
+            result += attempts.release_lease(state, lease_id, False)
+    return result
+
+
+def _run_out_term(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    group: str,
+    old_primary: str,
+) -> Effects:
+    result: Effects = []
+    running = set()
+    for request in state.admission.requests.values():
+        running.add(request.lease)
+        if request.group == group and request.target == old_primary:
+            grace_end = moment.at + TERM_CHANGE_GRACE_S
+            request.abort_at = min(request.abort_at, grace_end)
+    for lease_id in list(state.admission.transactions.values()):
+        lease = state.admission.leases[lease_id]
+        is_cut = lease.target == old_primary and not lease.is_read_only
+        if is_cut and lease_id not in running:
+            result += attempts.release_lease(state, lease_id, False)
+    return result
+
+
+HANDLERS: dict[type, Callable[..., Effects]] = {
+    admission_events.RequestArrived: admit_request,
+    admission_events.RequestCancelled: cancel_request,
+    admission_events.SessionEnded: end_session,
+    events.TimerFired: resume_request,
+    events.Ticked: check_time,
+    events.ObjectSeen: act_on_records,
+    events.ObjectUpdated: act_on_records,
+    events.ObjectConflicted: act_on_records,
+    events.RegisterSeen: act_on_records,
+}
--- /dev/null
+++ b/knapweedtally/core/admission/shares.py
@@ -0,0 +1,40 @@
+"""Share a target's connections between the entry hosts."""
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+
+# Replication, operators and hosts that are not counted yet.
+RESERVED_CONNECTIONS = 2
+
+
+def compute_share(connection_limit: int, hosts: int) -> int:
+    """Return how many connections one host may hold to one target.
+
+    Args:
+        connection_limit: connections that the target accepts in all.
+        hosts: entry hosts that may connect; at least 1.
+
+    Returns:
+        At least 1, so that every host can serve; where there are more hosts
+        than connections the target itself refuses the rest.
+    """
+    usable = max(1, connection_limit - RESERVED_CONNECTIONS)
+    return max(1, usable // max(1, hosts))
+
+
+def count_hosts(state: state_module.ProxyState) -> int:
+    """Return how many entry hosts share the targets."""
+    return max(1, state.admission.host_count)
+
+
+def get_share(state: state_module.ProxyState, group: model.Group) -> int:
+    """Return this host's connections to each target of a group."""
+    return compute_share(group.connection_limit, count_hosts(state))
+
+
+def has_free_connection(state: state_module.ProxyState, target: str) -> bool:
+    """Return whether another lease on the target fits this host's share."""
+    group = state.directory.find_group_of(target)
+    if group is None:
+        return False
+    return state.admission.usage.get(target, 0) < get_share(state, group)
--- /dev/null
+++ b/knapweedtally/core/admission/state.py
@@ -0,0 +1,189 @@
+"""Requests, leases on target connections, and queues."""
+
+import dataclasses
+import enum
+import math
+from typing import NamedTuple
+
+from knapweedtally.core import model
+from knapweedtally.core.admission import queue
+
+RETRY_BUDGET_LIMIT = 20.0
+RETRY_BUDGET_PER_REQUEST = 0.1
+
+
+class RequestKind(enum.Enum):
+    """Name what a request asks of a target."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin read only"
+    STATEMENT = "statement"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+
+
+class KindTraits(NamedTuple):
+    """State what holds for all requests of one kind.
+
+    Attributes:
+        needs_primary: whether only the primary may run it.
+        is_pinned: whether it runs on its transaction's lease.
+        is_repeatable: whether it may run again after it was sent.
+        keeps_lease: whether a transaction is open afterwards.
+        may_write: whether its answer acknowledges a write.
+    """
+
+    needs_primary: bool
+    is_pinned: bool
+    is_repeatable: bool
+    keeps_lease: bool
+    may_write: bool
+
+
+TRAITS: dict[RequestKind, KindTraits] = {
+    RequestKind.READ: KindTraits(False, False, True, False, False),
+    RequestKind.WRITE: KindTraits(True, False, False, False, True),
+    RequestKind.BEGIN: KindTraits(True, False, True, True, False),
+    RequestKind.BEGIN_READ_ONLY: KindTraits(False, False, True, True, False),
+    RequestKind.STATEMENT: KindTraits(False, True, False, True, False),
+    RequestKind.COMMIT: KindTraits(False, True, False, False, True),
+    RequestKind.ROLLBACK: KindTraits(False, True, False, False, False),
+}
+
+
+class Lane(NamedTuple):
+    """Name a queue: requests of one group that wait for the same targets.
+
+    Attributes:
+        group: name of the group.
+        is_primary: whether they need the primary.
+    """
+
+    group: str
+    is_primary: bool
+
+
+class RequestPhase(enum.Enum):
+    """Name the state of a request that has no final answer yet."""
+
+    QUEUED = "queued"
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """Hold a request until its final answer.
+
+    Attributes:
+        id: id given by the callers edge.
+        session: id of the caller's connection.
+        caller: name that fair shares are kept by.
+        group: name of the group.
+        kind: kind of the request.
+        max_age_ms: accepted age of data; 0 demands current data.
+        position: position of the session, or None without a token.
+        key: idempotency key, or empty.
+        arrived_at: time of arrival.
+        deadline: time of the final answer at the latest.
+        phase: state of the request.
+        attempt: attempts so far.
+        target: target of the attempt that runs.
+        lease: lease of the attempt that runs; 0 for none.
+        term: term known when the attempt began.
+        sent_at: time when the attempt began.
+        waited_for_replica: whether its wait for a replica is used up.
+        wants_primary: whether a replica refused it as a write.
+        was_sent: whether an attempt of a write may have taken effect.
+        refused_by: targets that failed the request, not to be tried again.
+        abort_at: time at which the running attempt is given up.
+        reason: why the target of the last attempt was chosen.
+    """
+
+    id: int
+    session: int
+    caller: str
+    group: str
+    kind: RequestKind
+    max_age_ms: int
+    position: model.Position | None
+    key: str
+    arrived_at: float
+    deadline: float
+    phase: RequestPhase = RequestPhase.QUEUED
+    attempt: int = 0
+    target: str = ""
+    lease: int = 0
+    term: int = 0
+    sent_at: float = 0.0
+    waited_for_replica: bool = False
+    wants_primary: bool = False
+    was_sent: bool = False
+    refused_by: set[str] = dataclasses.field(default_factory=set)
+    abort_at: float = math.inf
+    reason: str = ""
+
+    @property
+    def traits(self) -> KindTraits:
+        """Return what holds for the request's kind."""
+        return TRAITS[self.kind]
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """Hold the use of one connection to a target.
+
+    Attributes:
+        id: id of the lease.
+        target: id of the target.
+        session: session whose transaction is open on it; 0 for none.
+        is_read_only: whether its transaction only reads.
+        used_at: time of the last statement.
+    """
+
+    id: int
+    target: str
+    session: int = 0
+    is_read_only: bool = False
+    used_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class AdmissionState:
+    """Hold the requests of this host and its shares of the targets.
+
+    Attributes:
+        requests: requests without a final answer, by id.
+        queues: queue of each lane.
+        leases: leases in use, by id.
+        transactions: lease of each session with an open transaction.
+        usage: leases in use, by target.
+        next_lease: id of the next lease.
+        service_s: moving average of an attempt's time, by lane.
+        retry_budget: attempts that may be repeated, by group.
+        known_terms: term and primary last acted upon, by group.
+        counters: counts of outcomes, by name.
+        host_count: entry hosts that share the targets.
+    """
+
+    requests: dict[int, Request] = dataclasses.field(default_factory=dict)
+    queues: dict[Lane, queue.FairQueue] = dataclasses.field(
+        default_factory=dict
+    )
+    leases: dict[int, Lease] = dataclasses.field(default_factory=dict)
+    transactions: dict[int, int] = dataclasses.field(default_factory=dict)
+    usage: dict[str, int] = dataclasses.field(default_factory=dict)
+    next_lease: int = 1
+    service_s: dict[Lane, float] = dataclasses.field(default_factory=dict)
+    retry_budget: dict[str, float] = dataclasses.field(default_factory=dict)
+    known_terms: dict[str, tuple[int, str]] = dataclasses.field(
+        default_factory=dict
+    )
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    host_count: int = 1
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + 1
--- a/knapweedtally/core/effects.py
+++ b/knapweedtally/core/effects.py
@@ -110,6 +110,12 @@
     is_reusable: bool
 
 
+class CancelStatement(NamedTuple):
+    """Ask the target to cancel the statement that runs on a lease."""
+
+    lease: int
+
+
 class DeliverAnswer(NamedTuple):
     """Give the caller the target's whole answer to this attempt.
 
@@ -167,6 +173,7 @@
     | ControlTarget
     | RunStatement
     | ReleaseLease
+    | CancelStatement
     | DeliverAnswer
     | DeliverError
     | WriteLog
--- /dev/null
+++ b/knapweedtally/core/routing/decisions.py
@@ -0,0 +1,188 @@
+"""Choose the target of a request."""
+
+from typing import NamedTuple
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import shares
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.draining import rules as draining_rules
+from knapweedtally.core.routing import lag
+from knapweedtally.core.routing import state as routing_state
+
+FAILURE_AVOIDANCE_S = 0.05
+FAILURE_AVOIDANCE_LIMIT_S = 1.0
+HOLD_PAUSE_S = 0.02
+AGE_MARGIN = 0.8
+
+
+class Choice(NamedTuple):
+    """Say where a request goes.
+
+    Attributes:
+        target: id of the target, or empty when none can take it now.
+        retry_at: time to choose again, or 0 when an event decides.
+        reason: one sentence for the decision record.
+    """
+
+    target: str
+    retry_at: float
+    reason: str
+
+
+class _Candidate(NamedTuple):
+    ready_at: float
+    is_remote: bool
+    load: int
+    target: str
+
+
+def choose_target(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> Choice:
+    """Choose a target for a request that isn't pinned to a lease.
+
+    Args:
+        state: state of the proxy.
+        moment: moment of the choice.
+        request: the request.
+
+    Returns:
+        The choice; an empty target when the request has to wait.
+    """
+    if not accepts_replica(request):
+        return _choose_primary(state, moment, request, "needs the primary")
+    candidates = _list_replicas(state, moment, request)
+    free = [
+        candidate
+        for candidate in candidates
+        if shares.has_free_connection(state, candidate.target)
+    ]
+    ready = [c for c in free if c.ready_at <= moment.at]
+    if ready:
+        best = min(ready, key=lambda c: (c.is_remote, c.load, c.target))
+        return Choice(best.target, 0.0, "replica expected to have the position")
+    if free and not request.waited_for_replica:
+        first = min(free, key=lambda c: (c.ready_at, c.is_remote, c.load))
+        group = _get_group(state, request)
+        if first.ready_at - moment.at <= group.replica_wait_ms / 1000.0:
+            return Choice("", first.ready_at, "a replica is about to catch up")
+    if candidates and not free:
+        return Choice("", 0.0, "replicas have no free connection")
+    return _choose_primary(state, moment, request, "no replica is fresh enough")
+
+
+def accepts_replica(request: admission_state.Request) -> bool:
+    """Return whether a replica may serve the request."""
+    if request.traits.needs_primary or request.wants_primary:
+        return False
+    return request.max_age_ms > 0 and request.position is not None
+
+
+def note_failure(
+    routing: routing_state.RoutingState, target: str, at: float
+) -> None:
+    """Avoid a target for a time that doubles with each failure in a row."""
+    count = routing.failures.get(target, 0)
+    routing.failures[target] = count + 1
+    delay = min(FAILURE_AVOIDANCE_S * 2**count, FAILURE_AVOIDANCE_LIMIT_S)
+    routing.avoided_until[target] = at + delay
+
+
+def note_hold(
+    routing: routing_state.RoutingState, target: str, at: float
+) -> None:
+    """Pause a primary that holds writes for a planned change."""
+    routing.avoided_until[target] = at + HOLD_PAUSE_S
+
+
+def note_success(routing: routing_state.RoutingState, target: str) -> None:
+    """Stop avoiding a target that answered."""
+    routing.failures.pop(target, None)
+    routing.avoided_until.pop(target, None)
+
+
+def find_primary(state: state_module.ProxyState, group: str) -> str:
+    """Return the primary of the newest known open term, or an empty id."""
+    record = state.directory.records.get(group)
+    if record is None or record.phase is not model.Phase.OPEN:
+        return ""
+    return record.primary
+
+
+def _get_group(
+    state: state_module.ProxyState, request: admission_state.Request
+) -> model.Group:
+    group = state.directory.get_group(request.group)
+    if group is None:
+        raise KeyError(request.group)
+    return group
+
+
+def _choose_primary(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    reason: str,
+) -> Choice:
+    primary = find_primary(state, request.group)
+    if not primary:
+        return Choice("", 0.0, "no open term is known")
+    avoided_until = state.routing.avoided_until.get(primary, 0.0)
+    if avoided_until > moment.at:
+        return Choice("", avoided_until, "the primary failed a moment ago")
+    if not shares.has_free_connection(state, primary):
+        return Choice("", 0.0, "the primary has no free connection")
+    return Choice(primary, 0.0, reason)
+
+
+def _list_replicas(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> list[_Candidate]:
+    group = _get_group(state, request)
+    primary = find_primary(state, request.group)
+    result = []
+    for target in group.targets:
+        if target.id == primary or target.id in request.refused_by:
+            continue
+        if draining_rules.is_leaving(state, target.id, group):
+            continue
+        if state.routing.avoided_until.get(target.id, 0.0) > moment.at:
+            continue
+        candidate = _rate_replica(state, moment, request, target)
+        if candidate is not None:
+            result.append(candidate)
+    return result
+
+
+def _rate_replica(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    target: model.Target,
+) -> _Candidate | None:
+    position = request.position
+    if position is None:
+        return None
+    known = state.directory.reports.get(target.id)
+    ready_at = lag.estimate_ready(
+        state.routing, request.group, target.id, position.offset, moment.at
+    )
+    if known is not None:
+        report, seen_at = known
+        if report.age_ms > request.max_age_ms * AGE_MARGIN and (
+            moment.at - seen_at < 1.0
+        ):
+            return None
+        if report.term >= position.term and report.offset >= position.offset:
+            ready_at = moment.at
+    return _Candidate(
+        ready_at,
+        target.data_centre != state.identity.data_centre,
+        state.admission.usage.get(target.id, 0),
+        target.id,
+    )
--- /dev/null
+++ b/knapweedtally/core/routing/lag.py
@@ -0,0 +1,74 @@
+"""Estimate when a replica reaches a position."""
+
+from knapweedtally.core import model
+from knapweedtally.core.routing import state as routing_state
+
+LAG_WEIGHT = 0.2
+DEFAULT_LAG_S = 0.02
+
+
+def note_offset(
+    routing: routing_state.RoutingState, group: str, offset: int, at: float
+) -> None:
+    """Record when an offset of a group's log was first seen."""
+    timeline = routing.timelines.setdefault(
+        group, routing_state.GroupTimeline()
+    )
+    if not timeline.points or timeline.points[-1][0] < offset:
+        timeline.points.append((offset, at))
+
+
+def find_time(
+    routing: routing_state.RoutingState, group: str, offset: int
+) -> float | None:
+    """Return when an offset, or one above it, was first seen."""
+    timeline = routing.timelines.get(group)
+    if timeline is None:
+        return None
+    found = None
+    for seen_offset, seen_at in reversed(timeline.points):
+        if seen_offset < offset:
+            break
+        found = seen_at
+    return found
+
+
+def note_report(
+    routing: routing_state.RoutingState,
+    group: str,
+    report: model.TargetReport,
+    at: float,
+) -> None:
+    """Update the lag of a replica from its report.
+
+    A replica that has not applied the next offset is at least as far behind
+    as that offset is old; one that has applied the newest offset has caught
+    up within that offset's age.
+    """
+    if report.is_primary:
+        note_offset(routing, group, report.offset, at)
+        return
+    missing_since = find_time(routing, group, report.offset + 1)
+    known = routing.lag_s.get(report.target, DEFAULT_LAG_S)
+    if missing_since is not None:
+        sample = max(at - missing_since, known)
+    else:
+        reached_at = find_time(routing, group, report.offset)
+        if reached_at is None:
+            return
+        sample = min(at - reached_at, known)
+    routing.lag_s[report.target] = known + LAG_WEIGHT * (sample - known)
+
+
+def estimate_ready(
+    routing: routing_state.RoutingState,
+    group: str,
+    target: str,
+    offset: int,
+    at: float,
+) -> float:
+    """Return the time when a replica is expected to have applied an offset."""
+    seen_at = find_time(routing, group, offset)
+    if seen_at is None:
+        seen_at = at
+    return seen_at + routing.lag_s.get(target, DEFAULT_LAG_S)
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from knapweedtally.core import model
+from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.explanations import state as explanations_state
+from knapweedtally.core.routing import state as routing_state
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +31,7 @@
         bundle: bundle in force, or None before the first one.
         records: newest record of each group, by name of the group.
         reports: newest report of each target, with the time it arrived.
+        group_names: name of each target's group, by id of the target.
     """
 
     bundle: model.Bundle | None = None
@@ -39,6 +42,21 @@
         default_factory=dict
     )
 
+    group_names: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def put_bundle(self, bundle: model.Bundle) -> None:
+        """Put a bundle in force."""
+        self.bundle = bundle
+        self.group_names = {
+            target.id: group.name
+            for group in bundle.groups.values()
+            for target in group.targets
+        }
+
+    def find_group_of(self, target: str) -> model.Group | None:
+        """Return the group of a target in the bundle in force."""
+        return self.get_group(self.group_names.get(target, ""))
+
     def get_group(self, name: str) -> model.Group | None:
         """Return the group of this name in the bundle in force."""
         if self.bundle is None:
@@ -53,11 +71,19 @@
     Attributes:
         identity: who this proxy is.
         directory: bundle, group records and target reports.
+        admission: requests, leases and queues.
+        routing: estimates that guide the choice of a target.
         explanations: ring of decision records.
     """
 
     identity: Identity
     directory: Directory = dataclasses.field(default_factory=Directory)
+    admission: admission_state.AdmissionState = dataclasses.field(
+        default_factory=admission_state.AdmissionState
+    )
+    routing: routing_state.RoutingState = dataclasses.field(
+        default_factory=routing_state.RoutingState
+    )
     explanations: explanations_state.ExplanationsState = dataclasses.field(
         default_factory=explanations_state.ExplanationsState
     )
--- /dev/null
+++ b/knapweedtally/core/writes/decisions.py
@@ -0,0 +1,313 @@
+"""Decide what became of a request: done, not run, or unknown."""
+
+from collections.abc import Callable
+
+from knapweedtally.core import effects
+from knapweedtally.core import errors
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import attempts
+from knapweedtally.core.admission import dispatch
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.routing import decisions as routing
+from knapweedtally.core.routing import lag
+from knapweedtally.core.routing import rules as routing_rules
+from knapweedtally.core.writes import events as writes_events
+from knapweedtally.core.writes import rules
+
+# Attempts on replicas before a read goes to the primary.
+MAX_REPLICA_ATTEMPTS = 3
+UNCONFIRMED_RETRY_DELAY_S = 0.05
+
+Effects = list[effects.Effect]
+Kind = admission_state.RequestKind
+
+
+def handle_answer(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: writes_events.AttemptAnswered,
+) -> Effects:
+    """Deliver a target's answer, or try again where that is safe."""
+    request = _find_running(state, event.request, event.attempt)
+    if request is None:
+        return []
+    _note_report(state, moment, event.report)
+    attempts.note_service_time(state, moment, request)
+    result = attempts.settle_lease(state, moment, request, event.is_open)
+    if rules.is_not_run(event.sqlstate) and not request.traits.is_pinned:
+        result += _handle_not_run(state, moment, request, event)
+    else:
+        routing.note_success(state.routing, request.target)
+        handler = _ANSWER_HANDLERS[request.kind]
+        result += handler(state, moment, request, event)
+    return result + dispatch.dispatch_group(state, moment, request.group)
+
+
+def handle_failure(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: writes_events.AttemptFailed,
+) -> Effects:
+    """End an attempt whose connection was lost before a whole answer."""
+    request = _find_running(state, event.request, event.attempt)
+    if request is None:
+        return []
+    result = attempts.release_lease(state, request.lease, False)
+    if event.is_too_large:
+        kind = errors.ErrorKind.ANSWER_TOO_LARGE
+        request.was_sent = request.traits.may_write
+        reason = "the answer is above the size limit"
+        result += attempts.give_error(state, moment, request, kind, reason)
+    else:
+        routing.note_failure(state.routing, request.target, moment.at)
+        result += _end_attempt(state, moment, request, event.was_sent)
+    return result + dispatch.dispatch_group(state, moment, request.group)
+
+
+def abort_attempt(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> Effects:
+    """Give up a running attempt; its connection is closed."""
+    if request.phase is not admission_state.RequestPhase.RUNNING:
+        return []
+    result = attempts.release_lease(state, request.lease, False)
+    routing.note_failure(state.routing, request.target, moment.at)
+    return result + _end_attempt(state, moment, request, was_sent=True)
+
+
+def expire_request(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> Effects:
+    """End a request whose deadline has passed."""
+    result: Effects = []
+    kind = errors.ErrorKind.DEADLINE
+    reason = "no target took it in time"
+    if not routing.find_primary(state, request.group):
+        kind = errors.ErrorKind.NO_PRIMARY
+        reason = "the group had no open term until the deadline"
+    if request.phase is admission_state.RequestPhase.RUNNING:
+        reason = f"{request.target} did not answer in time"
+        kind = _LOST_KINDS.get(request.kind, kind)
+        request.was_sent = request.was_sent or request.traits.may_write
+        result += attempts.release_lease(state, request.lease, False)
+    return result + attempts.give_error(state, moment, request, kind, reason)
+
+
+def _find_running(
+    state: state_module.ProxyState, request_id: int, attempt: int
+) -> admission_state.Request | None:
+    request = state.admission.requests.get(request_id)
+    if request is None or not rules.is_current_attempt(request, attempt):
+        return None
+    return request
+
+
+def _note_report(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    report: model.TargetReport | None,
+) -> None:
+    if report is None:
+        return
+    state.directory.reports[report.target] = (report, moment.at)
+    group = state.directory.group_names.get(report.target)
+    if group is not None:
+        lag.note_report(state.routing, group, report, moment.at)
+
+
+def _handle_not_run(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    event: writes_events.AttemptAnswered,
+) -> Effects:
+    """Run a request elsewhere after a target's proof that it didn't run."""
+    if event.sqlstate == rules.READ_ONLY and request.kind is Kind.READ:
+        request.kind = Kind.WRITE
+        return attempts.retry_request(state, moment, request, 0.0)
+    if event.sqlstate == rules.CANNOT_CONNECT_NOW:
+        routing.note_hold(state.routing, request.target, moment.at)
+    else:
+        routing.note_failure(state.routing, request.target, moment.at)
+    return attempts.retry_request(state, moment, request)
+
+
+def _end_attempt(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    was_sent: bool,
+) -> Effects:
+    if request.traits.is_pinned:
+        return _lose_transaction(state, moment, request, was_sent)
+    if rules.may_run_again(request, was_sent):
+        is_write = request.traits.may_write
+        request.was_sent = request.was_sent or (was_sent and is_write)
+        return attempts.retry_request(state, moment, request)
+    request.was_sent = True
+    return attempts.give_error(
+        state,
+        moment,
+        request,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        "the connection was lost after the write was sent",
+    )
+
+
+def _lose_transaction(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    was_sent: bool,
+) -> Effects:
+    kind = errors.ErrorKind.TRANSACTION_LOST
+    if request.traits.may_write and was_sent:
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+    reason = "the connection of the transaction was lost"
+    return attempts.give_error(state, moment, request, kind, reason)
+
+
+def _answer_read(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    event: writes_events.AttemptAnswered,
+) -> Effects:
+    if routing_rules.is_answer_fresh(request, event.report, event.confirmed):
+        _count_read(state, request, event.report)
+        return attempts.give_answer(state, moment, request, None)
+    state.admission.count("read again")
+    result = attempts.release_lease(state, request.lease, False)
+    if event.report is not None and event.report.is_primary:
+        delay_s = UNCONFIRMED_RETRY_DELAY_S
+    else:
+        delay_s = _plan_next_read(state, moment, request)
+    return result + attempts.retry_request(state, moment, request, delay_s)
+
+
+def _plan_next_read(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> float:
+    """Return the delay of the next attempt after a stale replica's answer."""
+    group = state.directory.get_group(request.group)
+    wait_s = group.replica_wait_ms / 1000.0 if group else 0.0
+    waited_s = moment.at - request.arrived_at
+    if request.attempt >= MAX_REPLICA_ATTEMPTS or waited_s > wait_s:
+        request.wants_primary = True
+        return 0.0
+    return wait_s / MAX_REPLICA_ATTEMPTS / 2
+
+
+def _answer_write(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    event: writes_events.AttemptAnswered,
+) -> Effects:
+    if rules.is_acknowledgeable(event):
+        if event.is_key_reused:
+            kind = errors.ErrorKind.KEY_REUSED
+            reason = "the key is on record with another statement"
+            return attempts.give_error(state, moment, request, kind, reason)
+        position = None if event.sqlstate else event.confirmed
+        return attempts.give_answer(state, moment, request, position)
+    if event.sqlstate:
+        # The target rolled it back, but may itself have been replaced.
+        return attempts.retry_request(
+            state, moment, request, UNCONFIRMED_RETRY_DELAY_S
+        )
+    request.was_sent = True
+    if rules.may_run_again(request, was_sent=True):
+        return attempts.retry_request(
+            state, moment, request, UNCONFIRMED_RETRY_DELAY_S
+        )
+    return _give_unconfirmed(state, moment, request)
+
+
+def _answer_commit(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    event: writes_events.AttemptAnswered,
+) -> Effects:
+    lease = state.admission.leases.get(request.lease)
+    is_read_only = lease is not None and lease.is_read_only
+    if is_read_only or event.sqlstate:
+        return attempts.give_answer(state, moment, request, None)
+    if rules.is_acknowledgeable(event):
+        return attempts.give_answer(state, moment, request, event.confirmed)
+    return _give_unconfirmed(state, moment, request)
+
+
+def _answer_pinned(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    event: writes_events.AttemptAnswered,
+) -> Effects:
+    return attempts.give_answer(state, moment, request, None)
+
+
+def _give_unconfirmed(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+) -> Effects:
+    return attempts.give_error(
+        state,
+        moment,
+        request,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        "no majority of the group confirmed the write",
+    )
+
+
+def _count_read(
+    state: state_module.ProxyState,
+    request: admission_state.Request,
+    report: model.TargetReport | None,
+) -> None:
+    served_by = "primary" if report and report.is_primary else "replica"
+    state.admission.count(f"reads by {served_by}")
+    if request.max_age_ms > 0:
+        state.admission.count(f"eligible reads by {served_by}")
+
+
+_LOST_KINDS = {
+    Kind.WRITE: errors.ErrorKind.OUTCOME_UNKNOWN,
+    Kind.STATEMENT: errors.ErrorKind.TRANSACTION_LOST,
+    Kind.COMMIT: errors.ErrorKind.OUTCOME_UNKNOWN,
+    Kind.ROLLBACK: errors.ErrorKind.TRANSACTION_LOST,
+}
+
+_AnswerHandler = Callable[
+    [
+        state_module.ProxyState,
+        model.Moment,
+        admission_state.Request,
+        writes_events.AttemptAnswered,
+    ],
+    Effects,
+]
+
+_ANSWER_HANDLERS: dict[Kind, _AnswerHandler] = {
+    Kind.READ: _answer_read,
+    Kind.BEGIN_READ_ONLY: _answer_read,
+    Kind.BEGIN: _answer_read,
+    Kind.WRITE: _answer_write,
+    Kind.COMMIT: _answer_commit,
+    Kind.STATEMENT: _answer_pinned,
+    Kind.ROLLBACK: _answer_pinned,
+}
+
+HANDLERS: dict[type, Callable[..., Effects]] = {
+    writes_events.AttemptAnswered: handle_answer,
+    writes_events.AttemptFailed: handle_failure,
+}
