Carry requests between callers and targets over the wire protocol

Cause: the decisions had no edges. Ruled out: decoding every row message (rows pass through as frames); per-connection prepared statements (a batch brings along what its connection lacks).

--- /dev/null
+++ b/knapweedtally/callers/session.py
@@ -0,0 +1,344 @@
+"""One caller's connection."""
+
+from typing import NamedTuple
+
+import anyio
+from pygwire import messages
+
+from knapweedtally.callers import answers
+from knapweedtally.callers import batch as batch_module
+from knapweedtally.callers import execution
+from knapweedtally.callers import local
+from knapweedtally.callers import options as options_module
+from knapweedtally.callers import sql
+from knapweedtally.callers import stream as stream_module
+from knapweedtally.core import exceptions
+from knapweedtally.core import model
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.sessions import token as token_module
+
+Kind = sql.StatementKind
+RequestKind = admission_state.RequestKind
+
+
+class Unit(NamedTuple):
+    """Hold what is answered with one ReadyForQuery.
+
+    Attributes:
+        batch: the messages for a target.
+        statements: the statements that it executes.
+        is_extended: whether it came by the extended protocol.
+        parts: the caller's messages, for the extended protocol.
+    """
+
+    batch: execution.FilteringBatch
+    statements: list[sql.Statement]
+    is_extended: bool
+    parts: list[messages.FrontendMessage]
+
+
+_OUTSIDE_KINDS = {
+    Kind.READ: RequestKind.READ,
+    Kind.WRITE: RequestKind.WRITE,
+    Kind.BEGIN: RequestKind.BEGIN,
+    Kind.BEGIN_READ_ONLY: RequestKind.BEGIN_READ_ONLY,
+}
+_INSIDE_KINDS = {
+    Kind.COMMIT: RequestKind.COMMIT,
+    Kind.ROLLBACK: RequestKind.ROLLBACK,
+}
+
+
+class Session:
+    """Serve one caller from startup to the end of its connection.
+
+    Attributes:
+        id: id of the session, unique on this host.
+        secret: secret that a cancel request has to name.
+    """
+
+    def __init__(
+        self,
+        session_id: int,
+        secret: bytes,
+        stream: stream_module.CallerStream,
+        executor: execution.Executor,
+        keys: tuple[token_module.SigningKey, ...],
+        host: str,
+    ) -> None:
+        self.id = session_id
+        self.secret = secret
+        self.is_idle = True
+        self._stream = stream
+        self._executor = executor
+        self._keys = keys
+        self._host = host
+        self._options = options_module.Options()
+        self._caller = ""
+        self._group = ""
+        self._positions: token_module.Positions = {}
+        self._has_token = False
+        self._status = "I"
+        self._is_detached = False
+        self._statements: batch_module.Statements = {}
+        self._portals: dict[str, str] = {}
+        self._parts: list[messages.FrontendMessage] = []
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether nothing is running or open."""
+        return self.is_idle and self._status == "I"
+
+    async def serve(self, startup: messages.StartupMessage) -> None:
+        """Answer the caller's messages until its connection ends.
+
+        Raises:
+            ProtocolError: a message is malformed.
+        """
+        self._caller = startup.params.get("user", "")
+        self._group = startup.params.get("database", self._caller)
+        try:
+            self._options = options_module.parse_startup(startup.params)
+        except options_module.OptionError as error:
+            await self._stream.send(
+                answers.encode_error("22023", str(error), severity="FATAL")
+            )
+            return
+        self._load_token()
+        welcome = answers.encode_welcome(self.id, self.secret, self._host)
+        await self._stream.send(welcome)
+        async for message in self._stream.receive_messages():
+            if isinstance(message, messages.Terminate):
+                return
+            self.is_idle = False
+            await self._take_message(message)
+            self.is_idle = not self._parts
+
+    async def say_goodbye(self) -> None:
+        """Tell an idle caller that this host is stopping."""
+        await self._stream.send(
+            answers.encode_error(
+                "57P01",
+                "this entry host is stopping",
+                hint="connect again",
+                severity="FATAL",
+            )
+        )
+
+    async def _take_message(self, message: messages.FrontendMessage) -> None:
+        if isinstance(message, messages.Query):
+            text = message.query_string
+            statement = sql.classify(text)
+            unit = Unit(batch_module.SimpleBatch(text), [statement], False, [])
+            await self._run_unit(unit)
+        elif isinstance(message, messages.Sync):
+            parts, self._parts = self._parts, []
+            await self._run_parts(parts)
+        elif isinstance(message, messages.Flush):
+            return
+        elif isinstance(message, _EXTENDED_MESSAGES):
+            self._parts.append(message)
+            if isinstance(message, messages.Parse):
+                self._statements[message.statement] = message
+        else:
+            await self._refuse("0A000", f"{type(message).__name__} messages")
+
+    async def _run_parts(self, parts: list[messages.FrontendMessage]) -> None:
+        if self._status == "I" and local.is_local_batch(parts):
+            answer = local.answer_parts(parts, self._statements)
+            await self._stream.send(answer + answers.encode_ready("I"))
+            return
+        statements = batch_module.classify_parts(
+            parts, self._statements, self._portals
+        )
+        batch = batch_module.ExtendedBatch(parts, self._statements)
+        await self._run_unit(Unit(batch, statements, True, parts))
+
+    async def _run_unit(self, unit: Unit) -> None:
+        statement = combine(unit.statements)
+        if self._is_detached and statement.kind not in _INSIDE_KINDS:
+            await self._refuse(
+                "25P02", "transaction was lost; commands wait for ROLLBACK"
+            )
+            return
+        if self._is_detached:
+            self._status = "I"
+            self._is_detached = False
+            await self._answer_locally(
+                unit, answers.encode_complete("ROLLBACK")
+            )
+            return
+        if statement.kind in local.KINDS:
+            await self._run_local(unit, statement)
+            return
+        kind = self._find_request_kind(statement)
+        if kind is None:
+            await self._refuse("0A000", "this statement through the proxy")
+            return
+        if kind in _INSIDE_KINDS.values() and self._status == "I":
+            tag = kind.value.upper()
+            await self._answer_locally(unit, answers.encode_complete(tag))
+            return
+        await self._run_request(unit, statement, kind)
+
+    def _find_request_kind(
+        self, statement: sql.Statement
+    ) -> RequestKind | None:
+        if self._status == "I":
+            return {**_OUTSIDE_KINDS, **_INSIDE_KINDS}.get(statement.kind)
+        if statement.kind in _INSIDE_KINDS:
+            return _INSIDE_KINDS[statement.kind]
+        if statement.kind in _OUTSIDE_KINDS:
+            return RequestKind.STATEMENT
+        return None
+
+    async def _run_request(
+        self, unit: Unit, statement: sql.Statement, kind: RequestKind
+    ) -> None:
+        key = ""
+        if kind in _KEYED_KINDS:
+            key = self._options.idempotency_key
+            self._options.idempotency_key = ""
+        order = execution.Order(
+            self.id,
+            self._caller,
+            self._group,
+            kind,
+            self._options.max_age_ms,
+            statement.tables,
+            self._get_position(),
+            key,
+            unit.batch,
+        )
+        outcome = await self._executor.execute(order)
+        if outcome.refusal is not None:
+            await self._send_refusal(kind, outcome.refusal)
+            return
+        await self._send_outcome(unit, outcome)
+
+    async def _send_outcome(
+        self, unit: Unit, outcome: execution.Outcome
+    ) -> None:
+        frames = list(unit.batch.filter_answer(outcome.frames))
+        if unit.is_extended and outcome.is_replayed:
+            frames = [local.render_bound(unit.parts), *frames]
+        self._status = outcome.status
+        answer = b"".join(frames)
+        if outcome.position is not None:
+            self._has_token = True
+            token_module.advance_positions(
+                self._positions, self._group, outcome.position
+            )
+            answer += self._encode_token()
+        answer += answers.encode_parameter(
+            "knapweedtally.decision", outcome.decision
+        )
+        await self._stream.send(answer + answers.encode_ready(self._status))
+
+    async def _send_refusal(
+        self, kind: RequestKind, refusal: execution.Refusal
+    ) -> None:
+        if self._status != "I" and kind is not RequestKind.COMMIT:
+            self._is_detached = True
+            self._status = "E"
+        else:
+            self._status = "I"
+        if kind is RequestKind.ROLLBACK:
+            # The connection is closed, so the rollback has happened.
+            self._is_detached = False
+            self._status = "I"
+            answer = answers.encode_complete("ROLLBACK")
+        else:
+            answer = answers.encode_refusal(refusal)
+        await self._stream.send(answer + answers.encode_ready(self._status))
+
+    async def _run_local(self, unit: Unit, statement: sql.Statement) -> None:
+        try:
+            answer = local.run_statement(statement, self._options)
+        except options_module.OptionError as error:
+            await self._stream.send(
+                answers.encode_error("22023", str(error))
+                + answers.encode_ready(self._fail_status())
+            )
+            return
+        if statement.name == options_module.PREFIX + "token":
+            self._load_token()
+        await self._answer_locally(unit, answer)
+
+    async def _answer_locally(self, unit: Unit, answer: bytes) -> None:
+        if unit.is_extended:
+            answer = local.render_bound(unit.parts) + answer
+        ready = answers.encode_ready(self._status)
+        await self._stream.send(answer + ready)
+
+    async def _refuse(self, sqlstate: str, what: str) -> None:
+        message = what
+        if sqlstate == "0A000":
+            message = f"{what}: not supported"
+        await self._stream.send(
+            answers.encode_error(sqlstate, message)
+            + answers.encode_ready(self._fail_status())
+        )
+
+    def _fail_status(self) -> str:
+        """Return the status after an error of the proxy's own.
+
+        Inside a transaction the target hasn't seen the error, so the
+        transaction goes on.
+        """
+        return self._status
+
+    def _get_position(self) -> model.Position | None:
+        if not self._has_token:
+            return None
+        return self._positions.get(self._group, model.Position(0, 0))
+
+    def _load_token(self) -> None:
+        """Read the token of the options; an invalid one counts as none."""
+        if not self._options.token:
+            return
+        try:
+            decoded = token_module.decode_token(
+                self._keys, self._caller, self._options.token
+            )
+        except exceptions.TokenError:
+            return
+        for group, position in decoded.items():
+            token_module.advance_positions(self._positions, group, position)
+        self._has_token = True
+
+    def _encode_token(self) -> bytes:
+        token = token_module.encode_token(
+            self._keys[0], self._caller, self._positions
+        )
+        self._options.token = token
+        return answers.encode_parameter("knapweedtally.token", token)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await anyio.aclose_forcefully(self._stream.stream)
+
+
+def combine(statements: list[sql.Statement]) -> sql.Statement:
+    """Return one statement that stands for all of a batch."""
+    if len(statements) == 1:
+        return statements[0]
+    kinds = {statement.kind for statement in statements}
+    if not statements:
+        return sql.Statement(Kind.READ)
+    tables = frozenset().union(*(s.tables for s in statements))
+    if kinds == {Kind.READ}:
+        return sql.Statement(Kind.READ, tables)
+    if kinds <= {Kind.READ, Kind.WRITE}:
+        return sql.Statement(Kind.WRITE)
+    return sql.Statement(Kind.MULTIPLE)
+
+
+_KEYED_KINDS = (RequestKind.WRITE, RequestKind.BEGIN)
+_EXTENDED_MESSAGES = (
+    messages.Parse,
+    messages.Bind,
+    messages.Describe,
+    messages.Execute,
+    messages.Close,
+)
--- /dev/null
+++ b/knapweedtally/runtime/loop.py
@@ -0,0 +1,88 @@
+"""The one loop: events to the reducer, effects to the edges."""
+
+import asyncio
+import collections
+import random
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+import structlog
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import reducer
+from knapweedtally.core import state as state_module
+from knapweedtally.runtime import edges
+
+TICK_INTERVAL_S = 0.1
+
+
+class Loop:
+    """Apply events one at a time and run the effects of each.
+
+    Attributes:
+        state: state of the proxy; only the reducer changes it.
+    """
+
+    def __init__(self, state: state_module.ProxyState) -> None:
+        self.state = state
+        self._random = random.Random()
+        self._events: collections.deque[Any] = collections.deque()
+        self._is_deciding = False
+        self._runners: dict[type, Any] = {
+            effects.SetTimer: self._set_timer,
+            effects.WriteLog: write_log,
+        }
+
+    def add_edge(self, edge: edges.Edge) -> None:
+        """Let an edge run the effects that it names."""
+        for effect_type in edge.effect_types:
+            self._runners[effect_type] = edge.run_effect
+
+    def submit(self, event: Any) -> None:
+        """Give an event to the reducer and run its effects.
+
+        An event that comes while effects run waits for its turn.
+        """
+        self._events.append(event)
+        if self._is_deciding:
+            return
+        self._is_deciding = True
+        try:
+            while self._events:
+                self._apply(self._events.popleft())
+        finally:
+            self._is_deciding = False
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Submit a tick each control interval until cancelled."""
+        task_status.started()
+        while True:
+            await anyio.sleep(TICK_INTERVAL_S)
+            self.submit(events.Ticked())
+
+    def _apply(self, event: Any) -> None:
+        moment = model.Moment(time.monotonic(), self._random.random())
+        for effect in reducer.decide(self.state, moment, event):
+            runner = self._runners.get(type(effect))
+            if runner is not None:
+                runner(effect)
+
+    def _set_timer(self, effect: effects.SetTimer) -> None:
+        event = events.TimerFired(effect.key)
+        loop = asyncio.get_running_loop()
+        loop.call_later(effect.delay_s, self.submit, event)
+
+
+def write_log(effect: effects.WriteLog) -> None:
+    """Write a log line with the prefix of its part."""
+    logger = structlog.get_logger(effect.part)
+    write = getattr(logger, effect.level)
+    write(f"{effect.part}: {effect.message}", **effect.values)
--- /dev/null
+++ b/knapweedtally/targets/pool.py
@@ -0,0 +1,96 @@
+"""Connections to targets, lent out by lease."""
+
+from collections.abc import Callable
+
+import anyio
+
+from knapweedtally.core import model
+from knapweedtally.targets import connection as connection_module
+
+TargetConnection = connection_module.TargetConnection
+
+
+class Pool:
+    """Keep idle connections and those that are lent to leases.
+
+    The core decides how many leases there are; the pool only keeps track.
+    """
+
+    def __init__(self, source_host: str | None, user: str) -> None:
+        self._source_host = source_host
+        self._user = user
+        self._idle: dict[str, list[TargetConnection]] = {}
+        self._leased: dict[int, TargetConnection] = {}
+        self._scopes: dict[int, anyio.CancelScope] = {}
+
+    async def get_connection(
+        self, lease: int, target: model.Target, database: str
+    ) -> TargetConnection:
+        """Return the connection of a lease, an idle one, or a new one.
+
+        Raises:
+            AttemptLostError: the target can't be reached.
+        """
+        known = self._leased.get(lease)
+        if known is not None:
+            return known
+        found = self._take_idle(target)
+        if found is None:
+            found = await TargetConnection.connect(
+                target, self._source_host, self._make_parameters(database)
+            )
+        self._leased[lease] = found
+        return found
+
+    def enter_lease(self, lease: int, scope: anyio.CancelScope) -> None:
+        """Note the scope of the attempt that runs on a lease."""
+        self._scopes[lease] = scope
+
+    def leave_lease(self, lease: int) -> None:
+        """Forget the scope of an attempt that ended."""
+        self._scopes.pop(lease, None)
+
+    def find_leased(self, lease: int) -> TargetConnection | None:
+        """Return the connection of a lease, if it has one by now."""
+        return self._leased.get(lease)
+
+    def release(
+        self,
+        lease: int,
+        is_reusable: bool,
+        close: Callable[[TargetConnection], None],
+    ) -> None:
+        """End a lease; keep its connection only if nothing is open on it."""
+        scope = self._scopes.pop(lease, None)
+        if scope is not None:
+            scope.cancel()
+        connection = self._leased.pop(lease, None)
+        if connection is None:
+            return
+        if is_reusable and connection.is_usable and scope is None:
+            self._idle.setdefault(connection.target.id, []).append(connection)
+            return
+        close(connection)
+
+    async def close_all(self) -> None:
+        """Close every connection."""
+        idle = [c for group in self._idle.values() for c in group]
+        for connection in [*idle, *self._leased.values()]:
+            await connection.close()
+        self._idle.clear()
+        self._leased.clear()
+
+    def _take_idle(self, target: model.Target) -> TargetConnection | None:
+        idle = self._idle.get(target.id, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable and connection.target == target:
+                return connection
+        return None
+
+    def _make_parameters(self, database: str) -> dict[str, str]:
+        return {
+            "user": self._user,
+            "database": database,
+            "application_name": "knapweedtally",
+        }
