Decide which bundle is in force

Cause: a proxy hears of bundles from the platform and from peers, repeated, late and out of order, and must never go back. A small table goes from the standing of a bundle (older, same, conflicting, newer) to its handler; only a newer one with a signature of a known operator is put in force and published. Refusals are recorded with a remedy, reported once and change nothing. Differential test against 'highest accepted version' over drawn sequences; with the rule switched off the same sequence reverts.

--- a/knapweedtally/core/bundles/codec.py
+++ b/knapweedtally/core/bundles/codec.py
@@ -77,6 +77,11 @@
     return hashlib.sha256(get_canonical_bytes(value)).hexdigest()
 
 
+def compute_any_digest(value: Any) -> str:
+    """Return a digest of any value, to tell malformed bundles apart."""
+    return hashlib.sha256(repr(value).encode()).hexdigest()
+
+
 def pick_bundle_keys(value: dict[str, Any]) -> dict[str, Any]:
     """Return a plain form without keys that are not the bundle's."""
     return {
--- /dev/null
+++ b/knapweedtally/core/bundles/decisions.py
@@ -0,0 +1,195 @@
+"""Decide which configuration bundle is in force."""
+
+from collections.abc import Callable
+from typing import Any
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.bundles import codec
+from knapweedtally.core.bundles import rules
+from knapweedtally.core.bundles import signatures
+from knapweedtally.core.bundles import state as bundles_state
+from knapweedtally.core.explanations import decisions as explanations
+
+PART = "bundles"
+KIND = "bundle"
+NAME = "current"
+
+Effects = list[effects.Effect]
+
+
+def handle_object_seen(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ObjectSeen,
+) -> Effects:
+    """Consider the bundle that the platform holds."""
+    if (event.kind, event.name) != (KIND, NAME) or event.version == 0:
+        return []
+    return consider_bundle(state, moment, event.value, "platform")
+
+
+def handle_register_seen(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.RegisterSeen,
+) -> Effects:
+    """Consider a bundle that peers spread."""
+    register = event.register
+    if (register.kind, register.name) != (KIND, NAME):
+        return []
+    return consider_bundle(state, moment, register.value, "peers")
+
+
+def consider_bundle(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    value: dict[str, Any],
+    source: str,
+) -> Effects:
+    """Put a bundle in force, or refuse it, or leave things as they are.
+
+    Args:
+        state: state of the proxy.
+        moment: moment of the decision.
+        value: plain form of the bundle.
+        source: where it came from, for the records.
+    """
+    try:
+        candidate = codec.parse_bundle(value)
+    except codec.MalformedBundleError as error:
+        candidate = model.Bundle(0, codec.compute_any_digest(value), {})
+        return _refuse(state, moment, candidate, f"malformed: {error}", source)
+    standing = rules.compare_bundles(candidate, state.directory.bundle)
+    handle = _STANDING_HANDLERS[standing]
+    return handle(state, moment, candidate, value, source)
+
+
+def _ignore(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    candidate: model.Bundle,
+    value: dict[str, Any],
+    source: str,
+) -> Effects:
+    return []
+
+
+def _refuse_conflicting(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    candidate: model.Bundle,
+    value: dict[str, Any],
+    source: str,
+) -> Effects:
+    reason = f"version {candidate.version} is in force with another digest"
+    return _refuse(state, moment, candidate, reason, source)
+
+
+def _accept_if_signed(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    candidate: model.Bundle,
+    value: dict[str, Any],
+    source: str,
+) -> Effects:
+    reason = signatures.verify_signature(value, state.bundles.keys)
+    if reason:
+        return _refuse(state, moment, candidate, reason, source)
+    return _accept(state, moment, candidate, value, source)
+
+
+_STANDING_HANDLERS: dict[rules.Standing, Callable[..., Effects]] = {
+    rules.Standing.OLDER: _ignore,
+    rules.Standing.SAME: _ignore,
+    rules.Standing.CONFLICTING: _refuse_conflicting,
+    rules.Standing.NEWER: _accept_if_signed,
+}
+
+
+def _accept(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    bundle: model.Bundle,
+    value: dict[str, Any],
+    source: str,
+) -> Effects:
+    plain = codec.pick_bundle_keys(value)
+    state.bundles.value = plain
+    state.directory.put_bundle(bundle)
+    facts = _describe(bundle, source)
+    decision = explanations.record_decision(
+        state,
+        moment,
+        PART,
+        _get_subject(bundle),
+        "in force",
+        "signed by a known operator and newer than the one before",
+        **facts,
+    )
+    register = model.Register(KIND, NAME, (bundle.version,), plain)
+    return [
+        effects.PublishRegister(register),
+        effects.WriteLog(
+            PART, "info", "bundle in force", {**facts, "decision": decision}
+        ),
+    ]
+
+
+def _refuse(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    candidate: model.Bundle,
+    reason: str,
+    source: str,
+) -> Effects:
+    if not _remember_refusal(state.bundles, candidate):
+        return []
+    facts = _describe(candidate, source)
+    decision = explanations.record_decision(
+        state,
+        moment,
+        PART,
+        _get_subject(candidate),
+        "refused",
+        reason,
+        "roll out a bundle with a higher version, signed by an operator whose "
+        "key is in bundle-keys of every host",
+        **facts,
+    )
+    values = {**facts, "reason": reason, "decision": decision}
+    return [effects.WriteLog(PART, "warning", "bundle refused", values)]
+
+
+def _remember_refusal(
+    bundles: bundles_state.BundlesState, candidate: model.Bundle
+) -> bool:
+    """Return whether this refusal is a new one."""
+    key = (candidate.version, candidate.digest)
+    is_new = key not in bundles.refused
+    bundles.refused[key] = None
+    bundles.refused.move_to_end(key)
+    if len(bundles.refused) > bundles_state.MAX_REMEMBERED_REFUSALS:
+        bundles.refused.popitem(last=False)
+    return is_new
+
+
+def _get_subject(bundle: model.Bundle) -> str:
+    return f"bundle version {bundle.version}"
+
+
+def _describe(bundle: model.Bundle, source: str) -> dict[str, Any]:
+    return {
+        "version": bundle.version,
+        "digest": bundle.digest,
+        "signer": bundle.signer,
+        "source": source,
+    }
+
+
+HANDLERS: dict[type, Callable[..., Effects]] = {
+    events.ObjectSeen: handle_object_seen,
+    events.RegisterSeen: handle_register_seen,
+}
--- /dev/null
+++ b/knapweedtally/core/bundles/events.py
@@ -0,0 +1,1 @@
+"""Events of the bundles part; it handles only shared ones."""
--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -14,6 +14,7 @@
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import decisions as admission
+from knapweedtally.core.bundles import decisions as bundles
 from knapweedtally.core.writes import decisions as writes
 
 Effects = list[effects.Effect]
@@ -22,6 +23,7 @@
 
 # One handler table per part; each part's decisions.py exports HANDLERS.
 PART_TABLES: tuple[HandlerTable, ...] = (
+    bundles.HANDLERS,
     admission.HANDLERS,
     writes.HANDLERS,
 )
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -4,6 +4,7 @@
 
 from knapweedtally.core import model
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.bundles import state as bundles_state
 from knapweedtally.core.explanations import state as explanations_state
 from knapweedtally.core.routing import state as routing_state
 
@@ -74,6 +75,7 @@
         admission: requests, leases and queues.
         routing: estimates that guide the choice of a target.
         explanations: ring of decision records.
+        bundles: bundle in force in plain form, and the operators' keys.
     """
 
     identity: Identity
@@ -87,3 +89,6 @@
     explanations: explanations_state.ExplanationsState = dataclasses.field(
         default_factory=explanations_state.ExplanationsState
     )
+    bundles: bundles_state.BundlesState = dataclasses.field(
+        default_factory=bundles_state.BundlesState
+    )
--- /dev/null
+++ b/tests/bundles/test_decisions.py
@@ -0,0 +1,141 @@
+"""Tests of the bundle in force, against a naive model."""
+
+from typing import Any
+
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import reducer
+from knapweedtally.core import state as state_module
+from knapweedtally.core.bundles import codec
+from knapweedtally.core.bundles import rules
+from knapweedtally.core.bundles import signatures
+from tests.bundles import test_codec
+
+MOMENT = model.Moment(1.0, 0.5)
+MAX_VERSION = 6
+
+
+def make_signed(version: int, slots: int = 2) -> dict[str, Any]:
+    """Return a signed bundle; slots tells two of one version apart."""
+    value = test_codec.make_value()
+    value["version"] = version
+    value["groups"][0]["slots"] = slots
+    value["signature"] = signatures.sign(value, test_codec.PRIVATE_KEY)
+    return value
+
+
+def make_state() -> state_module.ProxyState:
+    state = state_module.ProxyState(state_module.Identity("a1", "dc1", 1))
+    state.bundles.keys = test_codec.KEYS
+    return state
+
+
+def see_object(value: dict[str, Any]) -> events.ObjectSeen:
+    return events.ObjectSeen("bundle", "current", 1, value)
+
+
+def see_register(value: dict[str, Any]) -> events.RegisterSeen:
+    register = model.Register("bundle", "current", (value["version"],), value)
+    return events.RegisterSeen(register)
+
+
+SIGNED = {version: make_signed(version) for version in range(1, MAX_VERSION)}
+FORGED = {
+    version: {**value, "signature": "00" * 64}
+    for version, value in SIGNED.items()
+}
+
+
+class BundlesTest(testtools.TestCase):
+    # Reordering, repeats and losses are all among the drawn sequences.
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([see_object, see_register]),
+                st.booleans(),
+                st.integers(1, MAX_VERSION - 1),
+            )
+        )
+    )
+    def test_highest_accepted_version_is_in_force(
+        self, steps: list[tuple[Any, bool, int]]
+    ) -> None:
+        state = make_state()
+        highest = 0
+        for see, is_forged, version in steps:
+            value = (FORGED if is_forged else SIGNED)[version]
+            result = reducer.decide(state, MOMENT, see(value))
+            published = [
+                effect.register
+                for effect in result
+                if isinstance(effect, effects.PublishRegister)
+            ]
+            if not is_forged and version > highest:
+                highest = version
+                self.assertEqual([(version,)], [r.version for r in published])
+                self.assertEqual(value, published[0].value)
+            else:
+                self.assertEqual([], published)
+            in_force = state.directory.bundle
+            self.assertEqual(highest, in_force.version if in_force else 0)
+
+    def test_without_the_rule_a_bundle_reverts(self) -> None:
+        def accept_any(*_: object) -> rules.Standing:
+            return rules.Standing.NEWER
+
+        for switch_off, expected in ((False, 2), (True, 1)):
+            if switch_off:
+                self.patch(rules, "compare_bundles", accept_any)
+            state = make_state()
+            for version in (2, 1):
+                reducer.decide(state, MOMENT, see_object(SIGNED[version]))
+            assert state.directory.bundle is not None
+            self.assertEqual(expected, state.directory.bundle.version)
+
+    def test_refusals_change_nothing_and_are_reported_once(self) -> None:
+        state = make_state()
+        reducer.decide(state, MOMENT, see_object(SIGNED[2]))
+        before = state.directory.bundle
+        unsigned = {**SIGNED[3], "signature": ""}
+        stranger = {**SIGNED[3], "signer": "eva"}
+        malformed = {**SIGNED[3], "groups": "none"}
+        conflicting = make_signed(2, slots=3)
+        for value in (unsigned, stranger, malformed, conflicting):
+            first = reducer.decide(state, MOMENT, see_object(value))
+            self.assertEqual([effects.WriteLog], [type(e) for e in first])
+            decision = state.explanations.ring[first[0].values["decision"]]
+            self.assertEqual("refused", decision.choice)
+            self.assertNotEqual("", decision.remedy)
+            again = reducer.decide(state, MOMENT, see_object(value))
+            self.assertEqual([], again)
+            self.assertIs(before, state.directory.bundle)
+
+    def test_a_right_bundle_is_accepted_after_a_forged_one(self) -> None:
+        state = make_state()
+        reducer.decide(state, MOMENT, see_register(FORGED[3]))
+        reducer.decide(state, MOMENT, see_register(SIGNED[3]))
+        assert state.directory.bundle is not None
+        self.assertEqual(3, state.directory.bundle.version)
+
+    def test_the_operations_of_the_object_stay_out(self) -> None:
+        state = make_state()
+        value = {**SIGNED[1], "operations": {"op": {"version": 1}}}
+        reducer.decide(state, MOMENT, see_object(value))
+        self.assertEqual(SIGNED[1], state.bundles.value)
+        self.assertEqual(
+            codec.compute_digest(SIGNED[1]), state.directory.bundle.digest
+        )
+
+    def test_an_absent_object_and_other_kinds_are_ignored(self) -> None:
+        state = make_state()
+        for event in (
+            events.ObjectSeen("bundle", "current", 0, {}),
+            events.ObjectSeen("group", "current", 1, SIGNED[1]),
+        ):
+            self.assertEqual([], reducer.decide(state, MOMENT, event))
