--- a/knapweedtally/core/bundles/checks.py
+++ b/knapweedtally/core/bundles/checks.py
@@ -1,12 +1,15 @@
 """Checks of a bundle's meaning, beyond the types of its values."""
 
 import collections
+import ipaddress
 from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
 
 Path = tuple[str | int, ...]
 
+_MAX_PORT = 65_535
+
 # Allowed values of a group's numbers: smallest and largest.
 RANGES: dict[str, tuple[int, int]] = {
     "connection_limit": (1, 10_000),
@@ -43,11 +46,23 @@
     for index, group in enumerate(value["groups"]):
         path: Path = ("groups", index)
         problems += _check_ranges(path, group)
+        problems += _check_addresses(path, group)
         problems += _check_read_rules(path, group)
         problems += _check_leaving(path, group)
     return problems
 
 
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Return the IP address and the port of ``IP:PORT``, or None."""
+    host, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        return None
+    return (str(ip), number) if 0 < number <= _MAX_PORT else None
+
+
 def _check_version(value: dict[str, Any]) -> Iterator[Problem]:
     if value["version"] < 1:
         yield Problem(
@@ -92,6 +107,16 @@
         yield Problem((*path, "targets"), [], "state at least one target")
 
 
+def _check_addresses(path: Path, group: dict[str, Any]) -> Iterator[Problem]:
+    for index, target in enumerate(group["targets"]):
+        if parse_address(target["address"]) is None:
+            yield Problem(
+                (*path, "targets", index, "address"),
+                target["address"],
+                "use IP:PORT, for example 127.0.1.10:5432",
+            )
+
+
 def _check_read_rules(path: Path, group: dict[str, Any]) -> Iterator[Problem]:
     smallest, largest = RANGES["max_age_ms"]
     for index, rule in enumerate(group.get("read_rules", ())):
--- a/knapweedtally/core/bundles/codec.py
+++ b/knapweedtally/core/bundles/codec.py
@@ -8,7 +8,6 @@
 """
 
 import hashlib
-import ipaddress
 import json
 from typing import Any
 from typing import TypeVar
@@ -19,7 +18,6 @@
 _Value = TypeVar("_Value")
 
 SIGNED_KEYS = ("groups", "signer", "version")
-_MAX_PORT = 65_535
 
 
 class MalformedBundleError(ValueError):
@@ -117,7 +115,8 @@
 def _parse_target(value: Any, place: str) -> model.Target:
     _check_type(value, dict, place)
     address = _take(value, "address", str, place)
-    host, port = parse_address(address, f"{place}.address")
+    # The checks refuse an address that doesn't parse, before anyone sees it.
+    host, port = checks.parse_address(address) or ("", 0)
     return model.Target(
         _take(value, "id", str, place),
         host,
@@ -126,25 +125,6 @@
     )
 
 
-def parse_address(address: str, place: str) -> tuple[str, int]:
-    """Return the IP address and the port of ``IP:PORT``.
-
-    Raises:
-        MalformedBundleError: the text is no such address.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        ip = ipaddress.ip_address(host.strip("[]"))
-        number = int(port)
-    except ValueError:
-        number = 0
-    if not 0 < number <= _MAX_PORT:
-        raise MalformedBundleError(
-            f"{place}: {address!r}: use IP:PORT, for example 127.0.1.10:5432"
-        )
-    return str(ip), number
-
-
 def _parse_rule(value: Any, place: str) -> model.ReadRule:
     _check_type(value, dict, place)
     tables = _take(value, "tables", list, place)
