--- /dev/null
+++ b/knapweedtally/core/failover/answers.py
@@ -0,0 +1,174 @@
+"""Take in what the platform and the instances answer to a promotion."""
+
+from collections.abc import Callable
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import promotion as promotions
+from knapweedtally.core.failover import rules
+from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.failover import steps
+
+Effects = list[effects.Effect]
+Promotion = failover_state.Promotion
+Step = failover_state.Step
+
+PLATFORM_STEPS = frozenset({Step.RESERVING, Step.CHOOSING})
+
+
+def advance(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    record: model.GroupRecord,
+) -> Effects:
+    """Move a promotion on according to the newest record of its group."""
+    if record.term < promotion.term:
+        return []
+    is_same_term = record.term == promotion.term
+    if not is_same_term or not rules.is_own_operation(
+        record, promotion.operation
+    ):
+        reason = f"term {record.term} was begun by {record.operation}"
+        choice = "leave it to the winner"
+        return promotions.end(state, moment, promotion, choice, reason)
+    if record.phase is model.Phase.OPEN:
+        return advance_to_opening(state, moment, promotion, record)
+    if promotion.step in promotions.REVERSIBLE_STEPS:
+        return promotions.enter(state, moment, promotion, Step.FENCING)
+    return []
+
+
+def advance_to_opening(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    record: model.GroupRecord,
+) -> Effects:
+    """Open the primary that the record names, whoever chose it."""
+    if promotion.step is Step.OPENING:
+        return []
+    explanations.record_decision(
+        state,
+        moment,
+        promotions.PART,
+        promotion.group,
+        f"promote {record.primary}",
+        "it is the most advanced instance of a fenced majority",
+        term=record.term,
+        operation=record.operation,
+        fenced={name: tuple(last) for name, last in promotion.fenced.items()},
+    )
+    return promotions.enter(state, moment, promotion, Step.OPENING)
+
+
+def resume(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Repeat an update that depended on an older version of the object."""
+    if promotion.step not in PLATFORM_STEPS:
+        return []
+    promotion.is_uncertain = False
+    promotion.attempt += 1
+    reason = promotions.find_exhausted_limit(moment, promotion)
+    if reason:
+        return promotions.give_up(state, moment, promotion, reason)
+    return promotions.run_step(state, moment, promotion)
+
+
+def note_platform_failure(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.PlatformFailed,
+) -> Effects:
+    """Wait before the next attempt, and note what may have taken effect."""
+    promotion = state.failover.promotions.get(event.name)
+    if promotion is None or promotion.operation != event.operation:
+        return []
+    if promotion.step not in PLATFORM_STEPS:
+        return []
+    promotion.is_uncertain |= event.may_have_run
+    delay_s = limits.PLATFORM_BACKOFF_S * 2 ** min(
+        promotion.attempt, promotions.BACKOFF_DOUBLINGS
+    )
+    delay_s = min(delay_s, limits.MAX_BACKOFF_S) * (0.5 + moment.draw)
+    return [promotions.set_step_timer(promotion, delay_s)]
+
+
+def has_best_majority(
+    state: state_module.ProxyState, promotion: Promotion
+) -> bool:
+    """Tell whether no further instance's answer is worth a wait."""
+    group = state.directory.get_group(promotion.group)
+    if group is None or not promotions.is_fenced(state, promotion):
+        return False
+    if promotion.preferred and promotion.preferred != promotion.replaced:
+        return promotion.preferred in promotion.fenced
+    others = promotion.fenced.keys() - {promotion.replaced}
+    return rules.is_majority_fenced(group, others)
+
+
+def note_term_installed(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    event: events.ControlAnswered,
+) -> Effects:
+    """Count an instance that installed the term."""
+    if not event.is_accepted or event.term != promotion.term:
+        return note_refusal(state, moment, promotion, event)
+    promotion.fenced[event.target] = model.Position(
+        event.last_term, event.received
+    )
+    if promotion.step is not Step.FENCING:
+        return []
+    if not has_best_majority(state, promotion):
+        return []
+    return promotions.enter(state, moment, promotion, Step.CHOOSING)
+
+
+def note_promoted(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    event: events.ControlAnswered,
+) -> Effects:
+    """End the promotion once its primary is open for writes."""
+    if not event.is_accepted:
+        return note_refusal(state, moment, promotion, event)
+    took_s = moment.at - promotion.started_at
+    reason = f"{event.target} is open for writes after {took_s:.3f} s"
+    return promotions.end(state, moment, promotion, "done", reason)
+
+
+def note_refusal(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    event: events.ControlAnswered,
+) -> Effects:
+    """Read the group's object when an instance knows a later term."""
+    if event.term <= promotion.term:
+        return []
+    return steps.read_object(promotion)
+
+
+ControlHandler = Callable[
+    [
+        state_module.ProxyState,
+        model.Moment,
+        Promotion,
+        events.ControlAnswered,
+    ],
+    Effects,
+]
+CONTROL_HANDLERS: dict[str, ControlHandler] = {
+    "install_term": note_term_installed,
+    "promote": note_promoted,
+}
--- /dev/null
+++ b/knapweedtally/core/failover/decisions.py
@@ -0,0 +1,195 @@
+"""Handlers of the failover part."""
+
+from collections.abc import Callable
+from typing import Any
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import answers
+from knapweedtally.core.failover import completion
+from knapweedtally.core.failover import detection
+from knapweedtally.core.failover import events as failover_events
+from knapweedtally.core.failover import evidence
+from knapweedtally.core.failover import learning
+from knapweedtally.core.failover import observers
+from knapweedtally.core.failover import prevote
+from knapweedtally.core.failover import promotion
+from knapweedtally.core.failover import reconciliation
+from knapweedtally.core.failover import switching
+
+Effects = list[effects.Effect]
+
+
+def handle_tick(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.Ticked,
+) -> Effects:
+    """Probe what is due and look after the groups that this host observes."""
+    observers.refresh(state, moment.at)
+    result = detection.probe_due_targets(state, moment)
+    result += completion.find_missing_records(state, moment)
+    result += switching.consider_observed(state, moment)
+    for target, watch in state.failover.watches.items():
+        if watch.reason and is_primary(state, watch.group, target):
+            result += evidence.weigh(state, moment, watch.group)
+    return result
+
+
+def is_primary(state: state_module.ProxyState, group: str, target: str) -> bool:
+    """Tell whether a target is the primary of its group's newest record."""
+    return detection.is_current_primary(state, group, target)
+
+
+def handle_timer(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.TimerFired,
+) -> Effects:
+    """Hand a timer of this part to its handler."""
+    handler = TIMER_HANDLERS.get(type(event.key))
+    return handler(state, moment, event.key) if handler else []
+
+
+def start_replacement(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    key: failover_events.StartDue,
+) -> Effects:
+    """Begin to replace a failed primary in this host's turn."""
+    return evidence.start(state, moment, key.group, key.term)
+
+
+def handle_object(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: learning.ObjectEvent,
+) -> Effects:
+    """Take in the state of a group's object."""
+    if event.kind != "group":
+        return []
+    return learning.learn_object(state, moment, event)
+
+
+def handle_platform_failure(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.PlatformFailed,
+) -> Effects:
+    """Back off after a call about a group's object got no answer."""
+    if event.kind != "group":
+        return []
+    return answers.note_platform_failure(state, moment, event)
+
+
+def handle_register(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.RegisterSeen,
+) -> Effects:
+    """Take in a group's record or an observer's verdict."""
+    handler = REGISTER_HANDLERS.get(event.register.kind)
+    return handler(state, moment, event.register) if handler else []
+
+
+def handle_observation(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    register: model.Register,
+) -> Effects:
+    """Weigh another observer's verdict on a target."""
+    target = detection.note_observation(state, moment, register)
+    group = state.failover.assignment.groups.get(target, "")
+    if not is_primary(state, group, target):
+        return []
+    return evidence.weigh(state, moment, group)
+
+
+def handle_probe_answer(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeAnswered,
+) -> Effects:
+    """Take in a target's status."""
+    result = detection.note_answer(state, moment, event)
+    result += completion.read_newer_object(state, moment, event)
+    result += reconciliation.reconcile(state, moment, event)
+    result += prevote.note_status(state, moment, event)
+    return result + weigh_target(state, moment, event.report.target)
+
+
+def handle_probe_failure(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeFailed,
+) -> Effects:
+    """Take in that a target gave no status."""
+    result = detection.note_failure(state, moment, event)
+    return result + weigh_target(state, moment, event.target)
+
+
+def weigh_target(
+    state: state_module.ProxyState, moment: model.Moment, target: str
+) -> Effects:
+    """Weigh the evidence against a primary that this host holds for failed."""
+    watch = state.failover.watches.get(target)
+    if watch is None or not watch.reason:
+        return []
+    if not is_primary(state, watch.group, target):
+        return []
+    return evidence.weigh(state, moment, watch.group)
+
+
+def handle_control_answer(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ControlAnswered,
+) -> Effects:
+    """Give an instance's answer to the promotion that asked for it."""
+    group = state.failover.assignment.groups.get(event.target, "")
+    running = state.failover.promotions.get(group)
+    if running is None or running.operation != event.operation:
+        return []
+    handler = CONTROL_HANDLERS.get(event.command)
+    return handler(state, moment, running, event) if handler else []
+
+
+TimerHandler = Callable[
+    [state_module.ProxyState, model.Moment, Any],
+    Effects,
+]
+TIMER_HANDLERS: dict[type, TimerHandler] = {
+    failover_events.StartDue: start_replacement,
+    failover_events.CompletionDue: completion.complete,
+    failover_events.CreationDue: completion.look_for_record,
+    failover_events.SwitchDue: switching.begin,
+    failover_events.StepDue: promotion.retry,
+}
+
+RegisterHandler = Callable[
+    [state_module.ProxyState, model.Moment, model.Register], Effects
+]
+REGISTER_HANDLERS: dict[str, RegisterHandler] = {
+    "group": learning.learn_register,
+    "observation": handle_observation,
+}
+
+CONTROL_HANDLERS: dict[str, answers.ControlHandler] = {
+    **answers.CONTROL_HANDLERS,
+    "hold": switching.note_hold,
+}
+
+HANDLERS: dict[type, Callable[..., Effects]] = {
+    events.Ticked: handle_tick,
+    events.TimerFired: handle_timer,
+    events.ObjectSeen: handle_object,
+    events.ObjectUpdated: handle_object,
+    events.ObjectConflicted: handle_object,
+    events.PlatformFailed: handle_platform_failure,
+    events.RegisterSeen: handle_register,
+    events.ProbeAnswered: handle_probe_answer,
+    events.ProbeFailed: handle_probe_failure,
+    events.ControlAnswered: handle_control_answer,
+}
--- /dev/null
+++ b/knapweedtally/core/failover/detection.py
@@ -0,0 +1,210 @@
+"""Probe the targets that this host observes and publish verdicts on them."""
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import state as failover_state
+
+Effects = list[effects.Effect]
+
+REFUSED = "refused"
+TIMED_OUT = "timed out"
+UNCONFIRMED = "unconfirmed"
+NOT_OPEN = "not open"
+
+
+def is_current_primary(
+    state: state_module.ProxyState, group: str, target: str
+) -> bool:
+    """Tell whether a target is the primary that the newest record names."""
+    record = state.directory.records.get(group)
+    return bool(
+        record and record.phase is model.Phase.OPEN and record.primary == target
+    )
+
+
+def probe_due_targets(
+    state: state_module.ProxyState, moment: model.Moment
+) -> Effects:
+    """Probe each observed target whose interval has passed."""
+    result: Effects = []
+    for target, watch in state.failover.watches.items():
+        interval = limits.REPLICA_PROBE_INTERVAL_S
+        if is_current_primary(state, watch.group, target):
+            interval = limits.PRIMARY_PROBE_INTERVAL_S
+        # A probe goes out with the tick that is nearest to its time.
+        if moment.at >= watch.sent_at + interval - limits.TICK_S / 2:
+            result += send_probe(state, moment, target)
+    return result
+
+
+def send_probe(
+    state: state_module.ProxyState, moment: model.Moment, target: str
+) -> Effects:
+    """Probe a target unless a probe is on its way already."""
+    failover = state.failover
+    if moment.at < failover.in_flight.get(target, moment.at):
+        return []
+    lost_at = moment.at + limits.PROBE_TIMEOUT_S + limits.LOST_PROBE_S
+    failover.in_flight[target] = lost_at
+    if target in failover.watches:
+        failover.watches[target].sent_at = moment.at
+    return [effects.ProbeTarget(target, limits.PROBE_TIMEOUT_S)]
+
+
+def note_connection_lost(
+    state: state_module.ProxyState, moment: model.Moment, target: str
+) -> Effects:
+    """Probe an observed target at once because a connection to it broke."""
+    if target not in state.failover.watches:
+        return []
+    return send_probe(state, moment, target)
+
+
+def note_answer(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeAnswered,
+) -> Effects:
+    """Take in a target's status and publish a change of the verdict."""
+    report = event.report
+    state.failover.in_flight.pop(report.target, None)
+    note_report(state, moment, report)
+    watch = state.failover.watches.get(report.target)
+    if watch is None:
+        return []
+    watch.failures = watch.refusals = 0
+    if report.is_primary:
+        watch.opened_term = max(watch.opened_term, report.term)
+    reason = judge_report(state, moment, watch, report)
+    return set_verdict(state, moment, report.target, watch, reason)
+
+
+def note_report(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    report: model.TargetReport,
+) -> None:
+    """Keep a report unless a later term of the target is known."""
+    known = state.directory.reports.get(report.target)
+    if known is None or report.term >= known[0].term:
+        state.directory.reports[report.target] = (report, moment.at)
+
+
+def judge_report(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    watch: failover_state.Watch,
+    report: model.TargetReport,
+) -> str:
+    """Return why an answering target counts as failed, or an empty string."""
+    record = state.directory.records.get(watch.group)
+    if record is None or report.term > record.term:
+        return ""
+    if not is_current_primary(state, watch.group, report.target):
+        return ""
+    if report.is_primary and report.term == record.term:
+        is_late = report.age_ms > limits.MAX_CONFIRMATION_AGE_MS
+        return UNCONFIRMED if is_late else ""
+    learned_at = state.failover.learned_at.get(watch.group, moment.at)
+    if moment.at - learned_at > limits.NOT_OPEN_LIMIT_S:
+        return NOT_OPEN
+    return ""
+
+
+def note_failure(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeFailed,
+) -> Effects:
+    """Count a probe without an answer, and probe again after the first."""
+    target = event.target
+    state.failover.in_flight.pop(target, None)
+    watch = state.failover.watches.get(target)
+    if watch is None:
+        return []
+    watch.failures += 1
+    watch.refusals = watch.refusals + 1 if event.is_refused else 0
+    if watch.failures < limits.FAILURES_IN_A_ROW:
+        return send_probe(state, moment, target)
+    is_refused = watch.refusals >= limits.FAILURES_IN_A_ROW
+    reason = REFUSED if is_refused else TIMED_OUT
+    return set_verdict(state, moment, target, watch, reason)
+
+
+def set_verdict(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    target: str,
+    watch: failover_state.Watch,
+    reason: str,
+) -> Effects:
+    """Keep a verdict; publish it on a change, and again while it lasts."""
+    is_change = reason != watch.reason
+    is_repeat = bool(reason) and (
+        moment.at - watch.published_at >= limits.OBSERVATION_REPEAT_S
+    )
+    watch.reason = reason
+    if not is_change and not is_repeat:
+        return []
+    watch.published_at = moment.at
+    record = state.directory.records.get(watch.group)
+    term = record.term if record else 0
+    observation = failover_state.Observation(
+        reason, term, watch.opened_term, moment.at
+    )
+    identity = state.identity
+    keep_observation(state, target, identity.host, observation)
+    state.failover.published += 1
+    register = model.Register(
+        "observation",
+        f"{target}@{identity.host}",
+        (identity.incarnation, state.failover.published),
+        {
+            "reason": reason,
+            "term": term,
+            "opened_term": watch.opened_term,
+        },
+    )
+    return [effects.PublishRegister(register)]
+
+
+def keep_observation(
+    state: state_module.ProxyState,
+    target: str,
+    observer: str,
+    observation: failover_state.Observation,
+) -> None:
+    """Keep the newest verdict of one observer on one target."""
+    by_observer = state.failover.observations.setdefault(target, {})
+    by_observer[observer] = observation
+
+
+def note_observation(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    register: model.Register,
+) -> str:
+    """Take in another observer's verdict and return the target's id.
+
+    Returns:
+        The id of the target, or an empty string for a malformed register.
+    """
+    target, _, observer = register.name.rpartition("@")
+    reason = register.value.get("reason")
+    term = register.value.get("term")
+    opened_term = register.value.get("opened_term")
+    if not (target and isinstance(reason, str)):
+        return ""
+    if observer == state.identity.host:
+        # What an earlier incarnation of this host said.
+        return ""
+    if not (isinstance(term, int) and isinstance(opened_term, int)):
+        return ""
+    observation = failover_state.Observation(
+        reason, term, opened_term, moment.at
+    )
+    keep_observation(state, target, observer, observation)
+    return target
--- /dev/null
+++ b/knapweedtally/core/failover/learning.py
@@ -0,0 +1,152 @@
+"""Take in records of groups from the platform and from peers."""
+
+import enum
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import answers
+from knapweedtally.core.failover import completion
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import prevote
+from knapweedtally.core.failover import promotion
+from knapweedtally.core.failover import records
+from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.failover import switching
+
+Effects = list[effects.Effect]
+ObjectEvent = events.ObjectSeen | events.ObjectUpdated | events.ObjectConflicted
+
+
+class Change(enum.Enum):
+    """Tell what a record changes in what is known."""
+
+    NONE = "none"
+    DETAIL = "detail"
+    TRANSITION = "transition"
+
+
+def learn_object(
+    state: state_module.ProxyState, moment: model.Moment, event: ObjectEvent
+) -> Effects:
+    """Take in the state of a group's object, as the platform gives it."""
+    if event.version == 0:
+        result = completion.begin_creation(state, moment, event.name)
+        return result + settle_update(state, moment, event)
+    record = records.parse_record(event.version, event.value)
+    if record is None:
+        return [warn_malformed(event.name, event.version)]
+    result = []
+    change = learn_record(state, moment, event.name, record)
+    if change is not Change.NONE:
+        register = records.format_register(event.name, record)
+        result.append(effects.PublishRegister(register))
+    result += follow_up(state, moment, event.name, change)
+    return result + settle_update(state, moment, event)
+
+
+def learn_register(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    register: model.Register,
+) -> Effects:
+    """Take in a record that peers spread."""
+    record = records.parse_register(register)
+    if record is None:
+        return [warn_malformed(register.name, 0)]
+    change = learn_record(state, moment, register.name, record)
+    return follow_up(state, moment, register.name, change)
+
+
+def warn_malformed(name: str, version: int) -> effects.Effect:
+    """Return a log line about a record that can't be read."""
+    return effects.WriteLog(
+        promotion.PART,
+        "warning",
+        "group record is malformed; write it again with term, phase,"
+        " primary and operation",
+        {"group": name, "version": version},
+    )
+
+
+def learn_record(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    name: str,
+    record: model.GroupRecord,
+) -> Change:
+    """Keep a record if it is newer than the known one."""
+    known = state.directory.records.get(name)
+    new_order = records.order_record(record)
+    if known and new_order <= records.order_record(known):
+        return Change.NONE
+    state.directory.records[name] = record
+    if known and new_order[:2] == records.order_record(known)[:2]:
+        return Change.DETAIL
+    note_transition(state, moment, name, known, record)
+    return Change.TRANSITION
+
+
+def note_transition(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    name: str,
+    known: model.GroupRecord | None,
+    record: model.GroupRecord,
+) -> None:
+    """Restart the clocks that run since a group's last term or phase."""
+    failover = state.failover
+    failover.learned_at[name] = moment.at
+    failover.pending.pop(name, None)
+    failover.given_up.pop(name, None)
+    if known is None:
+        return
+    if known.primary:
+        failover.replaced[name] = known.primary
+    if record.phase is model.Phase.OPEN:
+        failover.settled_at[name] = moment.at + limits.SETTLE_S
+
+
+def follow_up(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    name: str,
+    change: Change,
+) -> Effects:
+    """Do what a new record asks of this host."""
+    if change is Change.NONE:
+        return []
+    result: Effects = []
+    record = state.directory.records[name]
+    running = state.failover.promotions.get(name)
+    if running is not None:
+        result += answers.advance(state, moment, running, record)
+        result += switching.withdraw(state, moment, running, record)
+    if change is Change.TRANSITION:
+        result += completion.schedule(state, moment, name, record)
+    return result + switching.consider(state, moment, name, record)
+
+
+def is_conflict_of(
+    running: failover_state.Promotion, event: ObjectEvent
+) -> bool:
+    """Tell whether an event says that a promotion's update lost."""
+    if not isinstance(event, events.ObjectConflicted):
+        return False
+    return event.operation == running.operation
+
+
+def settle_update(
+    state: state_module.ProxyState, moment: model.Moment, event: ObjectEvent
+) -> Effects:
+    """Go on with a promotion that waited for the platform."""
+    running = state.failover.promotions.get(event.name)
+    if running is None:
+        return []
+    running.is_platform_up = True
+    if running.step is failover_state.Step.PREVOTING:
+        return prevote.count_votes(state, moment, running)
+    if not (running.is_uncertain or is_conflict_of(running, event)):
+        return []
+    return answers.resume(state, moment, running)
--- /dev/null
+++ b/knapweedtally/core/failover/observers.py
@@ -0,0 +1,171 @@
+"""Decide which hosts observe which targets, and whose turn it is to act.
+
+Observers are chosen by rendezvous hashing in two levels, first the data
+centres and then the hosts in each, so that a change of one host recomputes
+little: each host needs only the second level of its own data centre.
+"""
+
+from collections.abc import Mapping
+
+import xxhash
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import state as failover_state
+
+
+def list_live_hosts(state: state_module.ProxyState) -> Mapping[str, str]:
+    """Return the data centre of each host known to be live, this one too."""
+    identity = state.identity
+    hosts = state.failover.hosts
+    if hosts.get(identity.host) != identity.data_centre:
+        hosts[identity.host] = identity.data_centre
+    return hosts
+
+
+def compute_weight(key: str, name: str) -> tuple[int, str]:
+    """Return the rendezvous weight of a name for a key; the highest wins."""
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
+
+
+def rank_names(key: str, names: list[str]) -> list[str]:
+    """Return the names in the order of their weights, highest first."""
+    return sorted(names, key=lambda name: compute_weight(key, name))[::-1]
+
+
+def share_observers(key: str, sizes: Mapping[str, int]) -> dict[str, int]:
+    """Return how many observers each data centre provides.
+
+    Args:
+        key: id of the target.
+        sizes: number of live hosts by data centre.
+    """
+    wanted = min(limits.OBSERVERS, sum(sizes.values()))
+    ranked = rank_names(key, list(sizes))
+    shares: dict[str, int] = {}
+    while sum(shares.values()) < wanted:
+        for centre in ranked:
+            used = shares.get(centre, 0)
+            if used < sizes[centre] and sum(shares.values()) < wanted:
+                shares[centre] = used + 1
+    return shares
+
+
+def refresh(state: state_module.ProxyState, at: float) -> None:
+    """Recompute the assignment if the bundle or the live hosts changed."""
+    assignment = state.failover.assignment
+    bundle = state.directory.bundle
+    hosts = list_live_hosts(state)
+    if assignment.bundle is bundle and assignment.hosts == hosts:
+        return
+    state.failover.assignment = build_assignment(assignment, bundle, hosts)
+    update_watches(state, at)
+
+
+def build_assignment(
+    previous: failover_state.Assignment,
+    bundle: model.Bundle | None,
+    hosts: Mapping[str, str],
+) -> failover_state.Assignment:
+    """Return the assignment for a bundle and the live hosts.
+
+    Args:
+        previous: assignment whose shares are kept where they still hold.
+        bundle: bundle in force.
+        hosts: data centre of each live host.
+    """
+    hosts_by_centre: dict[str, list[str]] = {}
+    for host, centre in hosts.items():
+        hosts_by_centre.setdefault(centre, []).append(host)
+    sizes = cap_sizes(hosts_by_centre)
+    known = previous.shares
+    if sizes != cap_sizes(previous.hosts_by_centre):
+        known = {}
+    groups = bundle.groups if bundle else {}
+    targets = {
+        target.id: group.name
+        for group in groups.values()
+        for target in group.targets
+    }
+    shares = {
+        target: known.get(target) or share_observers(target, sizes)
+        for target in targets
+    }
+    return failover_state.Assignment(
+        bundle, dict(hosts), hosts_by_centre, targets, shares
+    )
+
+
+def cap_sizes(hosts_by_centre: Mapping[str, list[str]]) -> dict[str, int]:
+    """Return the number of hosts by data centre, at most the observers."""
+    return {
+        centre: min(len(hosts), limits.OBSERVERS)
+        for centre, hosts in hosts_by_centre.items()
+    }
+
+
+def update_watches(state: state_module.ProxyState, at: float) -> None:
+    """Keep a watch on exactly the targets that this host observes."""
+    failover = state.failover
+    assignment = failover.assignment
+    identity = state.identity
+    watches = {}
+    for target, group in assignment.groups.items():
+        if identity.data_centre not in assignment.shares[target]:
+            continue
+        if identity.host in list_observers(state, target):
+            watches[target] = failover.watches.get(
+                target, failover_state.Watch(group, at - spread(target))
+            )
+    failover.watches = watches
+
+
+def spread(target: str) -> float:
+    """Return how long ago a new watch is taken to have probed, in seconds."""
+    share = (xxhash.xxh64_intdigest(target.encode()) % 1000) / 1000
+    return share * limits.REPLICA_PROBE_INTERVAL_S
+
+
+def list_observers(
+    state: state_module.ProxyState, target: str
+) -> tuple[str, ...]:
+    """Return the observers of a target; empty for an unknown target."""
+    assignment = state.failover.assignment
+    found = assignment.observers.get(target)
+    if found is None:
+        found = tuple(
+            host
+            for centre, share in assignment.shares.get(target, {}).items()
+            for host in rank_names(target, assignment.hosts_by_centre[centre])[
+                :share
+            ]
+        )
+        assignment.observers[target] = found
+    return found
+
+
+def list_candidates(state: state_module.ProxyState, group: str) -> set[str]:
+    """Return the hosts that may act for a group: observers of its targets."""
+    found = state.directory.get_group(group)
+    targets = found.targets if found else ()
+    return {
+        host for target in targets for host in list_observers(state, target.id)
+    }
+
+
+def get_rank(
+    state: state_module.ProxyState, group: str, term: int
+) -> int | None:
+    """Return this host's turn for a term, or None if it may not act.
+
+    Args:
+        state: state of the proxy.
+        group: name of the group.
+        term: term that the action is about.
+    """
+    candidates = list_candidates(state, group)
+    host = state.identity.host
+    if host not in candidates:
+        return None
+    return rank_names(f"{group}\0{term}", list(candidates)).index(host)
--- /dev/null
+++ b/knapweedtally/core/failover/prevote.py
@@ -0,0 +1,105 @@
+"""Weigh the instances' status before a term is reserved.
+
+A host that reaches no majority of the instances could not finish a promotion,
+so it doesn't begin one: a data centre that is cut off disturbs no group.
+"""
+
+from collections.abc import Callable
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import promotion as promotions
+from knapweedtally.core.failover import rules
+from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.failover import switching
+
+Effects = list[effects.Effect]
+Aim = failover_state.Aim
+Promotion = failover_state.Promotion
+Step = failover_state.Step
+
+
+def note_status(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeAnswered,
+) -> Effects:
+    """Give an instance's status to the promotion of its group."""
+    target = event.report.target
+    group = state.failover.assignment.groups.get(target, "")
+    promotion = state.failover.promotions.get(group)
+    if promotion is None or promotion.step not in STATUS_HANDLERS:
+        return []
+    promotion.statuses[target] = event
+    return STATUS_HANDLERS[promotion.step](state, moment, promotion)
+
+
+def count_votes(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Go on once a majority of the instances has answered."""
+    group = state.directory.get_group(promotion.group)
+    if group is None:
+        return []
+    needed = rules.count_majority(len(group.targets))
+    if len(promotion.statuses) < needed:
+        return []
+    next_step = NEXT_STEPS[promotion.aim](group, promotion)
+    if next_step is None:
+        return []
+    return promotions.enter(state, moment, promotion, next_step)
+
+
+def replace_failed(group: model.Group, promotion: Promotion) -> Step | None:
+    """Return the next step of a promotion that replaces a failed primary."""
+    return Step.RESERVING
+
+
+def create_record(group: model.Group, promotion: Promotion) -> Step | None:
+    """Adopt the primary that serves already, or begin the next term."""
+    reports = [answer.report for answer in promotion.statuses.values()]
+    term = max(report.term for report in reports)
+    primaries = [
+        report.target
+        for report in reports
+        if report.is_primary and report.term == term
+    ]
+    if primaries:
+        promotion.adopted = primaries[0]
+        promotion.term = term
+        return Step.RESERVING
+    if term and len(reports) < len(group.targets) and not promotion.attempt:
+        # The instance that has not answered yet may be the primary.
+        return None
+    promotion.term = term + 1
+    return Step.RESERVING
+
+
+def check_catch_up(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Go on once the preferred replica has received the final position."""
+    if not switching.has_caught_up(promotion):
+        return []
+    return promotions.enter(state, moment, promotion, Step.RESERVING)
+
+
+NEXT_STEPS: dict[Aim, Callable[[model.Group, Promotion], Step | None]] = {
+    Aim.REPLACE_FAILED: replace_failed,
+    Aim.PLANNED_CHANGE: switching.check_replica,
+    Aim.CREATION: create_record,
+}
+
+STATUS_HANDLERS: dict[
+    Step,
+    Callable[[state_module.ProxyState, model.Moment, Promotion], Effects],
+] = {
+    Step.PREVOTING: count_votes,
+    Step.CATCHING_UP: check_catch_up,
+}
--- /dev/null
+++ b/knapweedtally/core/failover/promotion.py
@@ -0,0 +1,290 @@
+"""Begin promotions, run their steps, retry and end them."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from knapweedtally.core import effects
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.failover import events as failover_events
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import records
+from knapweedtally.core.failover import rules
+from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.failover import steps
+
+Effects = list[effects.Effect]
+Aim = failover_state.Aim
+Promotion = failover_state.Promotion
+Step = failover_state.Step
+
+PART = "failover"
+GIVE_UP = "give up"
+BACKOFF_DOUBLINGS = 5
+REVERSIBLE_STEPS = frozenset(
+    {Step.PREVOTING, Step.HOLDING, Step.CATCHING_UP, Step.RESERVING}
+)
+
+
+def make_operation(state: state_module.ProxyState) -> str:
+    """Return a new operation id, unique in the system."""
+    state.failover.operations += 1
+    identity = state.identity
+    count = state.failover.operations
+    return f"{identity.host}-{identity.incarnation}-{count}"
+
+
+def begin(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    reason: str,
+    **evidence: Any,
+) -> Effects:
+    """Begin a promotion at its first step and record why."""
+    state.failover.promotions[promotion.group] = promotion
+    explanations.record_decision(
+        state,
+        moment,
+        PART,
+        promotion.group,
+        f"begin at {promotion.step.value}: {promotion.aim.value}",
+        reason,
+        term=promotion.term,
+        operation=promotion.operation,
+        **evidence,
+    )
+    log = make_log("info", "promotion began", promotion, reason)
+    return [log, *enter(state, moment, promotion, promotion.step)]
+
+
+def make_log(
+    level: str, message: str, promotion: Promotion, reason: str
+) -> effects.Effect:
+    """Return a log line about a promotion."""
+    values: dict[str, object] = {
+        "group": promotion.group,
+        "term": promotion.term,
+        "operation": promotion.operation,
+        "step": promotion.step.value,
+        "reason": reason,
+    }
+    return effects.WriteLog(PART, level, message, values)
+
+
+def begin_replacement(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    group: str,
+    record: model.GroupRecord,
+    reasons: Mapping[str, str],
+) -> Effects:
+    """Begin to replace a failed primary.
+
+    Args:
+        state: state of the proxy.
+        moment: moment of the decision.
+        group: name of the group.
+        record: record whose primary failed.
+        reasons: why it counts as failed, by observer.
+    """
+    promotion = Promotion(
+        group,
+        record.term + 1,
+        make_operation(state),
+        Step.PREVOTING,
+        Aim.REPLACE_FAILED,
+        moment.at,
+        replaced=record.primary,
+        preferred=record.preferred,
+    )
+    return begin(
+        state,
+        moment,
+        promotion,
+        f"a majority of its observers holds {record.primary} for failed",
+        observers=dict(reasons),
+    )
+
+
+def begin_completion(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    group: str,
+    record: model.GroupRecord,
+) -> Effects:
+    """Begin to complete a term that has no serving primary yet."""
+    is_open = record.phase is model.Phase.OPEN
+    promotion = Promotion(
+        group,
+        record.term,
+        record.operation,
+        Step.OPENING if is_open else Step.FENCING,
+        Aim.COMPLETION,
+        moment.at,
+        replaced=state.failover.replaced.get(group, ""),
+        preferred=record.preferred,
+    )
+    reason = f"term {record.term} stands in phase {record.phase.value}"
+    return begin(state, moment, promotion, reason)
+
+
+def enter(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    step: Step,
+) -> Effects:
+    """Enter a step and run it for the first time."""
+    promotion.step = step
+    promotion.attempt = 0
+    promotion.is_uncertain = False
+    return run_step(state, moment, promotion)
+
+
+def run_step(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Run the current step and set the timer of its next attempt."""
+    result = steps.RUNNERS[promotion.step](state, moment, promotion)
+    delay_s = get_retry_delay(moment, promotion)
+    return result + [set_step_timer(promotion, delay_s)]
+
+
+def get_retry_delay(moment: model.Moment, promotion: Promotion) -> float:
+    """Return the time until the current step's next attempt, in seconds."""
+    delay_s = steps.RETRY_DELAYS_S[promotion.step]
+    if promotion.step is Step.CATCHING_UP:
+        return delay_s
+    delay_s = min(delay_s * 2**promotion.attempt, limits.MAX_BACKOFF_S)
+    if promotion.step is not Step.HOLDING:
+        return delay_s
+    remaining_s = promotion.started_at + limits.SWITCH_LIMIT_S - moment.at
+    return max(limits.CATCH_UP_PROBE_S, min(delay_s, remaining_s))
+
+
+def set_step_timer(promotion: Promotion, delay_s: float) -> effects.Effect:
+    """Return the timer of the current step's next attempt."""
+    key = failover_events.StepDue(
+        promotion.group,
+        promotion.operation,
+        promotion.step.value,
+        promotion.attempt,
+    )
+    return effects.SetTimer(key, delay_s)
+
+
+def retry(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    key: failover_events.StepDue,
+) -> Effects:
+    """Run a step again, or give the promotion up at the step's limit."""
+    promotion = state.failover.promotions.get(key.group)
+    if promotion is None or not is_current_attempt(promotion, key):
+        return []
+    promotion.attempt += 1
+    reason = find_exhausted_limit(moment, promotion)
+    if reason:
+        return give_up(state, moment, promotion, reason)
+    if promotion.step is Step.FENCING and is_fenced(state, promotion):
+        return enter(state, moment, promotion, Step.CHOOSING)
+    return run_step(state, moment, promotion)
+
+
+def is_current_attempt(
+    promotion: Promotion, key: failover_events.StepDue
+) -> bool:
+    """Tell whether a timer belongs to the attempt that runs now."""
+    return (
+        promotion.operation,
+        promotion.step.value,
+        promotion.attempt,
+    ) == (key.operation, key.step, key.attempt)
+
+
+def find_exhausted_limit(moment: model.Moment, promotion: Promotion) -> str:
+    """Return which limit of a promotion is used up, or an empty string."""
+    is_switch = promotion.aim is Aim.PLANNED_CHANGE
+    is_late = moment.at >= promotion.started_at + limits.SWITCH_LIMIT_S
+    if is_switch and is_late and promotion.step in REVERSIBLE_STEPS:
+        return f"the planned change took over {limits.SWITCH_LIMIT_S} s"
+    limit = steps.ATTEMPT_LIMITS.get(promotion.step)
+    if limit is None or promotion.attempt < limit:
+        return ""
+    return f"{limit} attempts at {promotion.step.value} brought no answer"
+
+
+def give_up(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    reason: str,
+) -> Effects:
+    """End a promotion without success; the evidence may start a new one."""
+    failover = state.failover
+    group = promotion.group
+    result = end(state, moment, promotion, GIVE_UP, reason)
+    count = failover.given_up.get(group, 0)
+    failover.given_up[group] = count + 1
+    pause_s = limits.GIVE_UP_PAUSE_S * 2 ** min(count, BACKOFF_DOUBLINGS)
+    pause_s = min(pause_s, limits.MAX_GIVE_UP_PAUSE_S)
+    failover.blocked_until[group] = moment.at + pause_s * (0.5 + moment.draw)
+    if promotion.aim is Aim.PLANNED_CHANGE:
+        result += clear_preferred(state, group)
+    return result
+
+
+def end(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    choice: str,
+    reason: str,
+) -> Effects:
+    """Drop a promotion and record how it ended."""
+    state.failover.promotions.pop(promotion.group, None)
+    explanations.record_decision(
+        state,
+        moment,
+        PART,
+        promotion.group,
+        choice,
+        reason,
+        term=promotion.term,
+        operation=promotion.operation,
+        step=promotion.step.value,
+        statuses=len(promotion.statuses),
+        fenced=sorted(promotion.fenced),
+    )
+    level = "warning" if choice == GIVE_UP else "info"
+    return [make_log(level, f"promotion ended: {choice}", promotion, reason)]
+
+
+def clear_preferred(state: state_module.ProxyState, group: str) -> Effects:
+    """Withdraw an operator's wish for another primary."""
+    record = state.directory.records.get(group)
+    if record is None or not record.preferred:
+        return []
+    if record.phase is not model.Phase.OPEN:
+        return []
+    new = record._replace(preferred="")
+    update = effects.UpdateObject(
+        make_operation(state),
+        "group",
+        group,
+        rules.get_expected_version(record),
+        records.format_value(new),
+    )
+    return [update]
+
+
+def is_fenced(state: state_module.ProxyState, promotion: Promotion) -> bool:
+    """Tell whether the term stands on a majority of the instances."""
+    group = state.directory.get_group(promotion.group)
+    return group is not None and rules.is_majority_fenced(
+        group, promotion.fenced
+    )
--- /dev/null
+++ b/knapweedtally/core/failover/reconciliation.py
@@ -0,0 +1,59 @@
+"""Tell instances that came back which primary to follow."""
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import promotion as promotions
+
+Effects = list[effects.Effect]
+
+
+def reconcile(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeAnswered,
+) -> Effects:
+    """Have an instance follow the current primary if it doesn't yet."""
+    failover = state.failover
+    target = event.report.target
+    group = failover.assignment.groups.get(target, "")
+    record = state.directory.records.get(group)
+    if record is None or not has_strayed(record, event):
+        return []
+    told_at = failover.reconciled_at.get(target, -limits.RECONCILE_INTERVAL_S)
+    if moment.at < told_at + limits.RECONCILE_INTERVAL_S:
+        return []
+    failover.reconciled_at[target] = moment.at
+    explanations.record_decision(
+        state,
+        moment,
+        promotions.PART,
+        target,
+        f"have it follow {record.primary}",
+        f"it stands in term {event.report.term} and follows"
+        f" {event.primary or 'nobody'}; term {record.term} is current",
+        term=record.term,
+        was_primary=event.report.is_primary,
+    )
+    command = effects.ControlTarget(
+        record.operation,
+        target,
+        "follow",
+        record.term,
+        record.primary,
+        limits.CONTROL_TIMEOUT_S,
+    )
+    return [command]
+
+
+def has_strayed(record: model.GroupRecord, event: events.ProbeAnswered) -> bool:
+    """Tell whether an instance follows another term or primary."""
+    report = event.report
+    if record.phase is not model.Phase.OPEN:
+        return False
+    if report.target == record.primary or report.term > record.term:
+        return False
+    return report.term < record.term or event.primary != record.primary
--- /dev/null
+++ b/knapweedtally/core/failover/records.py
@@ -0,0 +1,63 @@
+"""Read, write and order the records of groups."""
+
+from knapweedtally.core import model
+
+
+def parse_record(
+    version: int, value: dict[str, object]
+) -> model.GroupRecord | None:
+    """Return the record of a platform object's value, or None if malformed.
+
+    Args:
+        version: version of the platform's object.
+        value: ``{"term", "phase", "primary", "operation", "preferred"}``.
+    """
+    term = value.get("term")
+    if not isinstance(term, int) or isinstance(term, bool) or term < 0:
+        return None
+    try:
+        phase = model.Phase(value.get("phase"))
+    except ValueError:
+        return None
+    primary = str(value.get("primary") or "")
+    if phase is model.Phase.OPEN and not primary:
+        return None
+    return model.GroupRecord(
+        version,
+        term,
+        phase,
+        primary,
+        str(value.get("operation") or ""),
+        str(value.get("preferred") or ""),
+    )
+
+
+def format_value(record: model.GroupRecord) -> dict[str, object]:
+    """Return the value of the platform object for a record."""
+    return {
+        "term": record.term,
+        "phase": record.phase.value,
+        "primary": record.primary,
+        "operation": record.operation,
+        "preferred": record.preferred,
+    }
+
+
+def order_record(record: model.GroupRecord) -> tuple[int, int, int]:
+    """Return the key by which records of one group grow."""
+    is_open = record.phase is model.Phase.OPEN
+    return record.term, int(is_open), record.version
+
+
+def format_register(name: str, record: model.GroupRecord) -> model.Register:
+    """Return the register that spreads a record to peers."""
+    return model.Register(
+        "group", name, order_record(record), format_value(record)
+    )
+
+
+def parse_register(register: model.Register) -> model.GroupRecord | None:
+    """Return the record of a register, or None if malformed."""
+    if len(register.version) != 3:
+        return None
+    return parse_record(register.version[2], register.value)
--- /dev/null
+++ b/knapweedtally/core/failover/rules.py
@@ -0,0 +1,92 @@
+"""The rules that keep the promises of a failover, one function each.
+
+Callers reach them through this module, so that a test can switch one off and
+see its proof fail.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+
+from knapweedtally.core import model
+
+
+def count_majority(size: int) -> int:
+    """Return the smallest majority of a set of this size."""
+    return size // 2 + 1
+
+
+def is_failure_agreed(
+    observers: Collection[str], failed: Collection[str]
+) -> bool:
+    """Tell whether a majority of a target's observers says it failed."""
+    return len(failed) >= count_majority(max(len(observers), 1))
+
+
+def is_majority_fenced(group: model.Group, fenced: Collection[str]) -> bool:
+    """Tell whether a majority of a group's instances installed the term."""
+    return len(fenced) >= count_majority(len(group.targets))
+
+
+def choose_primary(
+    group: model.Group,
+    fenced: Mapping[str, model.Position],
+    preferred: str,
+    replaced: str,
+) -> str:
+    """Return the most advanced instance of a fenced majority.
+
+    The replaced primary is left out where the others are a majority without
+    it: it holds every acknowledged write only together with one of them, and
+    what it holds alone was never acknowledged.
+
+    Args:
+        group: the group.
+        fenced: last log entry of each instance that installed the term.
+        preferred: target to choose if none is more advanced, or empty.
+        replaced: primary that failed, or empty.
+    """
+    others = {
+        target: position
+        for target, position in fenced.items()
+        if target != replaced
+    }
+    if not is_majority_fenced(group, others):
+        others = dict(fenced)
+    newest = max(others.values())
+    centres = {target.id: target.data_centre for target in group.targets}
+    return min(
+        (target for target, position in others.items() if position == newest),
+        key=lambda target: (
+            target != preferred,
+            target == replaced,
+            target in group.leaving,
+            centres.get(target) != centres.get(replaced),
+            target,
+        ),
+    )
+
+
+def is_own_operation(record: model.GroupRecord, operation: str) -> bool:
+    """Tell whether a term was begun by the operation of this id."""
+    return record.operation == operation
+
+
+def get_expected_version(record: model.GroupRecord | None) -> int:
+    """Return the object version that an update of the record depends on."""
+    return record.version if record else 0
+
+
+def is_replaceable(
+    settled_at: float, at: float, reasons: Collection[str], was_opened: bool
+) -> bool:
+    """Tell whether a failed primary may be replaced already.
+
+    Args:
+        settled_at: end of the pause after the last promotion, in seconds.
+        at: time now, in seconds.
+        reasons: why its observers hold it for failed.
+        was_opened: whether one of them saw it open for writes in its term.
+    """
+    if at >= settled_at or not was_opened:
+        return True
+    return all(reason == "refused" for reason in reasons)
--- /dev/null
+++ b/knapweedtally/core/failover/state.py
@@ -0,0 +1,186 @@
+"""State of the failover part of one proxy."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+from knapweedtally.core import events
+from knapweedtally.core import model
+
+
+class Step(enum.Enum):
+    """Name the steps of a promotion, in their order.
+
+    A planned change passes through all of them; a promotion of a failed
+    primary skips ``HOLDING`` and ``CATCHING_UP``; the completion of another
+    proxy's promotion begins at ``FENCING`` or ``OPENING``.
+    """
+
+    PREVOTING = "prevoting"
+    HOLDING = "holding"
+    CATCHING_UP = "catching up"
+    RESERVING = "reserving"
+    FENCING = "fencing"
+    CHOOSING = "choosing"
+    OPENING = "opening"
+
+
+class Aim(enum.Enum):
+    """Tell why a promotion runs."""
+
+    REPLACE_FAILED = "replace a failed primary"
+    PLANNED_CHANGE = "planned change"
+    COMPLETION = "complete a promotion begun before"
+    CREATION = "create the group's object"
+
+
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """Hold what this host knows of a target that it observes.
+
+    Attributes:
+        group: name of the target's group.
+        sent_at: when the last probe was sent, in seconds.
+        failures: probes in a row without an answer.
+        refusals: refused connections in a row.
+        reason: why the target counts as failed; empty while healthy.
+        opened_term: newest term in which the target was seen as primary.
+        published_at: when the verdict was last published.
+    """
+
+    group: str
+    sent_at: float
+    failures: int = 0
+    refusals: int = 0
+    reason: str = ""
+    opened_term: int = 0
+    published_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Observation:
+    """Hold the verdict of one observer on one target.
+
+    Attributes:
+        reason: why the target counts as failed; empty while healthy.
+        term: newest term that the observer knew of the group.
+        opened_term: newest term in which it saw the target as primary.
+        seen_at: when the verdict arrived here, in seconds.
+    """
+
+    reason: str
+    term: int
+    opened_term: int
+    seen_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Promotion:
+    """Hold the state of one promotion that this host runs.
+
+    Attributes:
+        group: name of the group.
+        term: term that gets a primary.
+        operation: id of the operation that began, or begins, the term.
+        step: current step.
+        aim: why it runs.
+        started_at: when it began here, in seconds.
+        replaced: primary of the term before, or empty when unknown.
+        preferred: target that should become the primary, or empty.
+        adopted: target that is the primary already, when the group's object
+            is created.
+        attempt: retries of the current step.
+        is_uncertain: whether an update of the platform may have run.
+        is_platform_up: whether the platform answered since the start.
+        statuses: answers of the instances before the term is reserved.
+        fenced: last log entry of each instance that installed the term.
+        final: last log entry of the old primary under hold.
+    """
+
+    group: str
+    term: int
+    operation: str
+    step: Step
+    aim: Aim
+    started_at: float
+    replaced: str = ""
+    preferred: str = ""
+    adopted: str = ""
+    attempt: int = 0
+    is_uncertain: bool = False
+    is_platform_up: bool = False
+    statuses: dict[str, events.ProbeAnswered] = dataclasses.field(
+        default_factory=dict
+    )
+    fenced: dict[str, model.Position] = dataclasses.field(default_factory=dict)
+    final: model.Position | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Assignment:
+    """Cache who observes which target.
+
+    Attributes:
+        bundle: bundle that it was computed for.
+        hosts: data centre of each live host that it was computed for.
+        hosts_by_centre: names of the live hosts of each data centre.
+        groups: name of the group of each target.
+        shares: number of observers by data centre, for each target.
+        observers: observers of each target that was asked for.
+    """
+
+    bundle: model.Bundle | None = None
+    hosts: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    hosts_by_centre: dict[str, list[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    groups: dict[str, str] = dataclasses.field(default_factory=dict)
+    shares: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    observers: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class FailoverState:
+    """Hold the failover part of the proxy's state.
+
+    Attributes:
+        hosts: data centre of each host known to be live.
+        assignment: cached observers.
+        watches: targets that this host observes.
+        in_flight: when each probe on its way counts as lost, by target.
+        observations: verdicts by target, then by observer.
+        published: observation registers published since the start.
+        operations: operations begun since the start.
+        promotions: promotions that this host runs, by group.
+        pending: terms for which a start waits for its turn, by group.
+        learned_at: when the newest term or phase of a group was learned.
+        settled_at: end of the pause after a promotion, by group.
+        blocked_until: end of the pause after a promotion that was given up.
+        given_up: promotions of a group given up since its last new term.
+        replaced: primary of the term before, by group.
+        switch_due: groups for which a planned change waits for its turn.
+        read_at: when a group's object was last asked for.
+        reconciled_at: when a target was last told whom to follow.
+    """
+
+    hosts: dict[str, str] = dataclasses.field(default_factory=dict)
+    assignment: Assignment = dataclasses.field(default_factory=Assignment)
+    watches: dict[str, Watch] = dataclasses.field(default_factory=dict)
+    in_flight: dict[str, float] = dataclasses.field(default_factory=dict)
+    observations: dict[str, dict[str, Observation]] = dataclasses.field(
+        default_factory=dict
+    )
+    published: int = 0
+    operations: int = 0
+    promotions: dict[str, Promotion] = dataclasses.field(default_factory=dict)
+    pending: dict[str, int] = dataclasses.field(default_factory=dict)
+    learned_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    settled_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    blocked_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    given_up: dict[str, int] = dataclasses.field(default_factory=dict)
+    replaced: dict[str, str] = dataclasses.field(default_factory=dict)
+    switch_due: set[str] = dataclasses.field(default_factory=set)
+    read_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    reconciled_at: dict[str, float] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/knapweedtally/core/failover/steps.py
@@ -0,0 +1,211 @@
+"""What a promotion asks for in each of its steps.
+
+Each function may be called again: every command and update is idempotent.
+"""
+
+from collections.abc import Callable
+
+from knapweedtally.core import effects
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import detection
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import records
+from knapweedtally.core.failover import rules
+from knapweedtally.core.failover import state as failover_state
+
+Effects = list[effects.Effect]
+Step = failover_state.Step
+Runner = Callable[
+    [state_module.ProxyState, model.Moment, failover_state.Promotion], Effects
+]
+
+
+def list_targets(
+    state: state_module.ProxyState, group: str
+) -> tuple[model.Target, ...]:
+    """Return the instances that the bundle names for a group."""
+    found = state.directory.get_group(group)
+    return found.targets if found else ()
+
+
+def control(
+    promotion: failover_state.Promotion,
+    target: str,
+    command: str,
+    primary: str = "",
+) -> effects.Effect:
+    """Return the effect that sends a command for the promotion's term."""
+    return effects.ControlTarget(
+        promotion.operation,
+        target,
+        command,
+        promotion.term,
+        primary,
+        limits.CONTROL_TIMEOUT_S,
+    )
+
+
+def probe_instances(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Ask all instances for their status."""
+    result: Effects = []
+    if promotion.aim is failover_state.Aim.PLANNED_CHANGE:
+        result += read_object(promotion)
+    for target in list_targets(state, promotion.group):
+        result += detection.send_probe(state, moment, target.id)
+    return result
+
+
+def read_object(promotion: failover_state.Promotion) -> Effects:
+    """Read the group's object."""
+    return [effects.ReadObject(promotion.operation, "group", promotion.group)]
+
+
+def hold_writes(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Ask the old primary to refuse writes until the change's time limit."""
+    remaining_s = promotion.started_at + limits.SWITCH_LIMIT_S - moment.at
+    command = effects.ControlTarget(
+        promotion.operation,
+        promotion.replaced,
+        "hold",
+        promotion.term - 1,
+        "",
+        max(remaining_s, limits.CATCH_UP_PROBE_S),
+    )
+    return [command]
+
+
+def probe_preferred(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Ask the preferred replica how far it has come."""
+    return detection.send_probe(state, moment, promotion.preferred)
+
+
+def reserve_term(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Begin the term in the platform's object."""
+    phase = model.Phase.OPEN if promotion.adopted else model.Phase.ELECTING
+    record = state.directory.records.get(promotion.group)
+    preferred = promotion.preferred
+    if record and not preferred:
+        preferred = record.preferred
+    new = model.GroupRecord(
+        0,
+        promotion.term,
+        phase,
+        promotion.adopted,
+        promotion.operation,
+        preferred,
+    )
+    return update_object(state, promotion, new)
+
+
+def choose_primary(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Name the term's primary in the platform's object."""
+    group = state.directory.get_group(promotion.group)
+    record = state.directory.records.get(promotion.group)
+    if group is None or record is None:
+        return []
+    primary = rules.choose_primary(
+        group, promotion.fenced, promotion.preferred, promotion.replaced
+    )
+    new = record._replace(phase=model.Phase.OPEN, primary=primary, preferred="")
+    return update_object(state, promotion, new)
+
+
+def update_object(
+    state: state_module.ProxyState,
+    promotion: failover_state.Promotion,
+    new: model.GroupRecord,
+) -> Effects:
+    """Update the group's object, or read it after an uncertain update."""
+    if promotion.is_uncertain:
+        return read_object(promotion)
+    record = state.directory.records.get(promotion.group)
+    update = effects.UpdateObject(
+        promotion.operation,
+        "group",
+        promotion.group,
+        rules.get_expected_version(record),
+        records.format_value(new),
+    )
+    return [update]
+
+
+def install_term(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Install the term on the instances that have not answered yet."""
+    return [
+        control(promotion, target.id, "install_term")
+        for target in list_targets(state, promotion.group)
+        if target.id not in promotion.fenced
+    ]
+
+
+def open_primary(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: failover_state.Promotion,
+) -> Effects:
+    """Open the chosen primary and have the other instances follow it."""
+    record = state.directory.records.get(promotion.group)
+    if record is None or not record.primary:
+        return []
+    result: Effects = [control(promotion, record.primary, "promote")]
+    for target in list_targets(state, promotion.group):
+        if target.id != record.primary:
+            result.append(
+                control(promotion, target.id, "follow", record.primary)
+            )
+    return result
+
+
+RUNNERS: dict[Step, Runner] = {
+    Step.PREVOTING: probe_instances,
+    Step.HOLDING: hold_writes,
+    Step.CATCHING_UP: probe_preferred,
+    Step.RESERVING: reserve_term,
+    Step.FENCING: install_term,
+    Step.CHOOSING: choose_primary,
+    Step.OPENING: open_primary,
+}
+
+# Time after which a step is run again, in seconds.
+RETRY_DELAYS_S: dict[Step, float] = {
+    Step.PREVOTING: limits.CONTROL_TIMEOUT_S,
+    Step.HOLDING: limits.CONTROL_TIMEOUT_S,
+    Step.CATCHING_UP: limits.CATCH_UP_PROBE_S,
+    Step.RESERVING: limits.PLATFORM_RETRY_S,
+    Step.FENCING: limits.FENCE_GRACE_S,
+    Step.CHOOSING: limits.PLATFORM_RETRY_S,
+    Step.OPENING: limits.CONTROL_TIMEOUT_S,
+}
+
+# Attempts after which a step is given up; the others go on until the record
+# says that the promotion is over.
+ATTEMPT_LIMITS: dict[Step, int] = {
+    Step.PREVOTING: limits.PREVOTE_ATTEMPTS,
+    Step.RESERVING: limits.RESERVE_ATTEMPTS,
+    Step.OPENING: limits.OPEN_ATTEMPTS,
+}
--- /dev/null
+++ b/knapweedtally/core/failover/switching.py
@@ -0,0 +1,226 @@
+"""Change a healthy primary as planned, with writes held for a moment."""
+
+from knapweedtally.core import effects
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.failover import events as failover_events
+from knapweedtally.core.failover import limits
+from knapweedtally.core.failover import observers
+from knapweedtally.core.failover import promotion as promotions
+from knapweedtally.core.failover import state as failover_state
+
+Effects = list[effects.Effect]
+Aim = failover_state.Aim
+Promotion = failover_state.Promotion
+Step = failover_state.Step
+
+
+def consider(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    group: str,
+    record: model.GroupRecord,
+) -> Effects:
+    """Plan the change that a record or the bundle asks for."""
+    if not is_wanted(state, group, record):
+        return []
+    return schedule(state, moment, group, record)
+
+
+def consider_observed(
+    state: state_module.ProxyState, moment: model.Moment
+) -> Effects:
+    """Plan the changes that observed groups still ask for."""
+    result: Effects = []
+    for watch in state.failover.watches.values():
+        record = state.directory.records.get(watch.group)
+        if record is not None:
+            result += consider(state, moment, watch.group, record)
+    return result
+
+
+def is_wanted(
+    state: state_module.ProxyState, group: str, record: model.GroupRecord
+) -> bool:
+    """Tell whether an operator or the bundle asks for another primary."""
+    found = state.directory.get_group(group)
+    if found is None or record.phase is not model.Phase.OPEN:
+        return False
+    if record.preferred:
+        return True
+    staying = {target.id for target in found.targets} - found.leaving
+    return record.primary in found.leaving and bool(staying)
+
+
+def schedule(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    group: str,
+    record: model.GroupRecord,
+) -> Effects:
+    """Begin a planned change, or set the timer of this host's turn."""
+    failover = state.failover
+    if group in failover.promotions or group in failover.switch_due:
+        return []
+    rank = observers.get_rank(state, group, record.term + 1)
+    if rank is None:
+        return []
+    delay_s = rank * limits.SWITCH_RANK_DELAY_S
+    blocked_until = failover.blocked_until.get(group, moment.at)
+    delay_s += max(0.0, blocked_until - moment.at)
+    failover.switch_due.add(group)
+    key = failover_events.SwitchDue(group, record.term)
+    if delay_s == 0.0:
+        return begin(state, moment, key)
+    return [effects.SetTimer(key, delay_s)]
+
+
+def begin(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    key: failover_events.SwitchDue,
+) -> Effects:
+    """Begin a planned change if it is still wanted."""
+    group = key.group
+    state.failover.switch_due.discard(group)
+    record = state.directory.records.get(group)
+    if record is None or record.term != key.term:
+        return []
+    if group in state.failover.promotions:
+        return []
+    if not is_wanted(state, group, record):
+        return []
+    obstacle = find_obstacle(state, group, record)
+    if obstacle:
+        return refuse(state, moment, group, record, obstacle)
+    promotion = Promotion(
+        group,
+        record.term + 1,
+        promotions.make_operation(state),
+        Step.PREVOTING,
+        Aim.PLANNED_CHANGE,
+        moment.at,
+        replaced=record.primary,
+        preferred=record.preferred,
+    )
+    reason = f"{record.primary} is leaving"
+    if record.preferred:
+        reason = f"the record asks for {record.preferred} as primary"
+    return promotions.begin(state, moment, promotion, reason)
+
+
+def withdraw(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    record: model.GroupRecord,
+) -> Effects:
+    """End a planned change that is no longer wanted."""
+    if promotion.aim is not Aim.PLANNED_CHANGE:
+        return []
+    if promotion.step not in promotions.REVERSIBLE_STEPS:
+        return []
+    if is_wanted(state, promotion.group, record):
+        return []
+    reason = "neither the record nor the bundle asks for it any more"
+    return promotions.end(state, moment, promotion, "withdraw", reason)
+
+
+def find_obstacle(
+    state: state_module.ProxyState, group: str, record: model.GroupRecord
+) -> str:
+    """Return why a preferred target can't become primary, or nothing."""
+    preferred = record.preferred
+    found = state.directory.get_group(group)
+    names = {target.id for target in found.targets} if found else set()
+    if not preferred:
+        return ""
+    if preferred == record.primary:
+        return f"{preferred} is the primary already"
+    if preferred not in names:
+        return f"{preferred} is no target of group {group}"
+    if found and preferred in found.leaving:
+        return f"{preferred} is leaving"
+    return ""
+
+
+def refuse(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    group: str,
+    record: model.GroupRecord,
+    obstacle: str,
+) -> Effects:
+    """Withdraw a wish that can't be met and record why."""
+    explanations.record_decision(
+        state,
+        moment,
+        promotions.PART,
+        group,
+        "refuse the planned change",
+        obstacle,
+        "ask for a replica that the bundle names and that is not leaving",
+        preferred=record.preferred,
+        primary=record.primary,
+    )
+    return promotions.clear_preferred(state, group)
+
+
+def is_healthy_replica(promotion: Promotion, target: str) -> bool:
+    """Tell whether a replica answered and is near its primary's position."""
+    answer = promotion.statuses.get(target)
+    if answer is None or answer.report.is_primary:
+        return False
+    return answer.report.age_ms <= limits.MAX_CONFIRMATION_AGE_MS
+
+
+def check_replica(group: model.Group, promotion: Promotion) -> Step | None:
+    """Hold writes once a healthy replica stands ready to take over.
+
+    Writes are not held before the platform has answered: without it, the
+    change could not be made.
+    """
+    if not promotion.is_platform_up:
+        return None
+    if promotion.preferred:
+        is_ready = is_healthy_replica(promotion, promotion.preferred)
+        return Step.HOLDING if is_ready else None
+    ready = [
+        target.id
+        for target in group.targets
+        if target.id not in group.leaving
+        and is_healthy_replica(promotion, target.id)
+    ]
+    if not ready:
+        return None
+    promotion.preferred = max(ready, key=lambda name: get_last(promotion, name))
+    return Step.HOLDING
+
+
+def get_last(promotion: Promotion, target: str) -> model.Position:
+    """Return the last log entry that an instance reported."""
+    answer = promotion.statuses[target]
+    return model.Position(answer.last_term, answer.received)
+
+
+def note_hold(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+    event: events.ControlAnswered,
+) -> Effects:
+    """Wait for the preferred replica once no write can follow."""
+    if promotion.step is not Step.HOLDING or not event.is_accepted:
+        return []
+    promotion.final = model.Position(event.last_term, event.received)
+    promotion.statuses.clear()
+    return promotions.enter(state, moment, promotion, Step.CATCHING_UP)
+
+
+def has_caught_up(promotion: Promotion) -> bool:
+    """Tell whether the preferred replica has the old primary's last entry."""
+    if promotion.final is None or promotion.preferred not in promotion.statuses:
+        return False
+    return get_last(promotion, promotion.preferred) >= promotion.final
--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -13,13 +13,14 @@
 from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import decisions as failover
 
 Effects = list[effects.Effect]
 Handler = Callable[[state_module.ProxyState, model.Moment, Any], Effects]
 HandlerTable = Mapping[type, Handler]
 
 # One handler table per part; each part's decisions.py exports HANDLERS.
-PART_TABLES: tuple[HandlerTable, ...] = ()
+PART_TABLES: tuple[HandlerTable, ...] = (failover.HANDLERS,)
 
 
 def merge_tables(
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -4,6 +4,7 @@
 
 from knapweedtally.core import model
 from knapweedtally.core.explanations import state as explanations_state
+from knapweedtally.core.failover import state as failover_state
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +55,7 @@
         identity: who this proxy is.
         directory: bundle, group records and target reports.
         explanations: ring of decision records.
+        failover: observations and promotions.
     """
 
     identity: Identity
@@ -61,3 +63,6 @@
     explanations: explanations_state.ExplanationsState = dataclasses.field(
         default_factory=explanations_state.ExplanationsState
     )
+    failover: failover_state.FailoverState = dataclasses.field(
+        default_factory=failover_state.FailoverState
+    )
