--- a/knapweedtally/conf/settings.py
+++ b/knapweedtally/conf/settings.py
@@ -22,6 +22,7 @@
     admin_address: str
     admin_port: int
     admin_token: secrets.Secret[str]
+    peer_token: secrets.Secret[str]
     platform_address: parsers.Address
     token_keys: secrets.Secret[tuple[parsers.TokenKey, ...]]
     bundle_keys: dict[str, bytes]
--- a/knapweedtally/conf/table.py
+++ b/knapweedtally/conf/table.py
@@ -106,6 +106,13 @@
         "token that the administration API demands",
         is_secret=True,
     ),
+    Setting(
+        "peer-token",
+        parsers.parse_password,
+        "at least 16 characters",
+        "token that entry hosts show each other, the same on every host",
+        is_secret=True,
+    ),
     Setting(
         "platform-address",
         parsers.parse_address,
--- a/knapweedtally/management/application.py
+++ b/knapweedtally/management/application.py
@@ -30,6 +30,7 @@
 # serves callers doesn't load what only other commands need.
 COMMANDS: dict[str, Entry] = {
     "check": Entry("check", "CheckCommand"),
+    "proxy": Entry("proxy", "ProxyCommand"),
     "version": Entry("version", "VersionCommand"),
 }
 
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -11,12 +11,14 @@
 from knapweedtally.conf import table
 
 SECRET_TOKEN = "an-admin-token-of-the-test"
+PEER_TOKEN = "a-peer-token-of-the-test"
 SECRET_KEY = "00112233445566778899aabbccddeeff"
 OPTIONS: dict[str, str | None] = {
     "host-name": "a1",
     "data-centre": "sala-norte",
     "listen-address": "127.0.1.2",
     "admin-token": SECRET_TOKEN,
+    "peer-token": PEER_TOKEN,
     "platform-address": "127.0.0.1:7000",
     "token-keys": f"k1:{SECRET_KEY}",
     "bundle-keys": "ana:" + "ab" * 32,
@@ -107,7 +109,7 @@
             problems = find_problems({**OPTIONS, name: wrong}, {})
             texts += [str(problem) for problem in problems]
         shown = " ".join(texts)
-        for secret in (SECRET_TOKEN, SECRET_KEY, "short-secret"):
+        for secret in (SECRET_TOKEN, PEER_TOKEN, SECRET_KEY, "short-secret"):
             self.assertNotIn(secret, shown)
 
     @hypothesis.settings(derandomize=True, deadline=None)
