--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -4,6 +4,7 @@
 from .11. Ports are chosen by the system, so that several runs don't meet.
 """
 
+import json
 import os
 import pathlib
 import secrets
@@ -20,12 +21,15 @@
 
 from knapweedtally.core.bundles import signatures
 from knapweedtally.platform import client as platform_client
+from knapweedtally.utils import http
+from knapweedtally.utils import http_client
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM_HOST = "127.0.0.1"
 OPERATOR = "demo"
 STOP_TIMEOUT_S = 10.0
 READY_TIMEOUT_S = 20.0
+ADMIN_TIMEOUT_S = 5.0
 
 
 class Layout(NamedTuple):
@@ -323,3 +327,24 @@
         except OSError:
             time.sleep(0.05)
     raise TimeoutError(f"nothing listens on {host}:{port}")
+
+
+async def fetch_json(
+    system: Cluster, member: Member, path: str
+) -> dict[str, Any]:
+    """Return an answer of a host's administration API.
+
+    Raises:
+        RuntimeError: the answer isn't 200.
+    """
+    client = http_client.Client(member.host, member.admin_port)
+    headers = {"authorization": f"Bearer {system.admin_token}"}
+    request = http.Request("GET", path, headers, b"")
+    try:
+        response = await client.send(request, ADMIN_TIMEOUT_S)
+    finally:
+        await client.close()
+    if response.status != 200:
+        raise RuntimeError(f"{path}: {response.status}")
+    value: dict[str, Any] = json.loads(response.body)
+    return value
