--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -6,6 +6,7 @@
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.bundles import state as bundles_state
 from knapweedtally.core.explanations import state as explanations_state
+from knapweedtally.core.failover import state as failover_state
 from knapweedtally.core.routing import state as routing_state
 
 
@@ -76,6 +77,7 @@
         routing: estimates that guide the choice of a target.
         explanations: ring of decision records.
         bundles: bundle in force in plain form, and the operators' keys.
+        failover: observations and promotions.
     """
 
     identity: Identity
@@ -92,3 +94,6 @@
     bundles: bundles_state.BundlesState = dataclasses.field(
         default_factory=bundles_state.BundlesState
     )
+    failover: failover_state.FailoverState = dataclasses.field(
+        default_factory=failover_state.FailoverState
+    )
--- a/knapweedtally/management/bundle_files.py
+++ b/knapweedtally/management/bundle_files.py
@@ -99,22 +99,18 @@
     return validator(load_schema())
 
 
-def _describe_error(
-    error: jsonschema.ValidationError,
-) -> Iterator[checks.Problem]:
+def _describe_error(error: Any) -> Iterator[checks.Problem]:
     describe = _DESCRIBERS.get(str(error.validator), _describe_value)
     return describe(error, tuple(error.absolute_path))
 
 
-def _describe_value(
-    error: jsonschema.ValidationError, path: checks.Path
-) -> Iterator[checks.Problem]:
+def _describe_value(error: Any, path: checks.Path) -> Iterator[checks.Problem]:
     description = error.schema.get("description", error.message)
     yield checks.Problem(path, error.instance, f"use {description}")
 
 
 def _describe_missing(
-    error: jsonschema.ValidationError, path: checks.Path
+    error: Any, path: checks.Path
 ) -> Iterator[checks.Problem]:
     # One error for each missing key; its message opens with the key.
     key = error.message.split("'")[1]
@@ -122,7 +118,7 @@
 
 
 def _describe_unknown(
-    error: jsonschema.ValidationError, path: checks.Path
+    error: Any, path: checks.Path
 ) -> Iterator[checks.Problem]:
     known = error.schema["properties"]
     for key in error.instance:
@@ -133,9 +129,7 @@
             )
 
 
-_Describer = Callable[
-    [jsonschema.ValidationError, checks.Path], Iterator[checks.Problem]
-]
+_Describer = Callable[[Any, checks.Path], Iterator[checks.Problem]]
 _DESCRIBERS: dict[str, _Describer] = {
     "required": _describe_missing,
     "additionalProperties": _describe_unknown,
