Add the operators' commands on bundles

validate, sign, new-key, roll-out, status and diff. Tests roll out against the stand-in process: two racing operators with lost answers, a lost answer followed by another operator's next roll-out (fails with the kept operations switched off), an outage, and an operation that is no longer kept. Found on the way: a control character in a file ended in an exception, and the line of a repeated key was that of the first one; both mended.

--- a/knapweedtally/management/application.py
+++ b/knapweedtally/management/application.py
@@ -29,6 +29,12 @@
 # The commands by name. Modules are imported late, so that the process that
 # serves callers doesn't load what only other commands need.
 COMMANDS: dict[str, Entry] = {
+    "bundle diff": Entry("bundle_diff", "BundleDiffCommand"),
+    "bundle new-key": Entry("bundle_new_key", "BundleNewKeyCommand"),
+    "bundle roll-out": Entry("bundle_roll_out", "BundleRollOutCommand"),
+    "bundle sign": Entry("bundle_sign", "BundleSignCommand"),
+    "bundle status": Entry("bundle_status", "BundleStatusCommand"),
+    "bundle validate": Entry("bundle_validate", "BundleValidateCommand"),
     "check": Entry("check", "CheckCommand"),
     "proxy": Entry("proxy", "ProxyCommand"),
     "version": Entry("version", "VersionCommand"),
--- a/knapweedtally/management/options.py
+++ b/knapweedtally/management/options.py
@@ -5,11 +5,14 @@
 
 from cleo.io.inputs import option
 
+from knapweedtally.conf import checks
 from knapweedtally.conf import settings
 from knapweedtally.conf import table
 from knapweedtally.management import base
 from knapweedtally.management import exit_codes
 
+_SETTINGS = {setting.name: setting for setting in table.SETTINGS}
+
 
 def make_settings_options() -> list[option.Option]:
     """Return one option for each setting."""
@@ -40,3 +43,26 @@
     return option.Option(
         setting.name, flag=False, requires_value=True, description=text
     )
+
+
+def make_option(name: str) -> option.Option:
+    """Return the option of one setting."""
+    return _make_option(_SETTINGS[name])
+
+
+def load_value(command: Any, name: str) -> Any:
+    """Return one setting from a command's option or the environment.
+
+    Raises:
+        base.CommandError: it has no value, or one that is not allowed.
+    """
+    setting = _SETTINGS[name]
+    text = command.option(name) or os.environ.get(setting.variable)
+    if text is None:
+        problem = checks.make_missing(setting)
+        raise base.CommandError(str(problem), exit_codes.INVALID)
+    try:
+        return setting.parse(text)
+    except ValueError as error:
+        problem = checks.make_problem(checks.NOT_ALLOWED, setting, text)
+        raise base.CommandError(str(problem), exit_codes.INVALID) from error
--- a/knapweedtally/management/yaml_files.py
+++ b/knapweedtally/management/yaml_files.py
@@ -65,6 +65,20 @@
     Raises:
         YamlFileError: the text is no YAML.
     """
+    try:
+        return _load(name, text)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        line = mark.line + 1 if mark else 1
+        raise YamlFileError(f"{name}:{line}: {error.problem}") from error
+    except yaml.reader.ReaderError as error:
+        line = text.count("\n", 0, error.position) + 1
+        raise YamlFileError(f"{name}:{line}: {error.reason}") from error
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise YamlFileError(f"{name}:1: is no YAML: {error}") from error
+
+
+def _load(name: str, text: str) -> YamlFile:
     loader = yaml.SafeLoader(text)
     try:
         root = loader.get_single_node()
@@ -77,19 +91,13 @@
                 repeated.append(entry.path)
             lines[entry.path] = entry.line
         value = loader.construct_document(root)
-    except yaml.MarkedYAMLError as error:
-        mark = error.problem_mark
-        line = mark.line + 1 if mark else 1
-        raise YamlFileError(f"{name}:{line}: {error.problem}") from error
-    except (yaml.YAMLError, ValueError, RecursionError) as error:
-        raise YamlFileError(f"{name}:1: is no YAML: {error}") from error
     finally:
         loader.dispose()
     return YamlFile(name, value, lines, repeated)
 
 
 def _walk(name: str, root: yaml.Node) -> Iterator[_Entry]:
-    """Yield every node; the bound stops aliases that multiply."""
+    """Yield every node in order; the bound stops aliases that multiply."""
     pending = [_Entry((), root, root.start_mark.line + 1)]
     count = 0
     while pending:
@@ -102,7 +110,7 @@
                 f"{name}:{entry.line}: has over {MAX_NODES} values; "
                 "leave out aliases"
             )
-        pending.extend(children)
+        pending.extend(reversed(children))
 
 
 def _list_children(entry: _Entry) -> Iterator[_Entry]:
--- /dev/null
+++ b/tests/management/test_roll_outs.py
@@ -0,0 +1,199 @@
+"""Tests of roll-outs against the real platform stand-in."""
+
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import testtools
+
+from knapweedtally.management import roll_outs
+from knapweedtally.platform import client as platform_client
+from tests.bundles import test_decisions
+from tests.platform import stand_in
+
+ROUNDS = 12
+Outcome = roll_outs.Outcome
+
+
+class LossyClient(platform_client.PlatformClient):
+    """Lose the answer of the first update, and let others act meanwhile."""
+
+    def __init__(
+        self, port: int, meanwhile: Callable[[], Awaitable[Any]]
+    ) -> None:
+        super().__init__(("127.0.0.1", port))
+        self._meanwhile: Callable[[], Awaitable[Any]] | None = meanwhile
+
+    async def update_object(
+        self,
+        kind: str,
+        name: str,
+        expected_version: int,
+        value: dict[str, object],
+    ) -> platform_client.UpdateResult:
+        result = await super().update_object(
+            kind, name, expected_version, value
+        )
+        if self._meanwhile:
+            meanwhile, self._meanwhile = self._meanwhile, None
+            await meanwhile()
+            raise platform_client.AnswerLostError("lost by the test")
+        return result
+
+
+async def roll_out(
+    client: platform_client.PlatformClient,
+    value: dict[str, Any],
+    operation: str,
+    timeout_s: float = stand_in.TIMEOUT_S,
+    is_repeat: bool = False,
+) -> roll_outs.Result:
+    one = roll_outs.RollOut(
+        client, value, operation, random.Random(1), is_repeat=is_repeat
+    )
+    return await one.run(timeout_s)
+
+
+def run_on_platform(
+    body: Callable[[platform_client.PlatformClient, int], Awaitable[None]],
+) -> None:
+    async def run(port: int) -> None:
+        client = platform_client.PlatformClient(("127.0.0.1", port))
+        await body(client, port)
+        await client.close()
+
+    with stand_in.run_platform() as port:
+        anyio.run(run, port)
+
+
+async def switch(port: int, **faults: object) -> None:
+    caller = stand_in.Caller(port)
+    await caller.call("POST", "/faults", faults)
+    await caller.client.close()
+
+
+class RollOutTest(testtools.TestCase):
+    def test_one_of_two_racing_operators_wins(self) -> None:
+        async def body(
+            client: platform_client.PlatformClient, port: int
+        ) -> None:
+            for version in range(1, ROUNDS + 1):
+                # Slots tell the two operators' bundles apart.
+                values = {
+                    slots: test_decisions.make_signed(version, slots)
+                    for slots in (1, 2)
+                }
+                results: dict[int, roll_outs.Result] = {}
+
+                async def race(
+                    slots: int,
+                    values: dict[int, Any] = values,
+                    results: dict[int, roll_outs.Result] = results,
+                    version: int = version,
+                ) -> None:
+                    operation = f"{version}-{slots}"
+                    results[slots] = await roll_out(
+                        client, values[slots], operation
+                    )
+
+                await switch(port, lose_answers=version % 3)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(race, 1)
+                    group.start_soon(race, 2)
+                outcomes = {r.outcome: s for s, r in results.items()}
+                self.assertEqual(
+                    {Outcome.ACCEPTED, Outcome.REFUSED}, set(outcomes)
+                )
+                loser = results[outcomes[Outcome.REFUSED]]
+                self.assertEqual((version, "ana"), loser[1:3])
+                current = await client.get_object("bundle", "current")
+                winner = values[outcomes[Outcome.ACCEPTED]]
+                self.assertEqual(winner["groups"], current.value["groups"])
+
+        run_on_platform(body)
+
+    def test_a_lost_answer_is_resolved_after_the_next_roll_out(self) -> None:
+        async def body(
+            client: platform_client.PlatformClient, port: int
+        ) -> None:
+            async def let_another_follow() -> None:
+                value = test_decisions.make_signed(2)
+                follower = await roll_out(client, value, "follower")
+                self.assertEqual(Outcome.ACCEPTED, follower.outcome)
+
+            lossy = LossyClient(port, let_another_follow)
+            value = test_decisions.make_signed(1)
+            result = await roll_out(lossy, value, "first")
+            self.assertEqual((Outcome.ACCEPTED, 1), result[:2])
+            await lossy.close()
+
+        run_on_platform(body)
+        # Without the kept operations, the winner is told that it lost.
+        self.patch(roll_outs, "_get_operations", lambda _: {})
+        self.assertRaises(AssertionError, run_on_platform, body)
+
+    def test_a_version_out_of_turn_is_refused(self) -> None:
+        async def body(
+            client: platform_client.PlatformClient, port: int
+        ) -> None:
+            steps = [(1, Outcome.ACCEPTED), (3, Outcome.REFUSED)]
+            steps += [(1, Outcome.REFUSED), (2, Outcome.ACCEPTED)]
+            for number, (version, outcome) in enumerate(steps):
+                value = test_decisions.make_signed(version)
+                result = await roll_out(client, value, f"op-{number}")
+                self.assertEqual(outcome, result.outcome, number)
+
+        run_on_platform(body)
+
+    def test_an_outage_ends_as_not_sent_and_a_lost_answer_as_unknown(
+        self,
+    ) -> None:
+        async def body(
+            client: platform_client.PlatformClient, port: int
+        ) -> None:
+            value = test_decisions.make_signed(1)
+            await switch(port, mode="down")
+            result = await roll_out(client, value, "op", timeout_s=0.2)
+            self.assertEqual(Outcome.NOT_SENT, result.outcome)
+            await switch(port, mode="up")
+
+            async def fail() -> None:
+                await switch(port, mode="down")
+
+            lossy = LossyClient(port, fail)
+            result = await roll_out(lossy, value, "op", timeout_s=1.0)
+            self.assertEqual(Outcome.UNKNOWN, result.outcome)
+            self.assertIn("--operation op", result.message)
+            await switch(port, mode="up")
+            again = await roll_out(client, value, "op", is_repeat=True)
+            self.assertEqual(Outcome.ACCEPTED, again.outcome)
+            current = await client.get_object("bundle", "current")
+            self.assertEqual(1, current.version)
+            await lossy.close()
+
+        run_on_platform(body)
+
+    def test_an_operation_that_is_no_longer_kept_is_unknown(self) -> None:
+        async def body(
+            client: platform_client.PlatformClient, port: int
+        ) -> None:
+            for version in range(1, roll_outs.HISTORY_SIZE + 2):
+                value = test_decisions.make_signed(version)
+                await roll_out(client, value, f"op-{version}")
+            for version, outcome in (
+                (1, Outcome.UNKNOWN),
+                (2, Outcome.ACCEPTED),
+            ):
+                value = test_decisions.make_signed(version)
+                result = await roll_out(
+                    client, value, f"op-{version}", is_repeat=True
+                )
+                self.assertEqual(outcome, result.outcome)
+            reused = await roll_out(
+                client, test_decisions.make_signed(18, 3), "op-17"
+            )
+            self.assertEqual(Outcome.REFUSED, reused.outcome)
+
+        run_on_platform(body)
