--- a/bench/readings.py
+++ b/bench/readings.py
@@ -4,6 +4,7 @@
 between hosts; it keeps a record of all that it was told.
 """
 
+import itertools
 import time
 from typing import Any
 from typing import NamedTuple
@@ -208,5 +209,5 @@
         for session in sessions
         for write in session.writes
     )
-    gaps = [later - earlier for earlier, later in zip(times, times[1:])]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
     return max(gaps, default=0.0)
