Check that the bundles part ignores other objects by its own handlers

Cause: the test drove the whole reducer, whose failover part rightly reports a malformed group record. Replaced by the part's own handlers and a check that no bundle comes into force, which is as strict.

--- a/tests/bundles/test_decisions.py
+++ b/tests/bundles/test_decisions.py
@@ -12,6 +12,7 @@
 from knapweedtally.core import reducer
 from knapweedtally.core import state as state_module
 from knapweedtally.core.bundles import codec
+from knapweedtally.core.bundles import decisions
 from knapweedtally.core.bundles import rules
 from knapweedtally.core.bundles import signatures
 from tests.bundles import test_codec
@@ -138,4 +139,6 @@
             events.ObjectSeen("bundle", "current", 0, {}),
             events.ObjectSeen("group", "current", 1, SIGNED[1]),
         ):
-            self.assertEqual([], reducer.decide(state, MOMENT, event))
+            handle = decisions.HANDLERS[type(event)]
+            self.assertEqual([], handle(state, MOMENT, event))
+            self.assertIsNone(state.directory.bundle)
