--- /dev/null
+++ b/tests/driver/__init__.py
@@ -0,0 +1,1 @@
+"""Run several proxies in one process, in virtual time, from one seed."""
--- /dev/null
+++ b/tests/driver/target.py
@@ -0,0 +1,333 @@
+"""A target: the pure instance of the stand-ins over a fake network."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from knapweedtally.core import effects
+from standins.target import errors as target_errors
+from standins.target import instance as instance_module
+from standins.target import log as logs
+from tests.driver import network as network_module
+from tests.driver import schedule as schedule_module
+from tests.driver import table as table_module
+
+PULL_INTERVAL_S = 0.010
+SERVICE_S = 0.001
+BARRIER_LIMIT_S = 2.0
+HOLD_MS = 1000.0
+
+Command = table_module.Command
+
+
+class Result(NamedTuple):
+    """Answer a command.
+
+    Attributes:
+        report: what the instance said of itself when the statement ran.
+        rows: values that a read returns.
+        marker: marker of the command.
+        sqlstate: SQLSTATE of the error answer, or empty.
+        is_open: whether a transaction is open afterwards.
+        is_key_reused: whether the key is on record for something else.
+        confirmed: term and offset that a barrier confirmed, or None.
+    """
+
+    report: instance_module.Report
+    rows: tuple[str, ...]
+    marker: str
+    sqlstate: str = ""
+    is_open: bool = False
+    is_key_reused: bool = False
+    confirmed: tuple[int, int] | None = None
+
+
+class Connection:
+    """Hold one client's connection with the transaction open on it.
+
+    Attributes:
+        is_open: whether the target holds it.
+        transaction: statements of the open transaction, or None.
+        on_reset: tells the client that the target's process ended.
+    """
+
+    def __init__(self) -> None:
+        """Open a connection without a transaction."""
+        self.is_open = True
+        self.transaction: list[logs.Statement] | None = None
+        self.on_reset: schedule_module.Action = _ignore
+
+
+class _Waiting(NamedTuple):
+    barrier: instance_module.Barrier
+    until: float
+    finish: Callable[[instance_module.BarrierState], None]
+
+
+class Target:
+    """Serve one instance over the network.
+
+    A restart keeps the log and the installed term, as a database on a disk
+    does, and loses connections with their transactions.
+
+    Attributes:
+        id: id of the instance.
+        process: the process that a fault can kill, pause or cut off.
+        instance: term, log and confirmations.
+        table: data that reads see.
+        connection_limit: connections accepted in all.
+        apply_lag_s: time from receipt of an entry to its application.
+        peers: targets of the group by id.
+        on_opened: told the term when this target opens as its primary.
+    """
+
+    def __init__(
+        self,
+        process: schedule_module.Process,
+        network: network_module.Network,
+        members: Sequence[str],
+    ) -> None:
+        """Start a target with an empty log."""
+        self.id = process.name
+        self.process = process
+        self.instance = instance_module.Instance(self.id, members)
+        self.table = table_module.Table(self.instance)
+        self.connection_limit = 15
+        self.apply_lag_s = 0.0
+        self.peers: dict[str, Target] = {}
+        self.on_opened: Callable[[int], None] = _ignore
+        self._schedule = process.schedule
+        self._network = network
+        self._connections: set[Connection] = set()
+        self._waiting: list[_Waiting] = []
+        self._pull()
+
+    def kill(self) -> None:
+        """End the process; clients see their connections reset."""
+        self.process.kill()
+        for connection in self._connections:
+            connection.is_open = False
+            self._schedule.call_later(0.001, connection.on_reset)
+        self._connections.clear()
+        self._waiting.clear()
+
+    def restart(self) -> None:
+        """Start again with the log that was kept."""
+        if not self.process.is_running:
+            self.process.start()
+            self._pull()
+
+    def accept(self) -> Connection | None:
+        """Open a connection, or return None over the limit."""
+        if len(self._connections) >= self.connection_limit:
+            return None
+        connection = Connection()
+        self._connections.add(connection)
+        return connection
+
+    def close(self, connection: Connection) -> None:
+        """Close a connection; its open transaction is rolled back."""
+        connection.is_open = False
+        connection.transaction = None
+        self._connections.discard(connection)
+
+    # Statements.
+
+    def run(
+        self,
+        connection: Connection,
+        command: Command,
+        answer: Callable[[Result], None],
+    ) -> None:
+        """Run a command on a connection and answer, unless it is closed."""
+
+        def serve() -> None:
+            if not connection.is_open:
+                return
+            result = self._execute(connection, command)
+            if result.sqlstate or not command.needs_barrier:
+                answer(result)
+                return
+            self._confirm(result, answer)
+
+        delay_s = SERVICE_S * (0.5 + self._schedule.random.random())
+        self.process.call_later(delay_s, serve)
+
+    def _execute(self, connection: Connection, command: Command) -> Result:
+        self.table.apply()
+        result = Result(self._report(), (), command.marker)
+        try:
+            result = _COMMANDS[command.kind](self, connection, command, result)
+        except target_errors.TargetError as error:
+            connection.transaction = None
+            result = result._replace(sqlstate=error.sqlstate)
+        self.table.apply()
+        is_open = connection.transaction is not None
+        return result._replace(report=self._report(), is_open=is_open)
+
+    def _report(self) -> instance_module.Report:
+        return self.instance.report(self._schedule.now)
+
+    def _read(
+        self, connection: Connection, command: Command, result: Result
+    ) -> Result:
+        pending = connection.transaction or ()
+        rows = self.table.select(command.scope, pending)
+        return result._replace(rows=rows)
+
+    def _write(
+        self, connection: Connection, command: Command, result: Result
+    ) -> Result:
+        self.instance.check_writable(self._schedule.now)
+        if command.key and command.key in self.table.keys:
+            is_same = self.table.keys[command.key] == command.values
+            return result._replace(is_key_reused=not is_same)
+        self.instance.append(table_module.make_statements(command))
+        return result
+
+    def _begin(
+        self, connection: Connection, command: Command, result: Result
+    ) -> Result:
+        connection.transaction = []
+        return result
+
+    def _add(
+        self, connection: Connection, command: Command, result: Result
+    ) -> Result:
+        if connection.transaction is None:
+            return self._write(connection, command, result)
+        if not connection.transaction:
+            # A transaction that has written may end during a hold.
+            self.instance.check_writable(self._schedule.now)
+        connection.transaction += table_module.make_statements(command)
+        return result
+
+    def _end(
+        self, connection: Connection, command: Command, result: Result
+    ) -> Result:
+        statements, connection.transaction = connection.transaction, None
+        if statements:
+            self.instance.append(statements)
+        return result
+
+    def _roll_back(
+        self, connection: Connection, command: Command, result: Result
+    ) -> Result:
+        connection.transaction = None
+        return result
+
+    # Commands and confirmations.
+
+    def control(
+        self, effect: effects.ControlTarget
+    ) -> instance_module.ControlAnswer:
+        """Run a control command."""
+        was_primary = self.instance.is_primary
+        found = _CONTROLS[effect.command](self, effect)
+        self.table.apply()
+        if self.instance.is_primary and not was_primary:
+            self.on_opened(self.instance.term)
+        self._check_barriers()
+        return found
+
+    def _hold(
+        self, effect: effects.ControlTarget
+    ) -> instance_module.ControlAnswer:
+        now = self._schedule.now
+        return self.instance.hold(effect.term, HOLD_MS, now)
+
+    def _confirm(
+        self, result: Result, answer: Callable[[Result], None]
+    ) -> None:
+        try:
+            barrier = self.instance.start_barrier(self._schedule.now)
+        except target_errors.TargetError:
+            answer(result)
+            return
+
+        def finish(state: instance_module.BarrierState) -> None:
+            if state is instance_module.BarrierState.CONFIRMED:
+                confirmed = (barrier.term, barrier.offset)
+                answer(result._replace(confirmed=confirmed))
+            else:
+                answer(result)
+
+        until = self._schedule.now + BARRIER_LIMIT_S
+        self._waiting.append(_Waiting(barrier, until, finish))
+        self._check_barriers()
+
+    def _check_barriers(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for item in waiting:
+            state = self.instance.check_barrier(item.barrier)
+            is_pending = state is instance_module.BarrierState.PENDING
+            if is_pending and self._schedule.now < item.until:
+                self._waiting.append(item)
+            else:
+                item.finish(state)
+
+    # Replication.
+
+    def _pull(self) -> None:
+        jitter = 0.5 + self._schedule.random.random()
+        self.process.call_later(PULL_INTERVAL_S * jitter, self._pull)
+        self._check_barriers()
+        primary = self.peers.get(self.instance.primary)
+        if primary is None or self.instance.is_primary:
+            return
+        sent_at = self._schedule.now
+        request = self.instance.make_pull()
+
+        def serve() -> None:
+            answer = primary.instance.pull(request, self._schedule.now)
+            primary._check_barriers()
+            self._network.send(
+                primary.process,
+                self.process,
+                lambda: self._receive(answer, sent_at),
+            )
+
+        self._network.send(self.process, primary.process, serve)
+
+    def _receive(self, answer: logs.PullAnswer, sent_at: float) -> None:
+        if self.instance.receive(answer, sent_at):
+            self.table.rebuild()
+        offset = self.instance.received
+        if self.apply_lag_s:
+            self.process.call_later(
+                self.apply_lag_s, lambda: self.instance.mark_applied(offset)
+            )
+        else:
+            self.instance.mark_applied(offset)
+
+
+def _ignore(*arguments: object) -> None:
+    """Do nothing."""
+
+
+_COMMANDS: dict[
+    str, Callable[[Target, Connection, Command, Result], Result]
+] = {
+    "read": Target._read,
+    "write": Target._write,
+    "begin": Target._begin,
+    "statement": Target._add,
+    "commit": Target._end,
+    "rollback": Target._roll_back,
+}
+
+_CONTROLS: dict[
+    str,
+    Callable[[Target, effects.ControlTarget], instance_module.ControlAnswer],
+] = {
+    "install_term": lambda target, effect: target.instance.install_term(
+        effect.term, effect.operation
+    ),
+    "promote": lambda target, effect: target.instance.promote(
+        effect.term, effect.operation
+    ),
+    "follow": lambda target, effect: target.instance.follow(
+        effect.term, effect.primary
+    ),
+    "hold": Target._hold,
+}
