--- /dev/null
+++ b/tests/driver/__main__.py
@@ -0,0 +1,41 @@
+"""Run seeds by hand: ``python -m tests.driver --seeds N``."""
+
+import argparse
+import multiprocessing
+import sys
+
+from tests.driver import run
+
+
+def main() -> int:
+    """Run the seeds and print each failure; return the exit status."""
+    parser = argparse.ArgumentParser(prog="python -m tests.driver")
+    parser.add_argument("--seeds", type=int, default=100)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--processes", type=int, default=2)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.seeds)
+    with multiprocessing.Pool(options.processes) as pool:
+        failed = sum(
+            bool(lines) for lines in pool.imap(describe_seed, seeds, 4)
+        )
+    print(f"{options.seeds} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+def describe_seed(seed: int) -> list[str]:
+    """Run a seed and print what is wrong with it."""
+    result = run.run_seed(seed)
+    if not result.violations:
+        return []
+    shortest = run.shorten(result)
+    lines = [f"seed {seed}: {len(result.violations)} violations"]
+    lines += [f"  {fault}" for fault in shortest.faults]
+    lines += [f"  {violation}" for violation in shortest.violations[:5]]
+    lines += [f"    {line}" for line in run.format_trace(shortest)]
+    print("\n".join(lines), flush=True)
+    return lines
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/driver/links.py
+++ b/tests/driver/links.py
@@ -43,7 +43,7 @@
     """Run statements and commands of one proxy on targets.
 
     Attributes:
-        results: targets' answers by request and attempt.
+        results: target and its answer by request and attempt.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
             submit: takes an event for the reducer.
             get_command: returns what a request asks of a target.
         """
-        self.results: dict[Attempt, target_module.Result] = {}
+        self.results: dict[Attempt, tuple[str, target_module.Result]] = {}
         self._process = process
         self._network = network
         self._targets = targets
@@ -191,7 +191,7 @@
         if not link.is_open or link.expected is None:
             return
         attempt, link.expected = link.expected, None
-        self.results[attempt] = result
+        self.results[attempt] = (link.target.id, result)
         confirmed = result.confirmed and model.Position(*result.confirmed)
         self._submit(
             writes_events.AttemptAnswered(
--- a/tests/driver/network.py
+++ b/tests/driver/network.py
@@ -1,5 +1,7 @@
 """Messages between processes: delayed, reordered, lost or cut off."""
 
+import math
+
 from tests.driver import schedule as schedule_module
 
 Process = schedule_module.Process
@@ -9,42 +11,55 @@
 JITTER = 1.0
 SLOW_SHARE = 0.02
 SLOW_DELAY_S = 0.060
+RETRANSMIT_S = 0.25
+RETRANSMIT_LIMIT = 8
 
 
 class Network:
     """Carry messages between processes.
 
+    What a cut stops is sent again for a while, as TCP does, and may arrive
+    late.
+
     Attributes:
-        loss: share of messages that are lost.
+        loss: share of messages that have to be sent again.
     """
 
     def __init__(self, schedule: schedule_module.Schedule) -> None:
         """Connect everything with everything."""
         self.loss = 0.0
         self._schedule = schedule
-        self._cuts: set[tuple[str, str]] = set()
+        # When each cut ended; infinite while it lasts.
+        self._cuts: dict[tuple[str, str], float] = {}
 
     def cut(self, source: str, target: str) -> None:
-        """Drop messages from one place to another: name or data centre."""
-        self._cuts.add((source, target))
+        """Stop messages from one place to another: name or data centre."""
+        self._cuts[source, target] = math.inf
+
+    def heal_cut(self, source: str, target: str) -> None:
+        """End one cut."""
+        if (source, target) in self._cuts:
+            end = min(self._cuts[source, target], self._schedule.now)
+            self._cuts[source, target] = end
 
     def heal(self) -> None:
-        """Remove all cuts and losses."""
-        self._cuts.clear()
+        """End all cuts and losses."""
+        for pair in self._cuts:
+            self.heal_cut(*pair)
         self.loss = 0.0
 
-    def heal_cut(self, source: str, target: str) -> None:
-        """Remove one cut."""
-        self._cuts.discard((source, target))
-
     def is_cut(self, source: Process, target: Process) -> bool:
-        """Return whether messages in this direction are dropped."""
+        """Return whether messages in this direction are stopped now."""
+        return self.was_cut(source, target, math.inf)
+
+    def was_cut(self, source: Process, target: Process, since: float) -> bool:
+        """Return whether a cut in this direction lasted beyond a time."""
         if source is target:
             return False
         return any(
-            (left, right) in self._cuts
-            for left in (*source.places, "*")
-            for right in (*target.places, "*")
+            self._cuts.get((left, right), -math.inf) >= since
+            for left in source.places
+            for right in target.places
         )
 
     def send(
@@ -55,20 +70,25 @@
     ) -> None:
         """Run an action at the target after a delay, or never."""
         draw = self._schedule.random.random
-        if self.is_cut(source, target) or draw() < self.loss:
-            return
         is_near = source.data_centre == target.data_centre
         delay_s = NEAR_DELAY_S if is_near else FAR_DELAY_S
         delay_s *= 1.0 + JITTER * draw()
         if draw() < SLOW_SHARE:
             delay_s += SLOW_DELAY_S * draw()
-        generation = target.generation
+        if self.loss and draw() < self.loss:
+            delay_s += RETRANSMIT_S
+        generations = (source.generation, target.generation)
+        tries = 0
 
         def arrive() -> None:
-            # A cut stops what is on its way, and a connection doesn't
-            # outlive its process.
-            is_same = target.generation == generation
-            if is_same and not self.is_cut(source, target):
+            nonlocal tries
+            # A connection doesn't outlive the process at either end.
+            if generations != (source.generation, target.generation):
+                return
+            if not self.is_cut(source, target):
                 target.call_later(0.0, action)
+            elif source.is_running and tries < RETRANSMIT_LIMIT:
+                tries += 1
+                self._schedule.call_later(RETRANSMIT_S, arrive)
 
         self._schedule.call_later(delay_s, arrive)
--- /dev/null
+++ b/tests/driver/run.py
@@ -0,0 +1,115 @@
+"""Run one seed, check it, and shorten what fails."""
+
+import random
+from typing import NamedTuple
+
+from tests.driver import faults as faults_module
+from tests.driver import world as world_module
+from tests.history import checker
+from tests.history import model as history_model
+
+LOAD_END_S = 10.0
+HEAL_S = 13.0
+END_S = 28.0
+TRACE_LINES = 60
+
+
+class Result(NamedTuple):
+    """Hold the outcome of one seed.
+
+    Attributes:
+        seed: the seed.
+        faults: faults of the run.
+        violations: what the checks found.
+        trace: what happened.
+        history: events and final tables.
+        counters: the proxies' own counts, by name.
+    """
+
+    seed: int
+    faults: tuple[faults_module.Fault, ...]
+    violations: tuple[history_model.Violation, ...]
+    trace: tuple[str, ...]
+    history: history_model.History
+    counters: dict[str, int]
+
+
+def run_seed(
+    seed: int, faults: tuple[faults_module.Fault, ...] | None = None
+) -> Result:
+    """Run a seed.
+
+    Args:
+        seed: decides everything that is random.
+        faults: faults in place of those that the seed draws.
+    """
+    world = world_module.World(seed)
+    if faults is None:
+        draw = random.Random(f"faults {seed}")
+        faults = tuple(faults_module.draw_faults(world, draw))
+    faults_module.plan(world, list(faults))
+    world.schedule.call_later(LOAD_END_S, world.stop_callers)
+    world.schedule.call_later(HEAL_S, world.heal)
+    world.schedule.run_until(END_S)
+    history, missing = _read_history(world)
+    violations = (*checker.check_history(history), *missing)
+    counters: dict[str, int] = {}
+    for proxy in world.proxies.values():
+        for name, count in proxy.state.admission.counters.items():
+            counters[name] = counters.get(name, 0) + count
+    trace = tuple(world.schedule.trace)
+    return Result(seed, faults, violations, trace, history, counters)
+
+
+def shorten(result: Result) -> Result:
+    """Drop faults for as long as the first violation's check still fails."""
+    check = result.violations[0].check
+    shortest = result
+    for fault in result.faults:
+        fewer = tuple(item for item in shortest.faults if item != fault)
+        found = run_seed(result.seed, fewer)
+        if any(item.check == check for item in found.violations):
+            shortest = found
+    return shortest
+
+
+def format_trace(result: Result) -> list[str]:
+    """Return the lines about the request at fault, faults and terms."""
+    words = ["fault", "mended", "TermOpened", "failover", "ControlTarget"]
+    violation = result.violations[0]
+    if violation.request:
+        words.append(f"request={violation.request},")
+    words += [word for word in violation.detail.split() if word[:1] == "v"]
+    if "write " in violation.detail:
+        number = violation.detail.partition("write ")[2].split()[0]
+        words.append(f"request={number},")
+    lines = [
+        line for line in result.trace if any(word in line for word in words)
+    ]
+    return lines[-TRACE_LINES:]
+
+
+def _read_history(
+    world: world_module.World,
+) -> tuple[history_model.History, list[history_model.Violation]]:
+    """Return the history with each group's final table."""
+    tables = {}
+    missing = []
+    for group in world.groups:
+        primary = world.find_primary(group)
+        if primary is None:
+            missing.append(
+                history_model.Violation("liveness", 0, f"{group}: no primary")
+            )
+            continue
+        primary.table.apply()
+        tables[group] = tuple(primary.table.rows)
+        for target in world.list_group(group):
+            target.table.apply()
+            if target.table.rows != primary.table.rows:
+                missing.append(
+                    history_model.Violation(
+                        "liveness", 0, f"{target.id} differs from {primary.id}"
+                    )
+                )
+    return history_model.History(tuple(world.events), tables), missing
--- a/tests/driver/schedule.py
+++ b/tests/driver/schedule.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -56,6 +57,7 @@
         is_running: whether it was started and not killed.
         is_frozen: whether it is paused with all its timers.
         generation: number of starts.
+        thawed_at: end of the last pause.
     """
 
     def __init__(self, schedule: Schedule, name: str, data_centre: str) -> None:
@@ -66,6 +68,7 @@
         self.is_running = True
         self.is_frozen = False
         self.generation = 1
+        self.thawed_at = -math.inf
         self._due: list[Action] = []
 
     @property
@@ -110,6 +113,7 @@
         if not self.is_frozen:
             return
         self.is_frozen = False
+        self.thawed_at = self.schedule.now
         due, self._due = self._due, []
         for action in due:
             self.schedule.call_later(0.0, action)
--- a/tests/driver/table.py
+++ b/tests/driver/table.py
@@ -68,9 +68,7 @@
         self, scope: str, pending: Sequence[logs.Statement]
     ) -> tuple[str, ...]:
         """Return the values of a session, or all, and an open transaction's."""
-        rows = [
-            row.value for row in self.rows if scope in ("", row.session)
-        ]
+        rows = [row.value for row in self.rows if scope in ("", row.session)]
         rows += [
             str(statement.parameters[1])
             for statement in pending
--- /dev/null
+++ b/tests/driver/world.py
@@ -0,0 +1,186 @@
+"""Everything that takes part in one run."""
+
+import itertools
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from tests.driver import caller as caller_module
+from tests.driver import network as network_module
+from tests.driver import platform as platform_module
+from tests.driver import proxy as proxy_module
+from tests.driver import schedule as schedule_module
+from tests.driver import target as target_module
+from tests.history import model as history_model
+
+DATA_CENTRES = ("north", "south", "archive")
+CALLERS = 5
+GROUPS = ("records", "alarms")
+
+
+class World:
+    """Hold the processes of a run and its history.
+
+    Attributes:
+        schedule: virtual time.
+        network: carries all messages.
+        platform: the platform's store.
+        targets: targets by id.
+        proxies: proxies by name of the host.
+        callers: sessions.
+        events: history so far.
+        groups: names of the groups.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Start all processes; the seed decides everything."""
+        self.schedule = schedule_module.Schedule(seed)
+        self.network = network_module.Network(self.schedule)
+        self.platform = platform_module.Platform(self.schedule, self.network)
+        self.events: list[history_model.Event] = []
+        self.groups = GROUPS[: 1 + (seed % 4 == 0)]
+        self.targets: dict[str, target_module.Target] = {}
+        for group in self.groups:
+            self._start_targets(group)
+        self.bundle = self._make_bundle()
+        self.proxies = {
+            f"proxy-{data_centre}": self._start_proxy(data_centre)
+            for data_centre in DATA_CENTRES
+        }
+        for proxy in self.proxies.values():
+            proxy.peers = [
+                other for other in self.proxies.values() if other is not proxy
+            ]
+        numbers = itertools.count(1)
+        self.callers = [
+            caller_module.Caller(
+                schedule_module.Process(
+                    self.schedule, f"caller-{number}", "callers"
+                ),
+                self.network,
+                list(self.proxies.values()),
+                self.groups,
+                self.events,
+                numbers,
+            )
+            for number in range(CALLERS)
+        ]
+
+    def heal(self) -> None:
+        """End every fault and the callers' new requests."""
+        self.schedule.note("everything is mended")
+        self.network.heal()
+        self.platform.heal()
+        for target in self.targets.values():
+            target.process.thaw()
+            target.restart()
+            target.apply_lag_s = 0.0
+        for proxy in self.proxies.values():
+            proxy.process.thaw()
+            proxy.restart()
+
+    def stop_callers(self) -> None:
+        """Let callers finish what they began."""
+        for caller in self.callers:
+            caller.is_active = False
+
+    def ask_for_primary(self, target: str) -> None:
+        """Update a group's object as an operator's command does."""
+        group = target.rpartition("-")[0]
+        found = self.platform.get("group", group)
+        value = {**found.value, "preferred": target}
+        operator = schedule_module.Process(
+            self.schedule, f"operator-{target}", "callers"
+        )
+        self.platform.call(
+            operator,
+            lambda: self.platform.put(found._replace(value=value)),
+            lambda reply: None,
+            lambda may_have_run: None,
+        )
+
+    def list_group(self, group: str) -> list[target_module.Target]:
+        """Return the targets of a group."""
+        return [
+            target
+            for target in self.targets.values()
+            if group in target.id.rpartition("-")[0]
+        ]
+
+    def find_primary(self, group: str) -> target_module.Target | None:
+        """Return the serving primary of the newest term, if there is one."""
+        serving = [
+            target
+            for target in self.list_group(group)
+            if target.instance.is_primary
+        ]
+        return max(
+            serving, key=lambda target: target.instance.term, default=None
+        )
+
+    def _start_targets(self, group: str) -> None:
+        members = [f"{group}-{place}" for place in DATA_CENTRES]
+        started = {}
+        for name, data_centre in zip(members, DATA_CENTRES, strict=True):
+            process = schedule_module.Process(self.schedule, name, data_centre)
+            target = target_module.Target(process, self.network, members)
+            target.peers = started
+            target.on_opened = self._make_observer(group, name)
+            started[name] = target
+        self.targets.update(started)
+        primary = members[0]
+        for name, target in started.items():
+            target.instance.install_term(1, "first")
+            if name == primary:
+                target.instance.promote(1, "first")
+            else:
+                target.instance.follow(1, primary)
+        value: dict[str, object] = {
+            "term": 1,
+            "phase": "open",
+            "primary": primary,
+            "operation": "first",
+            "preferred": "",
+        }
+        self.platform.put(
+            platform_module.StoredObject("group", group, 0, value)
+        )
+
+    def _make_observer(self, group: str, target: str):  # noqa: ANN202
+        def opened(term: int) -> None:
+            event = history_model.TermOpened(
+                self.schedule.now, group, term, target
+            )
+            self.events.append(event)
+            self.schedule.note(f"{event}")
+
+        return opened
+
+    def _make_bundle(self) -> model.Bundle:
+        groups = {}
+        for name in self.groups:
+            targets = tuple(
+                model.Target(
+                    target.id, target.id, 5432, target.process.data_centre
+                )
+                for target in self.list_group(name)
+            )
+            groups[name] = model.Group(name, targets)
+        return model.Bundle(1, "", groups)
+
+    def _start_proxy(self, data_centre: str) -> proxy_module.Proxy:
+        process = schedule_module.Process(
+            self.schedule, f"proxy-{data_centre}", data_centre
+        )
+        return proxy_module.Proxy(
+            process, self.network, self.platform, self.targets, self._prepare
+        )
+
+    def _prepare(self, state: state_module.ProxyState) -> None:
+        """Give a proxy that starts what its settings would."""
+        state.directory.put_bundle(self.bundle)
+        state.admission.host_count = len(DATA_CENTRES)
+        for name in self.groups:
+            primary = f"{name}-{DATA_CENTRES[0]}"
+            state.directory.records[name] = model.GroupRecord(
+                1, 1, model.Phase.OPEN, primary, "first"
+            )
