Test the request path against naive versions

Cause found on the way: a wait as long as the deadline was admitted, and a session without writes waited for a replica's first report.

--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -44,17 +44,20 @@
     _refill_retry_budget(state, event.group)
     if request.traits.is_pinned:
         return attempts.start_pinned(state, moment, request)
+    if request.position is not None:
+        offset = request.position.offset
+        lag.note_offset(state.routing, request.group, offset, moment.at)
     wait_s = estimate_wait(state, group, request)
     lane = attempts.get_lane(request)
     waiting = attempts.get_queue(state, lane)
-    is_hopeless = moment.at + wait_s > request.deadline
+    is_hopeless = moment.at + wait_s >= request.deadline
     if is_hopeless or len(waiting) >= MAX_QUEUE_LENGTH:
         return attempts.give_error(
             state,
             moment,
             request,
             errors.ErrorKind.OVERLOADED,
-            f"estimated wait {wait_s:.1f} s is beyond the deadline",
+            f"estimated wait {wait_s:.1f} s reaches the deadline",
             retry_after_ms=max(100, math.ceil(wait_s * 500)),
         )
     waiting.push(request.caller, request.id)
--- a/knapweedtally/core/routing/lag.py
+++ b/knapweedtally/core/routing/lag.py
@@ -68,6 +68,8 @@
     at: float,
 ) -> float:
     """Return the time when a replica is expected to have applied an offset."""
+    if offset == 0:
+        return at
     seen_at = find_time(routing, group, offset)
     if seen_at is None:
         seen_at = at
--- /dev/null
+++ b/tests/admission/test_requests.py
@@ -0,0 +1,196 @@
+"""Tests of a request's way through the reducer."""
+
+from typing import Any
+
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+
+from knapweedtally.core import effects
+from knapweedtally.core import errors
+from knapweedtally.core import events
+from knapweedtally.core import model
+from knapweedtally.core import reducer
+from knapweedtally.core.admission import events as admission_events
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.writes import events as writes_events
+from tests import fakes
+
+Kind = admission_state.RequestKind
+UNKNOWN = errors.ErrorKind.OUTCOME_UNKNOWN
+
+
+class Driver:
+    """Drive one proxy's reducer by hand."""
+
+    def __init__(self, **changes: object) -> None:
+        self.state = fakes.make_state(**changes)
+        self.at = 0.0
+
+    def decide(self, event: Any, after_s: float = 0.0) -> list[Any]:
+        self.at += after_s
+        moment = model.Moment(self.at, 0.5)
+        return reducer.decide(self.state, moment, event)
+
+    def answer(self, run: effects.RunStatement, **changes: Any) -> list[Any]:
+        is_primary = run.target == fakes.TARGETS[0]
+        report = model.TargetReport(run.target, 1, 7, 1.0, is_primary)
+        confirmed = model.Position(1, 7) if run.needs_barrier else None
+        event = writes_events.AttemptAnswered(
+            run.request, run.attempt, report, confirmed, "", False
+        )
+        return self.decide(event._replace(**changes))
+
+    def lose(self, run: effects.RunStatement, was_sent: bool) -> list[Any]:
+        return self.decide(
+            writes_events.AttemptFailed(run.request, run.attempt, was_sent)
+        )
+
+
+def take(result: list[Any], kind: type) -> Any:
+    """Return the only effect of a type."""
+    (found,) = [effect for effect in result if isinstance(effect, kind)]
+    return found
+
+
+class WriteOutcomeTest(testtools.TestCase):
+    def start(self, key: str = "") -> tuple[Driver, effects.RunStatement]:
+        driver = Driver()
+        result = driver.decide(fakes.make_arrival(1, Kind.WRITE, key=key))
+        run = take(result, effects.RunStatement)
+        self.assertEqual(fakes.TARGETS[0], run.target)
+        self.assertTrue(run.needs_barrier)
+        return driver, run
+
+    def test_a_confirmed_write_is_acknowledged(self) -> None:
+        driver, run = self.start()
+        answer = take(driver.answer(run), effects.DeliverAnswer)
+        self.assertEqual(model.Position(1, 7), answer.position)
+
+    def test_an_unconfirmed_write_is_never_acknowledged(self) -> None:
+        for confirmed in (None, model.Position(2, 7)):
+            driver, run = self.start()
+            result = driver.answer(run, confirmed=confirmed)
+            self.assertEqual(UNKNOWN, take(result, effects.DeliverError).kind)
+
+    def test_a_lost_write_without_a_key_is_unknown(self) -> None:
+        driver, run = self.start()
+        result = driver.lose(run, was_sent=True)
+        self.assertEqual(UNKNOWN, take(result, effects.DeliverError).kind)
+
+    def test_a_lost_write_with_a_key_runs_again(self) -> None:
+        driver, run = self.start(key="k")
+        timer = take(driver.lose(run, was_sent=True), effects.SetTimer)
+        result = driver.decide(events.TimerFired(timer.key), after_s=0.1)
+        again = take(result, effects.RunStatement)
+        self.assertEqual(("k", 2), (again.key, again.attempt))
+
+    def test_a_write_that_may_have_run_never_ends_as_not_run(self) -> None:
+        driver, run = self.start(key="k")
+        driver.lose(run, was_sent=True)
+        result = driver.decide(events.Ticked(), after_s=60.0)
+        self.assertEqual(UNKNOWN, take(result, effects.DeliverError).kind)
+
+    def test_a_write_that_was_not_sent_runs_again(self) -> None:
+        driver, run = self.start()
+        take(driver.lose(run, was_sent=False), effects.SetTimer)
+
+    def test_late_answers_are_ignored(self) -> None:
+        driver, run = self.start(key="k")
+        driver.lose(run, was_sent=True)
+        self.assertEqual([], driver.answer(run))
+
+    def test_a_read_refused_as_a_write_is_not_repeated_once_sent(self) -> None:
+        driver = Driver()
+        position = model.Position(0, 0)
+        arrival = fakes.make_arrival(1, Kind.READ, position=position)
+        run = take(driver.decide(arrival), effects.RunStatement)
+        result = driver.answer(run, sqlstate="25006")
+        timer = take(result, effects.SetTimer)
+        result = driver.decide(events.TimerFired(timer.key))
+        second = take(result, effects.RunStatement)
+        self.assertEqual(fakes.TARGETS[0], second.target)
+        result = driver.lose(second, was_sent=True)
+        self.assertEqual(UNKNOWN, take(result, effects.DeliverError).kind)
+
+
+class TransactionTest(testtools.TestCase):
+    def begin(self) -> tuple[Driver, effects.RunStatement]:
+        driver = Driver()
+        run = take(
+            driver.decide(fakes.make_arrival(1, Kind.BEGIN)),
+            effects.RunStatement,
+        )
+        driver.answer(run, is_open=True)
+        return driver, run
+
+    def test_statements_stay_on_one_lease(self) -> None:
+        driver, first = self.begin()
+        for number, kind in ((2, Kind.STATEMENT), (3, Kind.COMMIT)):
+            run = take(
+                driver.decide(fakes.make_arrival(number, kind)),
+                effects.RunStatement,
+            )
+            self.assertEqual(first.lease, run.lease)
+            driver.answer(run, is_open=kind is Kind.STATEMENT)
+        self.assertEqual({}, driver.state.admission.leases)
+
+    def test_an_ended_session_rolls_back(self) -> None:
+        driver, first = self.begin()
+        result = driver.decide(admission_events.SessionEnded(1))
+        self.assertEqual([effects.ReleaseLease(first.lease, False)], result)
+
+    def test_a_lost_commit_is_unknown_and_a_lost_statement_not_run(
+        self,
+    ) -> None:
+        lost = errors.ErrorKind.TRANSACTION_LOST
+        for kind, expected in ((Kind.STATEMENT, lost), (Kind.COMMIT, UNKNOWN)):
+            driver, _ = self.begin()
+            arrival = fakes.make_arrival(2, kind)
+            run = take(driver.decide(arrival), effects.RunStatement)
+            error = take(driver.lose(run, True), effects.DeliverError)
+            self.assertEqual(expected, error.kind)
+
+
+class OverloadTest(testtools.TestCase):
+    def test_requests_beyond_the_deadline_are_refused_at_once(self) -> None:
+        driver = Driver(connection_limit=3)
+        lane = admission_state.Lane(fakes.GROUP, True)
+        driver.state.admission.service_s[lane] = 1.0
+        refused = []
+        for number in range(1, 20):
+            arrival = fakes.make_arrival(number, Kind.WRITE, session=number)
+            result = driver.decide(arrival)
+            refused += fakes.find_effects(result, effects.DeliverError)
+        self.assertEqual(13, len(refused))
+        self.assertEqual(
+            {errors.ErrorKind.OVERLOADED}, {e.kind for e in refused}
+        )
+        self.assertGreater(min(e.retry_after_ms for e in refused), 0)
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        st.lists(st.sampled_from(["heavy"] * 8 + ["a", "b"]), max_size=60),
+        st.randoms(use_true_random=False),
+    )
+    def test_leases_stay_within_the_share_and_all_are_answered(
+        self, callers: list[str], rng: Any
+    ) -> None:
+        driver = Driver(connection_limit=4)
+        running: list[Any] = []
+        answered = 0
+        for number, caller in enumerate(callers, 1):
+            arrival = fakes.make_arrival(
+                number, Kind.WRITE, caller=caller, session=number
+            )
+            running += fakes.find_effects(
+                driver.decide(arrival), effects.RunStatement
+            )
+            self.assertLessEqual(len(running), 2)
+        while running:
+            run = running.pop(rng.randrange(len(running)))
+            result = driver.answer(run)
+            answered += len(fakes.find_effects(result, effects.DeliverAnswer))
+            running += fakes.find_effects(result, effects.RunStatement)
+            self.assertLessEqual(len(running), 2)
+        self.assertEqual(len(callers), answered)
--- /dev/null
+++ b/tests/routing/test_rules.py
@@ -0,0 +1,79 @@
+"""Compare the freshness rules with a log that keeps every entry."""
+
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+
+from knapweedtally.core import model
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.routing import rules
+from tests import fakes
+
+# A log by term: the length at which each term's primary began.
+LOGS = st.lists(st.integers(0, 5), min_size=1, max_size=4)
+AGES = st.sampled_from((0, 10, 1000))
+
+
+def list_entries(lengths: list[int]) -> list[tuple[int, int]]:
+    """Return the surviving log as pairs of term and offset."""
+    entries: list[tuple[int, int]] = []
+    for term, length in enumerate(lengths, 1):
+        for _ in range(length):
+            entries.append((term, len(entries) + 1))
+    return entries
+
+
+class FreshnessTest(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(LOGS, st.data())
+    def test_reached_positions_are_in_the_data(
+        self, lengths: list[int], data: st.DataObject
+    ) -> None:
+        """A position that is reached names an entry that the target has."""
+        entries = list_entries(lengths)
+        acknowledged = data.draw(st.sampled_from([(0, 0), *entries]))
+        term = data.draw(st.integers(1, len(lengths)))
+        of_term = [e for e in entries if e[0] <= term]
+        applied = data.draw(st.integers(0, len(of_term)))
+        report = model.TargetReport("t", term, applied, 0.0, False)
+        if rules.reaches_position(report, model.Position(*acknowledged)):
+            self.assertIn(acknowledged, [(0, 0), *of_term[:applied]])
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        st.sampled_from(admission_state.RequestKind),
+        AGES,
+        st.none() | st.builds(model.Position, st.just(1), st.integers(0, 3)),
+        st.floats(0, 2000),
+        st.integers(0, 3),
+        st.booleans(),
+    )
+    def test_unconfirmed_answers_meet_every_demand(
+        self,
+        kind: admission_state.RequestKind,
+        max_age_ms: int,
+        position: model.Position | None,
+        age_ms: float,
+        offset: int,
+        is_primary: bool,
+    ) -> None:
+        request = fakes.make_request(kind, max_age_ms, position)
+        report = model.TargetReport("t", 1, offset, age_ms, is_primary)
+        if not rules.is_answer_fresh(request, report, None):
+            return
+        self.assertFalse(request.traits.needs_primary)
+        self.assertIsNotNone(position)
+        assert position is not None
+        self.assertLessEqual(position.offset, offset)
+        self.assertGreater(max_age_ms, 0)
+        self.assertLessEqual(age_ms, max_age_ms)
+
+    def test_a_confirmation_of_another_term_does_not_count(self) -> None:
+        request = fakes.make_request(admission_state.RequestKind.READ, 0, None)
+        report = model.TargetReport("t", 1, 5, 0.0, True)
+        self.assertFalse(
+            rules.is_answer_fresh(request, report, model.Position(2, 6))
+        )
+        self.assertTrue(
+            rules.is_answer_fresh(request, report, model.Position(1, 6))
+        )
