Serve a target stand-in over the PostgreSQL wire protocol

Unmodified psycopg and asyncpg clients read, write and open transactions; replicas pull the log over the same port. Readers use a committed database, the one open write transaction another one, and a commit replays its statements on the first: SQLite's shared cache would block readers instead. The clock is time.monotonic(), because the loop's time is cached for each iteration.

Statements have to be deterministic; random numbers and the current time are out of scope.

--- /dev/null
+++ b/standins/target/execution.py
@@ -0,0 +1,181 @@
+"""Running of one statement in a session's transaction."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from standins.target import commands
+from standins.target import instance as instances
+from standins.target import log as logs
+from standins.target import sql
+from standins.target import storage as storages
+from standins.target import target as targets
+from standins.target import transactions
+
+_SHOWN = {
+    "server_version": "16.0",
+    "standard_conforming_strings": "on",
+    "transaction_isolation": "read committed",
+}
+
+
+class Outcome(NamedTuple):
+    """Hold a statement's result and its command tag."""
+
+    result: storages.ResultSet
+    tag: str
+
+
+class Executor:
+    """Run the statements of one session.
+
+    Attributes:
+        transaction: the session's transaction.
+        report: report of the statement that ran, or None before one has.
+        has_committed: whether a commit took effect since it was reset.
+    """
+
+    def __init__(self, target: targets.Target) -> None:
+        """Make an executor without a transaction."""
+        self.transaction = transactions.Transaction(target.access)
+        self.report: instances.Report | None = None
+        self.has_committed = False
+        self._target = target
+
+    async def run(
+        self, text: sql.Text, parameters: Sequence[logs.Value] = ()
+    ) -> Outcome:
+        """Run one statement.
+
+        Raises:
+            errors.TargetError: it failed; its changes are undone.
+        """
+        return await _RUNNERS[text.kind](self, text, parameters)
+
+    def finish(self) -> None:
+        """Commit what ran outside an explicit transaction.
+
+        Raises:
+            errors.TargetError: it was rolled back instead.
+        """
+        if not self.transaction.is_explicit:
+            self._commit()
+
+    def _commit(self) -> None:
+        if self.transaction.commit():
+            self.has_committed = True
+            self.report = self._target.report()
+            self._target.changed.notify()
+
+    def _note_report(self) -> None:
+        # The earliest report of a batch holds for its later statements too.
+        if self.report is None:
+            self.report = self._target.report()
+
+    async def _read(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        self.transaction.check()
+        async with self._target.slots:
+            await self._serve()
+            result = self.transaction.read(text.sql, parameters)
+            self._note_report()
+        return Outcome(result, f"SELECT {result.affected}")
+
+    async def _write(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        self.transaction.check()
+        await self.transaction.prepare_write()
+        async with self._target.slots:
+            await self._serve()
+            result = self.transaction.write(text, parameters)
+        return Outcome(result, _make_tag(text, result))
+
+    async def _serve(self) -> None:
+        faults = self._target.faults
+        await faults.sleep_lag(faults.service_time_ms)
+
+    async def _begin(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        self.transaction.check()
+        self.transaction.is_explicit = True
+        return _make_outcome("BEGIN")
+
+    async def _end(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        was_failed = self.transaction.is_failed
+        self._commit()
+        return _make_outcome("ROLLBACK" if was_failed else "COMMIT")
+
+    async def _roll_back(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        self.transaction.rollback()
+        return _make_outcome("ROLLBACK")
+
+    async def _set_savepoint(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        if text.verb == "ROLLBACK":
+            self.transaction.recover()
+        return await self._write(text, parameters)
+
+    async def _ignore(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        self.transaction.check()
+        return _make_outcome(text.verb)
+
+    async def _show(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        name = text.tokens[1].text.lower()
+        row = (_SHOWN.get(name, ""),)
+        return Outcome(storages.ResultSet((name,), [row], 1), "SHOW")
+
+    async def _run_command(
+        self, text: sql.Text, parameters: Sequence[logs.Value]
+    ) -> Outcome:
+        # A barrier has to cover what ran before it in the same batch.
+        self.finish()
+        self._note_report()
+        answer = await commands.run(self._target, text, parameters)
+        name = text.tokens[1].text.lower()
+        result = storages.ResultSet((name,), [(answer,)], 1)
+        return Outcome(result, "SELECT 1")
+
+
+def _make_outcome(tag: str) -> Outcome:
+    return Outcome(storages.ResultSet(None, [], 0), tag)
+
+
+def _make_tag(text: sql.Text, result: storages.ResultSet) -> str:
+    if text.verb in ("INSERT", "REPLACE"):
+        return f"INSERT 0 {result.affected}"
+    if text.verb in ("UPDATE", "DELETE"):
+        return f"{text.verb} {result.affected}"
+    if text.verb == "WITH":
+        return f"SELECT {result.affected}"
+    if text.verb in ("CREATE", "DROP", "ALTER"):
+        return f"{text.verb} {text.tokens[1].text.upper()}"
+    return text.verb
+
+
+Runner = Callable[
+    [Executor, sql.Text, Sequence[logs.Value]], Awaitable[Outcome]
+]
+_RUNNERS: dict[sql.Kind, Runner] = {
+    sql.Kind.BEGIN: Executor._begin,
+    sql.Kind.COMMAND: Executor._run_command,
+    sql.Kind.COMMIT: Executor._end,
+    sql.Kind.IGNORED: Executor._ignore,
+    sql.Kind.READ: Executor._read,
+    sql.Kind.ROLLBACK: Executor._roll_back,
+    sql.Kind.SAVEPOINT: Executor._set_savepoint,
+    sql.Kind.SHOW: Executor._show,
+    sql.Kind.WRITE: Executor._write,
+}
--- /dev/null
+++ b/standins/target/server.py
@@ -0,0 +1,90 @@
+"""Listening, sessions and the end of an instance."""
+
+import signal
+from collections.abc import AsyncIterator
+
+import anyio
+import anyio.abc
+import structlog
+
+from standins.target import replication
+from standins.target import session as sessions
+from standins.target import target as targets
+
+# Open transactions get this time to end after a stop was asked for.
+STOP_TIMEOUT_S = 5.0
+STOP_CHECK_S = 0.05
+BACKLOG = 1024
+
+_logger = structlog.get_logger()
+
+
+class Server:
+    """Serve one instance on its address."""
+
+    def __init__(self, target: targets.Target) -> None:
+        """Make a server that does not listen yet."""
+        self._target = target
+        self._sessions: dict[int, sessions.Session] = {}
+        self._newest_process_id = 0
+        self._is_stopping = False
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until SIGTERM or SIGINT; report started once listening."""
+        address = self._target.settings.address
+        listener = await anyio.create_tcp_listener(
+            local_host=address.host,
+            local_port=address.port,
+            backlog=BACKLOG,
+            reuse_port=False,
+        )
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as received:
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(replication.Replicator(self._target).run)
+                tasks.start_soon(listener.serve, self._serve_connection)
+                tasks.start_soon(self._stop_on, received, tasks)
+                _logger.info("target: listening", **address._asdict())
+                task_status.started()
+        _logger.info("target: stopped")
+
+    async def _stop_on(
+        self,
+        received: AsyncIterator[signal.Signals],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Stop on the first signal, letting open transactions end."""
+        async for _ in received:
+            break
+        self._is_stopping = True
+        with anyio.move_on_after(STOP_TIMEOUT_S):
+            for session in list(self._sessions.values()):
+                session.stop()
+            while self._sessions:
+                await anyio.sleep(STOP_CHECK_S)
+        tasks.cancel_scope.cancel()
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            self._newest_process_id += 1
+            process_id = self._newest_process_id
+            session = sessions.Session(
+                self._target, stream, process_id, self._cancel
+            )
+            if self._is_stopping or self._target.faults.refuses(session.peer):
+                return
+            self._sessions[process_id] = session
+            try:
+                await session.serve()
+            finally:
+                del self._sessions[process_id]
+
+    def _cancel(self, process_id: int, secret: bytes) -> None:
+        session = self._sessions.get(process_id)
+        if session is not None and session.secret == secret:
+            session.cancel()
--- /dev/null
+++ b/standins/target/storage.py
@@ -0,0 +1,190 @@
+"""Data of an instance in two SQLite databases in memory.
+
+Readers outside a transaction use the committed database. The one open write
+transaction uses the writer's database; at its commit the statements are run
+again on the committed one. Statements therefore have to be deterministic:
+random numbers and the current time are out of scope.
+"""
+
+import sqlite3
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from standins.target import errors
+from standins.target import log as logs
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS knapweedtally_requests(
+  caller text,
+  key text,
+  digest text,
+  tag text,
+  created real,
+  PRIMARY KEY(caller, key)
+)
+"""
+
+Row = tuple[logs.Value, ...]
+
+
+class StatementError(errors.TargetError):
+    """SQLite refused a statement."""
+
+    def __init__(self, message: str, sqlstate: str) -> None:
+        """Make an error with the SQLSTATE that fits."""
+        super().__init__(message)
+        self.sqlstate = sqlstate
+
+
+class ResultSet(NamedTuple):
+    """Hold what a statement gave back.
+
+    Attributes:
+        names: column names, or None when it returns no rows.
+        rows: rows returned.
+        affected: rows returned or changed.
+    """
+
+    names: tuple[str, ...] | None
+    rows: list[Row]
+    affected: int
+
+
+# First fitting pattern in SQLite's message gives the SQLSTATE.
+_SQLSTATES = (
+    ("UNIQUE constraint", "23505"),
+    ("NOT NULL constraint", "23502"),
+    ("FOREIGN KEY constraint", "23503"),
+    ("CHECK constraint", "23514"),
+    ("no such table", "42P01"),
+    ("no such column", "42703"),
+    ("no such function", "42883"),
+    ("no such savepoint", "3B001"),
+    ("already exists", "42P07"),
+    ("syntax error", "42601"),
+    ("incomplete input", "42601"),
+    ("readonly database", "25006"),
+    ("did not supply a value", "08P01"),
+)
+
+
+class Storage:
+    """Hold the committed data and the open write transaction.
+
+    Attributes:
+        applied: offset of the last log entry in the committed data.
+        schema_version: grows with each change of a table.
+    """
+
+    def __init__(self) -> None:
+        """Make both databases with the table of idempotency keys."""
+        self.applied = 0
+        self.schema_version = 0
+        self._committed = _open_database()
+        self._writer = _open_database()
+        self._is_writer_stale = False
+
+    def read(
+        self, sql: str, parameters: Sequence[logs.Value] = ()
+    ) -> ResultSet:
+        """Run a read on the committed data.
+
+        Raises:
+            StatementError: SQLite refused it.
+        """
+        self._committed.execute("PRAGMA query_only = ON")
+        try:
+            return _run(self._committed, sql, parameters)
+        finally:
+            self._committed.execute("PRAGMA query_only = OFF")
+
+    def begin(self) -> None:
+        """Open the write transaction."""
+        if self._is_writer_stale:
+            self._committed.backup(self._writer)
+            self._is_writer_stale = False
+        self._writer.execute("BEGIN")
+
+    def run(self, sql: str, parameters: Sequence[logs.Value] = ()) -> ResultSet:
+        """Run a statement in the write transaction.
+
+        Raises:
+            StatementError: SQLite refused it; its changes are undone.
+        """
+        return _run(self._writer, sql, parameters)
+
+    def commit(self, offset: int, statements: Sequence[logs.Statement]) -> None:
+        """Commit the write transaction as the log entry at ``offset``."""
+        self._writer.execute("COMMIT")
+        self._replay(statements)
+        self.applied = offset
+
+    def rollback(self) -> None:
+        """Undo the write transaction, if one is open."""
+        if self._writer.in_transaction:
+            self._writer.execute("ROLLBACK")
+
+    def apply(self, entries: Sequence[logs.Entry]) -> None:
+        """Run the entries of the log that are not in the data yet.
+
+        Args:
+            entries: entries that follow on ``applied`` without a gap.
+        """
+        for entry in entries:
+            self._replay(entry.statements)
+            self.applied = entry.offset
+            self._is_writer_stale = True
+
+    def rebuild(self, entries: Sequence[logs.Entry]) -> None:
+        """Make the data anew from the log's beginning."""
+        self._committed.close()
+        self._committed = _open_database()
+        self.applied = 0
+        self.schema_version += 1
+        self._is_writer_stale = True
+        self.apply(entries)
+
+    def _replay(self, statements: Sequence[logs.Statement]) -> None:
+        if not statements:
+            return
+        self._committed.execute("BEGIN")
+        for statement in statements:
+            _run(self._committed, statement.sql, statement.parameters)
+        self._committed.execute("COMMIT")
+        if any(_changes_schema(item.sql) for item in statements):
+            self.schema_version += 1
+
+
+def _open_database() -> sqlite3.Connection:
+    database = sqlite3.connect(":memory:", isolation_level=None)
+    database.create_function("pg_advisory_unlock_all", 0, lambda: "")
+    database.create_function("version", 0, lambda: "PostgreSQL 16.0 stand-in")
+    database.create_function("current_database", 0, lambda: "stand-in")
+    database.execute(SCHEMA)
+    return database
+
+
+def _run(
+    database: sqlite3.Connection, sql: str, parameters: Sequence[logs.Value]
+) -> ResultSet:
+    named = {str(i): value for i, value in enumerate(parameters, start=1)}
+    try:
+        cursor = database.execute(sql, named)
+        rows = cursor.fetchall()
+    except (sqlite3.Error, OverflowError) as error:
+        raise StatementError(str(error), _find_sqlstate(str(error))) from error
+    if cursor.description is None:
+        return ResultSet(None, [], max(cursor.rowcount, 0))
+    names = tuple(item[0] for item in cursor.description)
+    return ResultSet(names, rows, len(rows))
+
+
+def _find_sqlstate(message: str) -> str:
+    for pattern, sqlstate in _SQLSTATES:
+        if pattern in message:
+            return sqlstate
+    return "XX000"
+
+
+def _changes_schema(sql: str) -> bool:
+    return sql.split(None, 1)[0].upper() in ("CREATE", "DROP", "ALTER")
--- /dev/null
+++ b/standins/target/target.py
@@ -0,0 +1,182 @@
+"""One database instance: its log, its data and what sessions share."""
+
+import time
+from typing import NamedTuple
+from typing import TypedDict
+
+import anyio
+
+from standins.target import description
+from standins.target import faults as target_faults
+from standins.target import instance as instances
+from standins.target import signals
+from standins.target import storage as storages
+from standins.target import transactions
+
+
+class Address(NamedTuple):
+    """Name a listening address."""
+
+    host: str
+    port: int
+
+
+class Settings(NamedTuple):
+    """Hold the settings of one instance.
+
+    Attributes:
+        id: id of the instance.
+        group: name of its database group.
+        address: where it listens; its outgoing connections use the same host.
+        data_centre: name of its data centre.
+        peers: addresses of the group's other instances by id.
+        primary: id of the first term's primary.
+        term: number of the first term.
+        connection_limit: ordinary connections accepted at once.
+        slots: statements run at once.
+        connect_delay_ms: time that a new connection takes.
+    """
+
+    id: str
+    group: str
+    address: Address
+    data_centre: str
+    peers: dict[str, Address]
+    primary: str
+    term: int = 1
+    connection_limit: int = 15
+    slots: int = 2
+    connect_delay_ms: float = 10
+
+
+class Status(TypedDict):
+    """Answer of the status command."""
+
+    target: str
+    group: str
+    term: int
+    operation: str
+    primary: str
+    is_primary: bool
+    last_term: int
+    received: int
+    applied: int
+    age_ms: float
+    is_holding: bool
+    connections: int
+
+
+class Target:
+    """Keep an instance's log and data in step.
+
+    Attributes:
+        settings: settings of the instance.
+        instance: log, term and confirmations.
+        storage: the data.
+        access: the one write transaction.
+        describer: types of statements.
+        faults: faults in force.
+        slots: limits the statements that run at once.
+        changed: notified when a replica's pull may have a new answer.
+        confirmed: notified when a barrier may have ended.
+        primary_address: where the primary that is followed listens.
+        barrier_nonce: nonce of the newest barrier.
+        connections: ordinary connections open.
+    """
+
+    def __init__(
+        self, settings: Settings, faults: target_faults.Faults
+    ) -> None:
+        """Make an instance and put it into its first term."""
+        self.settings = settings
+        self.faults = faults
+        self.instance = instances.Instance(settings.id, settings.peers)
+        self.storage = storages.Storage()
+        self.access = transactions.WriteAccess(self.instance, self.storage)
+        self.describer = description.Describer(self.storage)
+        self.slots = anyio.Semaphore(settings.slots)
+        self.changed = signals.Signal()
+        self.confirmed = signals.Signal()
+        self.primary_address: Address | None = None
+        self.barrier_nonce = 0
+        self.connections = 0
+        self._enter_first_term()
+
+    def install_term(
+        self, term: int, operation: str
+    ) -> instances.ControlAnswer:
+        """Install a term; an open write transaction is rolled back."""
+        before = self.instance.term
+        answer = self.instance.install_term(term, operation)
+        self._end_term(before)
+        return answer
+
+    def promote(self, term: int, operation: str) -> instances.ControlAnswer:
+        """Become a term's primary with all received entries applied."""
+        answer = self.instance.promote(term, operation)
+        if self.instance.is_primary:
+            self.apply(self.instance.received)
+            self._notify()
+        return answer
+
+    def follow(
+        self, term: int, primary: str, address: Address
+    ) -> instances.ControlAnswer:
+        """Replicate from a term's primary."""
+        before = self.instance.term
+        answer = self.instance.follow(term, primary)
+        if answer.is_accepted:
+            self.primary_address = address
+        self._end_term(before)
+        return answer
+
+    def apply(self, offset: int) -> None:
+        """Apply received entries up to an offset."""
+        self.storage.apply(self.instance.log[self.storage.applied : offset])
+        self.instance.mark_applied(offset)
+
+    def rebuild(self) -> None:
+        """Make the data anew after applied entries were dropped."""
+        self.storage.rebuild(self.instance.log[: self.instance.applied])
+
+    def report(self) -> instances.Report:
+        """Return what a statement that runs now may claim of its data."""
+        return self.instance.report(time.monotonic())
+
+    def get_status(self) -> Status:
+        """Return the answer of the status command."""
+        now = time.monotonic()
+        instance = self.instance
+        return Status(
+            target=instance.id,
+            group=self.settings.group,
+            term=instance.term,
+            operation=instance.operation,
+            primary=instance.primary,
+            is_primary=instance.is_primary,
+            last_term=instance.last_term,
+            received=instance.received,
+            applied=instance.applied,
+            age_ms=instance.age_ms(now),
+            is_holding=instance.is_holding(now),
+            connections=self.connections,
+        )
+
+    def _enter_first_term(self) -> None:
+        settings = self.settings
+        if settings.primary == settings.id:
+            self.install_term(settings.term, "")
+            self.promote(settings.term, "")
+        elif settings.primary in settings.peers:
+            address = settings.peers[settings.primary]
+            self.follow(settings.term, settings.primary, address)
+
+    def _end_term(self, before: int) -> None:
+        if self.instance.term != before:
+            self.barrier_nonce = 0
+            self.access.abort()
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.notify()
+        self.confirmed.notify()
