--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -24,8 +24,8 @@
 
 # One handler table per part; each part's decisions.py exports HANDLERS.
 PART_TABLES: tuple[HandlerTable, ...] = (
-    bundles.HANDLERS,
     failover.HANDLERS,
+    bundles.HANDLERS,
     admission.HANDLERS,
     writes.HANDLERS,
 )
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -76,8 +76,8 @@
         admission: requests, leases and queues.
         routing: estimates that guide the choice of a target.
         explanations: ring of decision records.
-        bundles: bundle in force in plain form, and the operators' keys.
         failover: observations and promotions.
+        bundles: bundle in force in plain form, and the operators' keys.
     """
 
     identity: Identity
@@ -91,9 +91,9 @@
     explanations: explanations_state.ExplanationsState = dataclasses.field(
         default_factory=explanations_state.ExplanationsState
     )
-    bundles: bundles_state.BundlesState = dataclasses.field(
-        default_factory=bundles_state.BundlesState
-    )
     failover: failover_state.FailoverState = dataclasses.field(
         default_factory=failover_state.FailoverState
     )
+    bundles: bundles_state.BundlesState = dataclasses.field(
+        default_factory=bundles_state.BundlesState
+    )
--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -27,6 +27,7 @@
             settings.host_name, settings.data_centre, make_incarnation()
         )
         self.state = state_module.ProxyState(identity)
+        self.state.bundles.keys = settings.bundle_keys
         self.loop = loop_module.Loop(self.state)
         submit = self.loop.submit
         source_host = settings.listen_address
--- a/tests/bundles/test_decisions.py
+++ b/tests/bundles/test_decisions.py
@@ -139,6 +139,6 @@
             events.ObjectSeen("bundle", "current", 0, {}),
             events.ObjectSeen("group", "current", 1, SIGNED[1]),
         ):
-            found = decisions.handle_object_seen(state, MOMENT, event)
-            self.assertEqual([], found)
+            handle = decisions.HANDLERS[type(event)]
+            self.assertEqual([], handle(state, MOMENT, event))
             self.assertIsNone(state.directory.bundle)
