--- a/knapweedtally/management/application.py
+++ b/knapweedtally/management/application.py
@@ -36,7 +36,12 @@
     "bundle status": Entry("bundle_status", "BundleStatusCommand"),
     "bundle validate": Entry("bundle_validate", "BundleValidateCommand"),
     "check": Entry("check", "CheckCommand"),
+    "drain": Entry("drain", "DrainCommand"),
+    "explain": Entry("explain", "ExplainCommand"),
+    "groups": Entry("groups", "GroupsCommand"),
     "proxy": Entry("proxy", "ProxyCommand"),
+    "switch": Entry("switch", "SwitchCommand"),
+    "targets": Entry("targets", "TargetsCommand"),
     "version": Entry("version", "VersionCommand"),
 }
 
--- /dev/null
+++ b/knapweedtally/management/commands/explain.py
@@ -0,0 +1,30 @@
+"""Explain a decision."""
+
+from urllib import parse
+
+from cleo.io.inputs import argument
+
+from knapweedtally.management import admin_client
+from knapweedtally.management import base
+from knapweedtally.management import exit_codes
+
+
+class ExplainCommand(base.BaseCommand):
+    """Show the record of a decision: its reason, evidence and remedy."""
+
+    name = "explain"
+    description = "Show why a decision was taken and what to do about it."
+    arguments = [
+        argument.Argument("id", description="id from an answer or a log line")
+    ]
+    options = [*admin_client.OPTIONS, base.JSON_OPTION]
+    examples = (
+        "knapweedtally explain ams-1-1765432100000-17"
+        " --admin-url http://127.0.1.2:7200",
+    )
+
+    def run_command(self) -> int:
+        """Print the record; any host fetches it from the one that has it."""
+        path = f"/v1/decisions/{parse.quote(self.argument('id'), safe='')}"
+        self.write_values(admin_client.call_once(self, "GET", path))
+        return exit_codes.OK
--- /dev/null
+++ b/knapweedtally/management/commands/targets.py
@@ -0,0 +1,49 @@
+"""List the targets as a host knows them."""
+
+from cleo.io.inputs import option
+
+from knapweedtally.management import admin_client
+from knapweedtally.management import base
+from knapweedtally.management import exit_codes
+
+_COLUMNS = (
+    "id",
+    "group",
+    "data_centre",
+    "is_primary",
+    "is_leaving",
+    "term",
+    "offset",
+    "age_ms",
+    "report_ago_ms",
+    "connections_in_use",
+    "failure",
+)
+
+
+class TargetsCommand(base.BaseCommand):
+    """List the targets with their last reports."""
+
+    name = "targets"
+    description = "List the targets with their positions and failures."
+    options = [
+        option.Option("group", flag=False, description="only of this group"),
+        *admin_client.OPTIONS,
+        base.JSON_OPTION,
+    ]
+    examples = (
+        "knapweedtally targets --admin-url http://127.0.1.2:7200",
+        "knapweedtally targets --group fog-1 --json",
+    )
+
+    def run_command(self) -> int:
+        """Print one row for each target."""
+        answer = admin_client.call_once(self, "GET", "/v1/targets")
+        group = self.option("group")
+        rows = [
+            target
+            for target in answer["targets"]
+            if group in (None, target["group"])
+        ]
+        self.write_rows(_COLUMNS, rows)
+        return exit_codes.OK
--- /dev/null
+++ b/tests/admin/bed.py
@@ -0,0 +1,125 @@
+"""A running administration API over a state that the test fills."""
+
+import json
+import pathlib
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from knapweedtally.admin import edge
+from knapweedtally.admin import remote
+from knapweedtally.core import model
+from knapweedtally.core import reducer
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.membership import state as membership_state
+from knapweedtally.platform import client as platform_client
+from knapweedtally.utils import http
+from knapweedtally.utils import http_client
+from tests.bundles import test_decisions
+
+TOKEN = "the-token-of-the-test"
+TIMEOUT_S = 20.0
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+API = json.loads((ROOT / "docs/reference/openapi.json").read_text())
+
+
+def make_state(host: str = "a1") -> state_module.ProxyState:
+    """Return a state with a bundle, a record, a report and a decision."""
+    state = state_module.ProxyState(state_module.Identity(host, "dc1", 7))
+    state.bundles.keys = test_decisions.test_codec.KEYS
+    moment = model.Moment(time.monotonic(), 0.5)
+    value = test_decisions.make_signed(3)
+    reducer.decide(state, moment, test_decisions.see_object(value))
+    state.directory.records["fog"] = model.GroupRecord(
+        4, 2, model.Phase.OPEN, "fog-1", "op"
+    )
+    report = model.TargetReport("fog-1", 2, 17, 1.5, True)
+    state.directory.reports["fog-1"] = (report, moment.at)
+    return state
+
+
+def record_decision(state: state_module.ProxyState) -> str:
+    """Record a decision whose evidence JSON doesn't know."""
+    return explanations.record_decision(
+        state,
+        model.Moment(time.monotonic(), 0.5),
+        "routing",
+        "request 1",
+        "primary",
+        "no replica is fresh enough",
+        "wait for the replicas to catch up",
+        position=model.Position(2, 17),
+        refused=frozenset({"fog-2"}),
+    )
+
+
+class Bed:
+    """Hold a running API and a client of it."""
+
+    def __init__(self, state: state_module.ProxyState, platform: int) -> None:
+        self.state = state
+        self.events: list[Any] = []
+        self.fetched: dict[str, dict[str, Any]] = {}
+        self.platform = platform_client.PlatformClient(("127.0.0.1", platform))
+        self.edge = edge.AdminEdge(
+            self.events.append,
+            state,
+            ("127.0.0.1", 0),
+            TOKEN,
+            self.platform,
+            self._fetch_decision,
+        )
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", token: str = TOKEN
+    ) -> http.Response:
+        """Send one call to the API."""
+        client = http_client.Client("127.0.0.1", self.edge.port)
+        headers = {"authorization": f"Bearer {token}"} if token else {}
+        request = http.Request(method, path, headers, body)
+        try:
+            return await client.send(request, TIMEOUT_S)
+        finally:
+            await client.close()
+
+    async def _fetch_decision(
+        self, host: str, decision_id: str
+    ) -> dict[str, Any] | None:
+        return self.fetched.get(decision_id)
+
+
+def run_with_bed(
+    body: Callable[[Bed], Awaitable[None]], platform: int = 1
+) -> None:
+    """Run a test's body against a running API."""
+
+    async def run() -> None:
+        bed = Bed(make_state(), platform)
+        async with anyio.create_task_group() as group:
+            await group.start(bed.edge.serve)
+            await body(bed)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def make_fetcher(
+    state: state_module.ProxyState, port: int
+) -> remote.AdminFetcher:
+    """Return a fetcher whose state knows host ``far-1`` at a port."""
+    state.membership.hosts["far-1"] = membership_state.Host(
+        "far-1",
+        "127.0.0.1",
+        0,
+        port,
+        "dc2",
+        membership_state.Status.LIVE,
+        3,
+        7,
+        0,
+    )
+    return remote.AdminFetcher(state, TOKEN, "127.0.0.1")
