--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -13,6 +13,7 @@
 from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.admission import shares
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.routing import lag
 from knapweedtally.core.routing import rules as routing_rules
 from knapweedtally.core.writes import decisions as writes
 
