Tell callers the transaction status after the whole attempt

Cause: a write with an idempotency key runs in a transaction of the proxy's own; the status inside it went to the caller, whose next statement then counted as part of a transaction. Before: the second keyed write failed with 40001; after: it answers from the key's record.

--- a/knapweedtally/callers/execution.py
+++ b/knapweedtally/callers/execution.py
@@ -144,7 +144,7 @@
                 result = results[effect.attempt]
                 return Outcome(
                     result.section.frames,
-                    result.section.status,
+                    result.status,
                     effect.position,
                     effect.decision,
                     result.is_replayed,
