Answer prepare and describe at a Flush

Cause: asyncpg prepares with Parse, Describe and Flush and waits for the answer before it sends a Sync. Before: its first fetch hung; after: it answers. Ruled out: running bound portals at a Flush, which would end the caller's implicit transaction early.

--- a/knapweedtally/callers/execution.py
+++ b/knapweedtally/callers/execution.py
@@ -66,6 +66,7 @@
         position: new position of the session, or None if unchanged.
         decision: id of the decision record.
         is_replayed: whether the answer comes from a key's record.
+        is_error: whether the target answered with an error.
         refusal: the error answer, or None.
     """
 
@@ -74,6 +75,7 @@
     position: model.Position | None
     decision: str
     is_replayed: bool = False
+    is_error: bool = False
     refusal: Refusal | None = None
 
 
@@ -148,6 +150,7 @@
                     effect.position,
                     effect.decision,
                     result.is_replayed,
+                    result.section.sqlstate != "",
                 )
             else:
                 return Outcome([], "I", None, effect.decision, refusal=effect)
--- a/knapweedtally/callers/local.py
+++ b/knapweedtally/callers/local.py
@@ -29,6 +29,15 @@
     )
 
 
+def is_preparation(parts: list[messages.FrontendMessage]) -> bool:
+    """Return whether a batch only prepares, describes or closes statements."""
+    return all(
+        isinstance(part, messages.Parse | messages.Close)
+        or (isinstance(part, messages.Describe) and part.kind == "S")
+        for part in parts
+    )
+
+
 def answer_parts(
     parts: list[messages.FrontendMessage],
     statements: batch_module.Statements,
--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -83,6 +83,8 @@
         self._statements: batch_module.Statements = {}
         self._portals: dict[str, str] = {}
         self._parts: list[messages.FrontendMessage] = []
+        self._is_flushing = False
+        self._is_skipping = False
 
     @property
     def is_quiet(self) -> bool:
@@ -132,9 +134,12 @@
             unit = Unit(batch_module.SimpleBatch(text), [statement], False, [])
             await self._run_unit(unit)
         elif isinstance(message, messages.Sync):
+            self._is_skipping = False
             parts, self._parts = self._parts, []
             await self._run_parts(parts)
         elif isinstance(message, messages.Flush):
+            await self._flush()
+        elif self._is_skipping:
             return
         elif isinstance(message, _EXTENDED_MESSAGES):
             self._parts.append(message)
@@ -143,10 +148,38 @@
         else:
             await self._refuse("0A000", f"{type(message).__name__} messages")
 
+    async def _flush(self) -> None:
+        """Answer messages that only prepare or describe, before the Sync.
+
+        A batch that binds waits for its Sync, which ends its portals and
+        its implicit transaction.
+        """
+        if not self._parts or not local.is_preparation(self._parts):
+            return
+        parts, self._parts = self._parts, []
+        self._is_flushing = True
+        try:
+            await self._run_parts(parts)
+        finally:
+            self._is_flushing = False
+
+    def _encode_ready(self, status: str) -> bytes:
+        """Return ReadyForQuery; nothing while answering a Flush."""
+        if self._is_flushing:
+            return b""
+        return answers.encode_ready(status)
+
+    def _note_failure(self) -> None:
+        """Skip messages up to the next Sync after an error in a Flush."""
+        self._is_skipping = self._is_flushing
+
     async def _run_parts(self, parts: list[messages.FrontendMessage]) -> None:
+        if not parts:
+            await self._stream.send(self._encode_ready(self._status))
+            return
         if self._status == "I" and local.is_local_batch(parts):
             answer = local.answer_parts(parts, self._statements)
-            await self._stream.send(answer + answers.encode_ready("I"))
+            await self._stream.send(answer + self._encode_ready("I"))
             return
         statements = batch_module.classify_parts(
             parts, self._statements, self._portals
@@ -223,6 +256,8 @@
         if unit.is_extended and outcome.is_replayed:
             frames = [local.render_bound(unit.parts), *frames]
         self._status = outcome.status
+        if outcome.is_error:
+            self._note_failure()
         answer = b"".join(frames)
         if outcome.position is not None:
             self._has_token = True
@@ -233,11 +268,12 @@
         answer += answers.encode_parameter(
             "knapweedtally.decision", outcome.decision
         )
-        await self._stream.send(answer + answers.encode_ready(self._status))
+        await self._stream.send(answer + self._encode_ready(self._status))
 
     async def _send_refusal(
         self, kind: RequestKind, refusal: execution.Refusal
     ) -> None:
+        self._note_failure()
         if self._status != "I" and kind is not RequestKind.COMMIT:
             self._is_detached = True
             self._status = "E"
@@ -250,7 +286,7 @@
             answer = answers.encode_complete("ROLLBACK")
         else:
             answer = answers.encode_refusal(refusal)
-        await self._stream.send(answer + answers.encode_ready(self._status))
+        await self._stream.send(answer + self._encode_ready(self._status))
 
     async def _run_local(self, unit: Unit, statement: sql.Statement) -> None:
         try:
@@ -258,7 +294,7 @@
         except options_module.OptionError as error:
             await self._stream.send(
                 answers.encode_error("22023", str(error))
-                + answers.encode_ready(self._fail_status())
+                + self._encode_ready(self._fail_status())
             )
             return
         if statement.name == options_module.PREFIX + "token":
@@ -268,16 +304,17 @@
     async def _answer_locally(self, unit: Unit, answer: bytes) -> None:
         if unit.is_extended:
             answer = local.render_bound(unit.parts) + answer
-        ready = answers.encode_ready(self._status)
+        ready = self._encode_ready(self._status)
         await self._stream.send(answer + ready)
 
     async def _refuse(self, sqlstate: str, what: str) -> None:
+        self._note_failure()
         message = what
         if sqlstate == "0A000":
             message = f"{what}: not supported"
         await self._stream.send(
             answers.encode_error(sqlstate, message)
-            + answers.encode_ready(self._fail_status())
+            + self._encode_ready(self._fail_status())
         )
 
     def _fail_status(self) -> str:
