Add the membership and draining parts of the reducer

Cause: the parts need one view of hosts, a spread of registers, and one answer to whether a target or this proxy is leaving.

--- a/knapweedtally/core/effects.py
+++ b/knapweedtally/core/effects.py
@@ -1,9 +1,11 @@
 """The closed list of effects: what the core asks the runtime to do."""
 
+from typing import Any
 from typing import NamedTuple
 
 from knapweedtally.core import errors
 from knapweedtally.core import model
+from knapweedtally.core.membership import messages
 
 
 class SetTimer(NamedTuple):
@@ -41,11 +43,74 @@
 
 
 class PublishRegister(NamedTuple):
-    """Store a register and spread it to peers."""
+    """Store a register and spread it to peers.
+
+    The reducer turns it into ``RegisterPublished`` for the membership part,
+    so it never leaves ``decide``.
+    """
 
     register: model.Register
 
 
+class Raise(NamedTuple):
+    """Handle one more event within the same ``decide``."""
+
+    event: Any
+
+
+class OpenLink(NamedTuple):
+    """Try once to connect to the peer port of a host.
+
+    Answered by ``LinkOpened`` or ``LinkFailed``.
+
+    Attributes:
+        host: name of the host, empty when only its address is known.
+        address: its address.
+        port: its peer port.
+    """
+
+    host: str
+    address: str
+    port: int
+
+
+class CloseLink(NamedTuple):
+    """Close the link to a host; ``LinkClosed`` follows."""
+
+    host: str
+    reason: str
+
+
+class SendToPeer(NamedTuple):
+    """Send a message over the open link to a host."""
+
+    host: str
+    message: messages.Message
+
+
+class SetWatching(NamedTuple):
+    """Start or stop watching the platform's objects and host list."""
+
+    is_watching: bool
+
+
+class StopAccepting(NamedTuple):
+    """Accept no further caller connections."""
+
+
+class CloseIdleCallers(NamedTuple):
+    """End each caller connection as soon as it is idle.
+
+    A connection is idle when it has no open transaction and no request in
+    flight; it is told 57P01 before it closes. Once no caller connection is
+    left, the edge reports ``CallersGone``.
+    """
+
+
+class StopProcess(NamedTuple):
+    """End the process in the ordinary way."""
+
+
 class ProbeTarget(NamedTuple):
     """Ask a target for its status."""
 
@@ -163,6 +228,14 @@
     | ReadObject
     | UpdateObject
     | PublishRegister
+    | Raise
+    | OpenLink
+    | CloseLink
+    | SendToPeer
+    | SetWatching
+    | StopAccepting
+    | CloseIdleCallers
+    | StopProcess
     | ProbeTarget
     | ControlTarget
     | RunStatement
--- a/knapweedtally/core/events.py
+++ b/knapweedtally/core/events.py
@@ -70,6 +70,18 @@
     may_have_run: bool
 
 
+class HostListSeen(NamedTuple):
+    """Report the platform's list of hosts, which lags."""
+
+    hosts: tuple[model.ListedHost, ...]
+
+
+class TargetStopping(NamedTuple):
+    """Report that a target refused work because it shuts down (57P01)."""
+
+    target: str
+
+
 class RegisterSeen(NamedTuple):
     """Report that a register newer than the known one arrived from peers."""
 
--- a/knapweedtally/core/model.py
+++ b/knapweedtally/core/model.py
@@ -151,3 +151,21 @@
     name: str
     version: tuple[int, ...]
     value: dict[str, object]
+
+
+class ListedHost(NamedTuple):
+    """Mirror one entry of the platform's list of hosts.
+
+    Attributes:
+        name: name of the host.
+        address: its address.
+        port: the port that it registered.
+        data_centre: its data centre.
+        is_leaving: whether the platform says that it is leaving.
+    """
+
+    name: str
+    address: str
+    port: int
+    data_centre: str
+    is_leaving: bool
--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -13,13 +13,22 @@
 from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.draining import decisions as draining_decisions
+from knapweedtally.core.membership import decisions as membership_decisions
+from knapweedtally.core.membership import events as membership_events
 
 Effects = list[effects.Effect]
 Handler = Callable[[state_module.ProxyState, model.Moment, Any], Effects]
 HandlerTable = Mapping[type, Handler]
 
 # One handler table per part; each part's decisions.py exports HANDLERS.
-PART_TABLES: tuple[HandlerTable, ...] = ()
+PART_TABLES: tuple[HandlerTable, ...] = (
+    membership_decisions.HANDLERS,
+    draining_decisions.HANDLERS,
+)
+
+# Longest chain of events that raise one another within one step.
+MAX_CHAIN = 8
 
 
 def merge_tables(
@@ -36,10 +45,19 @@
 HANDLERS = merge_tables(PART_TABLES)
 
 
+def get_raised_event(effect: effects.Effect) -> Any | None:
+    """Return the event that an effect raises, or None for other effects."""
+    if isinstance(effect, effects.Raise):
+        return effect.event
+    if isinstance(effect, effects.PublishRegister):
+        return membership_events.RegisterPublished(effect.register)
+    return None
+
+
 def decide(
     state: state_module.ProxyState, moment: model.Moment, event: Any
 ) -> Effects:
-    """Apply one event to the state and return the effects.
+    """Apply one event, and those that it raises, and return the effects.
 
     Args:
         state: state of the proxy, changed in place.
@@ -48,8 +66,24 @@
 
     Returns:
         The effects, in the order in which they are to be run.
+
+    Raises:
+        RuntimeError: a chain of raised events exceeds ``MAX_CHAIN``.
     """
     result: Effects = []
-    for handler in HANDLERS.get(type(event), ()):
-        result.extend(handler(state, moment, event))
+    pending = collections.deque([(event, 1)])
+    while pending:
+        current, depth = pending.popleft()
+        if depth > MAX_CHAIN:
+            raise RuntimeError(
+                f"{type(current).__name__} is event {depth} of a chain from "
+                f"{type(event).__name__}; parts may chain {MAX_CHAIN} events"
+            )
+        for handler in HANDLERS.get(type(current), ()):
+            for effect in handler(state, moment, current):
+                raised = get_raised_event(effect)
+                if raised is None:
+                    result.append(effect)
+                else:
+                    pending.append((raised, depth + 1))
     return result
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from knapweedtally.core import model
+from knapweedtally.core.draining import state as draining_state
 from knapweedtally.core.explanations import state as explanations_state
+from knapweedtally.core.membership import state as membership_state
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +56,8 @@
         identity: who this proxy is.
         directory: bundle, group records and target reports.
         explanations: ring of decision records.
+        membership: hosts, links and registers.
+        draining: this host's planned stop and the leaving targets.
     """
 
     identity: Identity
@@ -61,3 +65,9 @@
     explanations: explanations_state.ExplanationsState = dataclasses.field(
         default_factory=explanations_state.ExplanationsState
     )
+    membership: membership_state.MembershipState = dataclasses.field(
+        default_factory=membership_state.MembershipState
+    )
+    draining: draining_state.DrainingState = dataclasses.field(
+        default_factory=draining_state.DrainingState
+    )
--- /dev/null
+++ b/knapweedtally/utils/hashes.py
@@ -0,0 +1,13 @@
+"""Fast hashes that are the same on every host; not for secrets."""
+
+import xxhash
+
+
+def hash_text(text: str) -> int:
+    """Return a 64-bit hash of a text."""
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def hash_to_unit(text: str) -> float:
+    """Return a hash of a text in [0, 1)."""
+    return (hash_text(text) >> 11) / 2**53
