--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -13,9 +13,12 @@
 from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import decisions as admission
 from knapweedtally.core.draining import decisions as draining_decisions
+from knapweedtally.core.failover import decisions as failover
 from knapweedtally.core.membership import decisions as membership_decisions
 from knapweedtally.core.membership import events as membership_events
+from knapweedtally.core.writes import decisions as writes
 
 Effects = list[effects.Effect]
 Handler = Callable[[state_module.ProxyState, model.Moment, Any], Effects]
@@ -25,6 +28,9 @@
 PART_TABLES: tuple[HandlerTable, ...] = (
     membership_decisions.HANDLERS,
     draining_decisions.HANDLERS,
+    failover.HANDLERS,
+    admission.HANDLERS,
+    writes.HANDLERS,
 )
 
 # Longest chain of events that raise one another within one step.
