Add the peers edge: links over websockets with CBOR

Cause: the membership part needs links between processes, and the administration API needs decision records of other hosts.

One table maps each message type to its code and field codecs. Tagged CBOR values are refused: the library would decode tag 35 to a regular expression. Input that is malformed, oversized or not understood by a part closes that link with a reason and nothing else. A send queue over 4 MiB closes its link. Two hosts that dial each other keep the link that the lower name opened.

Retries stay in the core, with the moment's draw, so that the in-process network tests them; the edge makes each attempt once.

A half-open link stayed open after its host had died without a word, since only the operating system would have ended it; a link silent for 5 s is now closed. Seen first in the in-process network, which did not report the end of such a link either.

--- a/knapweedtally/core/membership/links.py
+++ b/knapweedtally/core/membership/links.py
@@ -22,6 +22,9 @@
 # An open link that this host doesn't want is closed after this time.
 UNWANTED_LINK_S = 10.0
 
+# A silent link is closed after this time; it may be half open.
+SILENT_LINK_S = 5.0
+
 # How often a host reaches for a known address outside the overlay: when it
 # has open links, and when it has none.
 DIAL_INTERVAL_S = 5.0
@@ -85,7 +88,7 @@
 ) -> Effects:
     """Open a wanted link that is due, or close one of no use."""
     if link.is_open:
-        return _close_if_unwanted(moment, link)
+        return _close_if_useless(moment, link)
     host = state.membership.hosts.get(link.host)
     if not link.is_wanted or host is None or moment.at < link.attempt_at:
         return []
@@ -166,9 +169,12 @@
     ]
 
 
-def _close_if_unwanted(
+def _close_if_useless(
     moment: model.Moment, link: membership_state.Link
 ) -> Effects:
+    if moment.at - max(link.heard_at, link.since) >= SILENT_LINK_S:
+        link.since = moment.at
+        return [effects.CloseLink(link.host, "peer is silent")]
     if link.is_wanted or not link.is_outgoing:
         return []
     if moment.at - link.since < UNWANTED_LINK_S:
--- /dev/null
+++ b/knapweedtally/peers/codec.py
@@ -0,0 +1,132 @@
+"""Encode and decode messages between peers as CBOR.
+
+A message is the list of its type's code and its fields, in order.
+"""
+
+from typing import Any
+from typing import NamedTuple
+from typing import NoReturn
+
+import cbor2
+
+from knapweedtally.core.membership import messages
+from knapweedtally.peers import errors
+from knapweedtally.peers import fields
+from knapweedtally.peers import messages as peer_messages
+
+MAX_MESSAGE_BYTES = 1_048_576
+MAX_DEPTH = 20
+
+# Tags that the library would decode to other objects, patterns among them.
+_REFUSED_TAGS = (
+    *range(6),
+    *(25, 28, 29, 30, 35, 36, 37, 52, 54, 100, 256, 258, 260, 261, 1004),
+    *(43000, 55799),
+)
+
+Message = (
+    messages.Message
+    | peer_messages.Hello
+    | peer_messages.DecisionRequest
+    | peer_messages.DecisionAnswer
+)
+
+
+class MessageCodec(NamedTuple):
+    """Describe how a type of message is encoded.
+
+    Attributes:
+        code: number of the type on the wire; never reused.
+        fields: codecs of its fields, in order.
+    """
+
+    code: int
+    fields: tuple[fields.Field, ...]
+
+
+CODECS: dict[type, MessageCodec] = {
+    peer_messages.Hello: MessageCodec(
+        1, (fields.TEXT, fields.TEXT, fields.NUMBER, fields.PURPOSE)
+    ),
+    peer_messages.DecisionRequest: MessageCodec(2, (fields.TEXT,)),
+    peer_messages.DecisionAnswer: MessageCodec(3, (fields.DECISION,)),
+    messages.Heartbeat: MessageCodec(4, ()),
+    messages.Deltas: MessageCodec(5, (fields.REGISTERS,)),
+    messages.Summary: MessageCodec(6, (fields.HASHES,)),
+    messages.Digest: MessageCodec(
+        7,
+        (
+            fields.KIND,
+            fields.TEXT,
+            fields.TEXT,
+            fields.ENTRIES,
+            fields.FLAG,
+        ),
+    ),
+    messages.ProbeRequest: MessageCodec(8, (fields.TEXT,)),
+    messages.ProbeAnswer: MessageCodec(9, (fields.TEXT,)),
+}
+
+_TYPES = {codec.code: kind for kind, codec in CODECS.items()}
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message's bytes on the wire."""
+    codec = CODECS[type(message)]
+    written = [
+        field.write(value)
+        for field, value in zip(codec.fields, message, strict=True)
+    ]
+    return cbor2.dumps([codec.code, *written])
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message that bytes on the wire stand for.
+
+    Raises:
+        PeerCodecError: the bytes are no message, or one that is too large.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise errors.PeerCodecError(
+            f"message of {len(data)} bytes exceeds {MAX_MESSAGE_BYTES}"
+        )
+    parts = _load_parts(data)
+    kind = _TYPES.get(parts[0]) if isinstance(parts[0], int) else None
+    if kind is None:
+        raise errors.PeerCodecError("type of the message is unknown")
+    codec = CODECS[kind]
+    if len(parts) != len(codec.fields) + 1:
+        raise errors.PeerCodecError(
+            f"{kind.__name__} has {len(codec.fields)} fields, "
+            f"got {len(parts) - 1}"
+        )
+    values = [
+        field.read(part)
+        for field, part in zip(codec.fields, parts[1:], strict=True)
+    ]
+    return kind(*values)
+
+
+def _refuse_tag(*arguments: Any) -> NoReturn:
+    raise errors.PeerCodecError("tagged values are not allowed")
+
+
+_SEMANTIC_DECODERS = dict.fromkeys(_REFUSED_TAGS, _refuse_tag)
+
+
+def _load_parts(data: bytes) -> list[Any]:
+    try:
+        parts = cbor2.loads(
+            data,
+            tag_hook=_refuse_tag,
+            semantic_decoders=_SEMANTIC_DECODERS,
+            max_depth=MAX_DEPTH,
+            allow_indefinite=False,
+            allow_duplicate_keys=False,
+            strict_hashable_types=True,
+        )
+    except (cbor2.CBORDecodeError, errors.PeerCodecError) as error:
+        raise errors.PeerCodecError(f"not valid CBOR: {error}") from error
+    if not isinstance(parts, list) or not parts:
+        raise errors.PeerCodecError("message is no list")
+    return parts
--- /dev/null
+++ b/knapweedtally/peers/edge.py
@@ -0,0 +1,287 @@
+"""The edge towards other proxies: links over websockets with CBOR."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import structlog
+from websockets import exceptions
+from websockets.asyncio import server
+
+from knapweedtally.core import effects
+from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.explanations import state as explanations_state
+from knapweedtally.core.membership import events
+from knapweedtally.peers import codec
+from knapweedtally.peers import errors
+from knapweedtally.peers import handshake
+from knapweedtally.peers import link as link_module
+from knapweedtally.peers import messages
+from knapweedtally.runtime import edges
+
+QUERY_TIMEOUT_S = 5.0
+
+# Further attempts at one time are failed at once.
+MAX_DIALS = 64
+
+_log = structlog.get_logger()
+
+
+class PeersEdge:
+    """Hold one link per peer and pass messages to and from the reducer.
+
+    Attributes:
+        address: address and port that the edge listens on, once it serves.
+    """
+
+    effect_types: tuple[type, ...] = (
+        effects.OpenLink,
+        effects.CloseLink,
+        effects.SendToPeer,
+    )
+
+    def __init__(
+        self,
+        submit: edges.Submit,
+        state: state_module.ProxyState,
+        settings: handshake.PeerSettings,
+    ) -> None:
+        """Make an edge; nothing is sent before ``serve``."""
+        self.address = (settings.address, settings.port)
+        self._submit = submit
+        self._state = state
+        self._settings = settings
+        self._links: dict[str, link_module.Link] = {}
+        self._dials: set[tuple[str, int]] = set()
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._runners: dict[type, Callable[[Any], None]] = {
+            effects.OpenLink: self._start_dial,
+            effects.CloseLink: self._close_link,
+            effects.SendToPeer: self._send,
+        }
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until cancelled; report started once it listens."""
+        settings = self._settings
+        listener = await server.serve(
+            self._accept,
+            settings.address,
+            settings.port,
+            ssl=settings.server_tls,
+            compression=None,
+            logger=handshake.LIBRARY_LOGGER,
+            ping_interval=None,
+            open_timeout=handshake.HANDSHAKE_TIMEOUT_S,
+            close_timeout=link_module.CLOSE_TIMEOUT_S,
+            max_size=codec.MAX_MESSAGE_BYTES,
+            max_queue=handshake.RECEIVE_QUEUE_MESSAGES,
+        )
+        host, port = next(iter(listener.sockets)).getsockname()[:2]
+        self.address = (host, port)
+        try:
+            async with anyio.create_task_group() as self._tasks:
+                task_status.started()
+                await anyio.sleep_forever()
+        finally:
+            self._tasks = None
+            with anyio.move_on_after(link_module.CLOSE_TIMEOUT_S, shield=True):
+                listener.close()
+                await listener.wait_closed()
+
+    def run_effect(self, effect: effects.Effect) -> None:
+        """Start an effect without waiting for it; never raises."""
+        self._runners[type(effect)](effect)
+
+    async def fetch_decision(
+        self, host: str, decision: str
+    ) -> explanations_state.Decision | None:
+        """Return a decision record of another host, or None if it has none.
+
+        Raises:
+            UnknownHostError: no such host is known.
+            PeerError: the host can't be asked.
+        """
+        known = self._state.membership.hosts.get(host)
+        if known is None:
+            raise errors.UnknownHostError(
+                f"host {host} is unknown; see `knapweedtally status`"
+            )
+        socket, _ = await handshake.connect(
+            self._settings,
+            known.address,
+            known.peer_port,
+            self._build_hello(messages.Purpose.QUERY),
+        )
+        try:
+            return await _query(socket, messages.DecisionRequest(decision))
+        finally:
+            await link_module.close_socket(socket, "")
+
+    def _build_hello(self, purpose: messages.Purpose) -> messages.Hello:
+        return messages.Hello(
+            self._settings.token,
+            self._state.identity.host,
+            self._state.identity.incarnation,
+            purpose,
+        )
+
+    def _start_dial(self, effect: effects.OpenLink) -> None:
+        place = (effect.address, effect.port)
+        if place in self._dials:
+            return
+        if self._tasks is None or len(self._dials) >= MAX_DIALS:
+            self._report_failure(effect, "too many attempts at one time")
+            return
+        self._dials.add(place)
+        self._tasks.start_soon(self._dial, effect)
+
+    def _close_link(self, effect: effects.CloseLink) -> None:
+        link = self._links.get(effect.host)
+        if link is not None:
+            link.close(effect.reason)
+
+    def _send(self, effect: effects.SendToPeer) -> None:
+        link = self._links.get(effect.host)
+        if link is not None:
+            link.send(effect.message)
+
+    def _report_failure(self, effect: effects.OpenLink, reason: str) -> None:
+        self._submit(
+            events.LinkFailed(effect.host, effect.address, effect.port, reason)
+        )
+
+    async def _dial(self, effect: effects.OpenLink) -> None:
+        try:
+            socket, hello = await handshake.connect(
+                self._settings,
+                effect.address,
+                effect.port,
+                self._build_hello(messages.Purpose.LINK),
+            )
+        except errors.PeerError as error:
+            _log.debug(
+                "peers: connection failed",
+                address=effect.address,
+                port=effect.port,
+                reason=str(error),
+            )
+            self._report_failure(effect, str(error))
+            return
+        finally:
+            self._dials.discard((effect.address, effect.port))
+        if effect.host not in ("", hello.host):
+            reason = f"expected host {effect.host}, found {hello.host}"
+            self._report_failure(effect, reason)
+        await self._run_link(link_module.Link(socket, hello, True))
+
+    async def _accept(self, socket: server.ServerConnection) -> None:
+        try:
+            hello = await handshake.receive_hello(self._settings, socket)
+            answer = self._build_hello(hello.purpose)
+            await socket.send(codec.encode_message(answer))
+            if hello.purpose is messages.Purpose.QUERY:
+                await self._answer_query(socket)
+            else:
+                await self._run_link(link_module.Link(socket, hello, False))
+        except exceptions.ConnectionClosed:
+            return
+        except errors.PeerError as error:
+            _log.warning("peers: connection refused", reason=str(error))
+            await link_module.close_socket(socket, str(error))
+
+    async def _answer_query(self, socket: server.ServerConnection) -> None:
+        with anyio.move_on_after(QUERY_TIMEOUT_S):
+            request = await link_module.receive_message(socket)
+            if not isinstance(request, messages.DecisionRequest):
+                raise errors.PeerCodecError("expected a question")
+            found = explanations.find_decision(self._state, request.decision)
+            answer = messages.DecisionAnswer(found)
+            await socket.send(codec.encode_message(answer))
+            await socket.wait_closed()
+
+    async def _run_link(self, link: link_module.Link) -> None:
+        host = link.hello.host
+        problem = self._find_problem(link)
+        if problem:
+            link.close(problem)
+        else:
+            self._replace_link(link)
+
+        def receive(message: codec.Message) -> None:
+            self._receive(link, message)
+
+        try:
+            await link.run(receive)
+        finally:
+            if self._links.get(host) is link:
+                del self._links[host]
+                _log.info("peers: link closed", peer=host, reason=link.reason)
+                self._submit(events.LinkClosed(host, link.reason))
+
+    def _find_problem(self, link: link_module.Link) -> str:
+        """Return why a new connection is not to be used, or nothing.
+
+        When two hosts connect to each other at once, both keep the one that
+        the host of the lower name opened.
+        """
+        own, peer = self._state.identity.host, link.hello.host
+        if own == peer:
+            return f"both hosts are named {own}; give each its own name"
+        known = self._links.get(peer)
+        if known is None or known.reason:
+            return ""
+        if link.hello.incarnation > known.hello.incarnation:
+            return ""
+        if link.is_outgoing == known.is_outgoing:
+            return ""
+        is_preferred = link.is_outgoing == (own < peer)
+        return "" if is_preferred else "hosts are linked already"
+
+    def _replace_link(self, link: link_module.Link) -> None:
+        host = link.hello.host
+        known = self._links.get(host)
+        self._links[host] = link
+        if known is not None:
+            known.close("replaced by a newer link")
+        _log.info("peers: link opened", peer=host)
+        self._submit(events.LinkOpened(host, link.is_outgoing))
+
+    def _receive(self, link: link_module.Link, message: codec.Message) -> None:
+        host = link.hello.host
+        if self._links.get(host) is not link:
+            return
+        if isinstance(message, _EDGE_MESSAGES):
+            raise errors.PeerCodecError("message is not for an open link")
+        try:
+            self._submit(events.PeerMessageReceived(host, message))
+        except Exception as error:
+            # A message that a part can't handle must not end the process.
+            _log.exception("peers: message could not be handled", peer=host)
+            raise errors.PeerCodecError("message not handled") from error
+
+
+_EDGE_MESSAGES = (
+    messages.Hello,
+    messages.DecisionRequest,
+    messages.DecisionAnswer,
+)
+
+
+async def _query(
+    socket: Any, request: messages.DecisionRequest
+) -> explanations_state.Decision | None:
+    try:
+        with anyio.fail_after(QUERY_TIMEOUT_S):
+            await socket.send(codec.encode_message(request))
+            answer = await link_module.receive_message(socket)
+    except (TimeoutError, exceptions.ConnectionClosed) as error:
+        raise errors.PeerUnreachableError("no answer from the host") from error
+    if not isinstance(answer, messages.DecisionAnswer):
+        raise errors.PeerCodecError("expected an answer")
+    return answer.decision
--- /dev/null
+++ b/knapweedtally/peers/link.py
@@ -0,0 +1,137 @@
+"""One open connection between two proxies, with a bounded send queue."""
+
+import collections
+from collections.abc import Callable
+
+import anyio
+from websockets import exceptions
+from websockets.asyncio import connection as websockets_connection
+
+from knapweedtally.core.membership import messages
+from knapweedtally.peers import codec
+from knapweedtally.peers import errors
+from knapweedtally.peers import messages as peer_messages
+
+# A link with more than this waiting is closed: its peer is too slow.
+MAX_QUEUE_BYTES = 4_194_304
+
+# Longest wait for the peer's part of closing.
+CLOSE_TIMEOUT_S = 1.0
+MAX_REASON_BYTES = 120
+
+_HEARTBEAT = codec.encode_message(messages.Heartbeat())
+
+Receive = Callable[[codec.Message], None]
+
+
+class Link:
+    """Send and receive messages until either side closes.
+
+    Attributes:
+        hello: what the peer said of itself.
+        is_outgoing: whether this host opened the connection.
+        reason: why the link ended; empty while it is open.
+    """
+
+    def __init__(
+        self,
+        socket: websockets_connection.Connection,
+        hello: peer_messages.Hello,
+        is_outgoing: bool,
+    ) -> None:
+        self.hello = hello
+        self.is_outgoing = is_outgoing
+        self.reason = ""
+        self._socket = socket
+        self._queue: collections.deque[bytes] = collections.deque()
+        self._queued_bytes = 0
+        self._wakeup = anyio.Event()
+        self._scope = anyio.CancelScope()
+
+    def send(self, message: codec.Message) -> None:
+        """Queue a message; a link whose queue is full is closed instead."""
+        if self.reason:
+            return
+        data = (
+            _HEARTBEAT
+            if isinstance(message, messages.Heartbeat)
+            else codec.encode_message(message)
+        )
+        if self._queued_bytes + len(data) > MAX_QUEUE_BYTES:
+            self.close("send queue is full; the peer reads too slowly")
+            return
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        self._wakeup.set()
+
+    def close(self, reason: str) -> None:
+        """Begin to close the link; ``run`` returns soon after."""
+        self.reason = self.reason or reason
+        self._scope.cancel()
+
+    async def run(self, receive: Receive) -> None:
+        """Pass on messages until the link is closed by either side."""
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._run_sender)
+                    await self._run_receiver(receive)
+        finally:
+            self.reason = self.reason or "host is stopping"
+            await close_socket(self._socket, self.reason)
+
+    async def _run_sender(self) -> None:
+        while True:
+            while self._queue:
+                data = self._queue.popleft()
+                try:
+                    await self._socket.send(data)
+                except exceptions.ConnectionClosed as error:
+                    self.close(describe_close(error))
+                    return
+                self._queued_bytes -= len(data)
+            self._wakeup = anyio.Event()
+            await self._wakeup.wait()
+
+    async def _run_receiver(self, receive: Receive) -> None:
+        try:
+            while True:
+                receive(await receive_message(self._socket))
+        except exceptions.ConnectionClosed as error:
+            self.close(describe_close(error))
+        except errors.PeerError as error:
+            self.close(str(error))
+
+
+async def receive_message(
+    socket: websockets_connection.Connection,
+) -> codec.Message:
+    """Return the next message.
+
+    Raises:
+        PeerCodecError: the peer sent something else.
+        ConnectionClosed: the connection is closed.
+    """
+    data = await socket.recv()
+    if isinstance(data, str):
+        raise errors.PeerCodecError("text frames are not allowed")
+    return codec.decode_message(data)
+
+
+async def close_socket(
+    socket: websockets_connection.Connection, reason: str
+) -> None:
+    """Close a connection with a reason, also when being cancelled."""
+    short = reason.encode()[:MAX_REASON_BYTES].decode(errors="ignore")
+    with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        await socket.close(1008 if short else 1000, short)
+    if socket.transport is not None:
+        socket.transport.abort()
+
+
+def describe_close(error: exceptions.ConnectionClosed) -> str:
+    """Return why a connection is closed, as its end says."""
+    closed = error.rcvd or error.sent
+    if closed is None:
+        return "connection was lost"
+    return closed.reason or f"closed with code {closed.code}"
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -183,11 +183,11 @@
         self._push(0.002, self.submit, peer, opened(name, False))
 
     def _disconnect(self, name: str, peer: str) -> None:
-        if self.links.pop(frozenset((name, peer)), None) is None:
-            return
-        for one, other in ((name, peer), (peer, name)):
-            event = membership_events.LinkClosed(other, "closed")
-            self._push(0.001, self.submit, one, event)
+        is_linked = self.links.pop(frozenset((name, peer)), None) is not None
+        closed = membership_events.LinkClosed
+        self._push(0.001, self.submit, name, closed(peer, "closed"))
+        if is_linked:
+            self._push(0.001, self.submit, peer, closed(name, "closed"))
 
     def _send(self, name: str, peer: str, message: Any) -> None:
         self.sent[type(message).__name__] += 1
--- a/tests/membership/test_liveness.py
+++ b/tests/membership/test_liveness.py
@@ -52,6 +52,14 @@
                 self.assertEqual({Status.DEAD}, list_statuses(net, "dc2-h2"))
                 self.assertTrue(is_settled(net))
 
+    def test_a_link_to_a_silently_dead_host_is_closed(self) -> None:
+        net = self.build(SMALL)
+        net.kill("dc2-h2", is_silent=True)
+        net.run(2 * DEATH_LIMIT_S)
+        for node in net.list_live():
+            link = node.state.membership.links.get("dc2-h2")
+            self.assertFalse(link is not None and link.is_open)
+
     def test_a_whole_data_centre_may_die(self) -> None:
         net = self.build(SMALL)
         for name in ("dc3-h1", "dc3-h2", "dc3-h3"):
--- /dev/null
+++ b/tests/peers/hosts.py
@@ -0,0 +1,93 @@
+"""Hosts with a real peers edge, several in one process over loopback."""
+
+import contextlib
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from knapweedtally.core import state as state_module
+from knapweedtally.core.membership import state as membership_state
+from knapweedtally.peers import edge as edge_module
+from knapweedtally.peers import handshake
+from knapweedtally.runtime import loop as loop_module
+
+TOKEN = "token-of-all-hosts"
+WAIT_LIMIT_S = 60.0
+
+
+class Host:
+    """A reducer, its loop and its peers edge."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        port: int = 0,
+        token: str = TOKEN,
+        incarnation: int = 1,
+    ) -> None:
+        """Build a host; it does nothing before ``serve``."""
+        identity = state_module.Identity(
+            name, f"dc{address.split('.')[2]}", incarnation
+        )
+        self.state = state_module.ProxyState(identity)
+        self.loop = loop_module.Loop(self.state)
+        settings = handshake.PeerSettings(address, port, token)
+        self.edge = edge_module.PeersEdge(
+            self.loop.submit, self.state, settings
+        )
+        self.loop.add_edge(self.edge)
+        self.scope = anyio.CancelScope()
+
+    async def serve(
+        self,
+        seeds: tuple[membership_state.Seed, ...],
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until `scope` is cancelled; started once it listens."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self.edge.serve)
+                address, port = self.edge.address
+                self.state.membership.settings = membership_state.Settings(
+                    address, port, 0, seeds
+                )
+                await tasks.start(self.loop.serve)
+                task_status.started()
+
+    @property
+    def seed(self) -> membership_state.Seed:
+        """Where this host listens."""
+        return membership_state.Seed(*self.edge.address)
+
+    def list_peers(self) -> set[str]:
+        """Return the names of the hosts with an open link."""
+        return {
+            link.host
+            for link in self.state.membership.links.values()
+            if link.is_open
+        }
+
+
+@contextlib.asynccontextmanager
+async def run_hosts(
+    *hosts: Host,
+) -> AsyncIterator[anyio.abc.TaskGroup]:
+    """Run hosts, each with the first one as its seed, and end them."""
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(hosts[0].serve, ())
+        for host in hosts[1:]:
+            await tasks.start(host.serve, (hosts[0].seed,))
+        yield tasks
+        tasks.cancel_scope.cancel()
+
+
+async def wait_until(is_met: Callable[[], Any]) -> None:
+    """Wait for a condition; fail if it never holds."""
+    with anyio.fail_after(WAIT_LIMIT_S):
+        while not is_met():
+            await anyio.sleep(0.02)
