--- a/knapweedtally/core/effects.py
+++ b/knapweedtally/core/effects.py
@@ -45,15 +45,17 @@
 class PublishRegister(NamedTuple):
     """Store a register and spread it to peers.
 
-    The reducer turns it into ``RegisterPublished`` for the membership part,
-    so it never leaves ``decide``.
+    The loop gives it back as the membership part's ``RegisterPublished``.
     """
 
     register: model.Register
 
 
 class Raise(NamedTuple):
-    """Handle one more event within the same ``decide``."""
+    """Handle one more event within the same ``decide``.
+
+    The reducer does so itself: this effect never leaves it.
+    """
 
     event: Any
 
--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -14,10 +14,10 @@
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import decisions as admission
+from knapweedtally.core.bundles import decisions as bundles
 from knapweedtally.core.draining import decisions as draining_decisions
 from knapweedtally.core.failover import decisions as failover
 from knapweedtally.core.membership import decisions as membership_decisions
-from knapweedtally.core.membership import events as membership_events
 from knapweedtally.core.writes import decisions as writes
 
 Effects = list[effects.Effect]
@@ -29,6 +29,7 @@
     membership_decisions.HANDLERS,
     draining_decisions.HANDLERS,
     failover.HANDLERS,
+    bundles.HANDLERS,
     admission.HANDLERS,
     writes.HANDLERS,
 )
@@ -51,15 +52,6 @@
 HANDLERS = merge_tables(PART_TABLES)
 
 
-def get_raised_event(effect: effects.Effect) -> Any | None:
-    """Return the event that an effect raises, or None for other effects."""
-    if isinstance(effect, effects.Raise):
-        return effect.event
-    if isinstance(effect, effects.PublishRegister):
-        return membership_events.RegisterPublished(effect.register)
-    return None
-
-
 def decide(
     state: state_module.ProxyState, moment: model.Moment, event: Any
 ) -> Effects:
@@ -87,9 +79,8 @@
             )
         for handler in HANDLERS.get(type(current), ()):
             for effect in handler(state, moment, current):
-                raised = get_raised_event(effect)
-                if raised is None:
-                    result.append(effect)
+                if isinstance(effect, effects.Raise):
+                    pending.append((effect.event, depth + 1))
                 else:
-                    pending.append((raised, depth + 1))
+                    result.append(effect)
     return result
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -4,6 +4,7 @@
 
 from knapweedtally.core import model
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.bundles import state as bundles_state
 from knapweedtally.core.draining import state as draining_state
 from knapweedtally.core.explanations import state as explanations_state
 from knapweedtally.core.failover import state as failover_state
@@ -80,6 +81,7 @@
         membership: hosts, links and registers.
         draining: this host's planned stop and the leaving targets.
         failover: observations and promotions.
+        bundles: bundle in force in plain form, and the operators' keys.
     """
 
     identity: Identity
@@ -102,3 +104,6 @@
     failover: failover_state.FailoverState = dataclasses.field(
         default_factory=failover_state.FailoverState
     )
+    bundles: bundles_state.BundlesState = dataclasses.field(
+        default_factory=bundles_state.BundlesState
+    )
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -160,6 +160,9 @@
             self._send(name, effect.host, effect.message)
         elif isinstance(effect, effects.OpenLink):
             self._connect(name, effect)
+        elif isinstance(effect, effects.PublishRegister):
+            register = effect.register
+            self.submit(name, membership_events.RegisterPublished(register))
         elif isinstance(effect, effects.CloseLink):
             self._disconnect(name, effect.host)
         else:
