--- a/knapweedtally/core/membership/spread.py
+++ b/knapweedtally/core/membership/spread.py
@@ -167,7 +167,7 @@
     if not registers.is_newer(state.membership.store, register):
         return []
     if register.kind == "host" and register.name == state.identity.host:
-        return _refute(state, moment, register)
+        return refute(state, moment, register)
     if not _store_register(state, moment, register):
         return []
     return [
@@ -176,7 +176,7 @@
     ]
 
 
-def _refute(
+def refute(
     state: state_module.ProxyState,
     moment: model.Moment,
     register: model.Register,
