--- a/knapweedtally/core/draining/rules.py
+++ b/knapweedtally/core/draining/rules.py
@@ -1,7 +1,8 @@
-"""The rule that keeps new work from leaving targets."""
+"""The rules that a planned stop and leaving targets follow."""
 
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.draining import state as draining_state
 
 
 def is_leaving(
@@ -14,4 +15,23 @@
         target: id of the target.
         group: the target's group.
     """
-    return target in group.leaving
+    if target in group.leaving:
+        return True
+    mark = state.draining.marks.get(target)
+    if mark is None:
+        return False
+    return mark.state is not draining_state.TargetState.SERVING
+
+
+def is_accepting(state: state_module.ProxyState) -> bool:
+    """Return whether this proxy accepts caller connections."""
+    return state.draining.phase in (
+        draining_state.Phase.SERVING,
+        draining_state.Phase.ANNOUNCING,
+    )
+
+
+def is_ready(state: state_module.ProxyState) -> bool:
+    """Return whether the balancer may send callers here."""
+    is_serving = state.draining.phase is draining_state.Phase.SERVING
+    return is_serving and state.directory.bundle is not None
--- a/knapweedtally/core/state.py
+++ b/knapweedtally/core/state.py
@@ -5,8 +5,10 @@
 from knapweedtally.core import model
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.bundles import state as bundles_state
+from knapweedtally.core.draining import state as draining_state
 from knapweedtally.core.explanations import state as explanations_state
 from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.membership import state as membership_state
 from knapweedtally.core.routing import state as routing_state
 
 
@@ -76,6 +78,8 @@
         admission: requests, leases and queues.
         routing: estimates that guide the choice of a target.
         explanations: ring of decision records.
+        membership: hosts, links and registers.
+        draining: this host's planned stop and the leaving targets.
         failover: observations and promotions.
         bundles: bundle in force in plain form, and the operators' keys.
     """
@@ -91,6 +95,12 @@
     explanations: explanations_state.ExplanationsState = dataclasses.field(
         default_factory=explanations_state.ExplanationsState
     )
+    membership: membership_state.MembershipState = dataclasses.field(
+        default_factory=membership_state.MembershipState
+    )
+    draining: draining_state.DrainingState = dataclasses.field(
+        default_factory=draining_state.DrainingState
+    )
     failover: failover_state.FailoverState = dataclasses.field(
         default_factory=failover_state.FailoverState
     )
--- a/knapweedtally/runtime/loop.py
+++ b/knapweedtally/runtime/loop.py
@@ -15,6 +15,7 @@
 from knapweedtally.core import model
 from knapweedtally.core import reducer
 from knapweedtally.core import state as state_module
+from knapweedtally.core.membership import events as membership_events
 from knapweedtally.runtime import edges
 
 TICK_INTERVAL_S = 0.1
@@ -33,6 +34,7 @@
         self._events: collections.deque[Any] = collections.deque()
         self._is_deciding = False
         self._runners: dict[type, Any] = {
+            effects.PublishRegister: self._publish_register,
             effects.SetTimer: self._set_timer,
             effects.WriteLog: write_log,
         }
@@ -75,6 +77,9 @@
             if runner is not None:
                 runner(effect)
 
+    def _publish_register(self, effect: effects.PublishRegister) -> None:
+        self.submit(membership_events.RegisterPublished(effect.register))
+
     def _set_timer(self, effect: effects.SetTimer) -> None:
         event = events.TimerFired(effect.key)
         loop = asyncio.get_running_loop()
