--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -15,7 +15,9 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import decisions as admission
 from knapweedtally.core.bundles import decisions as bundles
+from knapweedtally.core.draining import decisions as draining_decisions
 from knapweedtally.core.failover import decisions as failover
+from knapweedtally.core.membership import decisions as membership_decisions
 from knapweedtally.core.writes import decisions as writes
 
 Effects = list[effects.Effect]
@@ -24,12 +26,17 @@
 
 # One handler table per part; each part's decisions.py exports HANDLERS.
 PART_TABLES: tuple[HandlerTable, ...] = (
+    membership_decisions.HANDLERS,
+    draining_decisions.HANDLERS,
     failover.HANDLERS,
     bundles.HANDLERS,
     admission.HANDLERS,
     writes.HANDLERS,
 )
 
+# Longest chain of events that raise one another within one step.
+MAX_CHAIN = 8
+
 
 def merge_tables(
     tables: Iterable[HandlerTable],
@@ -48,7 +55,7 @@
 def decide(
     state: state_module.ProxyState, moment: model.Moment, event: Any
 ) -> Effects:
-    """Apply one event to the state and return the effects.
+    """Apply one event, and those that it raises, and return the effects.
 
     Args:
         state: state of the proxy, changed in place.
@@ -57,8 +64,23 @@
 
     Returns:
         The effects, in the order in which they are to be run.
+
+    Raises:
+        RuntimeError: a chain of raised events exceeds ``MAX_CHAIN``.
     """
     result: Effects = []
-    for handler in HANDLERS.get(type(event), ()):
-        result.extend(handler(state, moment, event))
+    pending = collections.deque([(event, 1)])
+    while pending:
+        current, depth = pending.popleft()
+        if depth > MAX_CHAIN:
+            raise RuntimeError(
+                f"{type(current).__name__} is event {depth} of a chain from "
+                f"{type(event).__name__}; parts may chain {MAX_CHAIN} events"
+            )
+        for handler in HANDLERS.get(type(current), ()):
+            for effect in handler(state, moment, current):
+                if isinstance(effect, effects.Raise):
+                    pending.append((effect.event, depth + 1))
+                else:
+                    result.append(effect)
     return result
