--- a/knapweedtally/callers/edge.py
+++ b/knapweedtally/callers/edge.py
@@ -3,6 +3,8 @@
 import hmac
 import itertools
 import secrets
+from collections.abc import Callable
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -17,6 +19,7 @@
 from knapweedtally.core import exceptions
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import events as admission_events
+from knapweedtally.core.draining import events as draining_events
 from knapweedtally.core.sessions import token as token_module
 from knapweedtally.runtime import edges
 from knapweedtally.targets import edge as targets_edge
@@ -36,6 +39,8 @@
         effects.RunStatement,
         effects.DeliverAnswer,
         effects.DeliverError,
+        effects.StopAccepting,
+        effects.CloseIdleCallers,
     )
 
     def __init__(
@@ -53,6 +58,15 @@
         self._executor = execution.Executor(submit, state, targets)
         self._ids = itertools.count(1)
         self._sessions: dict[int, session_module.Session] = {}
+        self._listening: anyio.CancelScope | None = None
+        self._is_closing = False
+        self._runners: dict[type, Callable[[Any], None]] = {
+            effects.RunStatement: self._executor.deliver,
+            effects.DeliverAnswer: self._executor.deliver,
+            effects.DeliverError: self._executor.deliver,
+            effects.StopAccepting: self._stop_accepting,
+            effects.CloseIdleCallers: self._close_idle,
+        }
 
     async def serve(
         self,
@@ -64,17 +78,31 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, reuse_port=False
         )
-        task_status.started()
-        async with listener:
-            await listener.serve(self._serve_connection)
+        async with anyio.create_task_group() as tasks:
+            with anyio.CancelScope() as scope:
+                self._listening = scope
+                task_status.started()
+                async with listener:
+                    await listener.serve(self._serve_connection, tasks)
+            await anyio.sleep_forever()
 
     def run_effect(self, effect: effects.Effect) -> None:
-        """Hand an effect to the session that waits for it."""
-        if isinstance(
-            effect,
-            effects.RunStatement | effects.DeliverAnswer | effects.DeliverError,
-        ):
-            self._executor.deliver(effect)
+        """Start an effect without waiting for it."""
+        self._runners[type(effect)](effect)
+
+    def _stop_accepting(self, effect: effects.StopAccepting) -> None:
+        if self._listening is not None:
+            self._listening.cancel()
+
+    def _close_idle(self, effect: effects.CloseIdleCallers) -> None:
+        self._is_closing = True
+        for session in self._sessions.values():
+            session.end_when_quiet()
+        self._report_callers_gone()
+
+    def _report_callers_gone(self) -> None:
+        if self._is_closing and not self._sessions:
+            self._submit(draining_events.CallersGone())
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         caller_stream = stream_module.CallerStream(stream)
@@ -114,6 +142,7 @@
         finally:
             del self._sessions[session.id]
             self._submit(admission_events.SessionEnded(session.id))
+            self._report_callers_gone()
 
     def _cancel(self, request: messages.CancelRequest) -> None:
         session = self._sessions.get(request.process_id)
--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -85,6 +85,8 @@
         self._parts: list[messages.FrontendMessage] = []
         self._is_flushing = False
         self._is_skipping = False
+        self._is_ending = False
+        self._waiting: anyio.CancelScope | None = None
 
     @property
     def is_quiet(self) -> bool:
@@ -109,15 +111,31 @@
         self._load_token()
         welcome = answers.encode_welcome(self.id, self.secret, self._host)
         await self._stream.send(welcome)
-        async for message in self._stream.receive_messages():
-            if isinstance(message, messages.Terminate):
+        await self._serve_messages()
+        if self._is_ending:
+            await self._say_goodbye()
+
+    def end_when_quiet(self) -> None:
+        """End the connection once nothing is running or open on it."""
+        self._is_ending = True
+        if self.is_quiet and self._waiting is not None:
+            self._waiting.cancel()
+
+    async def _serve_messages(self) -> None:
+        """Take messages until the caller or a planned stop ends it."""
+        while not (self._is_ending and self.is_quiet):
+            message = None
+            with anyio.CancelScope() as scope:
+                self._waiting = scope
+                message = await self._stream.receive_message()
+            self._waiting = None
+            if message is None or isinstance(message, messages.Terminate):
                 return
             self.is_idle = False
             await self._take_message(message)
             self.is_idle = not self._parts
 
-    async def say_goodbye(self) -> None:
-        """Tell an idle caller that this host is stopping."""
+    async def _say_goodbye(self) -> None:
         await self._stream.send(
             answers.encode_error(
                 "57P01",
--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -1,7 +1,5 @@
 """Read a caller's messages from its connection."""
 
-from collections.abc import AsyncIterator
-
 import anyio
 import anyio.abc
 from pygwire import codec
@@ -50,8 +48,8 @@
                     return message
                 raise exceptions.ProtocolError("expected a startup message")
 
-    async def receive_messages(self) -> AsyncIterator[messages.FrontendMessage]:
-        """Yield messages until the caller closes the connection.
+    async def receive_message(self) -> messages.FrontendMessage | None:
+        """Return the next message, or None when the caller is gone.
 
         Raises:
             ProtocolError: a message is malformed or too long.
@@ -60,9 +58,9 @@
             try:
                 message = await self._receive_message()
             except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-                return
+                return None
             if isinstance(message, messages.FrontendMessage):
-                yield message
+                return message
 
     async def send(self, data: bytes) -> None:
         """Send bytes to the caller."""
--- a/knapweedtally/core/admission/shares.py
+++ b/knapweedtally/core/admission/shares.py
@@ -2,6 +2,7 @@
 
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.membership import hosts as membership_hosts
 
 # Replication, operators and hosts that are not counted yet.
 RESERVED_CONNECTIONS = 2
@@ -24,7 +25,7 @@
 
 def count_hosts(state: state_module.ProxyState) -> int:
     """Return how many entry hosts share the targets."""
-    return max(1, state.admission.host_count)
+    return max(1, len(membership_hosts.live_hosts(state)))
 
 
 def get_share(state: state_module.ProxyState, group: model.Group) -> int:
--- a/knapweedtally/core/admission/state.py
+++ b/knapweedtally/core/admission/state.py
@@ -165,7 +165,6 @@
         retry_budget: attempts that may be repeated, by group.
         known_terms: term and primary last acted upon, by group.
         counters: counts of outcomes, by name.
-        host_count: entry hosts that share the targets.
     """
 
     requests: dict[int, Request] = dataclasses.field(default_factory=dict)
@@ -182,7 +181,6 @@
         default_factory=dict
     )
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
-    host_count: int = 1
 
     def count(self, name: str) -> None:
         """Add one to a counter."""
--- a/knapweedtally/core/failover/observers.py
+++ b/knapweedtally/core/failover/observers.py
@@ -13,15 +13,16 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.failover import limits
 from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.membership import hosts
 
 
 def list_live_hosts(state: state_module.ProxyState) -> Mapping[str, str]:
     """Return the data centre of each host known to be live, this one too."""
     identity = state.identity
-    hosts = state.failover.hosts
-    if hosts.get(identity.host) != identity.data_centre:
-        hosts[identity.host] = identity.data_centre
-    return hosts
+    live = hosts.live_hosts(state)
+    if live.get(identity.host) == identity.data_centre:
+        return live
+    return {**live, identity.host: identity.data_centre}
 
 
 def compute_weight(key: str, name: str) -> tuple[int, str]:
@@ -56,27 +57,27 @@
     """Recompute the assignment if the bundle or the live hosts changed."""
     assignment = state.failover.assignment
     bundle = state.directory.bundle
-    hosts = list_live_hosts(state)
-    if assignment.bundle is bundle and assignment.hosts == hosts:
+    live = list_live_hosts(state)
+    if assignment.bundle is bundle and assignment.hosts == live:
         return
-    state.failover.assignment = build_assignment(assignment, bundle, hosts)
+    state.failover.assignment = build_assignment(assignment, bundle, live)
     update_watches(state, at)
 
 
 def build_assignment(
     previous: failover_state.Assignment,
     bundle: model.Bundle | None,
-    hosts: Mapping[str, str],
+    live: Mapping[str, str],
 ) -> failover_state.Assignment:
     """Return the assignment for a bundle and the live hosts.
 
     Args:
         previous: assignment whose shares are kept where they still hold.
         bundle: bundle in force.
-        hosts: data centre of each live host.
+        live: data centre of each live host.
     """
     hosts_by_centre: dict[str, list[str]] = {}
-    for host, centre in hosts.items():
+    for host, centre in live.items():
         hosts_by_centre.setdefault(centre, []).append(host)
     sizes = cap_sizes(hosts_by_centre)
     known = previous.shares
@@ -93,7 +94,7 @@
         for target in targets
     }
     return failover_state.Assignment(
-        bundle, dict(hosts), hosts_by_centre, targets, shares
+        bundle, dict(live), hosts_by_centre, targets, shares
     )
 
 
--- a/knapweedtally/core/failover/state.py
+++ b/knapweedtally/core/failover/state.py
@@ -146,7 +146,6 @@
     """Hold the failover part of the proxy's state.
 
     Attributes:
-        hosts: data centre of each host known to be live.
         assignment: cached observers.
         watches: targets that this host observes.
         in_flight: when each probe on its way counts as lost, by target.
@@ -165,7 +164,6 @@
         reconciled_at: when a target was last told whom to follow.
     """
 
-    hosts: dict[str, str] = dataclasses.field(default_factory=dict)
     assignment: Assignment = dataclasses.field(default_factory=Assignment)
     watches: dict[str, Watch] = dataclasses.field(default_factory=dict)
     in_flight: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/knapweedtally/core/writes/decisions.py
+++ b/knapweedtally/core/writes/decisions.py
@@ -4,6 +4,7 @@
 
 from knapweedtally.core import effects
 from knapweedtally.core import errors
+from knapweedtally.core import events
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
@@ -134,7 +135,10 @@
         routing.note_hold(state.routing, request.target, moment.at)
     else:
         routing.note_failure(state.routing, request.target, moment.at)
-    return attempts.retry_request(state, moment, request)
+    result = attempts.retry_request(state, moment, request)
+    if event.sqlstate == rules.ADMIN_SHUTDOWN:
+        result.append(effects.Raise(events.TargetStopping(request.target)))
+    return result
 
 
 def _end_attempt(
--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -7,11 +7,23 @@
 import anyio.abc
 import structlog
 
+from knapweedtally.admin import edge as admin_edge
+from knapweedtally.admin import remote
 from knapweedtally.callers import edge as callers_edge
 from knapweedtally.conf import settings as settings_module
+from knapweedtally.core import effects
+from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.draining import events as draining_events
+from knapweedtally.core.draining import state as draining_state
+from knapweedtally.core.membership import state as membership_state
 from knapweedtally.core.sessions import token as token_module
+from knapweedtally.peers import edge as peers_edge
+from knapweedtally.peers import handshake
+from knapweedtally.platform import client as platform_client
 from knapweedtally.platform import edge as platform_edge
+from knapweedtally.runtime import edges
+from knapweedtally.runtime import logs
 from knapweedtally.runtime import loop as loop_module
 from knapweedtally.targets import edge as targets_edge
 
@@ -19,49 +31,141 @@
 MILLISECONDS = 1000
 
 
+class ProcessEdge:
+    """Run the effects that concern the process itself.
+
+    Attributes:
+        effect_types: the effects that this edge runs.
+    """
+
+    effect_types: tuple[type, ...] = (
+        effects.SetWatching,
+        effects.StopProcess,
+    )
+
+    def __init__(
+        self, submit: edges.Submit, platform: platform_edge.PlatformEdge
+    ) -> None:
+        self._submit = submit
+        self._platform = platform
+        self._scope: anyio.CancelScope | None = None
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Turn the first stop signal into a planned stop, end at a second."""
+        signals_seen = 0
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            task_status.started()
+            async for number in signals:
+                signals_seen += 1
+                if signals_seen > 1:
+                    self._stop()
+                reason = f"signal {number.name}"
+                self._submit(draining_events.DrainRequested(reason))
+
+    def stop_with(self, scope: anyio.CancelScope) -> None:
+        """Name the scope whose end is the end of the process."""
+        self._scope = scope
+
+    def run_effect(self, effect: effects.Effect) -> None:
+        """Start an effect without waiting for it."""
+        if isinstance(effect, effects.SetWatching):
+            self._platform.set_watching(effect.is_watching)
+        else:
+            self._stop()
+
+    def _stop(self) -> None:
+        _log.info("process: stopping")
+        if self._scope is not None:
+            self._scope.cancel()
+
+
 class Proxy:
-    """Hold the loop and the edges of one proxy."""
+    """Hold the loop and the edges of one proxy.
+
+    Attributes:
+        state: state of the proxy.
+        loop: the loop that applies events.
+    """
 
     def __init__(self, settings: settings_module.Settings) -> None:
-        identity = state_module.Identity(
-            settings.host_name, settings.data_centre, make_incarnation()
-        )
-        self.state = state_module.ProxyState(identity)
-        self.state.bundles.keys = settings.bundle_keys
+        self.state = make_state(settings)
         self.loop = loop_module.Loop(self.state)
         submit = self.loop.submit
         source_host = settings.listen_address
-        self.targets = targets_edge.TargetsEdge(submit, self.state, source_host)
-        self.callers = callers_edge.CallersEdge(
+        targets = targets_edge.TargetsEdge(submit, self.state, source_host)
+        platform = platform_edge.PlatformEdge(
             submit,
-            self.state,
-            self.targets,
-            (settings.listen_address, settings.listen_port),
-            make_signing_keys(settings),
+            settings.platform_address,
+            source_host,
+            make_listed_host(settings),
+        )
+        peers = peers_edge.PeersEdge(
+            submit, self.state, make_peer_settings(settings)
         )
-        self.platform = platform_edge.PlatformEdge(
-            submit, settings.platform_address, source_host
+        self._process = ProcessEdge(submit, platform)
+        self._edges: tuple[edges.Edge, ...] = (
+            self._process,
+            targets,
+            platform,
+            peers,
+            callers_edge.CallersEdge(
+                submit,
+                self.state,
+                targets,
+                (settings.listen_address, settings.listen_port),
+                make_signing_keys(settings),
+            ),
+            admin_edge.AdminEdge(
+                submit,
+                self.state,
+                (settings.admin_address, settings.admin_port),
+                settings.admin_token.reveal(),
+                platform_client.PlatformClient(
+                    settings.platform_address, source_host
+                ),
+                remote.AdminFetcher(
+                    self.state, settings.admin_token.reveal(), source_host
+                ),
+            ),
         )
-        for edge in (self.targets, self.callers, self.platform):
+        for edge in self._edges:
             self.loop.add_edge(edge)
 
     async def serve(self) -> None:
-        """Run until a signal or cancellation."""
+        """Run until a planned stop has ended or a second signal comes."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_signals, tasks.cancel_scope)
-            await tasks.start(self.targets.serve)
-            await tasks.start(self.platform.serve)
+            self._process.stop_with(tasks.cancel_scope)
             await tasks.start(self.loop.serve)
-            await tasks.start(self.callers.serve)
-            _log.info("proxy: serving", host=self.state.identity.host)
+            for edge in self._edges:
+                await tasks.start(edge.serve)
+            _log.info("process: serving", host=self.state.identity.host)
 
-    async def _watch_signals(self, scope: anyio.CancelScope) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for number in signals:
-                _log.info("proxy: stopping", signal=number.name)
-                scope.cancel()
+
+def make_state(
+    settings: settings_module.Settings,
+) -> state_module.ProxyState:
+    """Return the state of a proxy that has just started."""
+    identity = state_module.Identity(
+        settings.host_name, settings.data_centre, make_incarnation()
+    )
+    state = state_module.ProxyState(identity)
+    state.bundles.keys = settings.bundle_keys
+    state.draining.settings = draining_state.Settings(
+        timeout_s=settings.drain_timeout_s
+    )
+    state.membership.settings = membership_state.Settings(
+        settings.peer_address,
+        settings.peer_port,
+        settings.admin_port,
+        tuple(membership_state.Seed(*seed) for seed in settings.seed_peers),
+    )
+    return state
 
 
 def make_incarnation() -> int:
@@ -69,6 +173,28 @@
     return int(time.time() * MILLISECONDS)
 
 
+def make_listed_host(settings: settings_module.Settings) -> model.ListedHost:
+    """Return what this host registers with the platform."""
+    return model.ListedHost(
+        settings.host_name,
+        settings.peer_address,
+        settings.peer_port,
+        settings.data_centre,
+        is_leaving=False,
+    )
+
+
+def make_peer_settings(
+    settings: settings_module.Settings,
+) -> handshake.PeerSettings:
+    """Return the settings of the peers edge."""
+    return handshake.PeerSettings(
+        settings.peer_address,
+        settings.peer_port,
+        settings.peer_token.reveal(),
+    )
+
+
 def make_signing_keys(
     settings: settings_module.Settings,
 ) -> tuple[token_module.SigningKey, ...]:
@@ -81,5 +207,6 @@
 
 def run_proxy(settings: settings_module.Settings) -> None:
     """Run a proxy until it is told to stop."""
+    logs.configure_logs(settings.log_level, settings.log_format)
     proxy = Proxy(settings)
     anyio.run(proxy.serve, backend_options={"use_uvloop": True})
