--- a/knapweedtally/management/base.py
+++ b/knapweedtally/management/base.py
@@ -110,4 +110,4 @@
         return "yes" if value else "no"
     if isinstance(value, list | tuple | dict):
         return json.dumps(value)
-    return "-" if value is None else str(value)
+    return "-" if value in (None, "") else str(value)
--- a/knapweedtally/management/commands/switch.py
+++ b/knapweedtally/management/commands/switch.py
@@ -21,8 +21,7 @@
     ]
     options = [*admin_client.OPTIONS, base.JSON_OPTION]
     examples = (
-        "knapweedtally switch fog-1 fog-1-b"
-        " --admin-url http://127.0.1.2:7200",
+        "knapweedtally switch fog-1 fog-1-b --admin-url http://127.0.1.2:7200",
     )
 
     def run_command(self) -> int:
--- a/knapweedtally/platform/edge.py
+++ b/knapweedtally/platform/edge.py
@@ -36,6 +36,7 @@
     effect_types: tuple[type, ...] = (
         effects.ReadObject,
         effects.UpdateObject,
+        effects.SetWatching,
     )
 
     def __init__(
@@ -45,6 +46,7 @@
         source_host: str,
         host: model.ListedHost | None = None,
         rng: random.Random | None = None,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         """Make an edge; nothing is sent before ``serve``.
 
@@ -54,6 +56,7 @@
             source_host: IP address that connections are bound to.
             host: what this host registers; None registers nothing.
             rng: source of randomness for delays.
+            is_leaving: tells whether a planned stop of the host has begun.
         """
         rng = rng or random.Random()
         self._submit = submit
@@ -64,7 +67,7 @@
         self._directory: hosts.HostDirectory | None = None
         if host:
             self._directory = hosts.HostDirectory(
-                host, submit, self._client, rng
+                host, submit, self._client, rng, is_leaving
             )
         self._watches = [
             watches.Watch(kind, submit, self._client, rng)
@@ -83,11 +86,6 @@
         for watch in self._watches:
             watch.set_watching(is_watching)
 
-    def set_leaving(self) -> None:
-        """Tell the platform that this host is leaving."""
-        if self._directory:
-            self._directory.set_leaving()
-
     async def serve(
         self,
         *,
@@ -109,11 +107,14 @@
             await self._client.close()
 
     def run_effect(self, effect: effects.Effect) -> None:
-        """Start a call; its outcome is submitted later.
+        """Choose how to watch, or start a call whose outcome comes later.
 
         A call beyond the bound on pending ones, or while the edge isn't
         serving, is not made.
         """
+        if isinstance(effect, effects.SetWatching):
+            self.set_watching(effect.is_watching)
+            return
         if self._group is None or not isinstance(effect, _Call):
             return
         if self._pending >= MAX_PENDING_CALLS:
--- a/knapweedtally/platform/hosts.py
+++ b/knapweedtally/platform/hosts.py
@@ -13,6 +13,8 @@
 from knapweedtally.platform import client as platform_client
 from knapweedtally.utils import backoff
 
+# How soon the platform is told that the host is leaving.
+CHECK_INTERVAL_S = 0.5
 FIRST_DELAY_S = 1.0
 MAX_DELAY_S = 60.0
 REGISTER_INTERVAL_S = 30.0
@@ -33,31 +35,28 @@
         submit: Callable[[Any], None],
         client: platform_client.PlatformClient,
         rng: random.Random,
+        is_leaving: Callable[[], bool],
     ) -> None:
         self._host = host
+        self._is_leaving = is_leaving
         self._submit = submit
         self._client = client
         self._rng = rng
-        self._changed = anyio.Event()
         self._failing: set[str] = set()
 
-    def set_leaving(self) -> None:
-        """Tell the platform soon that this host is leaving."""
-        self._host = self._host._replace(is_leaving=True)
-        self._changed.set()
-
     async def keep_registered(self) -> None:
         """Register again and again until cancelled."""
         delays = backoff.Backoff(FIRST_DELAY_S, REGISTER_INTERVAL_S, self._rng)
         while True:
-            self._changed = anyio.Event()
+            is_leaving = self._is_leaving()
+            self._host = self._host._replace(is_leaving=is_leaving)
             if await self._try("register", self._register):
                 delays.reset()
                 delay_s = REGISTER_INTERVAL_S * self._rng.uniform(0.5, 1.0)
             else:
                 delay_s = delays.next_delay_s()
             with anyio.move_on_after(delay_s):
-                await self._changed.wait()
+                await self._wait_for_change()
 
     async def keep_listing(self) -> None:
         """Read the list again and again until cancelled."""
@@ -66,6 +65,10 @@
             await self._try("list hosts", self._list)
             await anyio.sleep(delays.next_delay_s())
 
+    async def _wait_for_change(self) -> None:
+        while self._is_leaving() == self._host.is_leaving:
+            await anyio.sleep(CHECK_INTERVAL_S)
+
     async def _register(self) -> None:
         await self._client.register_host(self._host)
 
--- a/tests/management/test_admin_commands.py
+++ b/tests/management/test_admin_commands.py
@@ -37,7 +37,7 @@
         async def body(bed: bed_module.Bed) -> None:
             decision = bed_module.record_decision(bed.state)
             for arguments, expected in (
-                (["groups"], "fog    2    open"),
+                (["groups"], "fog   2     open   fog-1    -          -"),
                 (["targets", "--group", "fog"], "fog-2"),
                 (["targets", "--group", "none", "--json"], "[]"),
                 (["explain", decision], "no replica is fresh enough"),
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -23,6 +23,7 @@
     def __init__(self, port: int) -> None:
         self.events: list[Any] = []
         self.changed = anyio.Event()
+        self.is_leaving = False
         self.caller = stand_in.Caller(port)
         self.edge = edge.PlatformEdge(
             self.submit,
@@ -30,6 +31,7 @@
             HOST.address,
             HOST,
             random.Random(1),
+            lambda: self.is_leaving,
         )
 
     def submit(self, event: Any) -> None:
@@ -132,7 +134,7 @@
 
     def test_watch_sees_changes_made_before_and_after_an_outage(self) -> None:
         async def body(bed: Bed) -> None:
-            bed.edge.set_watching(True)
+            bed.edge.run_effect(effects.SetWatching(True))
             for version, value in enumerate(("a", "b", "c")):
                 if value == "c":
                     await bed.switch(mode="down")
@@ -166,7 +168,7 @@
     def test_host_is_registered_and_listed(self) -> None:
         async def body(bed: Bed) -> None:
             await bed.find(lambda event: event == events.HostListSeen((HOST,)))
-            bed.edge.set_leaving()
+            bed.is_leaving = True
             leaving = HOST._replace(is_leaving=True)
             await bed.find(
                 lambda event: event == events.HostListSeen((leaving,))
