--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -1,5 +1,6 @@
 """Tests of the settings and their checks."""
 
+import pathlib
 from typing import Any
 
 import hypothesis
@@ -10,6 +11,7 @@
 from knapweedtally.conf import settings
 from knapweedtally.conf import table
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SECRET_TOKEN = "an-admin-token-of-the-test"
 PEER_TOKEN = "a-peer-token-of-the-test"
 SECRET_KEY = "00112233445566778899aabbccddeeff"
@@ -99,6 +101,14 @@
         ids = [f"KW{number:03}" for number in range(1, 7)]
         self.assertEqual(ids, list(checks.DESCRIPTIONS))
 
+    def test_the_reference_names_every_setting_and_check(self) -> None:
+        page = (ROOT / "docs/reference/settings.md").read_text()
+        for setting in table.SETTINGS:
+            start = f"| `--{setting.name}` | `{setting.variable}` | "
+            self.assertIn(start + setting.allowed, page)
+        for check, description in checks.DESCRIPTIONS.items():
+            self.assertIn(f"| {check} | {description} |", page)
+
     def test_secrets_are_never_shown(self) -> None:
         loaded = settings.load_settings(OPTIONS, {})
         texts = [repr(loaded), str(settings.describe_settings(loaded))]
--- /dev/null
+++ b/tests/utils/test_http.py
@@ -0,0 +1,157 @@
+"""Tests of the HTTP server and client against each other and bad input."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+
+from knapweedtally.utils import http
+from knapweedtally.utils import http_client
+from knapweedtally.utils import http_server
+
+TIMEOUT_S = 20.0
+LIMITS = http_server.Limits(max_header_bytes=1024, max_body_bytes=100)
+
+
+async def echo(request: http.Request) -> http.Response:
+    if request.path == "/drop":
+        raise http.ExchangeDropped
+    if request.path == "/fail":
+        raise ValueError("a handler's fault")
+    return http.Response(200, request.body, {"x-peer": request.peer})
+
+
+def run_with_server(
+    body: Callable[[int], Awaitable[None]],
+    limits: http_server.Limits = LIMITS,
+) -> None:
+    async def run() -> None:
+        server = http_server.Server(echo, "127.0.0.1", 0, limits)
+        async with anyio.create_task_group() as group:
+            await group.start(server.serve)
+            await body(server.port)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def send_raw(port: int, *parts: bytes) -> bytes:
+    """Send bytes, then return all that comes until the server closes."""
+    received = b""
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        try:
+            for part in parts:
+                await stream.send(part)
+            await stream.send_eof()
+            with anyio.fail_after(TIMEOUT_S):
+                async for data in stream:
+                    received += data
+        except anyio.BrokenResourceError:
+            pass
+    return received
+
+
+async def send(
+    client: http_client.Client, method: str, target: str, body: bytes = b""
+) -> http.Response:
+    request = http.Request(method, target, {}, body)
+    return await client.send(request, TIMEOUT_S)
+
+
+class HttpTest(testtools.TestCase):
+    def test_one_connection_carries_many_requests(self) -> None:
+        async def body(port: int) -> None:
+            client = http_client.Client("127.0.0.1", port, "127.0.3.7")
+            for number in range(20):
+                sent = str(number).encode()
+                answer = await send(client, "PUT", "/", sent)
+                self.assertEqual(sent, answer.body)
+                self.assertEqual("127.0.3.7", answer.headers["x-peer"])
+            await client.close()
+
+        # Had the client opened a second connection, it would be closed.
+        run_with_server(body, LIMITS._replace(max_connections=1))
+
+    def test_errors_tell_whether_the_request_was_sent(self) -> None:
+        async def body(port: int) -> None:
+            client = http_client.Client("127.0.0.1", port)
+            with self.assertRaises(http.AnswerLost):
+                await send(client, "GET", "/drop")
+            answer = await send(client, "GET", "/fail")
+            self.assertEqual(500, answer.status)
+            self.assertNotIn(b"fault", answer.body)
+            with self.assertRaises(http.ConnectionRefused):
+                await send(http_client.Client("127.0.0.1", 1), "GET", "/")
+            small = http_client.Client("127.0.0.1", port, max_body_bytes=10)
+            with self.assertRaises(http.BodyTooLarge):
+                await send(small, "PUT", "/", b"x" * 50)
+            await client.close()
+
+        run_with_server(body)
+
+    def test_bad_requests_get_an_error_and_others_go_on(self) -> None:
+        async def body(port: int) -> None:
+            for sent, status in (
+                (b"nonsense\r\n\r\n", b"400"),
+                (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"x" * 5000, b"431"),
+                (
+                    b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n",
+                    b"400",
+                ),
+                (
+                    b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 500\r\n\r\n"
+                    + b"x" * 500,
+                    b"413",
+                ),
+            ):
+                answer = await send_raw(port, sent)
+                self.assertEqual(b"HTTP/1.1 " + status, answer[:12])
+            half = b"PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx"
+            self.assertEqual(b"", await send_raw(port, half))
+            client = http_client.Client("127.0.0.1", port)
+            self.assertEqual(200, (await send(client, "GET", "/")).status)
+            await client.close()
+
+        run_with_server(body)
+
+    def test_silent_connections_are_closed(self) -> None:
+        async def body(port: int) -> None:
+            for sent in (b"", b"PUT / HTTP/1.1\r\nhost: a\r\n"):
+                stream = await anyio.connect_tcp("127.0.0.1", port)
+                async with stream:
+                    await stream.send(sent)
+                    with anyio.fail_after(TIMEOUT_S):
+                        with self.assertRaises(anyio.EndOfStream):
+                            await stream.receive()
+
+        run_with_server(body, LIMITS._replace(idle_timeout_s=0.1))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=30)
+    @hypothesis.given(
+        st.lists(
+            st.binary(max_size=40)
+            | st.sampled_from(
+                [
+                    b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
+                    b"PUT /x HTTP/1.1\r\nhost: a\r\n",
+                    b"transfer-encoding: chunked\r\n\r\n",
+                    b"5\r\nabcde\r\n",
+                    b"0\r\n\r\n",
+                ]
+            ),
+            max_size=8,
+        )
+    )
+    def test_any_bytes_leave_the_server_serving(
+        self, parts: list[bytes]
+    ) -> None:
+        async def body(port: int) -> None:
+            await send_raw(port, *parts)
+            client = http_client.Client("127.0.0.1", port)
+            self.assertEqual(200, (await send(client, "GET", "/")).status)
+            await client.close()
+
+        run_with_server(body)
