--- a/standins/target/replication.py
+++ b/standins/target/replication.py
@@ -18,11 +18,9 @@
 from standins.target import target as targets
 
 # Pause after a failed connection or a refused pull.
-RETRY_S = 0.05
+RETRY_S = 0.02
 # A pull that is not answered in this time ends its connection.
 PULL_TIMEOUT_S = 2.0
-# A replicator without a primary looks for one after this time.
-IDLE_S = 1.0
 MS_PER_SECOND = 1000.0
 
 _logger = structlog.get_logger()
@@ -93,20 +91,29 @@
         self._target = target
         self._due: deque[_Due] = deque()
         self._is_due = anyio.Event()
+        self._pulling = anyio.CancelScope()
 
     async def run(self) -> None:
         """Replicate until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._apply_when_due)
+            tasks.start_soon(self._end_pull_of_old_term)
             while True:
-                await self._replicate()
+                with anyio.CancelScope() as self._pulling:
+                    await self._replicate()
+
+    async def _end_pull_of_old_term(self) -> None:
+        """Leave a primary that may never answer once there is another."""
+        while True:
+            await self._target.term_changed.wait()
+            self._pulling.cancel()
 
     async def _replicate(self) -> None:
         """Pull from the present primary until that fails or changes."""
         target = self._target
         address = target.primary_address
         if address is None or not self._is_replica():
-            await target.changed.wait(IDLE_S)
+            await target.term_changed.wait()
             return
         try:
             await target.faults.wait_reachable(address.host)
--- a/standins/target/signals.py
+++ b/standins/target/signals.py
@@ -1,5 +1,7 @@
 """Wake-up of all tasks that wait for a change."""
 
+import math
+
 import anyio
 
 
@@ -15,7 +17,7 @@
         event, self._event = self._event, anyio.Event()
         event.set()
 
-    async def wait(self, timeout_s: float) -> None:
+    async def wait(self, timeout_s: float = math.inf) -> None:
         """Wait for the next change, at most for a time in seconds."""
         event = self._event
         with anyio.move_on_after(timeout_s):
--- a/standins/target/target.py
+++ b/standins/target/target.py
@@ -21,6 +21,12 @@
     port: int
 
 
+class _Place(NamedTuple):
+    term: int
+    role: instances.Role
+    primary_address: Address | None
+
+
 class Settings(NamedTuple):
     """Hold the settings of one instance.
 
@@ -79,6 +85,7 @@
         slots: limits the statements that run at once.
         changed: notified when a replica's pull may have a new answer.
         confirmed: notified when a barrier may have ended.
+        term_changed: notified when the term, the role or the primary changed.
         primary_address: where the primary that is followed listens.
         barrier_nonce: nonce of the newest barrier.
         connections: ordinary connections open.
@@ -97,6 +104,7 @@
         self.slots = anyio.Semaphore(settings.slots)
         self.changed = signals.Signal()
         self.confirmed = signals.Signal()
+        self.term_changed = signals.Signal()
         self.primary_address: Address | None = None
         self.barrier_nonce = 0
         self.connections = 0
@@ -106,28 +114,29 @@
         self, term: int, operation: str
     ) -> instances.ControlAnswer:
         """Install a term; an open write transaction is rolled back."""
-        before = self.instance.term
+        before = self._get_place()
         answer = self.instance.install_term(term, operation)
-        self._end_term(before)
+        self._note_change(before)
         return answer
 
     def promote(self, term: int, operation: str) -> instances.ControlAnswer:
         """Become a term's primary with all received entries applied."""
+        before = self._get_place()
         answer = self.instance.promote(term, operation)
         if self.instance.is_primary:
             self.apply(self.instance.received)
-            self._notify()
+        self._note_change(before)
         return answer
 
     def follow(
         self, term: int, primary: str, address: Address
     ) -> instances.ControlAnswer:
         """Replicate from a term's primary."""
-        before = self.instance.term
+        before = self._get_place()
         answer = self.instance.follow(term, primary)
         if answer.is_accepted:
             self.primary_address = address
-        self._end_term(before)
+        self._note_change(before)
         return answer
 
     def apply(self, offset: int) -> None:
@@ -171,12 +180,16 @@
             address = settings.peers[settings.primary]
             self.follow(settings.term, settings.primary, address)
 
-    def _end_term(self, before: int) -> None:
-        if self.instance.term != before:
+    def _get_place(self) -> _Place:
+        instance = self.instance
+        return _Place(instance.term, instance.role, self.primary_address)
+
+    def _note_change(self, before: _Place) -> None:
+        now = self._get_place()
+        if now.term != before.term:
             self.barrier_nonce = 0
             self.access.abort()
-        self._notify()
-
-    def _notify(self) -> None:
-        self.changed.notify()
-        self.confirmed.notify()
+        if now != before:
+            self.changed.notify()
+            self.confirmed.notify()
+            self.term_changed.notify()
--- a/tests/standins/test_instance.py
+++ b/tests/standins/test_instance.py
@@ -43,6 +43,7 @@
         self.group = make_group()
         self.now = 0.0
         self.newest_term = 0
+        self.steps_in_term = 9
         self.primaries: dict[int, str] = {}
         self.requests: list[tuple[str, logs.PullRequest, float]] = []
         self.answers: list[tuple[str, logs.PullAnswer, float]] = []
@@ -53,17 +54,23 @@
 
     def tick(self) -> None:
         self.now += 0.001
+        self.steps_in_term += 1
 
-    @stateful.rule(order=ANY_ORDER, is_everywhere=strategies.booleans())
-    def elect(self, order: list[str], is_everywhere: bool) -> None:
+    @stateful.precondition(lambda self: self.steps_in_term > 3)
+    @stateful.rule(order=ANY_ORDER, count=strategies.sampled_from((2, 2, 3, 1)))
+    def elect(self, order: list[str], count: int) -> None:
+        """Install a term on some members; below a majority that is all."""
         self.tick()
+        self.steps_in_term = 0
         self.newest_term += 1
         term = self.newest_term
-        reached = order if is_everywhere else order[:2]
+        reached = order[:count]
         answers = {
             name: self.group[name].install_term(term, f"op{term}")
             for name in reached
         }
+        if count == 1:
+            return
         chosen = max(
             reached,
             key=lambda name: (answers[name].last_term, answers[name].received),
@@ -75,12 +82,6 @@
             assert confirmed_term < term
             assert log[: len(entries)] == entries
 
-    @stateful.rule(name=ANY_MEMBER)
-    def install_without_promotion(self, name: str) -> None:
-        self.tick()
-        self.newest_term += 1
-        self.group[name].install_term(self.newest_term, "abandoned")
-
     @stateful.precondition(lambda self: self.primaries)
     @stateful.rule(name=ANY_MEMBER, index=ANY_INDEX)
     def follow(self, name: str, index: int) -> None:
@@ -148,6 +149,30 @@
             barrier = self.group[name].start_barrier(self.now)
             self.barriers.append((name, barrier, self.now))
 
+    @stateful.precondition(lambda self: self.primaries)
+    @stateful.rule(name=ANY_MEMBER, is_applied=strategies.booleans())
+    def work(self, name: str, is_applied: bool) -> None:
+        """Write at the newest primary and have one replica confirm it."""
+        term = max(self.primaries)
+        primary = self.primaries[term]
+        self.append(primary)
+        self.start_barrier(primary)
+        if name != primary:
+            self.group[name].follow(term, primary)
+            self.exchange(name)
+            self.exchange(name)
+            self.check_barriers()
+        if is_applied:
+            self.apply(name, 100)
+
+    @stateful.rule(name=ANY_MEMBER)
+    def read_with_barrier(self, name: str) -> None:
+        """Begin a barrier and repeat whatever message is under way."""
+        self.start_barrier(name)
+        for primary, request, _ in self.requests:
+            self.group[primary].pull(request, self.now)
+        self.check_barriers()
+
     @stateful.invariant()
     def check_barriers(self) -> None:
         for item in list(self.barriers):
@@ -199,7 +224,7 @@
             settings=hypothesis.settings(
                 derandomize=True,
                 deadline=None,
-                max_examples=300,
+                max_examples=400,
                 stateful_step_count=60,
             ),
         )
@@ -285,6 +310,46 @@
         report = self.primary.report(1.0)
         self.assertEqual((2, 1), (report.term, report.offset))
 
+    def test_entry_of_the_new_term_covers_earlier_ones(self) -> None:
+        a, b, c = (self.group[name] for name in MEMBERS)
+        write(a, "replicated by a later term only")
+        for member in (b, c):
+            member.install_term(2, "two")
+        b.promote(2, "two")
+        for member in (a, c):
+            member.install_term(3, "three")
+        a.promote(3, "three")
+        c.follow(3, "a")
+        replicate(c, a, 0.0)
+        barrier = a.start_barrier(0.1)
+        replicate(c, a, 0.2)
+        replicate(c, a, 0.3)
+        self.assertIs(
+            instances.BarrierState.CONFIRMED, a.check_barrier(barrier)
+        )
+        last = {
+            member.id: (answer.last_term, answer.received)
+            for member in (b, c)
+            for answer in [member.install_term(4, "four")]
+        }
+        self.assertLess(last["b"], last["c"])
+
+    def test_late_answer_of_an_earlier_term_is_ignored(self) -> None:
+        late = self.primary.pull(self.replica.make_pull(), 0.0)
+        for member in (self.primary, self.replica):
+            member.install_term(2, "two")
+        self.primary.promote(2, "two")
+        self.replica.follow(2, "a")
+        self.replica.receive(late, 0.0)
+        self.assertEqual((0, 0), (self.replica.nonce, self.replica.received))
+
+    def test_late_answer_of_the_same_term_drops_nothing(self) -> None:
+        early = self.primary.pull(self.replica.make_pull(), 0.0)
+        write(self.primary, "x")
+        replicate(self.replica, self.primary, 0.1)
+        self.assertFalse(self.replica.receive(early, 0.0))
+        self.assertEqual(self.primary.log, self.replica.log)
+
     def test_age_starts_with_the_round_that_a_majority_confirmed(self) -> None:
         self.assertEqual(
             instances.UNKNOWN_AGE_MS, self.primary.report(1.0).age_ms
