--- a/knapweedtally/core/failover/completion.py
+++ b/knapweedtally/core/failover/completion.py
@@ -25,16 +25,18 @@
     """Set the timer of this host's turn to complete a term.
 
     A term that was open when this host first heard of the group needs no
-    completion: its primary serves already, or its observers will tell.
+    completion, and an open one is completed by the observers of its primary,
+    who know whether it serves.
     """
+    failover = state.failover
     is_open = record.phase is model.Phase.OPEN
-    if is_open and group not in state.failover.settled_at:
+    if group in failover.promotions:
         return []
-    if group in state.failover.promotions:
+    if is_open and group not in failover.settled_at:
         return []
-    rank = observers.get_rank(state, group, record.term)
-    if is_open and (rank is None or rank >= limits.OPEN_COMPLETION_RANKS):
+    if is_open and record.primary not in failover.watches:
         return []
+    rank = observers.get_rank(state, group, record.term)
     turn = limits.OBSERVERS if rank is None else rank
     delay_s = limits.COMPLETION_DELAY_S + limits.RANK_DELAY_S * (
         turn + moment.draw
--- a/knapweedtally/core/failover/decisions.py
+++ b/knapweedtally/core/failover/decisions.py
@@ -127,6 +127,7 @@
 ) -> Effects:
     """Take in that a target gave no status."""
     result = detection.note_failure(state, moment, event)
+    result += prevote.note_silence(state, moment, event)
     return result + weigh_target(state, moment, event.target)
 
 
--- a/knapweedtally/core/failover/prevote.py
+++ b/knapweedtally/core/failover/prevote.py
@@ -10,6 +10,7 @@
 from knapweedtally.core import events
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import evidence
 from knapweedtally.core.failover import promotion as promotions
 from knapweedtally.core.failover import rules
 from knapweedtally.core.failover import state as failover_state
@@ -33,27 +34,62 @@
     if promotion is None or promotion.step not in STATUS_HANDLERS:
         return []
     promotion.statuses[target] = event
+    promotion.silent.discard(target)
     return STATUS_HANDLERS[promotion.step](state, moment, promotion)
 
 
+def note_silence(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ProbeFailed,
+) -> Effects:
+    """Wait no longer for an instance that gave no status."""
+    group = state.failover.assignment.groups.get(event.target, "")
+    promotion = state.failover.promotions.get(group)
+    if promotion is None or promotion.step is not Step.PREVOTING:
+        return []
+    promotion.silent.add(event.target)
+    return count_votes(state, moment, promotion)
+
+
 def count_votes(
     state: state_module.ProxyState,
     moment: model.Moment,
     promotion: Promotion,
 ) -> Effects:
-    """Go on once a majority of the instances has answered."""
+    """Go on once a majority of the instances has answered.
+
+    The first attempt waits for all: the failed primary may answer again.
+    """
     group = state.directory.get_group(promotion.group)
     if group is None:
         return []
-    needed = rules.count_majority(len(group.targets))
-    if len(promotion.statuses) < needed:
+    size = len(group.targets)
+    if len(promotion.statuses) < rules.count_majority(size):
+        return []
+    heard = promotion.statuses.keys() | promotion.silent
+    if len(heard) < size and not promotion.attempt:
         return []
+    if is_recovered(state, moment, promotion):
+        reason = f"{promotion.replaced} answers again"
+        return promotions.end(state, moment, promotion, "withdraw", reason)
     next_step = NEXT_STEPS[promotion.aim](group, promotion)
     if next_step is None:
         return []
     return promotions.enter(state, moment, promotion, next_step)
 
 
+def is_recovered(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> bool:
+    """Tell whether the evidence against a failed primary no longer stands."""
+    if promotion.aim is not Aim.REPLACE_FAILED:
+        return False
+    return evidence.find_agreed_failure(state, moment, promotion.group) is None
+
+
 def replace_failed(group: model.Group, promotion: Promotion) -> Step | None:
     """Return the next step of a promotion that replaces a failed primary."""
     return Step.RESERVING
@@ -72,9 +108,6 @@
         promotion.adopted = primaries[0]
         promotion.term = term
         return Step.RESERVING
-    if term and len(reports) < len(group.targets) and not promotion.attempt:
-        # The instance that has not answered yet may be the primary.
-        return None
     promotion.term = term + 1
     return Step.RESERVING
 
--- a/knapweedtally/core/failover/promotion.py
+++ b/knapweedtally/core/failover/promotion.py
@@ -191,6 +191,7 @@
     if reason:
         return give_up(state, moment, promotion, reason)
     if promotion.step is Step.FENCING and is_fenced(state, promotion):
+        # Further answers would be welcome but are not worth a longer wait.
         return enter(state, moment, promotion, Step.CHOOSING)
     return run_step(state, moment, promotion)
 
--- a/knapweedtally/core/failover/state.py
+++ b/knapweedtally/core/failover/state.py
@@ -93,6 +93,7 @@
         is_uncertain: whether an update of the platform may have run.
         is_platform_up: whether the platform answered since the start.
         statuses: answers of the instances before the term is reserved.
+        silent: instances that gave no status before the term is reserved.
         fenced: last log entry of each instance that installed the term.
         final: last log entry of the old primary under hold.
     """
@@ -112,6 +113,7 @@
     statuses: dict[str, events.ProbeAnswered] = dataclasses.field(
         default_factory=dict
     )
+    silent: set[str] = dataclasses.field(default_factory=set)
     fenced: dict[str, model.Position] = dataclasses.field(default_factory=dict)
     final: model.Position | None = None
 
--- a/knapweedtally/core/failover/steps.py
+++ b/knapweedtally/core/failover/steps.py
@@ -193,7 +193,7 @@
 
 # Time after which a step is run again, in seconds.
 RETRY_DELAYS_S: dict[Step, float] = {
-    Step.PREVOTING: limits.CONTROL_TIMEOUT_S,
+    Step.PREVOTING: limits.PREVOTE_GRACE_S,
     Step.HOLDING: limits.CONTROL_TIMEOUT_S,
     Step.CATCHING_UP: limits.CATCH_UP_PROBE_S,
     Step.RESERVING: limits.PLATFORM_RETRY_S,
--- a/knapweedtally/core/failover/switching.py
+++ b/knapweedtally/core/failover/switching.py
@@ -118,6 +118,8 @@
     record: model.GroupRecord,
 ) -> Effects:
     """End a planned change that is no longer wanted."""
+    if state.failover.promotions.get(promotion.group) is not promotion:
+        return []
     if promotion.aim is not Aim.PLANNED_CHANGE:
         return []
     if promotion.step not in promotions.REVERSIBLE_STEPS:
