--- a/knapweedtally/core/failover/decisions.py
+++ b/knapweedtally/core/failover/decisions.py
@@ -15,8 +15,8 @@
 from knapweedtally.core.failover import learning
 from knapweedtally.core.failover import observers
 from knapweedtally.core.failover import prevote
-from knapweedtally.core.failover import promotion
 from knapweedtally.core.failover import reconciliation
+from knapweedtally.core.failover import retries
 from knapweedtally.core.failover import switching
 
 Effects = list[effects.Effect]
@@ -166,7 +166,7 @@
     failover_events.CompletionDue: completion.complete,
     failover_events.CreationDue: completion.look_for_record,
     failover_events.SwitchDue: switching.begin,
-    failover_events.StepDue: promotion.retry,
+    failover_events.StepDue: retries.retry,
 }
 
 RegisterHandler = Callable[
--- a/knapweedtally/core/failover/detection.py
+++ b/knapweedtally/core/failover/detection.py
@@ -44,9 +44,16 @@
     state: state_module.ProxyState, moment: model.Moment, target: str
 ) -> Effects:
     """Probe a target unless a probe is on its way already."""
-    failover = state.failover
-    if moment.at < failover.in_flight.get(target, moment.at):
+    if moment.at < state.failover.in_flight.get(target, moment.at):
         return []
+    return send_fresh_probe(state, moment, target)
+
+
+def send_fresh_probe(
+    state: state_module.ProxyState, moment: model.Moment, target: str
+) -> Effects:
+    """Probe a target now, though a lost probe may still be on its way."""
+    failover = state.failover
     lost_at = moment.at + limits.PROBE_TIMEOUT_S + limits.LOST_PROBE_S
     failover.in_flight[target] = lost_at
     if target in failover.watches:
--- a/knapweedtally/core/failover/learning.py
+++ b/knapweedtally/core/failover/learning.py
@@ -146,7 +146,7 @@
         return []
     running.is_platform_up = True
     if running.step is failover_state.Step.PREVOTING:
-        return prevote.count_votes(state, moment, running)
+        return prevote.count_early_votes(state, moment, running)
     if not (running.is_uncertain or is_conflict_of(running, event)):
         return []
     return answers.resume(state, moment, running)
--- a/knapweedtally/core/failover/prevote.py
+++ b/knapweedtally/core/failover/prevote.py
@@ -49,26 +49,36 @@
     if promotion is None or promotion.step is not Step.PREVOTING:
         return []
     promotion.silent.add(event.target)
-    return count_votes(state, moment, promotion)
+    return count_early_votes(state, moment, promotion)
 
 
-def count_votes(
+def count_early_votes(
     state: state_module.ProxyState,
     moment: model.Moment,
     promotion: Promotion,
 ) -> Effects:
-    """Go on once a majority of the instances has answered.
+    """Go on before the attempt's end once no answer is missing.
 
-    The first attempt waits for all: the failed primary may answer again.
+    The failed primary may answer again, so its answer is waited for too.
     """
     group = state.directory.get_group(promotion.group)
-    if group is None:
+    heard = promotion.statuses.keys() | promotion.silent
+    if group is None or len(heard) < len(group.targets):
         return []
-    size = len(group.targets)
-    if len(promotion.statuses) < rules.count_majority(size):
+    return count_votes(state, moment, promotion)
+
+
+def count_votes(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Go on with the status that a majority of the instances gave."""
+    group = state.directory.get_group(promotion.group)
+    if group is None:
         return []
-    heard = promotion.statuses.keys() | promotion.silent
-    if len(heard) < size and not promotion.attempt:
+    needed = rules.count_majority(len(group.targets))
+    if len(promotion.statuses) < needed:
         return []
     if is_recovered(state, moment, promotion):
         reason = f"{promotion.replaced} answers again"
@@ -133,6 +143,6 @@
     Step,
     Callable[[state_module.ProxyState, model.Moment, Promotion], Effects],
 ] = {
-    Step.PREVOTING: count_votes,
+    Step.PREVOTING: count_early_votes,
     Step.CATCHING_UP: check_catch_up,
 }
--- a/knapweedtally/core/failover/promotion.py
+++ b/knapweedtally/core/failover/promotion.py
@@ -177,36 +177,6 @@
     return effects.SetTimer(key, delay_s)
 
 
-def retry(
-    state: state_module.ProxyState,
-    moment: model.Moment,
-    key: failover_events.StepDue,
-) -> Effects:
-    """Run a step again, or give the promotion up at the step's limit."""
-    promotion = state.failover.promotions.get(key.group)
-    if promotion is None or not is_current_attempt(promotion, key):
-        return []
-    promotion.attempt += 1
-    reason = find_exhausted_limit(moment, promotion)
-    if reason:
-        return give_up(state, moment, promotion, reason)
-    if promotion.step is Step.FENCING and is_fenced(state, promotion):
-        # Further answers would be welcome but are not worth a longer wait.
-        return enter(state, moment, promotion, Step.CHOOSING)
-    return run_step(state, moment, promotion)
-
-
-def is_current_attempt(
-    promotion: Promotion, key: failover_events.StepDue
-) -> bool:
-    """Tell whether a timer belongs to the attempt that runs now."""
-    return (
-        promotion.operation,
-        promotion.step.value,
-        promotion.attempt,
-    ) == (key.operation, key.step, key.attempt)
-
-
 def find_exhausted_limit(moment: model.Moment, promotion: Promotion) -> str:
     """Return which limit of a promotion is used up, or an empty string."""
     is_switch = promotion.aim is Aim.PLANNED_CHANGE
--- /dev/null
+++ b/knapweedtally/core/failover/retries.py
@@ -0,0 +1,79 @@
+"""Run a step of a promotion again when its time is over."""
+
+from collections.abc import Callable
+
+from knapweedtally.core import effects
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.failover import events as failover_events
+from knapweedtally.core.failover import prevote
+from knapweedtally.core.failover import promotion as promotions
+from knapweedtally.core.failover import state as failover_state
+
+Effects = list[effects.Effect]
+Promotion = failover_state.Promotion
+Step = failover_state.Step
+
+
+def retry(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    key: failover_events.StepDue,
+) -> Effects:
+    """Make do with the answers that came, or run the step again."""
+    promotion = state.failover.promotions.get(key.group)
+    if promotion is None or not is_current_attempt(promotion, key):
+        return []
+    settle = SETTLERS.get(promotion.step)
+    result = settle(state, moment, promotion) if settle else []
+    if result:
+        return result
+    promotion.attempt += 1
+    reason = promotions.find_exhausted_limit(moment, promotion)
+    if reason:
+        return promotions.give_up(state, moment, promotion, reason)
+    return promotions.run_step(state, moment, promotion)
+
+
+def is_current_attempt(
+    promotion: Promotion, key: failover_events.StepDue
+) -> bool:
+    """Tell whether a timer belongs to the attempt that runs now."""
+    return (
+        promotion.operation,
+        promotion.step.value,
+        promotion.attempt,
+    ) == (key.operation, key.step, key.attempt)
+
+
+def settle_votes(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Go on with a majority's status, or drop what is out of date."""
+    result = prevote.count_votes(state, moment, promotion)
+    if not result:
+        promotion.statuses.clear()
+        promotion.silent.clear()
+    return result
+
+
+def settle_fence(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Go on with a majority that includes the replaced primary."""
+    if not promotions.is_fenced(state, promotion):
+        return []
+    return promotions.enter(state, moment, promotion, Step.CHOOSING)
+
+
+SETTLERS: dict[
+    Step,
+    Callable[[state_module.ProxyState, model.Moment, Promotion], Effects],
+] = {
+    Step.PREVOTING: settle_votes,
+    Step.FENCING: settle_fence,
+}
--- a/knapweedtally/core/failover/steps.py
+++ b/knapweedtally/core/failover/steps.py
@@ -56,7 +56,11 @@
     if promotion.aim is failover_state.Aim.PLANNED_CHANGE:
         result += read_object(promotion)
     for target in list_targets(state, promotion.group):
-        result += detection.send_probe(state, moment, target.id)
+        # A failed primary that is back must not wait for a lost probe.
+        send = detection.send_probe
+        if target.id == promotion.replaced:
+            send = detection.send_fresh_probe
+        result += send(state, moment, target.id)
     return result
 
 
--- a/tests/failover/harness.py
+++ b/tests/failover/harness.py
@@ -20,6 +20,8 @@
 
 GROUP = "records"
 PLATFORM = "platform"
+# Updates without a condition; only mutants ask for it.
+ANY_VERSION = -1
 PLATFORM_TIMEOUT_S = 0.3
 GOSSIP_S = 0.25
 PULL_S = 0.03
@@ -33,8 +35,9 @@
     Attributes:
         loss: share of messages lost.
         slowness: largest delay of a message, in seconds.
+        pull_s: replication lag by replica, in seconds.
         dead: nodes that refuse connections.
-        frozen: nodes that answer nothing.
+        frozen: nodes that stand still until they are thawed.
         cuts: pairs of nodes that can't reach each other.
         is_platform_down: whether the platform answers with errors.
         lost_answers: platform updates whose answer will be lost.
@@ -65,6 +68,7 @@
         self.effects: list[tuple[str, effects.Effect]] = []
         self.effect_hook: Callable[[str, effects.Effect], None] | None = None
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._backlog: list[tuple[str, Callable[[], None]]] = []
         self._count = itertools.count()
         self.targets = {
             f"t{number}": model.Target(
@@ -141,11 +145,26 @@
             return
 
         def deliver() -> None:
-            if self.is_up(end) and frozenset((start, end)) not in self.cuts:
-                function()
+            if end in self.dead or frozenset((start, end)) in self.cuts:
+                return
+            self.run_at(end, function)
 
         self.call(0.0005 + self.random.random() * self.slowness, deliver)
 
+    def run_at(self, node: str, function: Callable[[], None]) -> None:
+        """Run a function at a node, or when the node is thawed."""
+        if node in self.frozen:
+            self._backlog.append((node, function))
+        elif node not in self.dead:
+            function()
+
+    def thaw(self) -> None:
+        """Let frozen nodes go on with all that waits for them."""
+        self.frozen.clear()
+        backlog, self._backlog = self._backlog, []
+        for node, function in backlog:
+            self.run_at(node, function)
+
     def request(
         self,
         host: str,
@@ -178,6 +197,8 @@
 
     def submit(self, host: str, event: Any) -> None:
         """Give an event to a proxy and run its effects."""
+        if host in self.frozen:
+            self._backlog.append((host, lambda: self.submit(host, event)))
         if not self.is_up(host):
             return
         moment = model.Moment(self.now, self.random.random())
@@ -245,7 +266,7 @@
 
     def is_expected(self, version: int) -> bool:
         """Tell whether an update's condition holds."""
-        return self.object[0] == version
+        return version in (ANY_VERSION, self.object[0])
 
     def put(self, version: int, value: dict[str, Any]) -> bool:
         """Update the object if its version is the expected one."""
@@ -391,10 +412,13 @@
 
         def serve() -> None:
             answer = primary.pull(request, self.now)
-            self.send(primary.id, name, lambda: take(answer))
+            delay_s = self.pull_s.get(name, 0.0)
+            self.call(
+                delay_s,
+                lambda: self.send(primary.id, name, lambda: take(answer)),
+            )
 
-        delay_s = self.pull_s.get(name, 0.0)
-        self.call(delay_s, lambda: self.send(name, primary.id, serve))
+        self.send(name, primary.id, serve)
 
     def _write(self) -> None:
         for name, target in self.instances.items():
@@ -465,7 +489,7 @@
         """End every fault but the death of nodes."""
         self.loss = 0.0
         self.slowness = 0.003
-        self.frozen.clear()
+        self.thaw()
         self.cuts.clear()
         self.pull_s.clear()
         self.is_platform_down = False
--- a/tests/failover/test_scenarios.py
+++ b/tests/failover/test_scenarios.py
@@ -50,7 +50,7 @@
         old = world.primary
         world.frozen.add(old)
         self.check_replaced(world, old)
-        world.frozen.clear()
+        world.thaw()
         self.assertTrue(world.run_until(world.is_whole, LIMIT_S))
         self.assertFalse(world.instances[old].is_primary)
 
