--- a/knapweedtally/core/failover/steps.py
+++ b/knapweedtally/core/failover/steps.py
@@ -56,7 +56,11 @@
     if promotion.aim is failover_state.Aim.PLANNED_CHANGE:
         result += read_object(promotion)
     for target in list_targets(state, promotion.group):
-        result += detection.send_probe(state, moment, target.id)
+        # A failed primary that is back must not wait for a lost probe.
+        send = detection.send_probe
+        if target.id == promotion.replaced:
+            send = detection.send_fresh_probe
+        result += send(state, moment, target.id)
     return result
 
 
@@ -193,7 +197,7 @@
 
 # Time after which a step is run again, in seconds.
 RETRY_DELAYS_S: dict[Step, float] = {
-    Step.PREVOTING: limits.CONTROL_TIMEOUT_S,
+    Step.PREVOTING: limits.PREVOTE_GRACE_S,
     Step.HOLDING: limits.CONTROL_TIMEOUT_S,
     Step.CATCHING_UP: limits.CATCH_UP_PROBE_S,
     Step.RESERVING: limits.PLATFORM_RETRY_S,
