--- a/knapweedtally/core/reducer.py
+++ b/knapweedtally/core/reducer.py
@@ -14,6 +14,7 @@
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import decisions as admission
+from knapweedtally.core.bundles import decisions as bundles
 from knapweedtally.core.failover import decisions as failover
 from knapweedtally.core.writes import decisions as writes
 
@@ -24,6 +25,7 @@
 # One handler table per part; each part's decisions.py exports HANDLERS.
 PART_TABLES: tuple[HandlerTable, ...] = (
     failover.HANDLERS,
+    bundles.HANDLERS,
     admission.HANDLERS,
     writes.HANDLERS,
 )
