Prove eleven rules by switching each one off in the driver

Cause: a driver that finds nothing proves little. Each test tries seeds with the rule off until the named check fails, then runs the same seeds with it on. Before: no mutant.

--- a/tests/driver/__main__.py
+++ b/tests/driver/__main__.py
@@ -28,11 +28,7 @@
     result = run.run_seed(seed)
     if not result.violations:
         return []
-    shortest = run.shorten(result)
-    lines = [f"seed {seed}: {len(result.violations)} violations"]
-    lines += [f"  {fault}" for fault in shortest.faults]
-    lines += [f"  {violation}" for violation in shortest.violations[:5]]
-    lines += [f"    {line}" for line in run.format_trace(shortest)]
+    lines = run.describe(run.shorten(result))
     print("\n".join(lines), flush=True)
     return lines
 
--- a/tests/driver/caller.py
+++ b/tests/driver/caller.py
@@ -19,6 +19,8 @@
 RETRY_S = 0.3
 RETRY_LIMIT = 6
 ROAM_SHARE = 0.3
+# Shares of reads, writes, writes with a key, and transactions.
+MIXES = ((5, 2, 2, 2), (30, 1, 1, 1))
 AGES_MS: tuple[int | None, ...] = (None, 0, 1000, 5000)
 
 Kind = admission_state.RequestKind
@@ -66,6 +68,7 @@
         """
         self.process = process
         self.is_active = True
+        self._weights = process.schedule.random.choice(MIXES)
         self.events = events
         self._random = process.schedule.random
         self._network = network
@@ -163,7 +166,7 @@
             self._leave()
         action = self._random.choices(
             (self._read, self._write, self._write_keyed, self._transact),
-            (5, 2, 2, 2),
+            self._weights,
         )[0]
         action(self._random.choice(self._groups))
 
--- a/tests/driver/run.py
+++ b/tests/driver/run.py
@@ -73,6 +73,15 @@
     return shortest
 
 
+def describe(result: Result) -> list[str]:
+    """Return the lines that tell what is wrong with a seed."""
+    lines = [f"seed {result.seed}: {len(result.violations)} violations"]
+    lines += [f"  {fault}" for fault in result.faults]
+    lines += [f"  {violation}" for violation in result.violations[:5]]
+    lines += [f"    {line}" for line in format_trace(result)]
+    return lines
+
+
 def format_trace(result: Result) -> list[str]:
     """Return the lines about the request at fault, faults and terms."""
     words = ["fault", "mended", "TermOpened", "failover", "ControlTarget"]
--- a/tests/driver/target.py
+++ b/tests/driver/target.py
@@ -47,6 +47,8 @@
 
     Attributes:
         is_open: whether the target holds it.
+        is_running: whether a statement has arrived and not yet run.
+        is_closing: whether the client closed it meanwhile.
         transaction: statements of the open transaction, or None.
         on_reset: tells the client that the target's process ended.
     """
@@ -54,6 +56,8 @@
     def __init__(self) -> None:
         """Open a connection without a transaction."""
         self.is_open = True
+        self.is_running = False
+        self.is_closing = False
         self.transaction: list[logs.Statement] | None = None
         self.on_reset: schedule_module.Action = _ignore
 
@@ -128,7 +132,14 @@
         return connection
 
     def close(self, connection: Connection) -> None:
-        """Close a connection; its open transaction is rolled back."""
+        """Close a connection; its open transaction is rolled back.
+
+        A statement that has arrived still runs: the end of the connection is
+        seen after it.
+        """
+        connection.is_closing = connection.is_running
+        if connection.is_closing:
+            return
         connection.is_open = False
         connection.transaction = None
         self._connections.discard(connection)
@@ -144,14 +155,16 @@
         """Run a command on a connection and answer, unless it is closed."""
 
         def serve() -> None:
-            if not connection.is_open:
-                return
             result = self._execute(connection, command)
+            connection.is_running = False
+            if connection.is_closing:
+                self.close(connection)
             if result.sqlstate or not command.needs_barrier:
                 answer(result)
                 return
             self._confirm(result, answer)
 
+        connection.is_running = True
         delay_s = SERVICE_S * (0.5 + self._schedule.random.random())
         self.process.call_later(delay_s, serve)
 
@@ -180,6 +193,8 @@
     def _write(
         self, connection: Connection, command: Command, result: Result
     ) -> Result:
+        if connection.transaction is not None:
+            return self._add(connection, command, result)
         self.instance.check_writable(self._schedule.now)
         if command.key and command.key in self.table.keys:
             is_same = self.table.keys[command.key] == command.values
@@ -198,7 +213,7 @@
     ) -> Result:
         if connection.transaction is None:
             return self._write(connection, command, result)
-        if not connection.transaction:
+        if len(connection.transaction) == 0:
             # A transaction that has written may end during a hold.
             self.instance.check_writable(self._schedule.now)
         connection.transaction += table_module.make_statements(command)
--- /dev/null
+++ b/tests/driver/test_driver.py
@@ -0,0 +1,84 @@
+"""The fixed seeds of the driver, and the driver's own parts."""
+
+import testtools
+
+from tests.driver import network as network_module
+from tests.driver import platform as platform_module
+from tests.driver import run
+from tests.driver import schedule as schedule_module
+
+SEEDS = range(60)
+
+
+class SeedsTest(testtools.TestCase):
+    def test_seeds_keep_every_promise(self) -> None:
+        failed = []
+        for seed in SEEDS:
+            result = run.run_seed(seed)
+            if result.violations:
+                failed += run.describe(run.shorten(result))
+        self.assertEqual([], failed, "\n".join(failed))
+
+    def test_same_seed_gives_same_run(self) -> None:
+        first, second = run.run_seed(7), run.run_seed(7)
+        self.assertEqual(first.trace, second.trace)
+        self.assertEqual(first.history, second.history)
+
+
+class FakesTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.schedule = schedule_module.Schedule(1)
+        self.network = network_module.Network(self.schedule)
+        self.seen: list[str] = []
+
+    def make_process(self, name: str) -> schedule_module.Process:
+        return schedule_module.Process(self.schedule, name, f"at {name}")
+
+    def test_frozen_process_goes_on_later(self) -> None:
+        process = self.make_process("one")
+        process.call_later(1.0, lambda: self.seen.append("timer"))
+        process.freeze()
+        self.schedule.run_until(2.0)
+        self.assertEqual([], self.seen)
+        process.thaw()
+        self.schedule.run_until(3.0)
+        self.assertEqual(["timer"], self.seen)
+
+    def test_killed_process_forgets(self) -> None:
+        process = self.make_process("one")
+        process.call_later(1.0, lambda: self.seen.append("timer"))
+        process.kill()
+        process.start()
+        self.schedule.run_until(2.0)
+        self.assertEqual([], self.seen)
+
+    def test_cut_is_one_way_and_sends_again(self) -> None:
+        one, two = self.make_process("one"), self.make_process("two")
+        self.network.cut("at one", "two")
+        self.network.send(one, two, lambda: self.seen.append("there"))
+        self.network.send(two, one, lambda: self.seen.append("back"))
+        self.schedule.run_until(1.0)
+        self.assertEqual(["back"], self.seen)
+        self.network.heal()
+        self.schedule.run_until(2.0)
+        self.assertEqual(["back", "there"], self.seen)
+
+    def test_platform_loses_answer_after_the_change(self) -> None:
+        platform = platform_module.Platform(self.schedule, self.network)
+        platform.lost_answers = 1
+        client = self.make_process("one")
+        wanted = platform_module.StoredObject("group", "g", 0, {"term": 1})
+        failures: list[bool] = []
+        replies: list[platform_module.Reply] = []
+        for _ in range(2):
+            platform.call(
+                client,
+                lambda: platform.put(wanted),
+                replies.append,
+                failures.append,
+            )
+            self.schedule.run_until(self.schedule.now + 2.0)
+        self.assertEqual([True], failures)
+        self.assertEqual([True], [reply.is_conflict for reply in replies])
+        self.assertEqual(1, platform.get("group", "g").version)
--- a/tests/driver/world.py
+++ b/tests/driver/world.py
@@ -14,6 +14,8 @@
 
 DATA_CENTRES = ("north", "south", "archive")
 CALLERS = 8
+# Time for replicas to reach their primary before proxies start.
+HEAD_START_S = 0.5
 GROUPS = ("records", "alarms")
 
 
@@ -42,6 +44,7 @@
         for group in self.groups:
             self._start_targets(group)
         self.bundle = self._make_bundle()
+        self.schedule.run_until(HEAD_START_S)
         self.proxies = {
             f"proxy-{data_centre}": self._start_proxy(data_centre)
             for data_centre in DATA_CENTRES
@@ -187,8 +190,3 @@
         state.admission.host_count = len(DATA_CENTRES)
         for data_centre in DATA_CENTRES:
             state.failover.hosts[f"proxy-{data_centre}"] = data_centre
-        for name in self.groups:
-            primary = f"{name}-{DATA_CENTRES[0]}"
-            state.directory.records[name] = model.GroupRecord(
-                1, 1, model.Phase.OPEN, primary, "first"
-            )
--- /dev/null
+++ b/tests/proofs/mutant.py
@@ -0,0 +1,60 @@
+"""Run the driver with and without a rule."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+from unittest import mock
+
+import testtools
+
+from tests.driver import faults as faults_module
+from tests.driver import run
+
+SEEDS = range(16)
+
+Fault = faults_module.Fault
+PRIMARY = faults_module.PRIMARY
+
+
+class Mutant(NamedTuple):
+    """Describe a rule that is switched off, and what has to fail then.
+
+    Attributes:
+        rule: dotted path of the rule's function.
+        replacement: function in its place.
+        check: check of the history that has to fail.
+        faults: faults of the run, the same for each seed.
+    """
+
+    rule: str
+    replacement: Callable[..., Any]
+    check: str
+    faults: tuple[Fault, ...]
+
+
+def return_true(*arguments: object) -> bool:
+    """Take the place of a rule that then never objects."""
+    return True
+
+
+class MutantTest(testtools.TestCase):
+    """Provide the comparison of runs with a rule on and off."""
+
+    def prove(self, mutant: Mutant) -> None:
+        """Fail unless the rule makes the difference on some seed.
+
+        Seeds are tried until one fails with the rule off; with the rule on
+        all seeds tried have to pass every check.
+        """
+        tried = []
+        for seed in SEEDS:
+            tried.append(seed)
+            with mock.patch(mutant.rule, mutant.replacement):
+                broken = run.run_seed(seed, mutant.faults)
+            if mutant.check in {item.check for item in broken.violations}:
+                break
+        else:
+            self.fail(f"no seed fails without {mutant.rule}")
+        for seed in tried:
+            result = run.run_seed(seed, mutant.faults)
+            self.assertEqual((), result.violations, f"seed {seed}")
--- /dev/null
+++ b/tests/proofs/test_promises.py
@@ -0,0 +1,188 @@
+"""One mutant for each promise that a rule of the core keeps."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import attempts
+from knapweedtally.core.admission import state as admission_state
+from tests.driver import run
+from tests.history import model as history_model
+from tests.proofs import mutant
+
+Fault = mutant.Fault
+PRIMARY = mutant.PRIMARY
+
+FAILOVER = "knapweedtally.core.failover.rules."
+ROUTING = "knapweedtally.core.routing.rules."
+WRITES = "knapweedtally.core.writes.rules."
+ATTEMPTS = "knapweedtally.core.admission.attempts."
+
+REPLICAS_BEHIND = (Fault(1.0, "replicas behind", "", 9.0),)
+PRIMARY_CUT_OFF = (Fault(2.0, "cut target", PRIMARY, 5.0),)
+PRIMARY_KILLED_OFTEN = tuple(
+    Fault(at, "kill target", PRIMARY, 0.4) for at in (1.5, 3.0, 4.5, 6.0, 7.5)
+)
+ONE_BEHIND_PRIMARY_KILLED = (
+    Fault(1.0, "far behind", "records-archive", 10.0),
+    Fault(3.0, "kill target", PRIMARY, 5.0),
+)
+ALL_FROZEN = (
+    Fault(2.0, "freeze target", "records-south", 3.2),
+    Fault(2.0, "freeze target", "records-archive", 6.0),
+    Fault(2.0, "freeze target", "records-north", 6.0),
+)
+FROZEN_IN_TURN = (
+    Fault(2.0, "freeze target", PRIMARY, 1.8),
+    Fault(5.0, "freeze target", PRIMARY, 1.8),
+    Fault(6.0, "freeze target", "records-south", 3.0),
+)
+
+_release_lease = attempts.release_lease
+
+
+def release_for_reuse(
+    state: state_module.ProxyState, lease_id: int, is_reusable: bool
+) -> attempts.Effects:
+    """Return every connection to the pool, an unanswered one too."""
+    return _release_lease(state, lease_id, True)
+
+
+def settle_for_reuse(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    is_open: bool,
+) -> attempts.Effects:
+    """Return a connection to the pool with its transaction open."""
+    return _release_lease(state, request.lease, True)
+
+
+def fence_one(group: model.Group, fenced: Mapping[str, Any]) -> bool:
+    """Take one instance for a majority."""
+    return len(fenced) >= 1
+
+
+def choose_least_advanced(
+    group: model.Group,
+    fenced: Mapping[str, model.Position],
+    preferred: str,
+    replaced: str,
+) -> str:
+    """Choose the instance that lacks most."""
+    return min(fenced, key=lambda target: fenced[target])
+
+
+def agree_alone(observers: object, failed: tuple[str, ...]) -> bool:
+    """Take one observer's word."""
+    return len(failed) >= 1
+
+
+class PromiseTest(mutant.MutantTest):
+    def check(
+        self, rule: str, replacement: Any, check: str, *faults: Fault
+    ) -> None:
+        self.prove(mutant.Mutant(rule, replacement, check, faults))
+
+    def test_replica_that_lacks_own_write(self) -> None:
+        self.check(
+            ROUTING + "reaches_position",
+            mutant.return_true,
+            "read_your_writes",
+            *REPLICAS_BEHIND,
+        )
+
+    def test_data_older_than_stated(self) -> None:
+        self.check(
+            ROUTING + "is_young_enough",
+            mutant.return_true,
+            "stated_age",
+            *REPLICAS_BEHIND,
+        )
+
+    def test_acknowledgement_without_majority(self) -> None:
+        self.check(
+            WRITES + "is_acknowledgeable",
+            mutant.return_true,
+            "no_lost_write",
+            *PRIMARY_CUT_OFF,
+        )
+
+    def test_acknowledgement_by_replaced_primary(self) -> None:
+        self.check(
+            WRITES + "is_acknowledgeable",
+            mutant.return_true,
+            "no_replaced_primary",
+            *PRIMARY_CUT_OFF,
+        )
+
+    def test_primary_without_fenced_majority(self) -> None:
+        self.check(
+            FAILOVER + "is_majority_fenced",
+            fence_one,
+            "no_lost_write",
+            *ONE_BEHIND_PRIMARY_KILLED,
+        )
+
+    def test_primary_that_lacks_acknowledged_writes(self) -> None:
+        self.check(
+            FAILOVER + "choose_primary",
+            choose_least_advanced,
+            "no_lost_write",
+            *ONE_BEHIND_PRIMARY_KILLED,
+        )
+
+    def test_transactions_on_one_connection(self) -> None:
+        self.check(
+            ATTEMPTS + "settle_lease",
+            settle_for_reuse,
+            "no_lost_write",
+        )
+
+    def test_connection_reused_before_its_answer(self) -> None:
+        self.check(
+            ATTEMPTS + "release_lease",
+            release_for_reuse,
+            "own_answer",
+            *FROZEN_IN_TURN,
+        )
+
+    def test_late_answer(self) -> None:
+        self.check(
+            WRITES + "is_current_attempt",
+            mutant.return_true,
+            "own_answer",
+            *ALL_FROZEN,
+        )
+
+    def test_write_sent_again(self) -> None:
+        self.check(
+            WRITES + "may_run_again",
+            mutant.return_true,
+            "at_most_once",
+            *PRIMARY_KILLED_OFTEN,
+        )
+
+    def test_refusal_without_proof(self) -> None:
+        self.check(WRITES + "is_not_run", mutant.return_true, "not_run")
+
+
+class FalsePromotionTest(mutant.MutantTest):
+    def test_one_observer_cut_off(self) -> None:
+        faults = (Fault(2.0, "split", "proxy-south", 5.0),)
+        for seed in range(3):
+            result = run.run_seed(seed, faults)
+            self.assertEqual([], list_terms(result), f"seed {seed}")
+        rule = FAILOVER + "is_failure_agreed"
+        with mutant.mock.patch(rule, agree_alone):
+            results = [run.run_seed(seed, faults) for seed in range(3)]
+        self.assertTrue(any(list_terms(result) for result in results))
+
+
+def list_terms(result: run.Result) -> list[history_model.TermOpened]:
+    return [
+        event
+        for event in result.history.events
+        if isinstance(event, history_model.TermOpened)
+    ]
