--- a/knapweedtally/management/application.py
+++ b/knapweedtally/management/application.py
@@ -29,8 +29,19 @@
 # The commands by name. Modules are imported late, so that the process that
 # serves callers doesn't load what only other commands need.
 COMMANDS: dict[str, Entry] = {
+    "bundle diff": Entry("bundle_diff", "BundleDiffCommand"),
+    "bundle new-key": Entry("bundle_new_key", "BundleNewKeyCommand"),
+    "bundle roll-out": Entry("bundle_roll_out", "BundleRollOutCommand"),
+    "bundle sign": Entry("bundle_sign", "BundleSignCommand"),
+    "bundle status": Entry("bundle_status", "BundleStatusCommand"),
+    "bundle validate": Entry("bundle_validate", "BundleValidateCommand"),
     "check": Entry("check", "CheckCommand"),
+    "drain": Entry("drain", "DrainCommand"),
+    "explain": Entry("explain", "ExplainCommand"),
+    "groups": Entry("groups", "GroupsCommand"),
     "proxy": Entry("proxy", "ProxyCommand"),
+    "switch": Entry("switch", "SwitchCommand"),
+    "targets": Entry("targets", "TargetsCommand"),
     "version": Entry("version", "VersionCommand"),
 }
 
--- a/tests/driver/proxy.py
+++ b/tests/driver/proxy.py
@@ -240,6 +240,9 @@
 
         self._platform.call(self.process, run, receive, fail)
 
+    def _set_watching(self, effect: effects.SetWatching) -> None:
+        self.is_watching = effect.is_watching
+
     # Peers.
 
     def _publish(self, effect: effects.PublishRegister) -> None:
@@ -311,6 +314,7 @@
     effects.ReadObject: Proxy._read_object,
     effects.UpdateObject: Proxy._update_object,
     effects.PublishRegister: Proxy._publish,
+    effects.SetWatching: Proxy._set_watching,
     effects.ProbeTarget: Proxy._probe,
     effects.ControlTarget: Proxy._control,
     effects.RunStatement: Proxy._run_statement,
