--- a/tests/driver/run.py
+++ b/tests/driver/run.py
@@ -47,7 +47,7 @@
     if faults is None:
         draw = random.Random(f"faults {seed}")
         faults = tuple(faults_module.draw_faults(world, draw))
-    faults_module.plan(world, list(faults))
+    faults_module.plan(world, faults)
     world.schedule.call_later(LOAD_END_S, world.stop_callers)
     world.schedule.call_later(HEAL_S, world.heal)
     world.schedule.run_until(END_S)
@@ -73,6 +73,15 @@
     return shortest
 
 
+def describe(result: Result) -> list[str]:
+    """Return the lines that tell what is wrong with a seed."""
+    lines = [f"seed {result.seed}: {len(result.violations)} violations"]
+    lines += [f"  {fault}" for fault in result.faults]
+    lines += [f"  {violation}" for violation in result.violations[:5]]
+    lines += [f"    {line}" for line in format_trace(result)]
+    return lines
+
+
 def format_trace(result: Result) -> list[str]:
     """Return the lines about the request at fault, faults and terms."""
     words = ["fault", "mended", "TermOpened", "failover", "ControlTarget"]
