Run links, bundles and planned stops in the driver

Cause: membership, bundles and draining landed; the driver spread registers by itself and gave proxies their bundle and records. After: links between proxies with ordered messages, watches and slow polls, signed bundles from the platform, planned stops, two operators' bundles at one moment, and checks of bundle versions, of requests cut off by a planned stop and of work on leaving targets.

--- a/tests/admin/test_edge.py
+++ b/tests/admin/test_edge.py
@@ -146,9 +146,7 @@
         path = self.PATH.replace("fog", name)
         answer = await bed.call("POST", path, body)
         value = answer.parse_json()
-        check_answer(
-            "POST", "/v1/groups/{name}/switch", answer.status, value
-        )
+        check_answer("POST", "/v1/groups/{name}/switch", answer.status, value)
         return answer.status, value
 
     def run_on_platform(self, body: Any) -> None:
@@ -162,9 +160,7 @@
             await caller.call("POST", "/faults", {"lose_answers": 1})
             done = {"group": "fog", "target": "fog-2", "version": 2}
             for _ in range(2):
-                self.assertEqual(
-                    (202, done), await self.switch(bed, "fog-2")
-                )
+                self.assertEqual((202, done), await self.switch(bed, "fog-2"))
             current = await bed.platform.get_object("group", "fog")
             wished = {**GROUP_VALUE, "preferred": "fog-2"}
             self.assertEqual((2, wished), (current.version, current.value))
--- a/tests/driver/caller.py
+++ b/tests/driver/caller.py
@@ -1,20 +1,19 @@
 """Callers that roam between proxies with a session's position and keys."""
 
 import itertools
-from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 
 from knapweedtally.core import errors
 from knapweedtally.core import model
 from knapweedtally.core.admission import state as admission_state
+from tests.driver import call as call_module
 from tests.driver import network as network_module
 from tests.driver import proxy as proxy_module
 from tests.driver import schedule as schedule_module
 from tests.driver import table as table_module
 from tests.history import model as history_model
 
-PATIENCE_S = 9.0
 THINK_S = 0.1
 RETRY_S = 0.3
 RETRY_LIMIT = 6
@@ -26,7 +25,7 @@
 Kind = admission_state.RequestKind
 HistoryKind = history_model.Kind
 Delivery = proxy_module.Delivery
-Step = Callable[[Delivery | None], None]
+Step = call_module.Step
 
 COMMANDS = {
     Kind.READ: "read",
@@ -83,9 +82,17 @@
 
     def _connect(self) -> None:
         """Move to a random proxy."""
-        self._proxy = self._random.choice(self._proxies)
-        self._generation = self._proxy.process.generation
+        accepting = [proxy for proxy in self._proxies if proxy.is_accepting]
+        self._proxy = self._random.choice(accepting or self._proxies)
         self._connection = next(self._numbers)
+        self._is_ended = False
+
+    def _move(self, connection: int) -> None:
+        """Move on when the proxy has ended the connection.
+
+        A request that is on its way meanwhile gets its answer first.
+        """
+        self._is_ended = self._connection == connection
 
     def _leave(self) -> None:
         proxy, connection = self._proxy, self._connection
@@ -95,62 +102,20 @@
         self._connect()
 
     def _ask(self, group: str, kind: Kind, step: Step, **fields: Any) -> None:
-        """Send one request and call the step with its answer, or with None.
-
-        None stands for a connection that was lost.
-        """
-        proxy, connection = self._proxy, self._connection
+        """Send one request and call the step with its answer."""
+        connection = self._connection
         max_age_ms = fields.pop("max_age_ms", None)
-        command = table_module.Command(COMMANDS[kind], **fields)
-        is_over = False
-
-        def finish(delivery: Delivery | None) -> None:
-            nonlocal is_over
-            if not is_over:
-                is_over = True
-                step(delivery)
-
-        def deliver(delivery: Delivery) -> None:
-            self._network.send(
-                proxy.process, self.process, lambda: finish(delivery)
-            )
-
-        def arrive() -> None:
-            proxy.request(
-                command,
-                deliver,
-                session=connection,
-                caller=self.process.name,
-                group=group,
-                kind=kind,
-                max_age_ms=max_age_ms,
-                tables=frozenset({"entries"}),
-                position=self._positions.get(group),
-            )
-
-        def lose_patience() -> None:
-            if not is_over and self._is_excused(proxy):
-                finish(None)
-
-        def check() -> None:
-            is_reset = proxy.process.generation != self._generation
-            if is_reset or not proxy.process.is_running:
-                finish(None)
-            elif not is_over:
-                self.process.call_later(0.2, check)
-
-        self._network.send(self.process, proxy.process, arrive)
-        self.process.call_later(PATIENCE_S, lose_patience)
-        check()
-
-    def _is_excused(self, proxy: proxy_module.Proxy) -> bool:
-        """Tell whether the proxy can't answer: a hang is a fault otherwise."""
-        since = self.process.schedule.now - PATIENCE_S
-        return (
-            proxy.process.is_frozen
-            or proxy.process.thawed_at >= since
-            or self._network.was_cut(self.process, proxy.process, since)
-            or self._network.was_cut(proxy.process, self.process, since)
+        call = call_module.Call(self.process, self._network, self._proxy, step)
+        call.send(
+            table_module.Command(COMMANDS[kind], **fields),
+            lambda: self._move(connection),
+            session=connection,
+            caller=self.process.name,
+            group=group,
+            kind=kind,
+            max_age_ms=max_age_ms,
+            tables=frozenset({"entries"}),
+            position=self._positions.get(group),
         )
 
     # The session.
@@ -162,7 +127,9 @@
     def _begin(self) -> None:
         if not self.is_active:
             return
-        if self._random.random() < ROAM_SHARE:
+        if self._is_ended:
+            self._connect()
+        elif self._random.random() < ROAM_SHARE:
             self._leave()
         action = self._random.choices(
             (self._read, self._write, self._write_keyed, self._transact),
--- a/tests/driver/faults.py
+++ b/tests/driver/faults.py
@@ -202,6 +202,16 @@
     world.targets[place].pull_delay_s = 0.0
 
 
+def _drain_proxy(world: World, place: str) -> None:
+    world.proxies[place].drain()
+
+
+def _roll_out(world: World, place: str) -> None:
+    """Let two operators roll out a bundle in which a target leaves."""
+    world.roll_out(place)
+    world.roll_out(world.schedule.random.choice(sorted(world.targets)))
+
+
 def _race_operators(world: World, place: str) -> None:
     """Let two operators ask for a planned change at the same moment."""
     for target in world.schedule.random.sample(sorted(world.targets), 2):
@@ -252,5 +262,11 @@
     "lost answers": FaultKind(_lose_answers, _do_nothing, _choose_nothing),
     "replicas behind": FaultKind(_lag_replicas, _mend_lag, _choose_nothing),
     "operators race": FaultKind(_race_operators, _do_nothing, _choose_nothing),
+    "planned stop": FaultKind(
+        _drain_proxy,
+        lambda world, place: world.proxies[place].restart(),
+        _choose_proxy,
+    ),
+    "bundles race": FaultKind(_roll_out, _do_nothing, _choose_target),
     "lossy network": FaultKind(_lose_messages, _mend_loss, _choose_nothing),
 }
--- a/tests/driver/proxy.py
+++ b/tests/driver/proxy.py
@@ -1,5 +1,6 @@
 """One proxy: the core's reducer with fakes in place of its edges."""
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -11,17 +12,19 @@
 from knapweedtally.core import reducer
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import events as admission_events
+from knapweedtally.core.draining import events as draining_events
+from knapweedtally.core.membership import events as membership_events
 from standins.target import instance as instance_module
 from tests.driver import links as links_module
 from tests.driver import network as network_module
+from tests.driver import objects as objects_module
+from tests.driver import peers as peers_module
 from tests.driver import platform as platform_module
 from tests.driver import schedule as schedule_module
 from tests.driver import table as table_module
 from tests.driver import target as target_module
 
 TICK_S = 0.1
-POLL_S = 0.1
-EXCHANGE_S = 1.0
 
 
 class Delivery(NamedTuple):
@@ -51,10 +54,12 @@
     Attributes:
         command: what it asks of a target.
         deliver: takes the answer to the caller.
+        session: the caller's connection.
     """
 
     command: table_module.Command
     deliver: Deliver
+    session: int
 
 
 class Proxy:
@@ -63,8 +68,9 @@
     Attributes:
         process: the process that a fault can kill, pause or cut off.
         state: state of the reducer; empty after a restart.
-        peers: the other proxies.
-        is_watching: whether it watches the platform's objects.
+        objects: calls to the platform.
+        is_accepting: whether new callers can connect.
+        cut_off: requests in flight when a planned stop ended.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         network: network_module.Network,
         platform: platform_module.Platform,
         targets: dict[str, target_module.Target],
+        peers: dict[str, peers_module.PeerLinks],
         prepare: Callable[[state_module.ProxyState], None],
     ) -> None:
         """Start a proxy.
@@ -82,20 +89,24 @@
             network: carries messages.
             platform: the platform's store.
             targets: every target by id.
+            peers: links of all proxies.
             prepare: fills in what a proxy's settings give.
         """
         self.process = process
-        self.peers: list[Proxy] = []
-        self.is_watching = True
+        self.cut_off = 0
         self._schedule = process.schedule
-        self._network = network
-        self._platform = platform
         self._prepare = prepare
         self._jobs: dict[int, Job] = {}
         self._last_request = 0
         self._links = links_module.TargetLinks(
             process, network, targets, self.submit, self._get_command
         )
+        self._peers = peers_module.PeerLinks(
+            process, network, peers, self.submit
+        )
+        self.objects = objects_module.PlatformObjects(
+            process, platform, self.submit
+        )
         self._start()
 
     # Life of the process.
@@ -103,8 +114,11 @@
     def kill(self) -> None:
         """End the process."""
         self.process.kill()
+        self.is_accepting = False
         self._links.reset()
+        self._peers.reset()
         self._jobs.clear()
+        self._sessions.clear()
 
     def restart(self) -> None:
         """Start with an empty state."""
@@ -112,31 +126,47 @@
             self.process.start()
             self._start()
 
+    def drain(self) -> None:
+        """Ask for a planned stop."""
+        if self.process.is_running:
+            self.submit(draining_events.DrainRequested("an operator"))
+
     def _start(self) -> None:
         identity = state_module.Identity(
             self.process.name, self.process.data_centre, self.process.generation
         )
         self.state = state_module.ProxyState(identity)
-        self._registers: dict[tuple[str, str], model.Register] = {}
-        self._seen: dict[tuple[str, str], int] = {}
+        self.is_accepting = True
+        self._is_closing = False
+        self._sessions: dict[int, schedule_module.Action] = {}
+        self._events: collections.deque[Any] = collections.deque()
+        self._is_deciding = False
         self._links.results.clear()
         self._prepare(self.state)
+        self.objects.start()
         draw = self._schedule.random.random
         self.process.call_later(TICK_S * draw(), self._tick)
-        self.process.call_later(POLL_S * draw(), self._poll)
-        self.process.call_later(EXCHANGE_S * draw(), self._exchange)
 
     def _tick(self) -> None:
         self.process.call_later(TICK_S, self._tick)
         self.submit(events.Ticked())
 
     def submit(self, event: Any) -> None:
-        """Give an event to the reducer and run its effects."""
-        moment = model.Moment(
-            self._schedule.now, self._schedule.random.random()
-        )
-        for effect in reducer.decide(self.state, moment, event):
-            _METHODS[type(effect)](self, effect)
+        """Give an event to the reducer and run its effects.
+
+        An event that comes while effects run waits for its turn.
+        """
+        self._events.append(event)
+        if self._is_deciding:
+            return
+        self._is_deciding = True
+        while self._events:
+            draw = self._schedule.random.random()
+            moment = model.Moment(self._schedule.now, draw)
+            event = self._events.popleft()
+            for effect in reducer.decide(self.state, moment, event):
+                _METHODS[type(effect)](self, effect)
+        self._is_deciding = False
 
     # Callers.
 
@@ -144,12 +174,27 @@
         self,
         command: table_module.Command,
         deliver: Deliver,
+        on_closed: schedule_module.Action,
         **fields: Any,
     ) -> None:
-        """Take a caller's request; ``fields`` are those of the event."""
+        """Take a caller's request; ``fields`` are those of the event.
+
+        Args:
+            command: what the request asks of a target.
+            deliver: takes the answer.
+            on_closed: told when the proxy ends the connection.
+            **fields: fields of ``RequestArrived``.
+        """
+        session = fields["session"]
+        if session not in self._sessions and not self.is_accepting:
+            # The connection was ended while the request was on its way.
+            error = errors.ErrorKind.DRAINING
+            deliver(Delivery(self.process.name, None, error=error))
+            return
+        self._sessions[session] = on_closed
         self._last_request += 1
         request = self._last_request
-        self._jobs[request] = Job(command, deliver)
+        self._jobs[request] = Job(command, deliver, session)
         self.submit(
             admission_events.RequestArrived(
                 request=request, key=command.key, **fields
@@ -158,7 +203,9 @@
 
     def end_session(self, session: int) -> None:
         """Take the end of a caller's connection."""
+        self._sessions.pop(session, None)
         self.submit(admission_events.SessionEnded(session))
+        self._close_idle()
 
     def _get_command(self, request: int) -> table_module.Command:
         return self._jobs[request].command
@@ -171,120 +218,41 @@
         job.deliver(
             Delivery(self.process.name, answer, target, effect.position)
         )
+        self._close_idle()
 
     def _deliver_error(self, effect: effects.DeliverError) -> None:
         job = self._jobs.pop(effect.request)
         job.deliver(Delivery(self.process.name, None, error=effect.kind))
+        self._close_idle()
 
-    # Platform.
-
-    def _read_object(self, effect: effects.ReadObject) -> None:
-        key = (effect.kind, effect.name)
-
-        def run() -> platform_module.Reply:
-            return platform_module.Reply(self._platform.get(*key))
-
-        def receive(reply: platform_module.Reply) -> None:
-            if reply.stored is not None:
-                self.submit(events.ObjectSeen(*reply.stored))
-
-        def fail(may_have_run: bool) -> None:
-            self.submit(events.PlatformFailed(effect.operation, *key, False))
+    def _stop_accepting(self, effect: effects.StopAccepting) -> None:
+        self.is_accepting = False
 
-        self._platform.call(self.process, run, receive, fail)
+    def _close_idle_callers(self, effect: effects.CloseIdleCallers) -> None:
+        self._is_closing = True
+        self._close_idle()
 
-    def _update_object(self, effect: effects.UpdateObject) -> None:
-        wanted = platform_module.StoredObject(
-            effect.kind, effect.name, effect.expected_version, effect.value
-        )
-
-        def receive(reply: platform_module.Reply) -> None:
-            kind = events.ObjectUpdated
-            if reply.is_conflict:
-                kind = events.ObjectConflicted
-            if reply.stored is not None:
-                self.submit(kind(effect.operation, *reply.stored))
-
-        def fail(may_have_run: bool) -> None:
-            self.submit(
-                events.PlatformFailed(
-                    effect.operation, effect.kind, effect.name, may_have_run
-                )
-            )
-
-        self._platform.call(
-            self.process, lambda: self._platform.put(wanted), receive, fail
-        )
-
-    def _poll(self) -> None:
-        """Ask for changed objects, in place of a waiting watch."""
-        if not self.is_watching:
-            self.process.call_later(POLL_S, self._poll)
+    def _close_idle(self) -> None:
+        """End idle connections during a planned stop."""
+        if not self._is_closing:
             return
-        changed: list[platform_module.StoredObject] = []
-
-        def run() -> platform_module.Reply:
-            changed.extend(self._platform.objects.values())
-            return platform_module.Reply(None)
-
-        def receive(reply: platform_module.Reply) -> None:
-            self.process.call_later(POLL_S, self._poll)
-            for stored in changed:
-                key = (stored.kind, stored.name)
-                if self._seen.get(key, 0) < stored.version:
-                    self._seen[key] = stored.version
-                    self.submit(events.ObjectSeen(*stored))
-
-        def fail(may_have_run: bool) -> None:
-            self.process.call_later(POLL_S, self._poll)
-
-        self._platform.call(self.process, run, receive, fail)
+        busy = {job.session for job in self._jobs.values()}
+        busy |= set(self.state.admission.transactions)
+        for session in [item for item in self._sessions if item not in busy]:
+            self._sessions.pop(session)()
+            self.submit(admission_events.SessionEnded(session))
+        if not self._sessions:
+            self.submit(draining_events.CallersGone())
 
-    def _set_watching(self, effect: effects.SetWatching) -> None:
-        self.is_watching = effect.is_watching
+    def _stop_process(self, effect: effects.StopProcess) -> None:
+        self.cut_off += len(self._jobs)
+        self._schedule.note(f"{self.process.name} stops as planned")
+        self.kill()
 
-    # Peers.
+    # Everything else.
 
     def _publish(self, effect: effects.PublishRegister) -> None:
-        self._store(effect.register)
-
-    def _store(self, register: model.Register) -> bool:
-        key = (register.kind, register.name)
-        known = self._registers.get(key)
-        if known is not None and known.version >= register.version:
-            return False
-        self._registers[key] = register
-        for peer in self.peers:
-            self._send_register(peer, register)
-        return True
-
-    def _send_register(self, peer: "Proxy", register: model.Register) -> None:
-        def arrive() -> None:
-            if peer._store(register):
-                peer.submit(events.RegisterSeen(register))
-
-        self._network.send(self.process, peer.process, arrive)
-
-    def _exchange(self) -> None:
-        self.process.call_later(EXCHANGE_S, self._exchange)
-        if self.peers:
-            peer = self._schedule.random.choice(self.peers)
-            for register in list(self._registers.values()):
-                self._send_register(peer, register)
-
-    # Targets, timers and logs.
-
-    def _run_statement(self, effect: effects.RunStatement) -> None:
-        self._links.run_statement(effect)
-
-    def _release_lease(self, effect: effects.ReleaseLease) -> None:
-        self._links.release_lease(effect)
-
-    def _cancel_statement(self, effect: effects.CancelStatement) -> None:
-        self._links.cancel_statement(effect)
-
-    def _probe(self, effect: effects.ProbeTarget) -> None:
-        self._links.probe(effect)
+        self.submit(membership_events.RegisterPublished(effect.register))
 
     def _control(self, effect: effects.ControlTarget) -> None:
         self._schedule.note(f"{self.process.name} {effect}")
@@ -308,19 +276,35 @@
     ),
 )
 
-# An effect without a method here ends the run with a KeyError.
+# An effect without an entry here ends the run with a KeyError.
 _METHODS: dict[type, Callable[[Proxy, Any], None]] = {
     effects.SetTimer: Proxy._set_timer,
-    effects.ReadObject: Proxy._read_object,
-    effects.UpdateObject: Proxy._update_object,
+    effects.ReadObject: lambda proxy, effect: proxy.objects.read_object(effect),
+    effects.UpdateObject: lambda proxy, effect: proxy.objects.update_object(
+        effect
+    ),
+    effects.SetWatching: lambda proxy, effect: proxy.objects.set_watching(
+        effect
+    ),
     effects.PublishRegister: Proxy._publish,
-    effects.SetWatching: Proxy._set_watching,
-    effects.ProbeTarget: Proxy._probe,
+    effects.OpenLink: lambda proxy, effect: proxy._peers.open_link(effect),
+    effects.CloseLink: lambda proxy, effect: proxy._peers.close_link(effect),
+    effects.SendToPeer: lambda proxy, effect: proxy._peers.send(effect),
+    effects.ProbeTarget: lambda proxy, effect: proxy._links.probe(effect),
     effects.ControlTarget: Proxy._control,
-    effects.RunStatement: Proxy._run_statement,
-    effects.ReleaseLease: Proxy._release_lease,
-    effects.CancelStatement: Proxy._cancel_statement,
+    effects.RunStatement: lambda proxy, effect: proxy._links.run_statement(
+        effect
+    ),
+    effects.ReleaseLease: lambda proxy, effect: proxy._links.release_lease(
+        effect
+    ),
+    effects.CancelStatement: lambda proxy, effect: (
+        proxy._links.cancel_statement(effect)
+    ),
     effects.DeliverAnswer: Proxy._deliver_answer,
     effects.DeliverError: Proxy._deliver_error,
+    effects.StopAccepting: Proxy._stop_accepting,
+    effects.CloseIdleCallers: Proxy._close_idle_callers,
+    effects.StopProcess: Proxy._stop_process,
     effects.WriteLog: Proxy._write_log,
 }
--- a/tests/driver/run.py
+++ b/tests/driver/run.py
@@ -4,13 +4,14 @@
 from typing import NamedTuple
 
 from tests.driver import faults as faults_module
+from tests.driver import outcome
 from tests.driver import world as world_module
 from tests.history import checker
 from tests.history import model as history_model
 
-LOAD_END_S = 10.0
-HEAL_S = 13.0
-END_S = 28.0
+HEAL_S = 12.0
+LOAD_END_S = 20.0
+END_S = 30.0
 TRACE_LINES = 60
 
 
@@ -50,9 +51,15 @@
     faults_module.plan(world, faults)
     world.schedule.call_later(LOAD_END_S, world.stop_callers)
     world.schedule.call_later(HEAL_S, world.heal)
+    watcher = outcome.Watcher(world)
     world.schedule.run_until(END_S)
-    history, missing = _read_history(world)
-    violations = (*checker.check_history(history), *missing)
+    history = outcome.read_history(world)
+    violations = (
+        *checker.check_history(history),
+        *watcher.find_violations(),
+        *outcome.find_unfinished(world),
+        *outcome.find_work_on_leaving(world, HEAL_S),
+    )
     counters: dict[str, int] = {}
     for proxy in world.proxies.values():
         for name, count in proxy.state.admission.counters.items():
@@ -96,29 +103,3 @@
         line for line in result.trace if any(word in line for word in words)
     ]
     return lines[-TRACE_LINES:]
-
-
-def _read_history(
-    world: world_module.World,
-) -> tuple[history_model.History, list[history_model.Violation]]:
-    """Return the history with each group's final table."""
-    tables = {}
-    missing = []
-    for group in world.groups:
-        primary = world.find_primary(group)
-        if primary is None:
-            missing.append(
-                history_model.Violation("liveness", 0, f"{group}: no primary")
-            )
-            continue
-        primary.table.apply()
-        tables[group] = tuple(primary.table.rows)
-        for target in world.list_group(group):
-            target.table.apply()
-            if target.table.rows != primary.table.rows:
-                missing.append(
-                    history_model.Violation(
-                        "liveness", 0, f"{target.id} differs from {primary.id}"
-                    )
-                )
-    return history_model.History(tuple(world.events), tables), missing
--- a/tests/driver/world.py
+++ b/tests/driver/world.py
@@ -4,15 +4,26 @@
 
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.bundles import codec
+from knapweedtally.core.bundles import signatures
+from knapweedtally.core.membership import state as membership_state
 from tests.driver import caller as caller_module
 from tests.driver import network as network_module
+from tests.driver import peers as peers_module
 from tests.driver import platform as platform_module
 from tests.driver import proxy as proxy_module
 from tests.driver import schedule as schedule_module
 from tests.driver import target as target_module
 from tests.history import model as history_model
 
+FIRST_PORT = 5432
+SIGNER = "operator"
+SECRET = bytes(32)
 DATA_CENTRES = ("north", "south", "archive")
+# A host's address is its name here.
+SEED_HOSTS = tuple(
+    membership_state.Seed(f"proxy-{place}", 1) for place in DATA_CENTRES
+)
 CALLERS = 8
 # Time for replicas to reach their primary before proxies start.
 HEAD_START_S = 0.5
@@ -44,15 +55,13 @@
         for group in self.groups:
             self._start_targets(group)
         self.bundle = self._make_bundle()
+        self.roll_out("")
         self.schedule.run_until(HEAD_START_S)
+        self._peers: dict[str, peers_module.PeerLinks] = {}
         self.proxies = {
             f"proxy-{data_centre}": self._start_proxy(data_centre)
             for data_centre in DATA_CENTRES
         }
-        for proxy in self.proxies.values():
-            proxy.peers = [
-                other for other in self.proxies.values() if other is not proxy
-            ]
         numbers = itertools.count(1)
         self.callers = [
             caller_module.Caller(
@@ -102,6 +111,16 @@
             lambda may_have_run: None,
         )
 
+    def list_leaving(self) -> set[str]:
+        """Return the targets that leave by the newest accepted bundle."""
+        stored = self.platform.get("bundle", "current")
+        bundle = codec.parse_bundle(stored.value)
+        return {
+            target
+            for group in bundle.groups.values()
+            for target in group.leaving
+        }
+
     def list_group(self, group: str) -> list[target_module.Target]:
         """Return the targets of a group."""
         return [
@@ -169,24 +188,75 @@
         for name in self.groups:
             targets = tuple(
                 model.Target(
-                    target.id, target.id, 5432, target.process.data_centre
+                    target.id,
+                    "127.0.0.1",
+                    FIRST_PORT + list(self.targets).index(target.id),
+                    target.process.data_centre,
                 )
                 for target in self.list_group(name)
             )
             groups[name] = model.Group(name, targets)
-        return model.Bundle(1, "", groups)
+        return model.Bundle(1, "", groups, SIGNER)
+
+    def roll_out(self, leaving: str) -> None:
+        """Replace the bundle as an operator's command does.
+
+        Args:
+            leaving: id of the only target that is to leave, or empty.
+        """
+        found = self.platform.get("bundle", "current")
+        groups = {
+            name: group._replace(
+                leaving=frozenset(
+                    target.id
+                    for target in group.targets
+                    if target.id == leaving
+                )
+            )
+            for name, group in self.bundle.groups.items()
+        }
+        bundle = self.bundle._replace(version=found.version + 1, groups=groups)
+        value = codec.dump_bundle(bundle)
+        value["signature"] = signatures.sign(value, SECRET)
+        wanted = platform_module.StoredObject(
+            "bundle", "current", found.version, value
+        )
+        operator = schedule_module.Process(
+            self.schedule, f"operator-{leaving}", "callers"
+        )
+        self.platform.call(
+            operator,
+            lambda: self.platform.put(wanted),
+            lambda reply: None,
+            lambda may_have_run: None,
+        )
 
     def _start_proxy(self, data_centre: str) -> proxy_module.Proxy:
         process = schedule_module.Process(
             self.schedule, f"proxy-{data_centre}", data_centre
         )
-        return proxy_module.Proxy(
-            process, self.network, self.platform, self.targets, self._prepare
+        proxy = proxy_module.Proxy(
+            process,
+            self.network,
+            self.platform,
+            self.targets,
+            self._peers,
+            self._prepare,
         )
+        proxy.objects.listed = tuple(
+            model.ListedHost(
+                f"proxy-{place}", f"proxy-{place}", 1, place, False
+            )
+            for place in DATA_CENTRES
+        )
+        return proxy
 
     def _prepare(self, state: state_module.ProxyState) -> None:
         """Give a proxy that starts what its settings would."""
-        state.directory.put_bundle(self.bundle)
+        state.bundles.keys = {SIGNER: signatures.derive_public_key(SECRET)}
+        state.membership.settings = membership_state.Settings(
+            state.identity.host, 1, 2, SEED_HOSTS
+        )
         state.admission.host_count = len(DATA_CENTRES)
         for data_centre in DATA_CENTRES:
             state.failover.hosts[f"proxy-{data_centre}"] = data_centre
