Split the target stand-in's session and instance, and mend four faults

* A cancel request could end the sending of an answer after a commit took effect and so report the commit as cancelled: only the run itself can be cancelled now.
* A commit whose replay failed would have been answered as rolled back with its log entry written: statements are run on the committed data before the entry is appended.
* A prepared statement could be sent with other column types than the client was told; aggregates without a row were described as text.
* A stop waited 5 s for clients that a fault cut off.

Writes that a replica could not repeat (random, current time) are refused with 0A000; before, they would have made replicas differ silently.

--- a/standins/target/description.py
+++ b/standins/target/description.py
@@ -1,5 +1,6 @@
 """Types of a statement's placeholders and result columns."""
 
+import re
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -8,9 +9,11 @@
 from standins.target import storage as storages
 from standins.target import values
 
-Run = Callable[[str], storages.ResultSet]
+Run = Callable[[], storages.ResultSet]
 
 _COMPARISONS = frozenset({"=", "<", ">", "<=", ">=", "<>", "!="})
+# A column of the same expression stands at most so many tokens before.
+_NEIGHBOUR_TOKENS = 4
 _SAMPLES: dict[int, str] = {
     values.BOOL: "1",
     values.BYTEA: "x''",
@@ -20,14 +23,23 @@
     values.FLOAT4: "1.0",
     values.FLOAT8: "1.0",
 }
+# SQLite names an expression's column by its text.
+_CALL = re.compile(r"(\w+)\s*\(\s*(?:distinct\s+)?(\w*)", re.IGNORECASE)
+_CALL_TYPES = {
+    "avg": values.FLOAT8,
+    "count": values.INT8,
+    "length": values.INT8,
+    "total": values.FLOAT8,
+}
+_COLUMN_CALLS = frozenset({"coalesce", "max", "min", "sum"})
 
 
 class Describer:
-    """Find types from the tables' declarations, with a small cache.
+    """Find types from the tables' declarations and from results.
 
     SQLite does not type expressions: a placeholder takes the type of the
     column that it is inserted into or compared with, a result column that of
-    the column it names, or else of a sample value.
+    the column it names, or else of the first row's value.
     """
 
     def __init__(self, storage: storages.Storage) -> None:
@@ -35,35 +47,38 @@
         self._storage = storage
         self._version = -1
         self._types: dict[str, int] = {}
-        self._columns: dict[
-            tuple[str, tuple[int, ...]], list[values.Column]
-        ] = {}
+        self._tables: dict[str, list[values.Column]] = {}
 
     def find_parameters(
         self, text: sql.Text, given: Sequence[int]
     ) -> list[int]:
-        """Return the OID of each placeholder, in order."""
+        """Return the OID of each placeholder; ``given`` ones are kept."""
         self._refresh()
-        numbers = [
-            int(token.text[1:])
-            for token in text.tokens
+        count = max([*_find_numbers(text), len(given)], default=0)
+        padded = [*given, *[0] * (count - len(given))]
+        return [
+            oid or self._infer(text, number)
+            for number, oid in enumerate(padded, start=1)
+        ]
+
+    def make_sample(self, text: sql.Text, parameters: Sequence[int]) -> str:
+        """Return a statement with sample values for its placeholders."""
+        words = [
+            _get_sample(token, parameters)
             if token.kind == "parameter"
+            else token.text
+            for token in text.tokens
         ]
-        found = []
-        for number in range(1, max([*numbers, len(given)], default=0) + 1):
-            oid = given[number - 1] if number <= len(given) else 0
-            found.append(oid or self._infer(text, number))
-        return found
+        return " ".join(words)
 
     def find_columns(
-        self, text: sql.Text, parameters: Sequence[int], run: Run
+        self, text: sql.Text, run: Run
     ) -> list[values.Column] | None:
         """Return the result columns, or None when there are no rows.
 
         Args:
             text: the statement.
-            parameters: OID of each placeholder.
-            run: runs a read where the statement will run.
+            run: runs the statement, if it is a read.
 
         Raises:
             storages.StatementError: the statement is not valid.
@@ -72,26 +87,58 @@
         if text.kind in (sql.Kind.COMMAND, sql.Kind.SHOW):
             return [values.Column(text.tokens[1].text.lower(), values.TEXT)]
         if text.kind is sql.Kind.READ:
-            return self._describe_read(text, parameters, run)
+            return self.describe_result(run())
         if text.kind is sql.Kind.WRITE:
-            return self._describe_returning(text)
+            return self._describe_returning(text.tokens)
         return None
 
+    def describe_result(
+        self, result: storages.ResultSet
+    ) -> list[values.Column]:
+        """Return the columns of a result, typed by its first row."""
+        self._refresh()
+        names = result.names or ()
+        first = result.rows[0] if result.rows else (None,) * len(names)
+        return [
+            values.Column(name, self._find_column_type(name, value))
+            for name, value in zip(names, first, strict=True)
+        ]
+
     def _refresh(self) -> None:
         if self._version == self._storage.schema_version:
             return
         self._version = self._storage.schema_version
-        self._columns = {}
         declared = self._storage.read(
-            "SELECT c.name, c.type FROM sqlite_master t"
+            "SELECT lower(t.name), lower(c.name), c.type FROM sqlite_master t"
             " JOIN pragma_table_info(t.name) c WHERE t.type = 'table'"
         )
+        self._tables = {}
+        for table, name, type_name in declared.rows:
+            column = values.Column(str(name), values.find_type(str(type_name)))
+            self._tables.setdefault(str(table), []).append(column)
         self._types = {
-            str(name).lower(): values.find_type(str(declared_type))
-            for name, declared_type in declared.rows
+            column.name: column.oid
+            for columns in self._tables.values()
+            for column in columns
         }
 
+    def _find_column_type(self, name: str, value: logs.Value) -> int:
+        """Return a result column's type by its name, or else its value."""
+        declared = self._types.get(name.lower())
+        if declared is not None:
+            return declared
+        if value is not None:
+            return values.guess_type(value)
+        match = _CALL.match(name)
+        if match is None:
+            return values.TEXT
+        function, argument = match.group(1).lower(), match.group(2).lower()
+        if function in _COLUMN_CALLS:
+            return self._types.get(argument, values.TEXT)
+        return _CALL_TYPES.get(function, values.TEXT)
+
     def _infer(self, text: sql.Text, number: int) -> int:
+        """Return a placeholder's type by what stands around it."""
         if number in text.casts:
             return values.find_type(text.casts[number])
         tokens = text.tokens
@@ -105,24 +152,28 @@
         after = tokens[at + 1 : at + 3]
         if len(after) == 2 and after[0].text in _COMPARISONS:
             return self._find_type(after[1])
-        return self._infer_from_insert(tokens, at)
-
-    def _infer_from_insert(self, tokens: Sequence[sql.Token], at: int) -> int:
-        """Pair a placeholder in VALUES with its place in the column list."""
-        if not sql.is_word(tokens[0], "INSERT", "REPLACE"):
-            return self._infer_from_neighbours(tokens, at)
-        opened = [i for i, item in enumerate(tokens[:at]) if item.text == "("]
-        if len(opened) < 2 or opened[0] > 3:
-            return values.TEXT
-        place = sum(item.text == "," for item in tokens[opened[-1] : at])
-        columns = [item for item in tokens[opened[0] :] if item.kind == "name"]
-        return self._find_type(columns[place])
-
-    def _infer_from_neighbours(
-        self, tokens: Sequence[sql.Token], at: int
-    ) -> int:
-        """Take the type of a column in the same expression, or text."""
-        for item in reversed(tokens[max(0, at - 4) : at]):
+        if sql.is_word(tokens[0], "INSERT", "REPLACE"):
+            return self._infer_inserted(tokens, at)
+        return self._infer_by_neighbours(tokens, at)
+
+    def _infer_inserted(self, tokens: Sequence[sql.Token], at: int) -> int:
+        """Return the type of the column that a value is inserted into."""
+        columns = self._find_inserted_columns(tokens)
+        place = _find_place(tokens, at)
+        return columns[place] if place < len(columns) else values.TEXT
+
+    def _find_inserted_columns(self, tokens: Sequence[sql.Token]) -> list[int]:
+        table = _find_table(tokens)
+        following = tokens[table + 1 :]
+        if following and following[0].text == "(":
+            end = next(i for i, x in enumerate(following) if x.text == ")")
+            names = [x for x in following[:end] if x.kind == "name"]
+            return [self._find_type(item) for item in names]
+        name = sql.unquote(tokens[table]).lower()
+        return [column.oid for column in self._tables.get(name, [])]
+
+    def _infer_by_neighbours(self, tokens: Sequence[sql.Token], at: int) -> int:
+        for item in reversed(tokens[max(0, at - _NEIGHBOUR_TOKENS) : at]):
             if item.kind == "name" and item.text.lower() in self._types:
                 return self._find_type(item)
         return values.TEXT
@@ -132,77 +183,78 @@
             return values.INT8 if token.text.isdigit() else values.FLOAT8
         return self._types.get(sql.unquote(token).lower(), values.TEXT)
 
-    def _describe_read(
-        self, text: sql.Text, parameters: Sequence[int], run: Run
-    ) -> list[values.Column]:
-        """Run the read once with sample parameters to see names and values."""
-        key = (text.sql, tuple(parameters))
-        if key in self._columns:
-            return self._columns[key]
-        words = [
-            _get_sample(item, parameters) if item.kind == "parameter" else item
-            for item in text.tokens
-        ]
-        query = " ".join(
-            item if isinstance(item, str) else item.text for item in words
-        )
-        result = run(query)
-        columns = self.describe_result(result)
-        if result.rows:
-            self._columns[key] = columns
-        return columns
-
-    def describe_result(
-        self, result: storages.ResultSet
-    ) -> list[values.Column]:
-        """Return the columns of a result, typed by its first row."""
-        self._refresh()
-        names = result.names or ()
-        first = result.rows[0] if result.rows else (None,) * len(names)
-        return [
-            self._describe_column(name, value)
-            for name, value in zip(names, first, strict=True)
-        ]
-
-    def _describe_column(self, name: str, sample: logs.Value) -> values.Column:
-        declared = self._types.get(name.lower())
-        if declared is not None:
-            return values.Column(name, declared)
-        lowered = name.lower()
-        if lowered.startswith(("count", "length")):
-            return values.Column(name, values.INT8)
-        return values.Column(name, values.guess_type(sample))
-
-    def _describe_returning(self, text: sql.Text) -> list[values.Column] | None:
-        tokens = text.tokens
+    def _describe_returning(
+        self, tokens: Sequence[sql.Token]
+    ) -> list[values.Column] | None:
         at = next(
             (i for i, x in enumerate(tokens) if sql.is_word(x, "RETURNING")),
             None,
         )
         if at is None:
             return None
-        names = [item for item in tokens[at + 1 :] if item.kind == "name"]
-        if not names:
-            return self._describe_table(_find_table(tokens))
-        return [
-            values.Column(sql.unquote(item), self._find_type(item))
-            for item in names
-        ]
+        columns: list[values.Column] = []
+        for item in _split_list(tokens[at + 1 :]):
+            if item[-1].text == "*":
+                table = sql.unquote(tokens[_find_table(tokens)]).lower()
+                columns += self._tables.get(table, [])
+            else:
+                name = sql.unquote(item[-1])
+                columns.append(values.Column(name, self._find_type(item[0])))
+        return columns
 
-    def _describe_table(self, table: str) -> list[values.Column]:
-        found = self._storage.read(
-            "SELECT name, type FROM pragma_table_info($1)", [table]
-        )
-        return [
-            values.Column(str(name), values.find_type(str(declared)))
-            for name, declared in found.rows
-        ]
+
+def _find_numbers(text: sql.Text) -> list[int]:
+    return [
+        int(token.text[1:])
+        for token in text.tokens
+        if token.kind == "parameter"
+    ]
 
 
 def _get_sample(token: sql.Token, parameters: Sequence[int]) -> str:
     return _SAMPLES.get(parameters[int(token.text[1:]) - 1], "''")
 
 
-def _find_table(tokens: Sequence[sql.Token]) -> str:
-    place = 1 if sql.is_word(tokens[0], "UPDATE") else 2
-    return sql.unquote(tokens[place])
+def _find_table(tokens: Sequence[sql.Token]) -> int:
+    """Return the place of the table's name in a write."""
+    for i, token in enumerate(tokens[:-1]):
+        if sql.is_word(token, "INTO", "FROM", "UPDATE"):
+            return i + 1
+    return len(tokens) - 1
+
+
+def _find_place(tokens: Sequence[sql.Token], at: int) -> int:
+    """Count the values before a placeholder in its row of VALUES."""
+    place = 0
+    depth = 0
+    for i in range(at - 1, 0, -1):
+        text = tokens[i].text
+        if text == ")":
+            depth += 1
+        elif text == "(" and depth > 0:
+            depth -= 1
+        elif text == "(" and not _opens_row(tokens[i - 1]):
+            # A call's arguments: go on with the row around it.
+            place = 0
+        elif text == "(":
+            return place
+        elif text == "," and depth == 0:
+            place += 1
+    return place
+
+
+def _opens_row(before: sql.Token) -> bool:
+    return before.text == "," or sql.is_word(before, "VALUES")
+
+
+def _split_list(tokens: Sequence[sql.Token]) -> list[list[sql.Token]]:
+    """Split a list of expressions at the commas outside of brackets."""
+    items: list[list[sql.Token]] = [[]]
+    depth = 0
+    for token in tokens:
+        depth += {"(": 1, ")": -1}.get(token.text, 0)
+        if token.text == "," and depth == 0:
+            items.append([])
+        else:
+            items[-1].append(token)
+    return [item for item in items if item]
--- a/standins/target/execution.py
+++ b/standins/target/execution.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from standins.target import commands
+from standins.target import errors
 from standins.target import instance as instances
 from standins.target import log as logs
 from standins.target import sql
@@ -18,6 +19,23 @@
     "standard_conforming_strings": "on",
     "transaction_isolation": "read committed",
 }
+# Words and strings whose value changes when a statement is run again.
+_NONDETERMINISTIC = frozenset(
+    {
+        "'now'",
+        "current_date",
+        "current_time",
+        "current_timestamp",
+        "random",
+        "randomblob",
+    }
+)
+
+
+class NondeterministicError(errors.TargetError):
+    """A write would give another result when a replica runs it."""
+
+    sqlstate = "0A000"
 
 
 class Outcome(NamedTuple):
@@ -32,15 +50,13 @@
 
     Attributes:
         transaction: the session's transaction.
-        report: report of the statement that ran, or None before one has.
-        has_committed: whether a commit took effect since it was reset.
     """
 
     def __init__(self, target: targets.Target) -> None:
         """Make an executor without a transaction."""
         self.transaction = transactions.Transaction(target.access)
-        self.report: instances.Report | None = None
-        self.has_committed = False
+        self._report: instances.Report | None = None
+        self._has_committed = False
         self._target = target
 
     async def run(
@@ -62,16 +78,26 @@
         if not self.transaction.is_explicit:
             self._commit()
 
+    def take_report(self) -> instances.Report:
+        """Return the report of what ran since the last call, or of now."""
+        report, self._report = self._report, None
+        return report or self._target.report()
+
+    def take_commit(self) -> bool:
+        """Return whether a commit took effect since the last call."""
+        has_committed, self._has_committed = self._has_committed, False
+        return has_committed
+
     def _commit(self) -> None:
         if self.transaction.commit():
-            self.has_committed = True
-            self.report = self._target.report()
+            self._has_committed = True
+            self._report = self._target.report()
             self._target.changed.notify()
 
     def _note_report(self) -> None:
         # The earliest report of a batch holds for its later statements too.
-        if self.report is None:
-            self.report = self._target.report()
+        if self._report is None:
+            self._report = self._target.report()
 
     async def _read(
         self, text: sql.Text, parameters: Sequence[logs.Value]
@@ -87,6 +113,7 @@
         self, text: sql.Text, parameters: Sequence[logs.Value]
     ) -> Outcome:
         self.transaction.check()
+        _check_deterministic(text)
         await self.transaction.prepare_write()
         async with self._target.slots:
             await self._serve()
@@ -149,6 +176,14 @@
         return Outcome(result, "SELECT 1")
 
 
+def _check_deterministic(text: sql.Text) -> None:
+    for token in text.tokens:
+        if token.text.lower() in _NONDETERMINISTIC:
+            raise NondeterministicError(
+                f"{token.text} differs between replicas; pass it as a parameter"
+            )
+
+
 def _make_outcome(tag: str) -> Outcome:
     return Outcome(storages.ResultSet(None, [], 0), tag)
 
--- a/standins/target/instance.py
+++ b/standins/target/instance.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from standins.target import contact
 from standins.target import errors
 from standins.target import log as logs
 
@@ -47,18 +48,6 @@
     nonce: int
 
 
-class Confirmation(NamedTuple):
-    """Hold what a replica has confirmed in the primary's term.
-
-    Attributes:
-        received: offset up to which its log equals the primary's.
-        nonce: newest nonce that it sent back.
-    """
-
-    received: int = 0
-    nonce: int = 0
-
-
 class Report(NamedTuple):
     """Describe the data that a statement saw.
 
@@ -85,13 +74,6 @@
     received: int
 
 
-class _Freshness(NamedTuple):
-    """State since when data is complete once an offset is applied."""
-
-    offset: int
-    complete_at: float
-
-
 class Instance:
     """Hold one member of a database group.
 
@@ -105,9 +87,7 @@
         log: entries received; on a replica not all may be applied.
         applied: offset up to which reads see the data.
         matched_term: term whose primary's log this log was last matched with.
-        nonce: as replica, the newest nonce of the term's primary; as primary,
-            the newest nonce issued.
-        confirmations: as primary, what each replica confirmed in this term.
+        nonce: as replica, the newest nonce of the term's primary.
         hold_until: time until which new writes are refused.
     """
 
@@ -127,12 +107,9 @@
         self.applied = 0
         self.matched_term = 0
         self.nonce = 0
-        self.confirmations: dict[str, Confirmation] = {}
         self.hold_until = 0.0
-        self._complete_at: float | None = None
-        self._pending_freshness: list[_Freshness] = []
-        # Issue time by nonce, for nonces that may still be confirmed.
-        self._issued: dict[int, float] = {}
+        self._contact = contact.Contact()
+        self._freshness = contact.Freshness()
 
     @property
     def received(self) -> int:
@@ -149,6 +126,11 @@
         """Return whether this instance is its term's primary."""
         return self.role is Role.PRIMARY
 
+    @property
+    def confirmations(self) -> dict[str, contact.Confirmation]:
+        """Return what each replica confirmed to this primary in its term."""
+        return self._contact.confirmations
+
     @property
     def majority(self) -> int:
         """Return how many members make a majority."""
@@ -248,12 +230,12 @@
             return logs.PullAnswer(False, self.term, self.id)
         is_match = self._has_entry(request.last_term, request.received)
         start = request.received if is_match else 0
-        self._confirm(request.replica, start, request.nonce)
+        self._contact.confirm(request.replica, start, request.nonce)
         return logs.PullAnswer(
             is_accepted=True,
             term=self.term,
             primary=self.id,
-            nonce=self._issue_nonce(now),
+            nonce=self._contact.issue_nonce(now),
             start=start,
             start_term=request.last_term if is_match else 0,
             entries=tuple(self.log[start:]),
@@ -272,17 +254,13 @@
                 f"{self.id} is not the primary of term {self.term};"
                 " a barrier runs at the primary"
             )
-        return Barrier(self.term, self.received, self._issue_nonce(now))
+        return Barrier(self.term, self.received, self._contact.issue_nonce(now))
 
     def check_barrier(self, barrier: Barrier) -> BarrierState:
         """Return how far a barrier has come."""
         if not self.is_primary or self.term != barrier.term:
             return BarrierState.REPLACED
-        confirmed = sum(
-            confirmation.received >= barrier.offset
-            and confirmation.nonce >= barrier.nonce
-            for confirmation in self.confirmations.values()
-        )
+        confirmed = self._contact.count(barrier.offset, barrier.nonce)
         if confirmed + 1 >= self.majority:
             return BarrierState.CONFIRMED
         return BarrierState.PENDING
@@ -336,7 +314,7 @@
     def mark_applied(self, offset: int) -> None:
         """Note that reads see the data up to an offset of the log."""
         self.applied = max(self.applied, min(offset, self.received))
-        self._settle_freshness()
+        self._freshness.settle(self.applied)
 
     # What it says of itself.
 
@@ -344,9 +322,10 @@
         """Return an upper bound on the age of the applied data."""
         if self.is_primary:
             self._settle_contact(now)
-        if self._complete_at is None:
+        complete_at = self._freshness.complete_at
+        if complete_at is None:
             return UNKNOWN_AGE_MS
-        return max(0.0, (now - self._complete_at) * MS_PER_SECOND)
+        return max(0.0, (now - complete_at) * MS_PER_SECOND)
 
     def report(self, now: float) -> Report:
         """Return what a statement that runs now may claim of its data."""
@@ -367,10 +346,9 @@
         self.primary = ""
         self.role = Role.FENCED
         self.nonce = 0
-        self.confirmations = {}
         self.hold_until = 0.0
-        self._pending_freshness = []
-        self._issued = {}
+        self._contact = contact.Contact()
+        self._freshness.drop_claims()
 
     def _append(self, statements: tuple[logs.Statement, ...]) -> int:
         offset = self.received + 1
@@ -383,35 +361,12 @@
             return True
         return offset <= self.received and self.log[offset - 1].term == term
 
-    def _issue_nonce(self, now: float) -> int:
-        self.nonce += 1
-        self._issued[self.nonce] = now
-        return self.nonce
-
-    def _confirm(self, replica: str, received: int, nonce: int) -> None:
-        known = self.confirmations.get(replica, Confirmation())
-        self.confirmations[replica] = Confirmation(
-            max(known.received, received), max(known.nonce, nonce)
-        )
-
     def _settle_contact(self, now: float) -> None:
         """Move the age's base to the newest round that a majority confirmed."""
         needed = self.majority - 1
-        if needed == 0:
-            self._complete_at = now
-            return
-        nonces = sorted(
-            (item.nonce for item in self.confirmations.values()), reverse=True
-        )
-        if len(nonces) < needed:
-            return
-        confirmed = nonces[needed - 1]
-        issued_at = self._issued.get(confirmed)
-        if issued_at is None:
-            return
-        self._note_complete(issued_at)
-        for nonce in [item for item in self._issued if item < confirmed]:
-            del self._issued[nonce]
+        started_at = self._contact.find_start(needed) if needed else now
+        if started_at is not None:
+            self._freshness.note(started_at)
 
     def _is_from_primary(self, answer: logs.PullAnswer) -> bool:
         return (
@@ -437,20 +392,6 @@
     def _note_freshness(self, answer: logs.PullAnswer, sent_at: float) -> None:
         if answer.age_ms >= UNKNOWN_AGE_MS:
             return
-        complete_at = sent_at - answer.age_ms / MS_PER_SECOND
         offset = answer.start + len(answer.entries)
-        self._pending_freshness.append(_Freshness(offset, complete_at))
-        self._settle_freshness()
-
-    def _settle_freshness(self) -> None:
-        pending = []
-        for item in self._pending_freshness:
-            if item.offset <= self.applied:
-                self._note_complete(item.complete_at)
-            else:
-                pending.append(item)
-        self._pending_freshness = pending
-
-    def _note_complete(self, at: float) -> None:
-        if self._complete_at is None or at > self._complete_at:
-            self._complete_at = at
+        self._freshness.claim(offset, sent_at - answer.age_ms / MS_PER_SECOND)
+        self._freshness.settle(self.applied)
--- /dev/null
+++ b/standins/target/queries.py
@@ -0,0 +1,282 @@
+"""Simple and extended query protocol of one session."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from pygwire import messages
+
+from standins.target import answers
+from standins.target import errors
+from standins.target import execution
+from standins.target import log as logs
+from standins.target import sql
+from standins.target import storage as storages
+from standins.target import target as targets
+from standins.target import values
+
+Send = Callable[[Any], None]
+
+
+class CancelledError(errors.TargetError):
+    """A cancel request ended the statement."""
+
+    sqlstate = "57014"
+
+
+class UnknownStatementError(errors.TargetError):
+    """There is no prepared statement or portal of this name."""
+
+    sqlstate = "26000"
+
+
+class BindError(errors.TargetError):
+    """The values bound do not fit the statement's placeholders."""
+
+    sqlstate = "08P01"
+
+
+class MultipleStatementsError(errors.TargetError):
+    """A prepared statement holds more than one statement."""
+
+    sqlstate = "42601"
+
+
+class Prepared:
+    """Hold a prepared statement.
+
+    Attributes:
+        text: the statement, or None for an empty one.
+        parameters: OID of each placeholder.
+        columns: result columns as told to the client, or None.
+        is_described: whether the client was told the columns.
+    """
+
+    def __init__(self, text: sql.Text | None, parameters: list[int]) -> None:
+        """Make a statement that was not described yet."""
+        self.text = text
+        self.parameters = parameters
+        self.columns: list[values.Column] | None = None
+        self.is_described = False
+
+
+class Portal:
+    """Hold a bound statement and what was not sent of its result.
+
+    Attributes:
+        prepared: the statement.
+        parameters: values of its placeholders.
+        formats: format codes asked for the result.
+        outcome: the result, once it ran.
+        sent: rows sent so far.
+        columns: result columns as told to the client, or None.
+        is_described: whether the columns are known.
+    """
+
+    def __init__(
+        self,
+        prepared: Prepared,
+        parameters: list[logs.Value],
+        formats: list[int],
+    ) -> None:
+        """Bind a prepared statement to its parameters."""
+        self.prepared = prepared
+        self.parameters = parameters
+        self.formats = formats
+        self.outcome: execution.Outcome | None = None
+        self.sent = 0
+        self.columns = prepared.columns
+        self.is_described = prepared.is_described
+
+
+class Queries:
+    """Answer the query messages of one session.
+
+    Attributes:
+        executor: runs the statements.
+    """
+
+    def __init__(self, target: targets.Target, send: Send) -> None:
+        """Make a session's part that answers through ``send``."""
+        self.executor = execution.Executor(target)
+        self._describer = target.describer
+        self._send = send
+        self._statements: dict[str, Prepared] = {}
+        self._portals: dict[str, Portal] = {}
+        self._running: anyio.CancelScope | None = None
+
+    async def handle(self, message: Any) -> None:
+        """Answer one message.
+
+        Raises:
+            errors.TargetError: it failed; its changes are undone.
+        """
+        await _HANDLERS[type(message)](self, message)
+
+    def cancel(self) -> None:
+        """End the statement that runs, if one does."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def close_portals(self) -> None:
+        """Drop the portals, which end with their transaction."""
+        self._portals = {}
+
+    async def _run(
+        self, text: sql.Text, parameters: list[logs.Value]
+    ) -> execution.Outcome:
+        # Nothing after the run may be cancelled: a commit stays answered.
+        with anyio.CancelScope() as scope:
+            self._running = scope
+            try:
+                return await self.executor.run(text, parameters)
+            finally:
+                self._running = None
+        raise CancelledError("statement was cancelled on request")
+
+    async def _run_query(self, message: messages.Query) -> None:
+        texts = sql.split(message.query_string)
+        if not texts:
+            self._send(messages.EmptyQueryResponse())
+        for text in texts:
+            outcome = await self._run(text, [])
+            self._send_outcome(outcome)
+        self.executor.finish()
+
+    def _send_outcome(self, outcome: execution.Outcome) -> None:
+        result = outcome.result
+        if result.names is not None:
+            columns = self._describer.describe_result(result)
+            self._send(answers.make_row_description(columns, []))
+            for row in answers.make_rows(result.rows, columns, []):
+                self._send(row)
+        self._send(messages.CommandComplete(tag=outcome.tag))
+
+    async def _parse(self, message: messages.Parse) -> None:
+        texts = sql.split(message.query)
+        if len(texts) > 1:
+            raise MultipleStatementsError(
+                "a prepared statement holds one statement; send them one by one"
+            )
+        prepared = Prepared(None, [])
+        if texts:
+            given = message.param_types
+            found = self._describer.find_parameters(texts[0], given)
+            prepared = Prepared(texts[0], found)
+        self._statements[message.statement] = prepared
+        self._send(messages.ParseComplete())
+
+    async def _bind(self, message: messages.Bind) -> None:
+        prepared = _find(self._statements, message.statement)
+        count = len(prepared.parameters)
+        if len(message.param_values) != count:
+            raise BindError(
+                f"{len(message.param_values)} values bound to a statement"
+                f" with {count} placeholders"
+            )
+        formats = answers.expand_formats(message.param_formats, count)
+        parameters = [
+            values.decode(data, oid, format_code)
+            for data, oid, format_code in zip(
+                message.param_values, prepared.parameters, formats, strict=True
+            )
+        ]
+        portal = Portal(prepared, parameters, message.result_formats)
+        self._portals[message.portal] = portal
+        self._send(messages.BindComplete())
+
+    async def _describe(self, message: messages.Describe) -> None:
+        if message.kind == "S":
+            prepared = _find(self._statements, message.name)
+            self._describe_statement(prepared)
+            oids = prepared.parameters
+            self._send(messages.ParameterDescription(type_oids=oids))
+            self._send_description(prepared.columns, [])
+        else:
+            portal = _find(self._portals, message.name)
+            self._describe_portal(portal)
+            self._send_description(portal.columns, portal.formats)
+
+    def _send_description(
+        self, columns: list[values.Column] | None, formats: list[int]
+    ) -> None:
+        if columns is None:
+            self._send(messages.NoData())
+        else:
+            self._send(answers.make_row_description(columns, formats))
+
+    def _describe_statement(self, prepared: Prepared) -> None:
+        if prepared.text is None or prepared.is_described:
+            return
+        text = prepared.text
+        sample = self._describer.make_sample(text, prepared.parameters)
+        prepared.columns = self._describer.find_columns(
+            text, lambda: self.executor.transaction.read(sample)
+        )
+        prepared.is_described = True
+
+    def _describe_portal(self, portal: Portal) -> None:
+        if portal.prepared.text is None or portal.is_described:
+            return
+        text = portal.prepared.text
+        portal.columns = self._describer.find_columns(
+            text,
+            lambda: self.executor.transaction.read(text.sql, portal.parameters),
+        )
+        portal.is_described = True
+
+    async def _execute(self, message: messages.Execute) -> None:
+        portal = _find(self._portals, message.portal)
+        text = portal.prepared.text
+        if text is None:
+            self._send(messages.EmptyQueryResponse())
+            return
+        if portal.outcome is None:
+            self._describe_portal(portal)
+            portal.outcome = await self._run(text, portal.parameters)
+        self._send_portal(portal, portal.outcome, message.max_rows)
+
+    def _send_portal(
+        self, portal: Portal, outcome: execution.Outcome, max_rows: int
+    ) -> None:
+        rows: list[storages.Row] = outcome.result.rows
+        end = portal.sent + max_rows if max_rows else len(rows)
+        chosen = rows[portal.sent : end]
+        portal.sent = end
+        columns = portal.columns or []
+        for row in answers.make_rows(chosen, columns, portal.formats):
+            self._send(row)
+        if end < len(rows):
+            self._send(messages.PortalSuspended())
+        else:
+            self._send(messages.CommandComplete(tag=outcome.tag))
+
+    async def _close(self, message: messages.Close) -> None:
+        named: dict[str, Any] = (
+            self._statements if message.kind == "S" else self._portals
+        )
+        named.pop(message.name, None)
+        self._send(messages.CloseComplete())
+
+    async def _sync(self, message: messages.Sync) -> None:
+        self.executor.finish()
+
+
+def _find(named: dict[str, Any], name: str) -> Any:
+    if name not in named:
+        raise UnknownStatementError(f"no statement or portal named {name!r}")
+    return named[name]
+
+
+Handler = Callable[[Queries, Any], Awaitable[None]]
+_HANDLERS: dict[type, Handler] = {
+    messages.Query: Queries._run_query,
+    messages.Parse: Queries._parse,
+    messages.Bind: Queries._bind,
+    messages.Describe: Queries._describe,
+    messages.Execute: Queries._execute,
+    messages.Close: Queries._close,
+    messages.Sync: Queries._sync,
+}
+MESSAGE_TYPES = tuple(_HANDLERS)
--- a/standins/target/server.py
+++ b/standins/target/server.py
@@ -65,10 +65,14 @@
         with anyio.move_on_after(STOP_TIMEOUT_S):
             for session in list(self._sessions.values()):
                 session.stop()
-            while self._sessions:
+            while self._has_reachable_client():
                 await anyio.sleep(STOP_CHECK_S)
         tasks.cancel_scope.cancel()
 
+    def _has_reachable_client(self) -> bool:
+        is_cut = self._target.faults.is_cut
+        return any(not is_cut(item.peer) for item in self._sessions.values())
+
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
             self._newest_process_id += 1
@@ -81,6 +85,9 @@
             self._sessions[process_id] = session
             try:
                 await session.serve()
+            except Exception:
+                # One session's fault must not end the others.
+                _logger.exception("target: session failed")
             finally:
                 del self._sessions[process_id]
 
--- a/standins/target/storage.py
+++ b/standins/target/storage.py
@@ -113,16 +113,31 @@
         """
         return _run(self._writer, sql, parameters)
 
-    def commit(self, offset: int, statements: Sequence[logs.Statement]) -> None:
-        """Commit the write transaction as the log entry at ``offset``."""
+    def stage(self, statements: Sequence[logs.Statement]) -> None:
+        """Run the write transaction's statements on the committed data.
+
+        Nothing is visible before ``publish``; ``rollback`` undoes it.
+
+        Raises:
+            StatementError: a statement gave another result than before.
+        """
+        self._committed.execute("BEGIN")
+        for statement in statements:
+            _run(self._committed, statement.sql, statement.parameters)
+
+    def publish(
+        self, offset: int, statements: Sequence[logs.Statement]
+    ) -> None:
+        """Commit what was staged as the log entry at ``offset``."""
         self._writer.execute("COMMIT")
-        self._replay(statements)
-        self.applied = offset
+        self._committed.execute("COMMIT")
+        self._note_applied(offset, statements)
 
     def rollback(self) -> None:
-        """Undo the write transaction, if one is open."""
-        if self._writer.in_transaction:
-            self._writer.execute("ROLLBACK")
+        """Undo the write transaction and what was staged of it."""
+        for database in (self._writer, self._committed):
+            if database.in_transaction:
+                database.execute("ROLLBACK")
 
     def apply(self, entries: Sequence[logs.Entry]) -> None:
         """Run the entries of the log that are not in the data yet.
@@ -131,8 +146,9 @@
             entries: entries that follow on ``applied`` without a gap.
         """
         for entry in entries:
-            self._replay(entry.statements)
-            self.applied = entry.offset
+            self.stage(entry.statements)
+            self._committed.execute("COMMIT")
+            self._note_applied(entry.offset, entry.statements)
             self._is_writer_stale = True
 
     def rebuild(self, entries: Sequence[logs.Entry]) -> None:
@@ -144,13 +160,10 @@
         self._is_writer_stale = True
         self.apply(entries)
 
-    def _replay(self, statements: Sequence[logs.Statement]) -> None:
-        if not statements:
-            return
-        self._committed.execute("BEGIN")
-        for statement in statements:
-            _run(self._committed, statement.sql, statement.parameters)
-        self._committed.execute("COMMIT")
+    def _note_applied(
+        self, offset: int, statements: Sequence[logs.Statement]
+    ) -> None:
+        self.applied = offset
         if any(_changes_schema(item.sql) for item in statements):
             self.schema_version += 1
 
--- a/standins/target/transactions.py
+++ b/standins/target/transactions.py
@@ -88,10 +88,12 @@
         """Commit the open write transaction and append it to the log.
 
         Raises:
-            errors.NotPrimaryError: the instance is no primary any more.
+            errors.TargetError: nothing was committed; the transaction is
+                still open.
         """
+        self.storage.stage(statements)
         offset = self.instance.append(statements)
-        self.storage.commit(offset, statements)
+        self.storage.publish(offset, statements)
         self._release()
 
     def abort(self) -> None:
@@ -198,7 +200,7 @@
         self.check()
         try:
             self._access.commit(self._statements)
-        except errors.NotPrimaryError as error:
+        except errors.TargetError as error:
             self.rollback()
             raise TransactionLostError(str(error)) from error
         self._reset_writes()
--- a/standins/target/values.py
+++ b/standins/target/values.py
@@ -171,8 +171,7 @@
     if oid == BOOL:
         return b"\1" if value else b"\0"
     if oid in _PACKED:
-        number = float(value) if oid in (FLOAT4, FLOAT8) else int(value)  # type: ignore[arg-type]
-        return _PACKED[oid].pack(number)
+        return _PACKED[oid].pack(value)
     if isinstance(value, bytes):
         return value
     return str(value).encode()
--- a/tests/standins/test_target.py
+++ b/tests/standins/test_target.py
@@ -118,6 +118,50 @@
         self.assertEqual([(1, "a", 1.5), (2, "b", 4.5)], rows)
         self.assertEqual(2, total)
 
+    def test_types_hold_without_a_row_to_learn_from(self) -> None:
+        newest = "SELECT max(id), sum(hours) FROM readings WHERE id < $1"
+
+        async def run() -> list[Any]:
+            client = await open_asyncpg(self.group)
+            statement = await client.prepare(newest)
+            found = [tuple(await statement.fetchrow(100))]
+            await client.execute(
+                "INSERT INTO readings VALUES ($1, lower($2), $3)", 7, "X", 0.5
+            )
+            found.append(tuple(await statement.fetchrow(100)))
+            found.append(
+                tuple(
+                    await client.fetchrow(
+                        "INSERT INTO readings(id, hours) VALUES ($1, $2)"
+                        " ON CONFLICT(id) DO UPDATE SET hours = $2"
+                        " RETURNING id, hours AS h",
+                        7,
+                        1.5,
+                    )
+                )
+            )
+            await client.close()
+            return found
+
+        self.assertEqual([(None, None), (7, 0.5), (7, 1.5)], asyncio.run(run()))
+        row = self.client.execute(
+            "SELECT hours * 2, panel FROM readings WHERE id = %s", (7,)
+        ).fetchone()
+        self.assertEqual((3.0, "x"), row)
+
+    def test_nondeterministic_write_is_refused(self) -> None:
+        for value in ("random()", "CURRENT_TIMESTAMP", "julianday('now')"):
+            query = f"INSERT INTO readings(id) VALUES ({value})"
+            self.assert_sqlstate("0A000", self.client, query)
+        self.assertEqual([], get_ids(self.client))
+
+    def test_pipeline_is_one_transaction_up_to_its_sync(self) -> None:
+        with self.client.pipeline() as pipeline:
+            self.client.execute(INSERT, (1, "a", 1))
+            self.client.execute(INSERT, (1, "a", 1))
+            self.assertRaises(psycopg.errors.UniqueViolation, pipeline.sync)
+        self.assertEqual([], get_ids(self.client))
+
     def test_errors_carry_their_sqlstate(self) -> None:
         self.client.execute(INSERT, (1, "a", 1))
         for sqlstate, query in (
@@ -401,7 +445,7 @@
         self.write(1)
         self.group.wait_for("b", received=3)
         self.group.wait_for("c", applied=3)
-        ages = {"b": [], "c": []}  # type: dict[str, list[float]]
+        ages: dict[str, list[float]] = {"b": [], "c": []}
         # The other replica's age falls with each answer of the primary.
         while ages["c"] == sorted(ages["c"]):
             for name in "cb":
