--- /dev/null
+++ b/knapweedtally/callers/edge.py
@@ -0,0 +1,162 @@
+"""The edge towards callers: listener, sessions and cancel requests."""
+
+import hmac
+import itertools
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import structlog
+from pygwire import messages
+
+from knapweedtally.callers import answers
+from knapweedtally.callers import execution
+from knapweedtally.callers import session as session_module
+from knapweedtally.callers import stream as stream_module
+from knapweedtally.core import effects
+from knapweedtally.core import exceptions
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import events as admission_events
+from knapweedtally.core.draining import events as draining_events
+from knapweedtally.core.sessions import token as token_module
+from knapweedtally.runtime import edges
+from knapweedtally.targets import edge as targets_edge
+
+_log = structlog.get_logger("callers")
+SECRET_LENGTH = 4
+
+
+class CallersEdge:
+    """Accept callers and carry their requests.
+
+    Attributes:
+        effect_types: the effects that this edge runs.
+    """
+
+    effect_types: tuple[type, ...] = (
+        effects.RunStatement,
+        effects.DeliverAnswer,
+        effects.DeliverError,
+        effects.StopAccepting,
+        effects.CloseIdleCallers,
+    )
+
+    def __init__(
+        self,
+        submit: edges.Submit,
+        state: state_module.ProxyState,
+        targets: targets_edge.TargetsEdge,
+        address: tuple[str, int],
+        keys: tuple[token_module.SigningKey, ...],
+    ) -> None:
+        self._submit = submit
+        self._state = state
+        self._address = address
+        self._keys = keys
+        self._executor = execution.Executor(submit, state, targets)
+        self._ids = itertools.count(1)
+        self._sessions: dict[int, session_module.Session] = {}
+        self._listening: anyio.CancelScope | None = None
+        self._is_closing = False
+        self._runners: dict[type, Callable[[Any], None]] = {
+            effects.RunStatement: self._executor.deliver,
+            effects.DeliverAnswer: self._executor.deliver,
+            effects.DeliverError: self._executor.deliver,
+            effects.StopAccepting: self._stop_accepting,
+            effects.CloseIdleCallers: self._close_idle,
+        }
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen until cancelled."""
+        host, port = self._address
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, reuse_port=False
+        )
+        async with anyio.create_task_group() as tasks:
+            with anyio.CancelScope() as scope:
+                self._listening = scope
+                task_status.started()
+                async with listener:
+                    await listener.serve(self._serve_connection, tasks)
+            await anyio.sleep_forever()
+
+    def run_effect(self, effect: effects.Effect) -> None:
+        """Start an effect without waiting for it."""
+        self._runners[type(effect)](effect)
+
+    def _stop_accepting(self, effect: effects.StopAccepting) -> None:
+        if self._listening is not None:
+            self._listening.cancel()
+
+    def _close_idle(self, effect: effects.CloseIdleCallers) -> None:
+        self._is_closing = True
+        for session in self._sessions.values():
+            session.end_when_quiet()
+        self._report_callers_gone()
+
+    def _report_callers_gone(self) -> None:
+        if self._is_closing and not self._sessions:
+            self._submit(draining_events.CallersGone())
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        caller_stream = stream_module.CallerStream(stream)
+        async with stream:
+            try:
+                startup = await caller_stream.receive_startup()
+                if isinstance(startup, messages.CancelRequest):
+                    self._cancel(startup)
+                    return
+                await self._serve_session(caller_stream, startup)
+            except exceptions.ProtocolError as error:
+                await self._refuse(caller_stream, str(error))
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                OSError,
+            ):
+                return
+
+    async def _serve_session(
+        self,
+        stream: stream_module.CallerStream,
+        startup: messages.StartupMessage,
+    ) -> None:
+        session = session_module.Session(
+            next(self._ids),
+            secrets.token_bytes(SECRET_LENGTH),
+            stream,
+            self._executor,
+            self._keys,
+            self._state.identity.host,
+        )
+        self._sessions[session.id] = session
+        try:
+            await session.serve(startup)
+        finally:
+            del self._sessions[session.id]
+            self._submit(admission_events.SessionEnded(session.id))
+            self._report_callers_gone()
+
+    def _cancel(self, request: messages.CancelRequest) -> None:
+        session = self._sessions.get(request.process_id)
+        if session is None:
+            return
+        if hmac.compare_digest(session.secret, request.secret_key):
+            self._submit(admission_events.RequestCancelled(session.id))
+
+    async def _refuse(
+        self, stream: stream_module.CallerStream, reason: str
+    ) -> None:
+        _log.warning("callers: refused a malformed message", reason=reason)
+        answer = answers.encode_error("08P01", reason, severity="FATAL")
+        try:
+            await stream.send(answer)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
