--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -9,6 +9,7 @@
 
 from knapweedtally.admin import edge as admin_edge
 from knapweedtally.admin import remote
+from knapweedtally.admin import views
 from knapweedtally.callers import edge as callers_edge
 from knapweedtally.conf import settings as settings_module
 from knapweedtally.core import effects
@@ -104,6 +105,7 @@
             settings.platform_address,
             source_host,
             make_listed_host(settings),
+            is_leaving=lambda: views.is_draining(self.state),
         )
         peers = peers_edge.PeersEdge(
             submit, self.state, make_peer_settings(settings)
