Test failures of a primary with real processes

Ports of the bench's processes now lie below the range of outgoing connections, which could occupy one before its process listened.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -27,6 +27,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM_HOST = "127.0.0.1"
 OPERATOR = "demo"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 STOP_TIMEOUT_S = 10.0
 READY_TIMEOUT_S = 20.0
 ADMIN_TIMEOUT_S = 5.0
@@ -41,6 +43,7 @@
         hosts_per_centre: entry hosts in each data centre.
         group_options: values of the bundle for every group.
         target_options: flags of every target stand-in.
+        host_module: module that is run as an entry host.
     """
 
     data_centres: tuple[str, ...] = ("sala-norte", "sala-sur", "archivo")
@@ -48,6 +51,7 @@
     hosts_per_centre: int = 1
     group_options: dict[str, Any] = {}
     target_options: dict[str, Any] = {}
+    host_module: str = "knapweedtally"
 
 
 class Member(NamedTuple):
@@ -165,7 +169,9 @@
             "KNAPWEEDTALLY_TOKEN_KEYS": self.token_keys,
             "KNAPWEEDTALLY_PEER_TOKEN": self.admin_token,
         }
-        self._spawn(name, "knapweedtally", options, ["proxy"], environment)
+        self._spawn(
+            name, self.layout.host_module, options, ["proxy"], environment
+        )
 
     def make_bundle(self, version: int = 1, **changes: Any) -> dict[str, Any]:
         """Return the signed plain form of the bundle.
@@ -306,11 +312,20 @@
 
 
 def find_port(host: str) -> int:
-    """Return a port that is free on an address at this moment."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port that is free on an address at this moment.
+
+    It lies below the range that the system takes ports of outgoing
+    connections from, so that none of them occupies it before its process
+    listens.
+    """
+    while True:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_for_port(host: str, port: int) -> None:
--- a/standins/target/commands.py
+++ b/standins/target/commands.py
@@ -233,12 +233,24 @@
     return str(settings)
 
 
+async def _get_log(target: targets.Target, arguments: Sequence[Argument]) -> str:
+    return json.dumps(target.instance.log)
+
+
+async def _get_counters(
+    target: targets.Target, arguments: Sequence[Argument]
+) -> str:
+    return json.dumps({"statements": target.statements})
+
+
 _HANDLERS: dict[str, Handler] = {
     "kt_barrier": _run_barrier,
+    "kt_counters": _get_counters,
     "kt_fault": _set_faults,
     "kt_follow": _follow,
     "kt_hold": _hold,
     "kt_install_term": _install_term,
+    "kt_log": _get_log,
     "kt_promote": _promote,
     "kt_pull": _pull,
     "kt_status": _get_status,
--- a/standins/target/execution.py
+++ b/standins/target/execution.py
@@ -19,6 +19,7 @@
     "standard_conforming_strings": "on",
     "transaction_isolation": "read committed",
 }
+_COUNTED_KINDS = frozenset({sql.Kind.BEGIN, sql.Kind.READ, sql.Kind.WRITE})
 # Words and strings whose value changes when a statement is run again.
 _NONDETERMINISTIC = frozenset(
     {
@@ -67,6 +68,8 @@
         Raises:
             errors.TargetError: it failed; its changes are undone.
         """
+        if text.kind in _COUNTED_KINDS:
+            self._target.statements += 1
         return await _RUNNERS[text.kind](self, text, parameters)
 
     def finish(self) -> None:
--- a/standins/target/target.py
+++ b/standins/target/target.py
@@ -89,6 +89,7 @@
         primary_address: where the primary that is followed listens.
         barrier_nonce: nonce of the newest barrier.
         connections: ordinary connections open.
+        statements: reads, writes and BEGINs that were begun.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         self.primary_address: Address | None = None
         self.barrier_nonce = 0
         self.connections = 0
+        self.statements = 0
         self._enter_first_term()
 
     def install_term(
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Failures of real processes, with the history of their callers checked."""
