Store bundle registers only once the bundles part accepted them

Cause: membership stored and spread a bundle register of any version unchecked; a forged one of a high version kept valid ones from spreading. Ruled out: checking signatures inside membership, which would check twice. Before: the new test fails; after: it passes.

--- a/knapweedtally/core/membership/spread.py
+++ b/knapweedtally/core/membership/spread.py
@@ -18,6 +18,10 @@
 URGENT_KINDS = frozenset({"group", "observation"})
 MAX_URGENT_SENDS = 5
 
+# Kinds whose part checks a register and publishes it again if it accepts it.
+# Stored unchecked, a forged one of a high version would keep out valid ones.
+CHECKED_KINDS = frozenset({"bundle"})
+
 Effects = list[effects.Effect]
 
 
@@ -168,6 +172,8 @@
         return []
     if register.kind == "host" and register.name == state.identity.host:
         return refute(state, moment, register)
+    if register.kind in CHECKED_KINDS:
+        return [effects.Raise(events.RegisterSeen(register))]
     if not _store_register(state, moment, register):
         return []
     return [
--- a/tests/bundles/test_decisions.py
+++ b/tests/bundles/test_decisions.py
@@ -15,6 +15,8 @@
 from knapweedtally.core.bundles import decisions
 from knapweedtally.core.bundles import rules
 from knapweedtally.core.bundles import signatures
+from knapweedtally.core.membership import events as membership_events
+from knapweedtally.core.membership import messages
 from tests.bundles import test_codec
 
 MOMENT = model.Moment(1.0, 0.5)
@@ -142,3 +144,17 @@
             handle = decisions.HANDLERS[type(event)]
             self.assertEqual([], handle(state, MOMENT, event))
             self.assertIsNone(state.directory.bundle)
+
+    def test_a_forged_register_keeps_out_no_valid_one(self) -> None:
+        state = make_state()
+        for value in (FORGED[5], SIGNED[2]):
+            register = model.Register(
+                "bundle", "current", (value["version"],), value
+            )
+            event = membership_events.PeerMessageReceived(
+                "a2", messages.Deltas((register,))
+            )
+            result = reducer.decide(state, MOMENT, event)
+        spread = [e for e in result if isinstance(e, effects.PublishRegister)]
+        self.assertEqual([(2,)], [e.register.version for e in spread])
+        self.assertNotIn(("bundle", "current"), state.membership.store.entries)
