--- a/tests/driver/faults.py
+++ b/tests/driver/faults.py
@@ -148,6 +148,17 @@
         world.network.heal_cut(other, place)
 
 
+def _mute_target(world: World, place: str) -> None:
+    """Stop a target's answers to proxies; requests still reach it."""
+    for proxy in sorted(world.proxies):
+        world.network.cut(place, proxy)
+
+
+def _mend_mute(world: World, place: str) -> None:
+    for proxy in sorted(world.proxies):
+        world.network.heal_cut(place, proxy)
+
+
 def _list_split(world: World, place: str) -> list[tuple[str, str]]:
     inside = set(place.split(","))
     everyone = (*world.proxies, *world.targets, "platform")
@@ -255,6 +266,7 @@
     "cut inwards": FaultKind(_cut_in, _mend_away, _choose_data_centre),
     "cut outwards": FaultKind(_cut_out, _mend_away, _choose_data_centre),
     "cut target": FaultKind(_cut_target, _mend_target, _choose_target),
+    "mute target": FaultKind(_mute_target, _mend_mute, _choose_target),
     "split": FaultKind(_split, _mend_split, _choose_side),
     "far behind": FaultKind(_slow_pulls, _mend_pulls, _choose_target),
     "platform down": FaultKind(_stop_platform, _mend_platform, _choose_nothing),
--- a/tests/proofs/mutant.py
+++ b/tests/proofs/mutant.py
@@ -1,5 +1,6 @@
 """Run the driver with and without a rule."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -24,12 +25,15 @@
         replacement: function in its place.
         check: check of the history that has to fail.
         faults: faults of the run, the same for each seed.
+        guide: dotted path of a limit that only guides a choice, and is
+            lifted with the rule on and off, or empty.
     """
 
     rule: str
     replacement: Callable[..., Any]
     check: str
     faults: tuple[Fault, ...]
+    guide: str = ""
 
 
 def return_true(*arguments: object) -> bool:
@@ -46,6 +50,10 @@
         Seeds are tried until one fails with the rule off; with the rule on
         all seeds tried have to pass every check.
         """
+        if mutant.guide:
+            lifted = mock.patch(mutant.guide, math.inf)
+            lifted.start()
+            self.addCleanup(lifted.stop)
         tried = []
         for seed in SEEDS:
             tried.append(seed)
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -3,10 +3,13 @@
 from collections.abc import Mapping
 from typing import Any
 
+from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.draining import decisions as draining
+from knapweedtally.core.draining import state as draining_state
 from tests.driver import run
 from tests.history import model as history_model
 from tests.proofs import mutant
@@ -21,8 +24,9 @@
 
 REPLICAS_BEHIND = (Fault(1.0, "replicas behind", "", 9.0),)
 PRIMARY_CUT_OFF = (Fault(2.0, "cut target", PRIMARY, 5.0),)
-PRIMARY_KILLED_OFTEN = tuple(
-    Fault(at, "kill target", PRIMARY, 0.4) for at in (1.5, 3.0, 4.5, 6.0, 7.5)
+PRIMARY_MUTE = (
+    Fault(2.0, "mute target", PRIMARY, 4.0),
+    Fault(7.0, "mute target", PRIMARY, 4.0),
 )
 ONE_BEHIND_PRIMARY_KILLED = (
     Fault(1.0, "far behind", "records-archive", 10.0),
@@ -39,6 +43,12 @@
     Fault(6.0, "freeze target", "records-south", 3.0),
 )
 
+TARGET_LEAVES = (Fault(3.0, "bundles race", "records-south", 0.1),)
+STOP_WITH_REQUESTS_IN_FLIGHT = (
+    Fault(3.0, "planned stop", "proxy-south", 3.0),
+    Fault(3.8, "freeze target", PRIMARY, 1.5),
+)
+
 _release_lease = attempts.release_lease
 
 
@@ -59,6 +69,11 @@
     return _release_lease(state, request.lease, True)
 
 
+def return_false(*arguments: object) -> bool:
+    """Take the place of a rule that then never finds anything."""
+    return False
+
+
 def fence_one(group: model.Group, fenced: Mapping[str, Any]) -> bool:
     """Take one instance for a majority."""
     return len(fenced) >= 1
@@ -79,11 +94,23 @@
     return len(failed) >= 1
 
 
+def stop_at_once(
+    state: state_module.ProxyState, moment: model.Moment
+) -> attempts.Effects:
+    """End the process without waiting for requests in flight."""
+    return [effects.StopProcess()]
+
+
 class PromiseTest(mutant.MutantTest):
     def check(
-        self, rule: str, replacement: Any, check: str, *faults: Fault
+        self,
+        rule: str,
+        replacement: Any,
+        check: str,
+        *faults: Fault,
+        guide: str = "",
     ) -> None:
-        self.prove(mutant.Mutant(rule, replacement, check, faults))
+        self.prove(mutant.Mutant(rule, replacement, check, faults, guide))
 
     def test_replica_that_lacks_own_write(self) -> None:
         self.check(
@@ -99,6 +126,7 @@
             mutant.return_true,
             "stated_age",
             *REPLICAS_BEHIND,
+            guide="knapweedtally.core.routing.decisions.AGE_MARGIN",
         )
 
     def test_acknowledgement_without_majority(self) -> None:
@@ -161,12 +189,29 @@
             WRITES + "may_run_again",
             mutant.return_true,
             "at_most_once",
-            *PRIMARY_KILLED_OFTEN,
+            *PRIMARY_MUTE,
         )
 
     def test_refusal_without_proof(self) -> None:
         self.check(WRITES + "is_not_run", mutant.return_true, "not_run")
 
+    def test_new_work_on_a_leaving_target(self) -> None:
+        self.check(
+            "knapweedtally.core.draining.rules.is_leaving",
+            return_false,
+            "leaving",
+            *TARGET_LEAVES,
+        )
+
+    def test_planned_stop_with_requests_in_flight(self) -> None:
+        closing = draining_state.Phase.CLOSING
+        self.check(
+            "knapweedtally.core.draining.decisions._TICKS",
+            {**draining._TICKS, closing: stop_at_once},
+            "planned_stop",
+            *STOP_WITH_REQUESTS_IN_FLIGHT,
+        )
+
 
 class FalsePromotionTest(mutant.MutantTest):
     def test_one_observer_cut_off(self) -> None:
