--- a/tests/driver/platform.py
+++ b/tests/driver/platform.py
@@ -41,7 +41,7 @@
     Attributes:
         process: the process that a fault can pause or cut off.
         is_down: whether every call is refused.
-        delay_s: added time of each call.
+        delay_s: longest added time before a call is run, and of its answer.
         lost_answers: number of coming updates whose answer is lost.
         objects: objects by kind and name.
     """
@@ -116,7 +116,8 @@
             self._answer(client, lambda: finish(lambda: receive(reply)))
 
         def arrive() -> None:
-            self.process.call_later(SERVICE_S + self.delay_s, serve)
+            delay_s = SERVICE_S + self.delay_s * self._schedule.random.random()
+            self.process.call_later(delay_s, serve)
 
         self._network.send(client, self.process, arrive)
         client.call_later(CALL_TIMEOUT_S, lambda: finish(lambda: fail(True)))
@@ -124,4 +125,7 @@
     def _answer(
         self, client: schedule_module.Process, action: schedule_module.Action
     ) -> None:
-        self._network.send(self.process, client, action)
+        delay_s = self.delay_s * self._schedule.random.random()
+        self._schedule.call_later(
+            delay_s, lambda: self._network.send(self.process, client, action)
+        )
