--- a/knapweedtally/core/failover/decisions.py
+++ b/knapweedtally/core/failover/decisions.py
@@ -15,8 +15,8 @@
 from knapweedtally.core.failover import learning
 from knapweedtally.core.failover import observers
 from knapweedtally.core.failover import prevote
-from knapweedtally.core.failover import promotion
 from knapweedtally.core.failover import reconciliation
+from knapweedtally.core.failover import retries
 from knapweedtally.core.failover import switching
 
 Effects = list[effects.Effect]
@@ -127,6 +127,7 @@
 ) -> Effects:
     """Take in that a target gave no status."""
     result = detection.note_failure(state, moment, event)
+    result += prevote.note_silence(state, moment, event)
     return result + weigh_target(state, moment, event.target)
 
 
@@ -165,7 +166,7 @@
     failover_events.CompletionDue: completion.complete,
     failover_events.CreationDue: completion.look_for_record,
     failover_events.SwitchDue: switching.begin,
-    failover_events.StepDue: promotion.retry,
+    failover_events.StepDue: retries.retry,
 }
 
 RegisterHandler = Callable[
