--- a/knapweedtally/core/failover/detection.py
+++ b/knapweedtally/core/failover/detection.py
@@ -4,6 +4,7 @@
 from knapweedtally.core import events
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.explanations import decisions as explanations
 from knapweedtally.core.failover import limits
 from knapweedtally.core.failover import state as failover_state
 
@@ -156,6 +157,8 @@
     watch.reason = reason
     if not is_change and not is_repeat:
         return []
+    if is_change:
+        record_verdict(state, moment, target, watch)
     watch.published_at = moment.at
     record = state.directory.records.get(watch.group)
     term = record.term if record else 0
@@ -178,6 +181,28 @@
     return [effects.PublishRegister(register)]
 
 
+def record_verdict(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    target: str,
+    watch: failover_state.Watch,
+) -> None:
+    """Record that this host's verdict on a target changed."""
+    choice, reason = "count as healthy", "it answers as it should"
+    if watch.reason:
+        choice, reason = "count as failed", f"its probes say: {watch.reason}"
+    explanations.record_decision(
+        state,
+        moment,
+        "failover",
+        target,
+        choice,
+        reason,
+        failures=watch.failures,
+        opened_term=watch.opened_term,
+    )
+
+
 def keep_observation(
     state: state_module.ProxyState,
     target: str,
--- a/knapweedtally/core/failover/promotion.py
+++ b/knapweedtally/core/failover/promotion.py
@@ -22,6 +22,7 @@
 PART = "failover"
 GIVE_UP = "give up"
 BACKOFF_DOUBLINGS = 5
+MILLISECONDS = 1000
 REVERSIBLE_STEPS = frozenset(
     {Step.PREVOTING, Step.HOLDING, Step.CATCHING_UP, Step.RESERVING}
 )
@@ -138,6 +139,8 @@
 ) -> Effects:
     """Enter a step and run it for the first time."""
     promotion.step = step
+    took_s = moment.at - promotion.started_at
+    promotion.entered_ms[step.value] = round(took_s * MILLISECONDS)
     promotion.attempt = 0
     promotion.is_uncertain = False
     return run_step(state, moment, promotion)
@@ -230,6 +233,7 @@
         step=promotion.step.value,
         statuses=len(promotion.statuses),
         fenced=sorted(promotion.fenced),
+        entered_ms=dict(promotion.entered_ms),
     )
     level = "warning" if choice == GIVE_UP else "info"
     return [make_log(level, f"promotion ended: {choice}", promotion, reason)]
--- a/knapweedtally/core/failover/state.py
+++ b/knapweedtally/core/failover/state.py
@@ -96,6 +96,7 @@
         silent: instances that gave no status before the term is reserved.
         fenced: last log entry of each instance that installed the term.
         final: last log entry of the old primary under hold.
+        entered_ms: time from the start to the entry into each step.
     """
 
     group: str
@@ -116,6 +117,7 @@
     silent: set[str] = dataclasses.field(default_factory=set)
     fenced: dict[str, model.Position] = dataclasses.field(default_factory=dict)
     final: model.Position | None = None
+    entered_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/target/commands.py
+++ b/standins/target/commands.py
@@ -233,7 +233,9 @@
     return str(settings)
 
 
-async def _get_log(target: targets.Target, arguments: Sequence[Argument]) -> str:
+async def _get_log(
+    target: targets.Target, arguments: Sequence[Argument]
+) -> str:
     return json.dumps(target.instance.log)
 
 
--- a/tests/processes/clients.py
+++ b/tests/processes/clients.py
@@ -45,9 +45,7 @@
 class PsycopgClient:
     """Use psycopg."""
 
-    async def open(
-        self, member: cluster.Member, user: str, group: str
-    ) -> None:
+    async def open(self, member: cluster.Member, user: str, group: str) -> None:
         self._connection = await psycopg.AsyncConnection.connect(
             host=member.host,
             port=member.port,
@@ -77,9 +75,7 @@
 class AsyncpgClient:
     """Use asyncpg."""
 
-    async def open(
-        self, member: cluster.Member, user: str, group: str
-    ) -> None:
+    async def open(self, member: cluster.Member, user: str, group: str) -> None:
         self._connection = await asyncpg.connect(
             host=member.host,
             port=member.port,
--- a/tests/processes/recorder.py
+++ b/tests/processes/recorder.py
@@ -22,9 +22,7 @@
 
 INSERT = "INSERT INTO readings (session, value) VALUES ($1, $2)"
 READ_ALL = "SELECT value FROM readings UNION ALL SELECT $1"
-READ_OWN = (
-    "SELECT value FROM readings WHERE session = $1 UNION ALL SELECT $2"
-)
+READ_OWN = "SELECT value FROM readings WHERE session = $1 UNION ALL SELECT $2"
 
 
 class Recorder:
--- a/tests/processes/scenario.py
+++ b/tests/processes/scenario.py
@@ -193,9 +193,7 @@
             term = status["term"] if status and status["is_primary"] else 0
             if term and term not in self._terms:
                 self._terms.add(term)
-                opened = model.TermOpened(
-                    time.monotonic(), GROUP, term, target
-                )
+                opened = model.TermOpened(time.monotonic(), GROUP, term, target)
                 self.recorder.events.append(opened)
             await anyio.sleep(POLL_S)
 
@@ -241,9 +239,7 @@
 Disturb = Callable[[Scenario], Awaitable[None]]
 
 
-async def wait_until(
-    is_met: Callable[[], Awaitable[bool]], what: str
-) -> None:
+async def wait_until(is_met: Callable[[], Awaitable[bool]], what: str) -> None:
     """Poll until a condition is met.
 
     Raises:
