--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -44,6 +44,7 @@
         group_options: values of the bundle for every group.
         target_options: flags of every target stand-in.
         host_module: module that is run as an entry host.
+        host_environment: further environment variables of entry hosts.
     """
 
     data_centres: tuple[str, ...] = ("sala-norte", "sala-sur", "archivo")
@@ -52,6 +53,7 @@
     group_options: dict[str, Any] = {}
     target_options: dict[str, Any] = {}
     host_module: str = "knapweedtally"
+    host_environment: dict[str, str] = {}
 
 
 class Member(NamedTuple):
@@ -168,6 +170,7 @@
             "KNAPWEEDTALLY_ADMIN_TOKEN": self.admin_token,
             "KNAPWEEDTALLY_TOKEN_KEYS": self.token_keys,
             "KNAPWEEDTALLY_PEER_TOKEN": self.admin_token,
+            **self.layout.host_environment,
         }
         self._spawn(
             name, self.layout.host_module, options, ["proxy"], environment
--- /dev/null
+++ b/tests/processes/test_hosts.py
@@ -0,0 +1,105 @@
+"""Failures and planned stops of entry hosts under callers."""
+
+import signal
+
+import anyio
+
+from knapweedtally.core import errors
+from tests.history import model
+from tests.processes import clients
+from tests.processes import scenario as scenarios
+
+Scenario = scenarios.Scenario
+FREEZE_S = 5.0
+SLOW_MS = 500
+EXIT_LIMIT_S = 60.0
+
+
+class HostFailureTests(scenarios.ScenarioTestCase):
+    def test_killed_host_leaves_no_transaction_behind(self):
+        async def disturb(scenario: Scenario) -> None:
+            killed = scenario.hosts[0]
+            caller = scenario.make_caller("in-transaction")
+            request, client = await caller.open_transaction(killed)
+            scenario.system.kill(killed)
+            try:
+                await client.fetch("COMMIT")
+            except (*clients.FAILURES, OSError):
+                # The host was dead before COMMIT was sent.
+                answer = model.Answered(0, 0, "", errors.Outcome.NOT_RUN)
+                scenario.recorder.answer(request, answer)
+            await scenario.wait_progress()
+            scenario.system.start_proxy(killed)
+            await wait_serving(scenario)
+
+        self.run_scenario(disturb)
+
+    def test_host_frozen_while_it_leads_a_promotion_does_no_harm(self):
+        async def disturb(scenario: Scenario) -> None:
+            # A slow platform makes the promotion long enough to be seen.
+            await scenario.set_platform_faults(mode="slow", delay_ms=SLOW_MS)
+            scenario.system.kill(scenario.targets[0])
+            frozen = await scenario.find_promoter()
+            scenario.system.send_signal(frozen, signal.SIGSTOP)
+            await scenario.set_platform_faults(mode="up")
+            await scenario.wait_primary(unlike=scenario.targets[0])
+            await anyio.sleep(FREEZE_S)
+            scenario.system.send_signal(frozen, signal.SIGCONT)
+            await wait_agreement(scenario)
+
+        self.run_scenario(disturb)
+
+    def test_host_killed_while_the_primary_is_frozen(self):
+        async def disturb(scenario: Scenario) -> None:
+            frozen = scenario.targets[0]
+            killed = scenario.hosts[1]
+            scenario.system.send_signal(frozen, signal.SIGSTOP)
+            scenario.system.kill(killed)
+            await scenario.wait_primary(unlike=frozen)
+            await scenario.wait_progress()
+            scenario.system.send_signal(frozen, signal.SIGCONT)
+            scenario.system.start_proxy(killed)
+            await wait_serving(scenario)
+            await scenario.wait_replica(frozen)
+
+        self.run_scenario(disturb)
+
+
+class PlannedStopTests(scenarios.ScenarioTestCase):
+    def test_stopping_host_cuts_off_no_request(self):
+        async def disturb(scenario: Scenario) -> None:
+            stopped = scenario.hosts[0]
+            process = scenario.system.processes[stopped]
+            scenario.system.send_signal(stopped, signal.SIGTERM)
+
+            async def has_ended() -> bool:
+                return process.poll() is not None
+
+            await scenarios.wait_until(has_ended, f"the end of {stopped}")
+            del scenario.system.processes[stopped]
+            assert process.returncode == 0, process.returncode
+
+        scenario = self.run_scenario(disturb)
+        cut_off = [
+            failure
+            for failure in scenario.list_failures()
+            if failure.outcome is not errors.Outcome.NOT_RUN
+        ]
+        self.assertEqual([], cut_off)
+
+
+async def wait_serving(scenario: Scenario) -> None:
+    """Wait until every running host has a bundle in force."""
+    await scenario.wait_hosts(
+        "/v1/status", lambda answer: answer["is_ready"], "a bundle in force"
+    )
+
+
+async def wait_agreement(scenario: Scenario) -> None:
+    """Wait until every host knows the primary of the newest term."""
+    primary = await scenario.wait_primary()
+    await scenario.wait_hosts(
+        "/v1/groups",
+        lambda answer: scenarios.find_group(answer)["primary"] == primary,
+        f"{primary} as primary",
+    )
