Refuse requests at an ending session instead of dropping them

An ending session now waits for a moment, answers a request that still comes with 57P01, and reads until the caller closes, so that no reset overtakes the goodbye. Connections count from their first byte on, and a session that begins during the stop is ended too; before, the process could stop under it.

A barrier answered by a replica is no confirmation: a replaced primary that follows the next one could have served a current read.

--- a/knapweedtally/callers/edge.py
+++ b/knapweedtally/callers/edge.py
@@ -60,6 +60,7 @@
         self._sessions: dict[int, session_module.Session] = {}
         self._listening: anyio.CancelScope | None = None
         self._is_closing = False
+        self._connections = 0
         self._runners: dict[type, Callable[[Any], None]] = {
             effects.RunStatement: self._executor.deliver,
             effects.DeliverAnswer: self._executor.deliver,
@@ -101,10 +102,18 @@
         self._report_callers_gone()
 
     def _report_callers_gone(self) -> None:
-        if self._is_closing and not self._sessions:
+        if self._is_closing and not self._connections:
             self._submit(draining_events.CallersGone())
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        self._connections += 1
+        try:
+            await self._serve_stream(stream)
+        finally:
+            self._connections -= 1
+            self._report_callers_gone()
+
+    async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
         caller_stream = stream_module.CallerStream(stream)
         async with stream:
             try:
@@ -137,12 +146,13 @@
             self._state.identity.host,
         )
         self._sessions[session.id] = session
+        if self._is_closing:
+            session.end_when_quiet()
         try:
             await session.serve(startup)
         finally:
             del self._sessions[session.id]
             self._submit(admission_events.SessionEnded(session.id))
-            self._report_callers_gone()
 
     def _cancel(self, request: messages.CancelRequest) -> None:
         session = self._sessions.get(request.process_id)
--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -17,6 +17,11 @@
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.sessions import token as token_module
 
+# Pause between an answer and the goodbye of a planned stop.
+GOODBYE_DELAY_S = 0.1
+# Time that a caller gets to close its side after the goodbye.
+LINGER_S = 1.0
+
 Kind = sql.StatementKind
 RequestKind = admission_state.RequestKind
 
@@ -119,22 +124,41 @@
         """End the connection once nothing is running or open on it."""
         self._is_ending = True
         if self.is_quiet and self._waiting is not None:
-            self._waiting.cancel()
+            self._waiting.deadline = anyio.current_time() + GOODBYE_DELAY_S
 
     async def _serve_messages(self) -> None:
-        """Take messages until the caller or a planned stop ends it."""
-        while not (self._is_ending and self.is_quiet):
-            message = None
-            with anyio.CancelScope() as scope:
-                self._waiting = scope
-                message = await self._stream.receive_message()
-            self._waiting = None
+        """Take messages until the caller or a planned stop ends it.
+
+        A request that comes to an ending session is not run: the goodbye is
+        its answer.
+        """
+        while True:
+            message = await self._wait_message()
             if message is None or isinstance(message, messages.Terminate):
                 return
+            if self._is_ending and self.is_quiet:
+                return
             self.is_idle = False
             await self._take_message(message)
             self.is_idle = not self._parts
 
+    async def _wait_message(self) -> messages.FrontendMessage | None:
+        """Return the next message, or None when the session is to end.
+
+        A goodbye right behind an answer would reach clients of libpq
+        together with it and be dropped as a notice, so an ending session
+        waits for a moment.
+        """
+        with anyio.CancelScope() as scope:
+            if self._is_ending and self.is_quiet:
+                scope.deadline = anyio.current_time() + GOODBYE_DELAY_S
+            self._waiting = scope
+            try:
+                return await self._stream.receive_message()
+            finally:
+                self._waiting = None
+        return None
+
     async def _say_goodbye(self) -> None:
         await self._stream.send(
             answers.encode_error(
@@ -144,6 +168,10 @@
                 severity="FATAL",
             )
         )
+        # Closing with unread bytes would reset the connection, and the caller
+        # might never read the goodbye.
+        with anyio.move_on_after(LINGER_S):
+            await self._stream.drain()
 
     async def _take_message(self, message: messages.FrontendMessage) -> None:
         if isinstance(message, messages.Query):
--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -66,6 +66,15 @@
         """Send bytes to the caller."""
         await self.stream.send(data)
 
+    async def drain(self) -> None:
+        """Close for sending, then drop bytes until the caller closes too."""
+        await self.stream.send_eof()
+        try:
+            while True:
+                await self.stream.receive(RECEIVE_SIZE)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            return
+
     async def _receive_message(self) -> messages.PGMessage:
         while True:
             try:
--- a/knapweedtally/targets/attempt.py
+++ b/knapweedtally/targets/attempt.py
@@ -193,4 +193,7 @@
         return None
     rows = wire.read_rows(section)
     value = json.loads(rows[0][0] or "{}")
+    if not value["is_primary"]:
+        # The target answered at once: no majority confirmed anything.
+        return None
     return model.Position(value["term"], value["offset"])
--- a/tests/processes/clients.py
+++ b/tests/processes/clients.py
@@ -115,6 +115,9 @@
 
 def describe_failure(error: Exception) -> Failure:
     """Return what an exception of a client says of its request."""
+    if isinstance(error.__cause__, asyncpg.PostgresError):
+        # asyncpg reports the lost connection, caused by the server's answer.
+        error = error.__cause__
     diagnostic = getattr(error, "diag", error)
     sqlstate = getattr(error, "sqlstate", None) or "connection"
     detail = getattr(diagnostic, "message_detail", None)
--- a/tests/processes/recorder.py
+++ b/tests/processes/recorder.py
@@ -18,6 +18,7 @@
 REQUEST_LIMIT_S = 20.0
 PAUSE_S = 0.01
 AGED_READ_MS = 1000
+ANY_AGE_MS = 3_600_000
 KEYED_TRIES = 50
 
 INSERT = "INSERT INTO readings (session, value) VALUES ($1, $2)"
@@ -78,6 +79,7 @@
 
     Attributes:
         name: name of the session.
+        last_failure: the newest error answer, or None.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         make_client: Callable[[], clients.Client],
     ) -> None:
         self.name = name
+        self.last_failure: clients.Failure | None = None
         self._group = group
         self._members = members
         self._recorder = recorder
@@ -98,7 +101,7 @@
         self._values = itertools.count(1)
         self._opened = itertools.count(1)
         self._clients: dict[str, tuple[str, clients.Client]] = {}
-        self._operations: tuple[Callable[[], Awaitable[None]], ...] = (
+        self._operations: tuple[Callable[[], Awaitable[object]], ...] = (
             self.write,
             self.read_own,
             self.write_keyed,
@@ -116,6 +119,10 @@
                 break
             await operation()
             await anyio.sleep(PAUSE_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the kept connections."""
         for _, client in self._clients.values():
             await client.close()
 
@@ -133,9 +140,10 @@
         await client.fetch(INSERT, self.name, request.values[0])
         return request, client
 
-    async def write(self) -> None:
+    async def write(self) -> errors.Outcome | None:
         """Write one value without a key."""
-        await self._send(self._make_write(model.Kind.WRITE, 1), self._insert)
+        request = self._make_write(model.Kind.WRITE, 1)
+        return await self._send(request, self._insert)
 
     async def write_keyed(self) -> None:
         """Write one value with a key, with tries up to an acknowledgement."""
@@ -152,9 +160,14 @@
         request = self._make_write(model.Kind.TRANSACTION, 2)
         await self._send(request, self._insert_both)
 
-    async def read_own(self) -> None:
+    async def read_own(
+        self, max_age_s: float | None = None
+    ) -> errors.Outcome | None:
         """Read the session's own rows."""
-        await self._send(self._make_read(self.name), self._select)
+        request = self._make_read(self.name)
+        return await self._send(
+            request._replace(max_age_s=max_age_s), self._select
+        )
 
     async def read_all(self) -> None:
         """Read all rows."""
@@ -166,14 +179,15 @@
         age_s = AGED_READ_MS / 1000
         await self._send(request._replace(max_age_s=age_s), self._select)
 
-    async def read_without_token(self) -> None:
+    async def read_without_token(self) -> errors.Outcome | None:
         """Read on a new connection without a token: gives current data."""
         client = await self._open_next()
         if client is None:
-            return
+            return None
         request = self._make_read("")._replace(max_age_s=0.0)
-        await self._send_on(client, request, self._select, "")
+        outcome = await self._send_on(client, request, self._select, "")
         await client[1].close()
+        return outcome
 
     def _make_write(self, kind: model.Kind, count: int) -> model.Invoked:
         values = [f"{self.name}-{next(self._values)}" for _ in range(count)]
@@ -231,6 +245,9 @@
             answer = await run(client, request, progress)
         except (*clients.FAILURES, OSError) as error:
             failure = clients.describe_failure(error)
+            what = f"{request.caller} {request.kind.value}: "
+            failure = failure._replace(message=what + failure.message)
+            self.last_failure = failure
             self._recorder.note_failure(failure)
             outcome = failure.outcome
             if not progress.may_have_run:
@@ -252,15 +269,17 @@
     ) -> None:
         if token:
             await client.fetch(f"SET knapweedtally.token = '{token}'")
-        if request.key:
+        if request.values:
+            # A key that a refused request left behind must not be used.
             await client.fetch(
                 f"SET knapweedtally.idempotency_key = '{request.key}'"
             )
-        age_s = 10.0 if request.max_age_s is None else request.max_age_s
+        age_ms = ANY_AGE_MS
+        if request.max_age_s is not None:
+            age_ms = round(request.max_age_s * 1000)
         if request.kind is model.Kind.READ and token:
-            await client.fetch(
-                f"SET knapweedtally.max_age_ms = '{age_s * 1000:.0f}'"
-            )
+            # It can't loosen the bundle's, but undoes an earlier setting.
+            await client.fetch(f"SET knapweedtally.max_age_ms = '{age_ms}'")
 
     async def _insert(
         self,
@@ -332,7 +351,7 @@
         except (*clients.FAILURES, OSError, TimeoutError):
             await anyio.sleep(PAUSE_S)
             return None
-        return f"{self.name}#{next(self._opened)}", client
+        return f"{self.name}#{next(self._opened)}@{member.name}", client
 
 
 class Progress:
--- a/tests/processes/scenario.py
+++ b/tests/processes/scenario.py
@@ -73,12 +73,21 @@
             await self._collect()
             watchers.cancel_scope.cancel()
 
-    def make_caller(self, name: str, number: int = 0) -> "Caller":
-        """Return a caller; the number chooses its client."""
+    def make_caller(
+        self, name: str, number: int = 0, host: str = ""
+    ) -> "Caller":
+        """Return a caller.
+
+        Args:
+            name: name of its session.
+            number: chooses its client.
+            host: the one host that it uses; empty for all of them.
+        """
+        members = self.system.proxies
         return recorder_module.Caller(
             name,
             GROUP,
-            list(self.system.proxies.values()),
+            [members[host]] if host else list(members.values()),
             self.recorder,
             clients.MAKERS[number % len(clients.MAKERS)],
         )
--- /dev/null
+++ b/tests/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the edge towards targets."""
