--- a/bench/failover_gap.py
+++ b/bench/failover_gap.py
@@ -203,12 +203,15 @@
     system: cluster.Cluster, counts: dict[str, int]
 ) -> list[Record]:
     """Wait for the end of a promotion; return failover's records since."""
+    records: list[Record] = []
     with anyio.fail_after(LIMIT_S):
-        while True:
+        while not any(record.choice == "done" for record in records):
             await anyio.sleep(AFTERWARDS_S)
-            records = await fetch_records(system, counts)
-            if any(record.choice == "done" for record in records):
-                return records
+            records += await fetch_records(system, counts)
+            for record in records:
+                if record.choice == "give up":
+                    raise RuntimeError(f"change was given up: {record}")
+    return sorted(records)
 
 
 async def wait_write(
@@ -236,7 +239,7 @@
 async def fetch_records(
     system: cluster.Cluster, counts: dict[str, int]
 ) -> list[Record]:
-    """Return the failover part's records after the given counts, by time."""
+    """Return the failover part's records after the counts, and move these."""
     records: list[Record] = []
     for name, member in system.proxies.items():
         status = await cluster.fetch_json(system, member, "/v1/status")
@@ -246,8 +249,9 @@
             record = await fetch_record(system, client, identity)
             if record:
                 records.append(record)
+        counts[name] = status["decisions"]
         await client.close()
-    return sorted(records)
+    return records
 
 
 async def fetch_record(
