--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -29,6 +29,8 @@
                 tasks.start_soon(
                     scenario.switch, scenario.hosts[0], scenario.targets[1]
                 )
+            # Without any host that learned of it, none can pass it on.
+            await wait_first(scenario, 2)
             await scenario.set_platform_faults(mode="down")
             async with anyio.create_task_group() as watchers:
                 watchers.start_soon(note_versions, scenario, versions)
@@ -66,6 +68,19 @@
     scenario.system.start_proxy(replaced)
 
 
+async def wait_first(scenario: Scenario, version: int) -> None:
+    """Wait until some host has a version of the bundle in force."""
+
+    async def is_in_force() -> bool:
+        for name in scenario.hosts:
+            status = await scenario.fetch_host(name, "/v1/status")
+            if status and status["bundle_version"] == version:
+                return True
+        return False
+
+    await scenarios.wait_until(is_in_force, f"bundle {version} on a host")
+
+
 async def wait_version(scenario: Scenario, version: int) -> None:
     """Wait until every host has a version of the bundle in force."""
 
