Mend reads and connections of the request path

Causes, found by reading the code against the promises: - a session that only reads never got a token, so all its reads went to the primary: a confirmed read now gives one; - answers of stale replicas used up the retry budget, then reads failed; - a read that needs a busy primary blocked its caller's other reads; - a target at its connection limit was avoided as if it had failed: the host now asks it for fewer connections for 2 s; - a connection made just when its lease ended was never closed. Ruled out: raising the retry budget, which would let a slow target drown.

--- a/knapweedtally/callers/execution.py
+++ b/knapweedtally/callers/execution.py
@@ -162,7 +162,8 @@
         pool = self._targets.pool
         target = self._targets.find_target(effect.target)
         if target is None:
-            self._fail(effect, was_sent=False)
+            error = exceptions.AttemptLostError("no such target", False)
+            self._fail(effect, error)
             return None
         result = None
         failure: exceptions.AttemptLostError | None = None
@@ -184,8 +185,10 @@
             except exceptions.AttemptLostError as error:
                 failure = error
             pool.leave_lease(effect.lease)
+        if scope.cancelled_caught:
+            await pool.discard(effect.lease)
         if failure is not None:
-            self._fail(effect, failure.was_sent, failure.is_too_large)
+            self._fail(effect, failure)
         return result
 
     def _get_timeout_ms(self, group_name: str) -> int:
@@ -195,12 +198,15 @@
     def _fail(
         self,
         effect: effects.RunStatement,
-        was_sent: bool,
-        is_too_large: bool = False,
+        error: exceptions.AttemptLostError,
     ) -> None:
         self._submit(
             writes_events.AttemptFailed(
-                effect.request, effect.attempt, was_sent, is_too_large
+                effect.request,
+                effect.attempt,
+                error.was_sent,
+                error.is_too_large,
+                error.sqlstate,
             )
         )
 
--- a/knapweedtally/core/admission/attempts.py
+++ b/knapweedtally/core/admission/attempts.py
@@ -123,6 +123,7 @@
     moment: model.Moment,
     request: admission_state.Request,
     position: model.Position | None,
+    report: model.TargetReport | None,
 ) -> Effects:
     """End a request with the answer of its running attempt."""
     state.admission.count(f"answered {request.kind.value}")
@@ -139,6 +140,9 @@
         kind=request.kind.value,
         attempts=request.attempt,
         position=position,
+        report=report,
+        asked=request.position,
+        max_age_ms=request.max_age_ms,
         took_ms=round((moment.at - request.arrived_at) * 1000, 1),
     )
     del state.admission.requests[request.id]
@@ -228,9 +232,16 @@
             "the group's retry budget is used up",
         )
     state.admission.retry_budget[request.group] = budget - 1.0
+    state.admission.count("retried")
+    return run_again_later(moment, request, delay_s)
+
+
+def run_again_later(
+    moment: model.Moment, request: admission_state.Request, delay_s: float
+) -> Effects:
+    """Run a request again after a delay, at no cost to the retry budget."""
     request.lease = 0
     request.abort_at = math.inf
-    state.admission.count("retried")
     return wait_until(moment, request, moment.at + delay_s)
 
 
--- a/knapweedtally/core/admission/dispatch.py
+++ b/knapweedtally/core/admission/dispatch.py
@@ -30,6 +30,11 @@
         for caller, request_id in list(heads):
             request = state.admission.requests[request_id]
             choice = routing.choose_target(state, moment, request)
+            if choice.is_primary_busy and not lane.is_primary:
+                waiting.take_head(caller)
+                _move_to_primary(state, request)
+                is_moving = True
+                continue
             if not choice.target and not choice.retry_at:
                 continue
             waiting.take_head(caller)
@@ -44,6 +49,15 @@
     return result
 
 
+def _move_to_primary(
+    state: state_module.ProxyState, request: admission_state.Request
+) -> None:
+    """Queue a read for the primary, where it blocks no read of replicas."""
+    request.wants_primary = True
+    lane = attempts.get_lane(request)
+    attempts.get_queue(state, lane).push(request.caller, request.id)
+
+
 def dispatch_group(
     state: state_module.ProxyState, moment: model.Moment, group: str
 ) -> Effects:
--- a/knapweedtally/core/admission/shares.py
+++ b/knapweedtally/core/admission/shares.py
@@ -1,11 +1,15 @@
 """Share a target's connections between the entry hosts."""
 
+import math
+
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.membership import hosts as membership_hosts
 
 # Replication, operators and hosts that are not counted yet.
 RESERVED_CONNECTIONS = 2
+# Time until a target that refused a connection is asked for one more.
+CAP_S = 2.0
 
 
 def compute_share(connection_limit: int, hosts: int) -> int:
@@ -38,4 +42,27 @@
     group = state.directory.find_group_of(target)
     if group is None:
         return False
-    return state.admission.usage.get(target, 0) < get_share(state, group)
+    limit = min(get_share(state, group), get_cap(state, target))
+    return state.admission.usage.get(target, 0) < limit
+
+
+def get_cap(state: state_module.ProxyState, target: str) -> float:
+    """Return how many connections a target let this host have lately."""
+    return state.admission.caps.get(target, math.inf)
+
+
+def note_full(
+    state: state_module.ProxyState, moment: model.Moment, target: str
+) -> None:
+    """Take fewer connections to a target that refused one more."""
+    usage = state.admission.usage.get(target, 0)
+    state.admission.caps[target] = max(1, usage)
+    state.admission.caps_until[target] = moment.at + CAP_S
+
+
+def lift_caps(state: state_module.ProxyState, moment: model.Moment) -> None:
+    """Try for more connections where the last refusal is long past."""
+    for target, until in list(state.admission.caps_until.items()):
+        if until <= moment.at:
+            del state.admission.caps_until[target]
+            del state.admission.caps[target]
--- a/knapweedtally/core/exceptions.py
+++ b/knapweedtally/core/exceptions.py
@@ -19,11 +19,17 @@
     Attributes:
         was_sent: whether a byte of the statement may have left.
         is_too_large: whether the answer exceeded the size limit.
+        sqlstate: SQLSTATE that the target gave before the end, or empty.
     """
 
     def __init__(
-        self, message: str, was_sent: bool, is_too_large: bool = False
+        self,
+        message: str,
+        was_sent: bool,
+        is_too_large: bool = False,
+        sqlstate: str = "",
     ) -> None:
         super().__init__(message)
+        self.sqlstate = sqlstate
         self.was_sent = was_sent
         self.is_too_large = is_too_large
--- a/knapweedtally/core/routing/decisions.py
+++ b/knapweedtally/core/routing/decisions.py
@@ -23,11 +23,14 @@
         target: id of the target, or empty when none can take it now.
         retry_at: time to choose again, or 0 when an event decides.
         reason: one sentence for the decision record.
+        is_primary_busy: whether the primary alone can serve it, but has no
+            free connection.
     """
 
     target: str
     retry_at: float
     reason: str
+    is_primary_busy: bool = False
 
 
 class _Candidate(NamedTuple):
@@ -134,7 +137,7 @@
     if avoided_until > moment.at:
         return Choice("", avoided_until, "the primary failed a moment ago")
     if not shares.has_free_connection(state, primary):
-        return Choice("", 0.0, "the primary has no free connection")
+        return Choice("", 0.0, "the primary has no free connection", True)
     return Choice(primary, 0.0, reason)
 
 
--- a/knapweedtally/core/writes/decisions.py
+++ b/knapweedtally/core/writes/decisions.py
@@ -9,6 +9,7 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
 from knapweedtally.core.admission import dispatch
+from knapweedtally.core.admission import shares
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.routing import decisions as routing
 from knapweedtally.core.routing import lag
@@ -60,6 +61,9 @@
         request.was_sent = request.traits.may_write
         reason = "the answer is above the size limit"
         result += attempts.give_error(state, moment, request, kind, reason)
+    elif event.sqlstate == rules.TOO_MANY_CONNECTIONS:
+        shares.note_full(state, moment, request.target)
+        result += _end_attempt(state, moment, request, False)
     else:
         routing.note_failure(state.routing, request.target, moment.at)
         result += _end_attempt(state, moment, request, event.was_sent)
@@ -184,14 +188,18 @@
 ) -> Effects:
     if routing_rules.is_answer_fresh(request, event.report, event.confirmed):
         _count_read(state, request, event.report)
-        return attempts.give_answer(state, moment, request, None)
+        # A confirmed read covers all that the session wrote before.
+        position = None if request.position else event.confirmed
+        return attempts.give_answer(
+            state, moment, request, position, event.report
+        )
     state.admission.count("read again")
     result = attempts.release_lease(state, request.lease, False)
     if event.report is not None and event.report.is_primary:
         delay_s = UNCONFIRMED_RETRY_DELAY_S
     else:
         delay_s = _plan_next_read(state, moment, request)
-    return result + attempts.retry_request(state, moment, request, delay_s)
+    return result + attempts.run_again_later(moment, request, delay_s)
 
 
 def _plan_next_read(
@@ -221,7 +229,9 @@
             reason = "the key is on record with another statement"
             return attempts.give_error(state, moment, request, kind, reason)
         position = None if event.sqlstate else event.confirmed
-        return attempts.give_answer(state, moment, request, position)
+        return attempts.give_answer(
+            state, moment, request, position, event.report
+        )
     if event.sqlstate:
         # The target rolled it back, but may itself have been replaced.
         return attempts.retry_request(
@@ -244,9 +254,11 @@
     lease = state.admission.leases.get(request.lease)
     is_read_only = lease is not None and lease.is_read_only
     if is_read_only or event.sqlstate:
-        return attempts.give_answer(state, moment, request, None)
+        return attempts.give_answer(state, moment, request, None, event.report)
     if rules.is_acknowledgeable(event):
-        return attempts.give_answer(state, moment, request, event.confirmed)
+        return attempts.give_answer(
+            state, moment, request, event.confirmed, event.report
+        )
     return _give_unconfirmed(state, moment, request)
 
 
@@ -256,7 +268,7 @@
     request: admission_state.Request,
     event: writes_events.AttemptAnswered,
 ) -> Effects:
-    return attempts.give_answer(state, moment, request, None)
+    return attempts.give_answer(state, moment, request, None, event.report)
 
 
 def _give_unconfirmed(
--- a/knapweedtally/core/writes/events.py
+++ b/knapweedtally/core/writes/events.py
@@ -39,9 +39,11 @@
         was_sent: False only if no byte of the statement left for the target,
             or if the target proved that nothing ran.
         is_too_large: whether the answer exceeded the size limit.
+        sqlstate: SQLSTATE that the target gave before the end, or empty.
     """
 
     request: int
     attempt: int
     was_sent: bool
     is_too_large: bool = False
+    sqlstate: str = ""
--- a/knapweedtally/targets/connection.py
+++ b/knapweedtally/targets/connection.py
@@ -58,7 +58,7 @@
                     target.host, target.port, local_host=source_host
                 )
                 connection = cls(target, stream)
-                await connection._start(parameters)
+                await connection._start_or_close(parameters)
                 return connection
         except (OSError, anyio.BrokenResourceError, TimeoutError) as error:
             raise exceptions.AttemptLostError(
@@ -100,6 +100,13 @@
             process_id=self._key.process_id, secret_key=self._key.secret_key
         ).to_wire()
 
+    async def _start_or_close(self, parameters: dict[str, str]) -> None:
+        try:
+            await self._start(parameters)
+        except BaseException:
+            await self.close()
+            raise
+
     async def _start(self, parameters: dict[str, str]) -> None:
         startup = messages.StartupMessage(params=parameters)
         await self._stream.send(startup.to_wire())
@@ -129,5 +136,7 @@
     def _lose(self, message: str) -> exceptions.AttemptLostError:
         self.is_usable = False
         return exceptions.AttemptLostError(
-            f"{self.target.id}: {message}", was_sent=True
+            f"{self.target.id}: {message}",
+            was_sent=True,
+            sqlstate=self._reader.sqlstate,
         )
--- a/knapweedtally/targets/pool.py
+++ b/knapweedtally/targets/pool.py
@@ -72,6 +72,12 @@
             return
         close(connection)
 
+    async def discard(self, lease: int) -> None:
+        """Close a connection that came about after its lease had ended."""
+        connection = self._leased.pop(lease, None)
+        if connection is not None:
+            await connection.close()
+
     async def close_all(self) -> None:
         """Close every connection."""
         idle = [c for group in self._idle.values() for c in group]
--- a/knapweedtally/targets/wire.py
+++ b/knapweedtally/targets/wire.py
@@ -40,13 +40,18 @@
 
 
 class SectionReader:
-    """Collect received bytes into sections."""
+    """Collect received bytes into sections.
+
+    Attributes:
+        sqlstate: SQLSTATE of an error in the section under way, or empty.
+        size: bytes received for the section under way.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._frames: list[bytes] = []
         self._report = ""
-        self._sqlstate = ""
+        self.sqlstate = ""
         self.size = 0
 
     def feed(self, data: bytes) -> list[Section]:
@@ -82,7 +87,7 @@
             self._take_parameter(frame)
             return None
         if kind == ERROR_RESPONSE:
-            self._sqlstate = read_sqlstate(frame)
+            self.sqlstate = read_sqlstate(frame)
         self._frames.append(frame)
         return None
 
@@ -92,10 +97,10 @@
             self._report = value.decode()
 
     def _end_section(self, status: str) -> Section:
-        section = Section(self._frames, self._report, self._sqlstate, status)
+        section = Section(self._frames, self._report, self.sqlstate, status)
         self._frames = []
         self._report = ""
-        self._sqlstate = ""
+        self.sqlstate = ""
         self.size = 0
         return section
 
--- a/tests/admission/test_requests.py
+++ b/tests/admission/test_requests.py
@@ -152,6 +152,63 @@
             self.assertEqual(expected, error.kind)
 
 
+class ReadTest(testtools.TestCase):
+    def start(self, position: model.Position | None) -> Any:
+        driver = Driver()
+        arrival = fakes.make_arrival(1, Kind.READ, position=position)
+        return driver, take(driver.decide(arrival), effects.RunStatement)
+
+    def test_a_read_without_a_token_gains_one(self) -> None:
+        driver, run = self.start(None)
+        self.assertTrue(run.needs_barrier)
+        answer = take(driver.answer(run), effects.DeliverAnswer)
+        self.assertEqual(model.Position(1, 7), answer.position)
+
+    def test_stale_answers_cost_no_retry_budget(self) -> None:
+        driver, run = self.start(model.Position(0, 0))
+        stale = model.TargetReport(run.target, 1, 0, 1e9, False)
+        attempts = 0
+        while run.target != fakes.TARGETS[0]:
+            attempts += 1
+            timer = take(driver.answer(run, report=stale), effects.SetTimer)
+            result = driver.decide(events.TimerFired(timer.key), timer.delay_s)
+            run = take(result, effects.RunStatement)
+        self.assertLessEqual(attempts, 3)
+        self.assertEqual(
+            admission_state.RETRY_BUDGET_LIMIT,
+            driver.state.admission.retry_budget[fakes.GROUP],
+        )
+
+    def test_reads_that_need_a_busy_primary_block_no_others(self) -> None:
+        driver = Driver(connection_limit=3)
+        driver.state.routing.lag_s = dict.fromkeys(fakes.TARGETS, 60.0)
+        fresh = model.Position(1, 9)
+        runs = []
+        for number, position in enumerate((fresh, fresh, fresh), 1):
+            arrival = fakes.make_arrival(number, Kind.READ, position=position)
+            result = driver.decide(arrival)
+            runs += fakes.find_effects(result, effects.RunStatement)
+        old = fakes.make_arrival(4, Kind.READ, position=model.Position(0, 0))
+        run = take(driver.decide(old), effects.RunStatement)
+        self.assertEqual(1, len(runs))
+        self.assertNotEqual(fakes.TARGETS[0], run.target)
+
+
+class ConnectionCapTest(testtools.TestCase):
+    def test_a_full_target_is_asked_for_no_more_for_a_time(self) -> None:
+        driver = Driver()
+        runs = []
+        for number in (1, 2):
+            arrival = fakes.make_arrival(number, Kind.WRITE, session=number)
+            runs.append(take(driver.decide(arrival), effects.RunStatement))
+        failed = writes_events.AttemptFailed(2, 1, False, sqlstate="53300")
+        timer = take(driver.decide(failed), effects.SetTimer)
+        result = driver.decide(events.TimerFired(timer.key), 0.1)
+        self.assertEqual([], fakes.find_effects(result, effects.RunStatement))
+        again = take(driver.answer(runs[0]), effects.RunStatement)
+        self.assertEqual(2, again.request)
+
+
 class OverloadTest(testtools.TestCase):
     def test_requests_beyond_the_deadline_are_refused_at_once(self) -> None:
         driver = Driver(connection_limit=3)
--- a/tests/driver/faults.py
+++ b/tests/driver/faults.py
@@ -159,6 +159,24 @@
         world.network.heal_cut(place, proxy)
 
 
+def _cut_link(world: World, place: str) -> None:
+    """Cut two processes off from each other."""
+    one, two = place.split(",")
+    world.network.cut(one, two)
+    world.network.cut(two, one)
+
+
+def _mend_link(world: World, place: str) -> None:
+    one, two = place.split(",")
+    world.network.heal_cut(one, two)
+    world.network.heal_cut(two, one)
+
+
+def _choose_link(world: World, draw: random.Random) -> str:
+    proxy = draw.choice(sorted(world.proxies))
+    return f"{proxy},{draw.choice(sorted(world.targets))}"
+
+
 def _list_split(world: World, place: str) -> list[tuple[str, str]]:
     inside = set(place.split(","))
     everyone = (*world.proxies, *world.targets, "platform")
@@ -267,6 +285,7 @@
     "cut outwards": FaultKind(_cut_out, _mend_away, _choose_data_centre),
     "cut target": FaultKind(_cut_target, _mend_target, _choose_target),
     "mute target": FaultKind(_mute_target, _mend_mute, _choose_target),
+    "cut link": FaultKind(_cut_link, _mend_link, _choose_link),
     "split": FaultKind(_split, _mend_split, _choose_side),
     "far behind": FaultKind(_slow_pulls, _mend_pulls, _choose_target),
     "platform down": FaultKind(_stop_platform, _mend_platform, _choose_nothing),
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -215,7 +215,7 @@
 
 class FalsePromotionTest(mutant.MutantTest):
     def test_one_observer_cut_off(self) -> None:
-        faults = (Fault(2.0, "split", "proxy-south", 5.0),)
+        faults = (Fault(2.0, "cut link", "proxy-south,records-north", 5.0),)
         for seed in range(3):
             result = run.run_seed(seed, faults)
             self.assertEqual([], list_terms(result), f"seed {seed}")
