--- a/knapweedtally/core/failover/promotion.py
+++ b/knapweedtally/core/failover/promotion.py
@@ -178,7 +178,13 @@
 
 
 def find_exhausted_limit(moment: model.Moment, promotion: Promotion) -> str:
-    """Return which limit of a promotion is used up, or an empty string."""
+    """Return which limit of a promotion is used up, or an empty string.
+
+    An update that may have run is looked into without a limit: if it did,
+    the term has begun and needs a primary.
+    """
+    if promotion.is_uncertain:
+        return ""
     is_switch = promotion.aim is Aim.PLANNED_CHANGE
     is_late = moment.at >= promotion.started_at + limits.SWITCH_LIMIT_S
     if is_switch and is_late and promotion.step in REVERSIBLE_STEPS:
--- a/knapweedtally/core/failover/switching.py
+++ b/knapweedtally/core/failover/switching.py
@@ -124,6 +124,8 @@
         return []
     if promotion.step not in promotions.REVERSIBLE_STEPS:
         return []
+    if promotion.is_uncertain:
+        return []
     if is_wanted(state, promotion.group, record):
         return []
     reason = "neither the record nor the bundle asks for it any more"
