--- a/knapweedtally/core/failover/observers.py
+++ b/knapweedtally/core/failover/observers.py
@@ -55,13 +55,27 @@
 
 def refresh(state: state_module.ProxyState, at: float) -> None:
     """Recompute the assignment if the bundle or the live hosts changed."""
-    assignment = state.failover.assignment
+    old = state.failover.assignment
     bundle = state.directory.bundle
     live = list_live_hosts(state)
-    if assignment.bundle is bundle and assignment.hosts == live:
+    if old.bundle is bundle and old.hosts == live:
         return
-    state.failover.assignment = build_assignment(assignment, bundle, live)
-    update_watches(state, at)
+    new = build_assignment(old, bundle, live)
+    state.failover.assignment = new
+    if has_new_duties(old, new, state.identity.data_centre):
+        update_watches(state, at)
+
+
+def has_new_duties(
+    old: failover_state.Assignment,
+    new: failover_state.Assignment,
+    centre: str,
+) -> bool:
+    """Tell whether the hosts of a data centre may observe other targets."""
+    if old.bundle is not new.bundle or old.shares != new.shares:
+        return True
+    old_names = old.hosts_by_centre.get(centre, [])
+    return sorted(old_names) != sorted(new.hosts_by_centre[centre])
 
 
 def build_assignment(
@@ -109,17 +123,32 @@
 def update_watches(state: state_module.ProxyState, at: float) -> None:
     """Keep a watch on exactly the targets that this host observes."""
     failover = state.failover
-    assignment = failover.assignment
+    groups = failover.assignment.groups
+    failover.watches = {
+        target: failover.watches.get(target)
+        or failover_state.Watch(group, at - spread(target))
+        for target, group in groups.items()
+        if is_observer(state, target)
+    }
+    failover.observations = {
+        target: found
+        for target, found in failover.observations.items()
+        if target in groups
+    }
+
+
+def is_observer(state: state_module.ProxyState, target: str) -> bool:
+    """Tell whether this host observes a target."""
     identity = state.identity
-    watches = {}
-    for target, group in assignment.groups.items():
-        if identity.data_centre not in assignment.shares[target]:
-            continue
-        if identity.host in list_observers(state, target):
-            watches[target] = failover.watches.get(
-                target, failover_state.Watch(group, at - spread(target))
-            )
-    failover.watches = watches
+    assignment = state.failover.assignment
+    share = assignment.shares[target].get(identity.data_centre)
+    if not share:
+        return False
+    names = assignment.hosts_by_centre[identity.data_centre]
+    if share == 1:
+        best = max(names, key=lambda name: compute_weight(target, name))
+        return best == identity.host
+    return identity.host in rank_names(target, names)[:share]
 
 
 def spread(target: str) -> float:
--- a/tests/failover/test_scenarios.py
+++ b/tests/failover/test_scenarios.py
@@ -155,6 +155,30 @@
             self.check_replaced(world, old)
             self.assertEqual(2, world.term)
 
+    def test_operator_races_with_each_update(self) -> None:
+        for turn in (1, 2):
+            world = self.make_world(seed=turn)
+            seen = []
+
+            def race(
+                host: str,
+                effect: effects.Effect,
+                world: harness.World = world,
+                seen: list[str] = seen,
+                turn: int = turn,
+            ) -> None:
+                if isinstance(effect, effects.UpdateObject):
+                    seen.append(host)
+                    if len(seen) == turn:
+                        version, value = world.object
+                        world.put(version, {**value, "preferred": "t2"})
+
+            world.effect_hook = race
+            old = world.primary
+            world.dead.add(old)
+            self.check_replaced(world, old)
+            self.assertEqual(2, world.term)
+
 
 class DeadPromoterTest(testtools.TestCase):
     """Kill the promoting host when it asks for a given thing."""
