--- a/bench/control_model.py
+++ b/bench/control_model.py
@@ -133,7 +133,6 @@
     def _prepare(self, name: str) -> None:
         state = self.net.nodes[name].state
         state.bundles.keys = {SIGNER: signatures.derive_public_key(PRIVATE_KEY)}
-        state.failover.hosts = state.membership.live
 
     def _open_groups(self) -> None:
         name = min(self.net.nodes)
