Measure one host's control cost at target size

A lone reducer now learns the whole fleet from encoded registers and runs against scripted peers and targets, so the target size itself is measured.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -1,9 +1,10 @@
 """Measure what the control path costs a host, and fit slopes to it.
 
-Run as ``python -m bench.control_cost``. Three parts are measured:
+Run as ``python -m bench.control_cost``. Four parts are measured:
 
 * many reducers in one process, in virtual time: processor time and bytes of
   the steady state and of each kind of change, without sockets;
+* one host at target size against scripted peers, with the codec;
 * the state of one host in memory, with registers decoded from bytes;
 * real processes with the reducer and the peers edge over loopback, without
   groups.
@@ -21,6 +22,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from bench import control_lone
 from bench import control_memory
 from bench import control_model
 from bench import control_processes
@@ -30,6 +32,7 @@
 STEADY_S = 20.0
 CHANGE_S = 10.0
 REPEATS = 3
+LONE_SECONDS = 20
 OBSERVERS_PER_GROUP = 9
 DAY_S = 86_400
 
@@ -40,12 +43,14 @@
     Attributes:
         fleets: hosts and groups of the fleets in one process.
         states: hosts and groups of the states in memory.
+        lone: hosts and groups that a lone host knows.
         processes: numbers of real processes.
         seconds: length of each measurement of processes.
     """
 
     fleets: list[tuple[int, int]]
     states: list[tuple[int, int]]
+    lone: list[tuple[int, int]]
     processes: list[int]
     seconds: float
 
@@ -61,10 +66,13 @@
         *((32, groups) for groups in (30, 90, 300, 890)),
         (800, 890),
     ],
+    [(9, 3), (128, 300), (803, 300), (803, 890)],
     [3, 8, 16, 32],
     20.0,
 )
-QUICK = Plan([(8, 3), (8, 30), (16, 3), (16, 30)], [(8, 3), (16, 30)], [3], 2.0)
+QUICK = Plan(
+    [(8, 3), (8, 30), (16, 3), (16, 30)], [(8, 3), (16, 30)], [(9, 3)], [3], 2.0
+)
 
 # Changes per day of the whole system at target size.
 CHANGES_PER_DAY = {"bundle": 410, "host": 176, "primary": 2}
@@ -187,12 +195,21 @@
         "changes_per_day": CHANGES_PER_DAY,
         "fleets": [],
         "states": [],
+        "lone": [],
         "processes": [],
     }
     for hosts, groups in plan.fleets:
         result["fleets"].append(show(measure_fleet(hosts, groups)))
     for hosts, groups in plan.states:
         result["states"].append(show(measure_state(hosts, groups)))
+    for hosts, groups in plan.lone:
+        result["lone"].append(
+            show(
+                control_lone.measure_lone_host(
+                    hosts, groups, LONE_SECONDS, REPEATS
+                )
+            )
+        )
     for count in plan.processes:
         result["processes"].append(show(measure_processes(count, plan.seconds)))
     result["slopes"] = fit_all(result)
--- a/bench/control_memory.py
+++ b/bench/control_memory.py
@@ -39,16 +39,28 @@
     state = _learn(())
     for chunk in chunks:
         _receive(state, codec.decode_message(chunk))
+    del chunk
     gc.collect()
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return size
 
 
+def learn_fleet(host_count: int, group_count: int) -> state_module.ProxyState:
+    """Return the state of a host that learned a fleet."""
+    return _learn(build_registers(host_count, group_count))
+
+
 def build_registers(
-    host_count: int, group_count: int
+    host_count: int, group_count: int, version: int = 1
 ) -> tuple[model.Register, ...]:
-    """Return the registers of a fleet: hosts, a bundle and group records."""
+    """Return the registers of a fleet: hosts, a bundle and group records.
+
+    Args:
+        host_count: number of hosts.
+        group_count: number of groups.
+        version: bundle that is in force; later ones make newer registers.
+    """
     host_registers = [
         hosts.build_register(
             membership_state.Host(
@@ -58,15 +70,15 @@
                 7200,
                 f"dc{number % DATA_CENTRES + 1}",
                 membership_state.Status.LIVE,
-                1,
+                version,
                 1_700_000_000_000 + number,
-                4,
+                4 * version,
             )
         )
         for number in range(host_count)
     ]
-    value = control_model.build_bundle(1, group_count, DATA_CENTRES)
-    bundle = model.Register("bundle", "current", (1,), value)
+    value = control_model.build_bundle(version, group_count, DATA_CENTRES)
+    bundle = model.Register("bundle", "current", (version,), value)
     groups = [
         control_model.build_group_register(f"g{number}", 1)
         for number in range(group_count)
--- a/bench/control_model.py
+++ b/bench/control_model.py
@@ -161,12 +161,17 @@
 def get_frame_size(message: messages.Message) -> int:
     """Return the size of a message's websocket frame in bytes."""
     length = len(codec.encode_message(message))
+    return length + get_header_size(length)
+
+
+def get_header_size(length: int) -> int:
+    """Return the mean size of a websocket frame's header in bytes."""
     header = 2 + MASK_BYTES
     if length > MEDIUM_FRAME_BYTES:
         header += 8
     elif length > SHORT_FRAME_BYTES:
         header += 2
-    return length + header
+    return header
 
 
 def build_bundle(
