--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -8,6 +8,7 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.bundles import rules as bundle_rules
 from knapweedtally.core.draining import decisions as draining
 from knapweedtally.core.draining import state as draining_state
 from tests.driver import run
@@ -44,6 +45,14 @@
 )
 
 TARGET_LEAVES = (Fault(3.0, "bundles race", "records-south", 0.1),)
+# A late answer of the platform brings a bundle that is no longer in force.
+BUNDLES_WITH_SLOW_PLATFORM = (
+    Fault(1.5, "platform slow", "", 9.0),
+    *(
+        Fault(2.0 + 0.4 * number, "bundles race", "records-south", 0.1)
+        for number in range(20)
+    ),
+)
 STOP_WITH_REQUESTS_IN_FLIGHT = (
     Fault(3.0, "planned stop", "proxy-south", 3.0),
     Fault(3.8, "freeze target", PRIMARY, 1.5),
@@ -74,6 +83,15 @@
     return False
 
 
+def accept_any_other(
+    candidate: model.Bundle, in_force: model.Bundle | None
+) -> bundle_rules.Standing:
+    """Take every bundle but the one in force for newer."""
+    if in_force is None or candidate.digest != in_force.digest:
+        return bundle_rules.Standing.NEWER
+    return bundle_rules.Standing.SAME
+
+
 def fence_one(group: model.Group, fenced: Mapping[str, Any]) -> bool:
     """Take one instance for a majority."""
     return len(fenced) >= 1
@@ -203,6 +221,14 @@
             *TARGET_LEAVES,
         )
 
+    def test_bundle_that_reverts(self) -> None:
+        self.check(
+            "knapweedtally.core.bundles.rules.compare_bundles",
+            accept_any_other,
+            "bundle",
+            *BUNDLES_WITH_SLOW_PLATFORM,
+        )
+
     def test_planned_stop_with_requests_in_flight(self) -> None:
         closing = draining_state.Phase.CLOSING
         self.check(
