--- a/tests/driver/run.py
+++ b/tests/driver/run.py
@@ -1,6 +1,8 @@
 """Run one seed, check it, and shorten what fails."""
 
+import multiprocessing
 import random
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from tests.driver import faults as faults_module
@@ -13,6 +15,7 @@
 LOAD_END_S = 18.0
 END_S = 25.0
 TRACE_LINES = 60
+PROCESSES = 4
 
 
 class Result(NamedTuple):
@@ -68,6 +71,18 @@
     return Result(seed, faults, violations, trace, history, counters)
 
 
+def run_seeds(
+    seeds: Iterable[int], faults: tuple[faults_module.Fault, ...] | None = None
+) -> list[Result]:
+    """Run seeds side by side, and return their results in order.
+
+    The processes are forked, so that they have what a test has patched.
+    """
+    arguments = [(seed, faults) for seed in seeds]
+    with multiprocessing.get_context("fork").Pool(PROCESSES) as pool:
+        return pool.starmap(run_seed, arguments, 1)
+
+
 def shorten(result: Result) -> Result:
     """Drop faults for as long as the first violation's check still fails."""
     check = result.violations[0].check
--- a/tests/driver/test_driver.py
+++ b/tests/driver/test_driver.py
@@ -13,8 +13,7 @@
 class SeedsTest(testtools.TestCase):
     def test_seeds_keep_every_promise(self) -> None:
         failed = []
-        for seed in SEEDS:
-            result = run.run_seed(seed)
+        for result in run.run_seeds(SEEDS):
             if result.violations:
                 failed += run.describe(run.shorten(result))
         self.assertEqual([], failed, "\n".join(failed))
--- a/tests/proofs/mutant.py
+++ b/tests/proofs/mutant.py
@@ -12,6 +12,7 @@
 from tests.driver import run
 
 SEEDS = range(16)
+BATCH = 4
 
 Fault = faults_module.Fault
 PRIMARY = faults_module.PRIMARY
@@ -47,22 +48,25 @@
     def prove(self, mutant: Mutant) -> None:
         """Fail unless the rule makes the difference on some seed.
 
-        Seeds are tried until one fails with the rule off; with the rule on
-        all seeds tried have to pass every check.
+        Seeds are tried in batches until one fails with the rule off; with the
+        rule on all seeds tried have to pass every check.
         """
         if mutant.guide:
             lifted = mock.patch(mutant.guide, math.inf)
             lifted.start()
             self.addCleanup(lifted.stop)
-        tried = []
-        for seed in SEEDS:
-            tried.append(seed)
+        for start in range(0, len(SEEDS), BATCH):
+            batch = SEEDS[start : start + BATCH]
             with mock.patch(mutant.rule, mutant.replacement):
-                broken = run.run_seed(seed, mutant.faults)
-            if mutant.check in {item.check for item in broken.violations}:
+                broken = run.run_seeds(batch, mutant.faults)
+            if any(has_failed(result, mutant.check) for result in broken):
                 break
         else:
             self.fail(f"no seed fails without {mutant.rule}")
-        for seed in tried:
-            result = run.run_seed(seed, mutant.faults)
-            self.assertEqual((), result.violations, f"seed {seed}")
+        for result in run.run_seeds(SEEDS[: start + BATCH], mutant.faults):
+            self.assertEqual((), result.violations, f"seed {result.seed}")
+
+
+def has_failed(result: run.Result, check: str) -> bool:
+    """Tell whether a check found something."""
+    return any(item.check == check for item in result.violations)
--- a/tests/proofs/test_failures.py
+++ b/tests/proofs/test_failures.py
@@ -18,9 +18,8 @@
 
 class FailureTest(testtools.TestCase):
     def check(self, *faults: Fault) -> None:
-        for seed in SEEDS:
-            result = run.run_seed(seed, faults)
-            message = f"seed {seed}: {result.violations[:3]}"
+        for result in run.run_seeds(SEEDS, faults):
+            message = f"seed {result.seed}: {result.violations[:3]}"
             self.assertEqual((), result.violations, message)
 
     def test_primary_cut_off_with_its_data_centre(self) -> None:
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -242,12 +242,11 @@
 class FalsePromotionTest(mutant.MutantTest):
     def test_one_observer_cut_off(self) -> None:
         faults = (Fault(2.0, "split", "proxy-south", 5.0),)
-        for seed in range(3):
-            result = run.run_seed(seed, faults)
-            self.assertEqual([], list_terms(result), f"seed {seed}")
+        for result in run.run_seeds(range(4), faults):
+            self.assertEqual([], list_terms(result), f"seed {result.seed}")
         rule = FAILOVER + "is_failure_agreed"
         with mutant.mock.patch(rule, agree_alone):
-            results = [run.run_seed(seed, faults) for seed in range(3)]
+            results = run.run_seeds(range(4), faults)
         self.assertTrue(any(list_terms(result) for result in results))
 
 
