--- /dev/null
+++ b/tests/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Histories of runs with separate processes that are killed and frozen."""
