--- a/tests/driver/outcome.py
+++ b/tests/driver/outcome.py
@@ -24,14 +24,16 @@
         self._look()
 
     def find_violations(self) -> list[Violation]:
-        """Return what went back, and who lacks the newest bundle."""
+        """Return what went back."""
+        return self._found
+
+    def note_behind(self) -> None:
+        """Note the proxies that lack the newest accepted bundle."""
         stored = self._world.platform.get("bundle", "current")
-        behind = [
-            Violation("bundle", 0, f"{name} does not have {stored.version}")
-            for name, proxy in self._world.proxies.items()
-            if _get_version(proxy) != stored.version
-        ]
-        return self._found + behind
+        for name, proxy in self._world.proxies.items():
+            if _get_version(proxy) != stored.version:
+                detail = f"{name} does not have {stored.version}"
+                self._found.append(Violation("bundle", 0, detail))
 
     def _look(self) -> None:
         self._world.schedule.call_later(WATCH_S, self._look)
--- a/tests/driver/run.py
+++ b/tests/driver/run.py
@@ -55,6 +55,8 @@
     world.schedule.call_later(LOAD_END_S, world.stop_callers)
     world.schedule.call_later(HEAL_S, world.heal)
     watcher = outcome.Watcher(world)
+    settled_s = HEAL_S + outcome.SETTLE_S
+    world.schedule.call_later(settled_s, watcher.note_behind)
     world.schedule.run_until(END_S)
     history = outcome.read_history(world)
     violations = (
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -59,6 +59,7 @@
 )
 
 _release_lease = attempts.release_lease
+_settle_lease = attempts.settle_lease
 
 
 def release_for_reuse(
@@ -83,6 +84,17 @@
     return False
 
 
+def settle_and_share(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    is_open: bool,
+) -> attempts.Effects:
+    """Let others use the connection of an open transaction."""
+    result = _settle_lease(state, moment, request, is_open)
+    return result or [effects.ReleaseLease(request.lease, True)]
+
+
 def accept_any_other(
     candidate: model.Bundle, in_force: model.Bundle | None
 ) -> bundle_rules.Standing:
@@ -186,6 +198,13 @@
             "no_lost_write",
         )
 
+    def test_statements_of_others_in_a_transaction(self) -> None:
+        self.check(
+            ATTEMPTS + "settle_lease",
+            settle_and_share,
+            "no_mixed_transactions",
+        )
+
     def test_connection_reused_before_its_answer(self) -> None:
         self.check(
             ATTEMPTS + "release_lease",
