--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(PYTHON) -m mypy
 
 bench: install
-	$(PYTHON) -m bench
+	$(PYTHON) -m bench measures
 
 SEEDS ?= 2000
 soak: install
--- /dev/null
+++ b/bench/naive_proxy.py
@@ -0,0 +1,212 @@
+"""A naive proxy, as a baseline: ``python -m bench.naive_proxy --help``.
+
+All reads of a session go to the primary for a second after its last write,
+any other read goes to a replica. A write is acknowledged with the primary's
+answer alone. The primary is known by a lease in the platform, checked every
+second; without a check for three seconds no write is taken.
+
+To be fair to it, the time of the last write goes with the caller as a token,
+so that the rule also holds for a session that roams.
+"""
+
+import argparse
+import time
+
+import anyio
+import anyio.abc
+from pygwire import messages
+
+from bench import naive_lease
+from bench import naive_pool
+from knapweedtally.callers import answers
+from knapweedtally.callers import sql
+from knapweedtally.callers import stream as stream_module
+from knapweedtally.core import exceptions
+from knapweedtally.platform import client as platform_client
+from knapweedtally.targets import connection as connection_module
+from knapweedtally.targets import wire
+
+STICKY_S = 1.0
+TOKEN = "knapweedtally.token"
+SECRET = bytes(4)
+
+Kind = sql.StatementKind
+_BEGINS = (Kind.BEGIN, Kind.BEGIN_READ_ONLY)
+_ENDS = (Kind.COMMIT, Kind.ROLLBACK)
+
+
+class RefusedError(Exception):
+    """Refuse a statement that was not run."""
+
+
+class Session:
+    """Serve one caller's connection, simple queries only."""
+
+    def __init__(
+        self,
+        stream: stream_module.CallerStream,
+        leases: dict[str, naive_lease.Lease],
+        pool: naive_pool.Pool,
+        data_centre_prefix: str,
+    ) -> None:
+        self._stream = stream
+        self._leases = leases
+        self._pool = pool
+        self._prefix = data_centre_prefix
+        self._lease: naive_lease.Lease | None = None
+        self._written_at = 0.0
+        self._pinned: connection_module.TargetConnection | None = None
+        self._turn = 0
+
+    async def serve(self, startup: messages.StartupMessage) -> None:
+        """Answer statements until the caller leaves."""
+        self._lease = self._leases.get(startup.params.get("database", ""))
+        await self._stream.send(answers.encode_welcome(1, SECRET, "naive"))
+        try:
+            while True:
+                message = await self._stream.receive_message()
+                if not isinstance(message, messages.Query):
+                    return
+                answer = await self._answer(message.query_string)
+                await self._stream.send(answer)
+        finally:
+            if self._pinned is not None:
+                await self._pinned.close()
+                self._pool.give_back(self._pinned)
+
+    async def _answer(self, text: str) -> bytes:
+        statement = sql.classify(text)
+        if statement.kind is Kind.SET:
+            if statement.name == TOKEN:
+                self._written_at = float(statement.value)
+            return answers.encode_complete("SET") + answers.encode_ready("I")
+        try:
+            return await self._run(text, statement.kind)
+        except RefusedError as error:
+            refusal = answers.encode_error(
+                "57P03", str(error), hint="retry after 500 ms"
+            )
+        except exceptions.AttemptLostError as error:
+            refusal = answers.encode_error("08006", str(error))
+        return refusal + answers.encode_ready("I")
+
+    async def _run(self, text: str, kind: Kind) -> bytes:
+        connection = self._pinned
+        if connection is None:
+            connection = await self._pool.take(self._choose_target(kind))
+        is_kept = False
+        try:
+            (section,) = await connection.exchange(wire.encode_query(text), 1)
+            is_kept = section.status != "I"
+        finally:
+            self._pinned = connection if is_kept else None
+            if not is_kept:
+                self._pool.give_back(connection)
+        return self._encode_answer(section, kind)
+
+    def _encode_answer(self, section: wire.Section, kind: Kind) -> bytes:
+        answer = b"".join(section.frames)
+        if section.report:
+            answer += answers.encode_parameter("kt.report", section.report)
+        is_write = kind not in (Kind.READ, Kind.ROLLBACK, *_BEGINS)
+        if is_write and not section.sqlstate:
+            self._written_at = time.time()
+            token = f"{self._written_at:.6f}"
+            answer += answers.encode_parameter(TOKEN, token)
+        return answer + answers.encode_ready(section.status)
+
+    def _choose_target(self, kind: Kind) -> str:
+        lease = self._lease
+        if lease is None:
+            raise RefusedError("no such group")
+        if kind is Kind.READ and time.time() - self._written_at > STICKY_S:
+            return self._choose_replica(lease)
+        if kind is not Kind.READ and not lease.is_valid():
+            raise RefusedError("the lease was not checked in time")
+        return lease.primary
+
+    def _choose_replica(self, lease: naive_lease.Lease) -> str:
+        replicas = [t for t in lease.targets if t != lease.primary]
+        near = [
+            t
+            for t in replicas
+            if lease.targets[t].host.startswith(self._prefix)
+        ]
+        self._turn += 1
+        chosen = near or replicas
+        return chosen[self._turn % len(chosen)]
+
+
+class NaiveProxy:
+    """Hold the listener, the leases and the pool."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self._address = arguments.listen
+        host = self._address[0]
+        self._prefix = host.rpartition(".")[0] + "."
+        targets = naive_pool.make_targets(arguments.targets)
+        self._pool = naive_pool.Pool(
+            targets, host, arguments.connection_limit, arguments.hosts
+        )
+        platform = platform_client.PlatformClient(arguments.platform, host)
+        self._leases = {
+            group: naive_lease.Lease(
+                group, arguments.name, members, platform, self._pool
+            )
+            for group, members in naive_pool.group_targets(targets).items()
+        }
+
+    async def serve(self) -> None:
+        """Run until cancelled."""
+        host, port = self._address
+        async with anyio.create_task_group() as tasks:
+            for lease in self._leases.values():
+                tasks.start_soon(lease.serve)
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=port
+            )
+            async with listener:
+                await listener.serve(self._serve_connection, tasks)
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        caller = stream_module.CallerStream(stream)
+        async with stream:
+            try:
+                startup = await caller.receive_startup()
+                if isinstance(startup, messages.StartupMessage):
+                    session = Session(
+                        caller, self._leases, self._pool, self._prefix
+                    )
+                    await session.serve(startup)
+            except (
+                exceptions.ProtocolError,
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                OSError,
+            ):
+                return
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Read ``HOST:PORT``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog="bench.naive_proxy")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--listen", type=parse_address, required=True)
+    parser.add_argument("--platform", type=parse_address, required=True)
+    parser.add_argument("--targets", required=True, help="ID=HOST:PORT,...")
+    parser.add_argument("--hosts", type=int, default=1)
+    parser.add_argument("--connection-limit", type=int, default=15)
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    anyio.run(
+        NaiveProxy(parse_arguments()).serve,
+        backend_options={"use_uvloop": True},
+    )
