--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -19,6 +19,7 @@
 # Statements a second that one target runs with the values above.
 CAPACITY = SLOTS * 1000 / SERVICE_MS
 OVERLOAD = 3.0
+LIGHT_CALLERS = 60
 ONE_GROUP = cluster.Layout(groups=("fog-1",))
 THREE_GROUPS = cluster.Layout(groups=("fog-1", "fog-2", "fog-3"))
 # Without keys and transactions, which the baselines don't offer alike.
@@ -151,8 +152,9 @@
 def make_overload_experiments() -> list[Experiment]:
     """Bring three times the capacity of a primary onto one group.
 
-    One caller has as many sessions, and half of all arrivals, as all of the
-    others together.
+    One caller has as many arrivals as all of the others together. There are
+    enough sessions that arrivals don't wait in the load tool, even if each
+    statement takes the whole of its deadline.
     """
     layout = ONE_GROUP._replace(
         target_options={"service-time-ms": SERVICE_MS, "slots": SLOTS},
@@ -162,10 +164,11 @@
     closed = load.Plan(rate=0.0, duration_s=6.0, sessions=32, mix=mix)
     light = load.Plan(
         rate=CAPACITY * OVERLOAD / 2,
-        duration_s=14.0,
+        duration_s=12.0,
         warm_up_s=8.0,
-        sessions=600,
+        sessions=1500,
         mix=mix,
+        callers=LIGHT_CALLERS,
     )
     configuration = systems.Configuration("proxy", layout=layout)
     return [
@@ -180,7 +183,7 @@
                     configuration,
                     {
                         "light": light,
-                        "heavy": light._replace(caller="heavy", seed=2),
+                        "heavy": light._replace(callers=1, seed=2),
                     },
                 ),
             ),
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -21,7 +21,7 @@
 
 def measure_idle(counts: list[int]) -> dict[str, Any]:
     """Return resident memory and processor time at numbers of connections."""
-    _raise_file_limit(max(counts) + SPARE_FILES)
+    raise_file_limit(max(counts) + SPARE_FILES)
     configuration = systems.Configuration(
         "proxy", layout=experiments.ONE_GROUP, entry_limit=1
     )
@@ -98,7 +98,7 @@
     }
 
 
-def _raise_file_limit(needed: int) -> None:
+def raise_file_limit(needed: int) -> None:
     """Raise the soft limit of open files within the hard one."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < needed:
--- a/bench/load.py
+++ b/bench/load.py
@@ -38,7 +38,8 @@
         warm_up_s: time at the beginning that isn't recorded.
         sessions: sessions of each group.
         mix: what callers ask for.
-        caller: name that the sessions connect with; "" for one name each.
+        callers: number of names that the sessions of a group connect with;
+            0 for one name each.
         seed: seed of arrivals and choices.
     """
 
@@ -47,7 +48,7 @@
     warm_up_s: float = 2.0
     sessions: int = 8
     mix: workload.Mix = workload.Mix()
-    caller: str = ""
+    callers: int = 0
     seed: int = 1
 
 
@@ -68,17 +69,18 @@
     ) -> None:
         self.recorder = recorder
         self.sessions: list[workload.Session] = []
-        self._name = name
+        self._ends_at = 0.0
         self._plan = plan
         self._random = random.Random(plan.seed)
         self._groups = list(entries)
         for group, addresses in entries.items():
             for number in range(plan.sessions):
                 session = f"{name}-{group}-{number}"
+                caller = number % (plan.callers or plan.sessions)
                 self.sessions.append(
                     workload.Session(
                         session,
-                        plan.caller or session,
+                        f"{name}-{caller}",
                         group,
                         addresses,
                         plan.mix,
@@ -88,7 +90,7 @@
 
     async def run(self, duration_s: float) -> None:
         """Send arrivals for some seconds and wait for their answers."""
-        ends_at = time.monotonic() + duration_s
+        ends_at = self._ends_at = time.monotonic() + duration_s
         with anyio.move_on_after(duration_s + DRAIN_LIMIT_S):
             async with anyio.create_task_group() as tasks:
                 if self._plan.rate:
@@ -140,6 +142,9 @@
         arrivals: memory.MemoryObjectReceiveStream[float],
     ) -> None:
         async for intended_at in arrivals:
+            if time.monotonic() > self._ends_at:
+                self.recorder.unsent += 1
+                continue
             await self._visit(session, intended_at)
 
     async def _repeat(self, session: workload.Session, ends_at: float) -> None:
--- a/bench/recorder.py
+++ b/bench/recorder.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 from typing import Any
+from typing import NamedTuple
 
 from hdrh import histogram
 
@@ -16,6 +17,13 @@
 GAP_AFTER_S = 20.0
 
 
+class Refusal(NamedTuple):
+    """Hold an error answer: its SQLSTATE and its HINT, which may be empty."""
+
+    sqlstate: str
+    hint: str = ""
+
+
 class Recorder:
     """Collect the outcomes of one run.
 
@@ -24,26 +32,31 @@
 
     Attributes:
         begins_at: end of the warm-up.
+        ends_at: end of the arrivals of the slice under way.
         is_recording: switched off between the slices of a paired run.
         acknowledged: times of acknowledged writes by group.
         stale: reads that missed an acknowledged write of their session.
         lost: acknowledged writes that the final data does not hold.
         doubled: values that occur more than once in the final data.
-        unanswered: statements without an answer at the end of the run.
+        unanswered: loads with statements that got no answer at all.
+        unsent: arrivals that found no idle session before the end.
     """
 
     def __init__(self, begins_at: float) -> None:
         self.begins_at = begins_at
+        self.ends_at = float("inf")
         self.is_recording = True
         self.acknowledged: dict[str, list[float]] = {}
         self.stale = 0
         self.lost = 0
         self.doubled = 0
         self.unanswered = 0
+        self.unsent = 0
         self.latency: dict[str, Any] = {}
         self.refusal_latency = _make_histogram()
         self.answered: collections.Counter[str] = collections.Counter()
         self.callers: collections.Counter[str] = collections.Counter()
+        self.refused_callers: collections.Counter[str] = collections.Counter()
         self.refused: dict[str, collections.Counter[str]] = {}
         self.refusals_with_hint = 0
         self.served: collections.Counter[str] = collections.Counter()
@@ -58,18 +71,26 @@
         self.answered[kind] += 1
         self.callers[caller] += 1
         self._note_second(kind, at, "answered")
+        if at <= self.ends_at:
+            self._note_second("read", at, "answered in time")
         latency = self.latency.setdefault(kind, _make_histogram())
         latency.record_value(_clip(at - intended_at))
 
     def note_refusal(
-        self, kind: str, sqlstate: str, hint: str, begun_at: float, at: float
+        self,
+        kind: str,
+        caller: str,
+        refusal: Refusal,
+        begun_at: float,
+        at: float,
     ) -> None:
         """Record a statement that was refused; its time runs from sending."""
         if not self._counts(begun_at):
             return
         counts = self.refused.setdefault(kind, collections.Counter())
-        counts[sqlstate] += 1
-        self.refusals_with_hint += bool(hint)
+        counts[refusal.sqlstate] += 1
+        self.refused_callers[caller] += 1
+        self.refusals_with_hint += bool(refusal.hint)
         self._note_second(kind, at, "refused")
         self.refusal_latency.record_value(_clip(at - begun_at))
 
@@ -102,25 +123,30 @@
 
     def summarize(self, seconds: float) -> dict[str, Any]:
         """Return the results of a run that recorded for some seconds."""
-        answered = sum(self.answered.values())
         refused = sum(sum(c.values()) for c in self.refused.values())
         return {
             "seconds": round(seconds, 3),
             "answered": dict(self.answered),
-            "answered_per_s": round(answered / seconds, 1),
+            "answered_per_s": round(self._count_in_time() / seconds, 1),
             "refused": {k: dict(v) for k, v in self.refused.items()},
             "refused_total": refused,
             "refusals_with_hint": self.refusals_with_hint,
             "refusal_ms": _describe(self.refusal_latency),
             "latency_ms": {k: _describe(v) for k, v in self.latency.items()},
-            "callers": dict(self.callers),
+            "callers": describe_shares(self.callers),
+            "refused_callers": describe_shares(self.refused_callers),
             "stale_reads": self.stale,
             "lost_writes": self.lost,
             "doubled_writes": self.doubled,
             "unanswered": self.unanswered,
+            "unsent": self.unsent,
             "timeline": self._list_timeline(),
         }
 
+    def _count_in_time(self) -> int:
+        """Count the answers that came while the load was on."""
+        return sum(c["answered in time"] for c in self.timeline.values())
+
     def _counts(self, at: float) -> bool:
         return self.is_recording and at >= self.begins_at
 
@@ -141,6 +167,27 @@
 _COUNTS = ("answered", "refused", "writes answered", "writes refused")
 
 
+def describe_shares(
+    counts: collections.Counter[str],
+) -> dict[str, dict[str, int]]:
+    """Return how statements spread over callers, by load.
+
+    Names are those of the load, a hyphen and a number.
+    """
+    loads: dict[str, list[int]] = {}
+    for caller, count in counts.items():
+        loads.setdefault(caller.rpartition("-")[0], []).append(count)
+    return {
+        name: {
+            "callers": len(values),
+            "statements": sum(values),
+            "least": min(values),
+            "most": max(values),
+        }
+        for name, values in loads.items()
+    }
+
+
 def _make_histogram() -> Any:
     return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -25,6 +25,7 @@
     ("lost", "lost_writes"),
     ("doubled", "doubled_writes"),
     ("no answer", "unanswered"),
+    ("unsent", "unsent"),
 )
 _STYLE = (
     "body{font:14px sans-serif;max-width:1000px;margin:2em auto}"
@@ -92,6 +93,8 @@
         lines += [f"  {event}" for event in run["events"]]
         if run["refused"]:
             lines.append(f"  refused {run['refused']} in {run['refusal_ms']}")
+            lines.append(f"  callers answered {run['callers']}")
+            lines.append(f"  callers refused {run['refused_callers']}")
     return "\n".join(lines)
 
 
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -71,6 +71,7 @@
         before = await self._system.measure_usage()
         if not self._seconds:
             self.recorder.begins_at = time.monotonic()
+        self.recorder.ends_at = time.monotonic() + seconds
         self.recorder.is_recording = True
         await self._run_loads(seconds, list(self.run.faults))
         self.recorder.is_recording = False
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -113,7 +113,8 @@
         except client.ConnectionLostError:
             pass
         now = time.monotonic()
-        recorder.note_refusal(kind, sqlstate, hint, begun_at, now)
+        refusal = recorder_module.Refusal(sqlstate, hint)
+        recorder.note_refusal(kind, self.caller, refusal, begun_at, now)
         return sqlstate
 
     async def check(self, recorder: recorder_module.Recorder) -> None:
