--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -17,6 +17,8 @@
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.sessions import token as token_module
 
+GOODBYE_TIMEOUT_S = 1.0
+
 Kind = sql.StatementKind
 RequestKind = admission_state.RequestKind
 
@@ -136,6 +138,11 @@
             self.is_idle = not self._parts
 
     async def _say_goodbye(self) -> None:
+        """Tell the caller why, and wait until it has closed its side.
+
+        Closing with unread bytes resets the connection, and the caller
+        would lose the answer that tells it that nothing ran.
+        """
         await self._stream.send(
             answers.encode_error(
                 "57P01",
@@ -144,6 +151,7 @@
                 severity="FATAL",
             )
         )
+        await self._stream.drain(GOODBYE_TIMEOUT_S)
 
     async def _take_message(self, message: messages.FrontendMessage) -> None:
         if isinstance(message, messages.Query):
--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -66,6 +66,16 @@
         """Send bytes to the caller."""
         await self.stream.send(data)
 
+    async def drain(self, timeout_s: float) -> None:
+        """End the sending side, then drop what the caller still sends."""
+        with anyio.move_on_after(timeout_s):
+            try:
+                await self.stream.send_eof()
+                while True:
+                    await self.stream.receive(RECEIVE_SIZE)
+            except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+                return
+
     async def _receive_message(self) -> messages.PGMessage:
         while True:
             try:
