--- a/tests/driver/faults.py
+++ b/tests/driver/faults.py
@@ -10,7 +10,8 @@
 World = world_module.World
 
 START_S = 1.0
-LAST_START_S = 6.0
+LAST_FIRST_S = 6.0
+LAST_S = 10.0
 DURATIONS_S = (0.5, 2.0, 4.0, 8.0)
 GAPS_S = (0.2, 1.0, 3.0)
 
@@ -51,13 +52,13 @@
 def draw_faults(world: World, draw: random.Random) -> list[Fault]:
     """Draw one to three faults, most of them close together."""
     faults: list[Fault] = []
-    at = draw.uniform(START_S, LAST_START_S)
+    at = draw.uniform(START_S, LAST_FIRST_S)
     for _ in range(draw.choice((1, 2, 2, 3))):
         name = draw.choice(sorted(KINDS))
         place = KINDS[name].choose(world, draw)
         duration_s = draw.choice(DURATIONS_S) * draw.uniform(0.5, 1.0)
         faults.append(Fault(round(at, 3), name, place, round(duration_s, 3)))
-        at += draw.choice(GAPS_S) * draw.random()
+        at = min(LAST_S, at + draw.choice(GAPS_S) * draw.random())
     return sorted(faults)
 
 
@@ -159,6 +160,24 @@
         world.network.heal_cut(place, proxy)
 
 
+def _cut_link(world: World, place: str) -> None:
+    """Cut two processes off from each other."""
+    one, two = place.split(",")
+    world.network.cut(one, two)
+    world.network.cut(two, one)
+
+
+def _mend_link(world: World, place: str) -> None:
+    one, two = place.split(",")
+    world.network.heal_cut(one, two)
+    world.network.heal_cut(two, one)
+
+
+def _choose_link(world: World, draw: random.Random) -> str:
+    proxy = draw.choice(sorted(world.proxies))
+    return f"{proxy},{draw.choice(sorted(world.targets))}"
+
+
 def _list_split(world: World, place: str) -> list[tuple[str, str]]:
     inside = set(place.split(","))
     everyone = (*world.proxies, *world.targets, "platform")
@@ -267,6 +286,7 @@
     "cut outwards": FaultKind(_cut_out, _mend_away, _choose_data_centre),
     "cut target": FaultKind(_cut_target, _mend_target, _choose_target),
     "mute target": FaultKind(_mute_target, _mend_mute, _choose_target),
+    "cut link": FaultKind(_cut_link, _mend_link, _choose_link),
     "split": FaultKind(_split, _mend_split, _choose_side),
     "far behind": FaultKind(_slow_pulls, _mend_pulls, _choose_target),
     "platform down": FaultKind(_stop_platform, _mend_platform, _choose_nothing),
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -8,6 +8,7 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.bundles import rules as bundle_rules
 from knapweedtally.core.draining import decisions as draining
 from knapweedtally.core.draining import state as draining_state
 from tests.driver import run
@@ -44,12 +45,21 @@
 )
 
 TARGET_LEAVES = (Fault(3.0, "bundles race", "records-south", 0.1),)
+# A late answer of the platform brings a bundle that is no longer in force.
+BUNDLES_WITH_SLOW_PLATFORM = (
+    Fault(1.5, "platform slow", "", 9.0),
+    *(
+        Fault(2.0 + 0.4 * number, "bundles race", "records-south", 0.1)
+        for number in range(20)
+    ),
+)
 STOP_WITH_REQUESTS_IN_FLIGHT = (
     Fault(3.0, "planned stop", "proxy-south", 3.0),
     Fault(3.8, "freeze target", PRIMARY, 1.5),
 )
 
 _release_lease = attempts.release_lease
+_settle_lease = attempts.settle_lease
 
 
 def release_for_reuse(
@@ -74,6 +84,26 @@
     return False
 
 
+def settle_and_share(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    is_open: bool,
+) -> attempts.Effects:
+    """Let others use the connection of an open transaction."""
+    result = _settle_lease(state, moment, request, is_open)
+    return result or [effects.ReleaseLease(request.lease, True)]
+
+
+def accept_any_other(
+    candidate: model.Bundle, in_force: model.Bundle | None
+) -> bundle_rules.Standing:
+    """Take every bundle but the one in force for newer."""
+    if in_force is None or candidate.digest != in_force.digest:
+        return bundle_rules.Standing.NEWER
+    return bundle_rules.Standing.SAME
+
+
 def fence_one(group: model.Group, fenced: Mapping[str, Any]) -> bool:
     """Take one instance for a majority."""
     return len(fenced) >= 1
@@ -168,6 +198,13 @@
             "no_lost_write",
         )
 
+    def test_statements_of_others_in_a_transaction(self) -> None:
+        self.check(
+            ATTEMPTS + "settle_lease",
+            settle_and_share,
+            "no_mixed_transactions",
+        )
+
     def test_connection_reused_before_its_answer(self) -> None:
         self.check(
             ATTEMPTS + "release_lease",
@@ -203,6 +240,14 @@
             *TARGET_LEAVES,
         )
 
+    def test_bundle_that_reverts(self) -> None:
+        self.check(
+            "knapweedtally.core.bundles.rules.compare_bundles",
+            accept_any_other,
+            "bundle",
+            *BUNDLES_WITH_SLOW_PLATFORM,
+        )
+
     def test_planned_stop_with_requests_in_flight(self) -> None:
         closing = draining_state.Phase.CLOSING
         self.check(
@@ -215,13 +260,12 @@
 
 class FalsePromotionTest(mutant.MutantTest):
     def test_one_observer_cut_off(self) -> None:
-        faults = (Fault(2.0, "split", "proxy-south", 5.0),)
-        for seed in range(3):
-            result = run.run_seed(seed, faults)
-            self.assertEqual([], list_terms(result), f"seed {seed}")
+        faults = (Fault(2.0, "cut link", "proxy-south,records-north", 5.0),)
+        for result in run.run_seeds(range(4), faults):
+            self.assertEqual([], list_terms(result), f"seed {result.seed}")
         rule = FAILOVER + "is_failure_agreed"
         with mutant.mock.patch(rule, agree_alone):
-            results = [run.run_seed(seed, faults) for seed in range(3)]
+            results = run.run_seeds(range(4), faults)
         self.assertTrue(any(list_terms(result) for result in results))
 
 
