--- a/tests/driver/__main__.py
+++ b/tests/driver/__main__.py
@@ -6,6 +6,8 @@
 
 from tests.driver import run
 
+PROGRESS_SEEDS = 200
+
 
 def main() -> int:
     """Run the seeds and print each failure; return the exit status."""
@@ -15,10 +17,13 @@
     parser.add_argument("--processes", type=int, default=2)
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
+    failed = 0
     with multiprocessing.Pool(options.processes) as pool:
-        failed = sum(
-            bool(lines) for lines in pool.imap(describe_seed, seeds, 4)
-        )
+        results = pool.imap(describe_seed, seeds, 4)
+        for count, lines in enumerate(results, 1):
+            failed += bool(lines)
+            if count % PROGRESS_SEEDS == 0:
+                print(f"{count} of {options.seeds} seeds", flush=True)
     print(f"{options.seeds} seeds, {failed} failed")
     return 1 if failed else 0
 
--- a/tests/driver/world.py
+++ b/tests/driver/world.py
@@ -17,12 +17,13 @@
 from tests.history import model as history_model
 
 FIRST_PORT = 5432
+PEER_PORT = 7000
 SIGNER = "operator"
 SECRET = bytes(32)
 DATA_CENTRES = ("north", "south", "archive")
 # A host's address is its name here.
 SEED_HOSTS = tuple(
-    membership_state.Seed(f"proxy-{place}", 1) for place in DATA_CENTRES
+    membership_state.Seed(f"proxy-{place}", PEER_PORT) for place in DATA_CENTRES
 )
 CALLERS = 8
 # Time for replicas to reach their primary before proxies start.
@@ -58,9 +59,14 @@
         self.roll_out("")
         self.schedule.run_until(HEAD_START_S)
         self._peers: dict[str, peers_module.PeerLinks] = {}
+        hosts = _name_hosts(1 + (seed % 5 == 0))
+        self._hosts = tuple(
+            model.ListedHost(name, name, PEER_PORT, place, False)
+            for name, place in hosts.items()
+        )
         self.proxies = {
-            f"proxy-{data_centre}": self._start_proxy(data_centre)
-            for data_centre in DATA_CENTRES
+            name: self._start_proxy(name, place)
+            for name, place in hosts.items()
         }
         numbers = itertools.count(1)
         self.callers = [
@@ -78,7 +84,7 @@
         ]
 
     def heal(self) -> None:
-        """End every fault and the callers' new requests."""
+        """End every fault."""
         self.schedule.note("everything is mended")
         self.network.heal()
         self.platform.heal()
@@ -231,10 +237,8 @@
             lambda may_have_run: None,
         )
 
-    def _start_proxy(self, data_centre: str) -> proxy_module.Proxy:
-        process = schedule_module.Process(
-            self.schedule, f"proxy-{data_centre}", data_centre
-        )
+    def _start_proxy(self, name: str, place: str) -> proxy_module.Proxy:
+        process = schedule_module.Process(self.schedule, name, place)
         proxy = proxy_module.Proxy(
             process,
             self.network,
@@ -243,17 +247,21 @@
             self._peers,
             self._prepare,
         )
-        proxy.objects.listed = tuple(
-            model.ListedHost(
-                f"proxy-{place}", f"proxy-{place}", 1, place, False
-            )
-            for place in DATA_CENTRES
-        )
+        proxy.objects.listed = self._hosts
         return proxy
 
     def _prepare(self, state: state_module.ProxyState) -> None:
         """Give a proxy that starts what its settings would."""
         state.bundles.keys = {SIGNER: signatures.derive_public_key(SECRET)}
         state.membership.settings = membership_state.Settings(
-            state.identity.host, 1, 2, SEED_HOSTS
+            state.identity.host, PEER_PORT, PEER_PORT + 1, SEED_HOSTS
         )
+
+
+def _name_hosts(count: int) -> dict[str, str]:
+    """Return the data centre of each entry host, some in each."""
+    return {
+        f"proxy-{place}" + (f"-{number}" if number else ""): place
+        for number in range(count)
+        for place in DATA_CENTRES
+    }
