--- a/tests/runs/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Histories of runs with separate processes that are killed and frozen."""
