--- a/tests/driver/caller.py
+++ b/tests/driver/caller.py
@@ -166,7 +166,9 @@
 
     def _write_keyed(self, group: str) -> None:
         key = f"k{next(self._numbers)}"
-        self._send_write(group, key, self._make_value(), 0)
+        # Some callers take the first answer for final.
+        attempt = self._random.choice((0, 0, RETRY_LIMIT))
+        self._send_write(group, key, self._make_value(), attempt)
 
     def _send_write(
         self, group: str, key: str, value: str, attempt: int
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from knapweedtally.core import effects
+from knapweedtally.core import errors
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
@@ -29,6 +30,12 @@
     Fault(2.0, "mute target", PRIMARY, 4.0),
     Fault(7.0, "mute target", PRIMARY, 4.0),
 )
+# No new primary before the deadline of what the old one has run.
+KILLED_WITHOUT_PLATFORM = (
+    Fault(2.0, "platform down", "", 8.5),
+    Fault(2.5, "mute target", PRIMARY, 1.4),
+    Fault(3.5, "kill target", PRIMARY, 9.0),
+)
 ONE_BEHIND_PRIMARY_KILLED = (
     Fault(1.0, "far behind", "records-archive", 10.0),
     Fault(3.0, "kill target", PRIMARY, 5.0),
@@ -104,6 +111,13 @@
     return bundle_rules.Standing.SAME
 
 
+def return_kind(
+    request: admission_state.Request, kind: errors.ErrorKind
+) -> errors.ErrorKind:
+    """Give the error as it is, whatever an earlier attempt may have done."""
+    return kind
+
+
 def fence_one(group: model.Group, fenced: Mapping[str, Any]) -> bool:
     """Take one instance for a majority."""
     return len(fenced) >= 1
@@ -232,6 +246,14 @@
     def test_refusal_without_proof(self) -> None:
         self.check(WRITES + "is_not_run", mutant.return_true, "not_run")
 
+    def test_refusal_of_a_write_that_may_have_run(self) -> None:
+        self.check(
+            ATTEMPTS + "resolve_kind",
+            return_kind,
+            "not_run",
+            *KILLED_WITHOUT_PLATFORM,
+        )
+
     def test_new_work_on_a_leaving_target(self) -> None:
         self.check(
             "knapweedtally.core.draining.rules.is_leaving",
