--- a/tests/driver/call.py
+++ b/tests/driver/call.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from tests.driver import delivery as delivery_module
 from tests.driver import network as network_module
 from tests.driver import proxy as proxy_module
 from tests.driver import schedule as schedule_module
@@ -11,7 +12,7 @@
 PATIENCE_S = 9.0
 CHECK_S = 0.2
 
-Delivery = proxy_module.Delivery
+Delivery = delivery_module.Delivery
 # Takes the answer, or None when the connection was lost.
 Step = Callable[[Delivery | None], None]
 
--- a/tests/driver/caller.py
+++ b/tests/driver/caller.py
@@ -8,6 +8,7 @@
 from knapweedtally.core import model
 from knapweedtally.core.admission import state as admission_state
 from tests.driver import call as call_module
+from tests.driver import delivery as delivery_module
 from tests.driver import network as network_module
 from tests.driver import proxy as proxy_module
 from tests.driver import schedule as schedule_module
@@ -24,7 +25,7 @@
 
 Kind = admission_state.RequestKind
 HistoryKind = history_model.Kind
-Delivery = proxy_module.Delivery
+Delivery = delivery_module.Delivery
 Step = call_module.Step
 
 COMMANDS = {
@@ -221,7 +222,7 @@
 
         def step(index: int, delivery: Delivery | None) -> None:
             is_last = index == len(steps) - 1
-            if not is_last and _is_success(delivery):
+            if not is_last and delivery_module.is_success(delivery):
                 self.process.call_later(0.002, lambda: run(index + 1))
                 return
             # Without a COMMIT that was sent, nothing may stay of it.
@@ -272,51 +273,14 @@
             self.process.schedule.now,
             invoked.request,
             f"{self.process.name}#{self._connection}",
-            _get_outcome(delivery, is_rolled_back),
+            delivery_module.get_outcome(delivery, is_rolled_back),
         )
         if delivery is not None:
             answered = answered._replace(host=delivery.host)
-            answered = _add_result(answered, delivery)
+            answered = delivery_module.add_result(answered, delivery)
             if delivery.position is not None:
                 known = self._positions.get(invoked.group, delivery.position)
                 self._positions[invoked.group] = max(known, delivery.position)
         self.events.append(answered)
         self.process.schedule.note(f"{answered}")
         return answered.outcome
-
-
-def _add_result(
-    answered: history_model.Answered, delivery: Delivery
-) -> history_model.Answered:
-    result = delivery.result
-    if result is None:
-        return answered
-    return answered._replace(
-        target=delivery.target,
-        term=result.report.term,
-        rows=result.rows,
-        row_count=len(result.rows),
-        marker=result.marker,
-    )
-
-
-def _is_success(delivery: Delivery | None) -> bool:
-    """Tell whether a target answered without an error."""
-    if delivery is None or delivery.result is None:
-        return False
-    return not delivery.result.sqlstate
-
-
-def _get_outcome(
-    delivery: Delivery | None, is_rolled_back: bool
-) -> errors.Outcome:
-    """Return what an answer tells of a request."""
-    if is_rolled_back:
-        return errors.Outcome.NOT_RUN
-    if delivery is None:
-        return errors.Outcome.UNKNOWN
-    if delivery.error is not None:
-        return errors.ANSWERS[delivery.error].outcome
-    if not _is_success(delivery):
-        return errors.Outcome.NOT_RUN
-    return errors.Outcome.DONE
--- a/tests/driver/links.py
+++ b/tests/driver/links.py
@@ -7,6 +7,7 @@
 from knapweedtally.core import model
 from knapweedtally.core.writes import events as writes_events
 from standins.target import instance as instance_module
+from tests.driver import connection as connection_module
 from tests.driver import network as network_module
 from tests.driver import schedule as schedule_module
 from tests.driver import table as table_module
@@ -34,7 +35,7 @@
     def __init__(self, target: target_module.Target) -> None:
         """Describe a connection that isn't open yet."""
         self.target = target
-        self.remote: target_module.Connection | None = None
+        self.remote: connection_module.Connection | None = None
         self.expected: Attempt | None = None
         self.is_open = True
 
@@ -63,7 +64,7 @@
             submit: takes an event for the reducer.
             get_command: returns what a request asks of a target.
         """
-        self.results: dict[Attempt, tuple[str, target_module.Result]] = {}
+        self.results: dict[Attempt, tuple[str, connection_module.Result]] = {}
         self._process = process
         self._network = network
         self._targets = targets
@@ -131,7 +132,7 @@
                 target.process, self._process, lambda: opened(remote)
             )
 
-        def opened(remote: target_module.Connection | None) -> None:
+        def opened(remote: connection_module.Connection | None) -> None:
             if remote is None or not link.is_open:
                 if remote is not None:
                     target.close(remote)
@@ -174,7 +175,7 @@
                     link.target.process, self._process, self._make_reset(link)
                 )
 
-        def answer(result: target_module.Result) -> None:
+        def answer(result: connection_module.Result) -> None:
             self._network.send(
                 link.target.process,
                 self._process,
@@ -187,7 +188,7 @@
     def _make_reset(self, link: Link) -> schedule_module.Action:
         return lambda: self._fail(link, was_sent=True)
 
-    def _receive(self, link: Link, result: target_module.Result) -> None:
+    def _receive(self, link: Link, result: connection_module.Result) -> None:
         # An answer on a connection that was given up is still reported, as by
         # an edge that learns of both at once.
         if link.expected is None:
--- a/tests/driver/proxy.py
+++ b/tests/driver/proxy.py
@@ -15,6 +15,8 @@
 from knapweedtally.core.draining import events as draining_events
 from knapweedtally.core.membership import events as membership_events
 from standins.target import instance as instance_module
+from tests.driver import connection as connection_module
+from tests.driver import delivery as delivery_module
 from tests.driver import links as links_module
 from tests.driver import network as network_module
 from tests.driver import objects as objects_module
@@ -27,24 +29,7 @@
 TICK_S = 0.1
 
 
-class Delivery(NamedTuple):
-    """Give a caller the answer to its request.
-
-    Attributes:
-        host: entry host that answers.
-        result: the target's answer, or None.
-        target: target that gave it, or empty.
-        position: session position, or None if unchanged.
-        error: kind of the error, or None.
-    """
-
-    host: str
-    result: target_module.Result | None
-    target: str = ""
-    position: model.Position | None = None
-    error: errors.ErrorKind | None = None
-
-
+Delivery = delivery_module.Delivery
 Deliver = Callable[[Delivery], None]
 
 
@@ -271,7 +256,7 @@
 
 _NO_RESULT = (
     "",
-    target_module.Result(
+    connection_module.Result(
         instance_module.Report(0, 0, 0.0, is_primary=False), (), ""
     ),
 )
--- a/tests/driver/target.py
+++ b/tests/driver/target.py
@@ -8,6 +8,7 @@
 from standins.target import errors as target_errors
 from standins.target import instance as instance_module
 from standins.target import log as logs
+from tests.driver import connection as connection_module
 from tests.driver import network as network_module
 from tests.driver import schedule as schedule_module
 from tests.driver import table as table_module
@@ -18,48 +19,8 @@
 HOLD_MS = 1000.0
 
 Command = table_module.Command
-
-
-class Result(NamedTuple):
-    """Answer a command.
-
-    Attributes:
-        report: what the instance said of itself when the statement ran.
-        rows: values that a read returns.
-        marker: marker of the command.
-        sqlstate: SQLSTATE of the error answer, or empty.
-        is_open: whether a transaction is open afterwards.
-        is_key_reused: whether the key is on record for something else.
-        confirmed: term and offset that a barrier confirmed, or None.
-    """
-
-    report: instance_module.Report
-    rows: tuple[str, ...]
-    marker: str
-    sqlstate: str = ""
-    is_open: bool = False
-    is_key_reused: bool = False
-    confirmed: tuple[int, int] | None = None
-
-
-class Connection:
-    """Hold one client's connection with the transaction open on it.
-
-    Attributes:
-        is_open: whether the target holds it.
-        is_running: whether a statement has arrived and not yet run.
-        is_closing: whether the client closed it meanwhile.
-        transaction: statements of the open transaction, or None.
-        on_reset: tells the client that the target's process ended.
-    """
-
-    def __init__(self) -> None:
-        """Open a connection without a transaction."""
-        self.is_open = True
-        self.is_running = False
-        self.is_closing = False
-        self.transaction: list[logs.Statement] | None = None
-        self.on_reset: schedule_module.Action = _ignore
+Connection = connection_module.Connection
+Result = connection_module.Result
 
 
 class _Waiting(NamedTuple):
@@ -101,7 +62,7 @@
         self.apply_lag_s = 0.0
         self.pull_delay_s = 0.0
         self.peers: dict[str, Target] = {}
-        self.on_opened: Callable[[int], None] = _ignore
+        self.on_opened: Callable[[int], None] = connection_module.ignore
         self._schedule = process.schedule
         self._network = network
         self._connections: set[Connection] = set()
@@ -319,10 +280,6 @@
             self.instance.mark_applied(offset)
 
 
-def _ignore(*arguments: object) -> None:
-    """Do nothing."""
-
-
 _COMMANDS: dict[
     str, Callable[[Target, Connection, Command, Result], Result]
 ] = {
