--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -68,8 +68,8 @@
 
     async def drain(self) -> None:
         """Close for sending, then drop bytes until the caller closes too."""
-        await self.stream.send_eof()
         try:
+            await self.stream.send_eof()
             while True:
                 await self.stream.receive(RECEIVE_SIZE)
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
--- a/knapweedtally/core/admission/state.py
+++ b/knapweedtally/core/admission/state.py
@@ -157,6 +157,7 @@
     Attributes:
         requests: requests without a final answer, by id.
         queues: queue of each lane.
+        busy_since: time since when a lane's queue has not been empty.
         leases: leases in use, by id.
         transactions: lease of each session with an open transaction.
         usage: leases in use, by target.
@@ -165,12 +166,15 @@
         retry_budget: attempts that may be repeated, by group.
         known_terms: term and primary last acted upon, by group.
         counters: counts of outcomes, by name.
+        caps: connections that a full target let this host have, by target.
+        caps_until: time until which a cap holds, by target.
     """
 
     requests: dict[int, Request] = dataclasses.field(default_factory=dict)
     queues: dict[Lane, queue.FairQueue] = dataclasses.field(
         default_factory=dict
     )
+    busy_since: dict[Lane, float] = dataclasses.field(default_factory=dict)
     leases: dict[int, Lease] = dataclasses.field(default_factory=dict)
     transactions: dict[int, int] = dataclasses.field(default_factory=dict)
     usage: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -181,6 +185,8 @@
         default_factory=dict
     )
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    caps: dict[str, int] = dataclasses.field(default_factory=dict)
+    caps_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def count(self, name: str) -> None:
         """Add one to a counter."""
