--- a/knapweedtally/core/failover/detection.py
+++ b/knapweedtally/core/failover/detection.py
@@ -26,6 +26,29 @@
     )
 
 
+def is_silent(
+    state: state_module.ProxyState, moment: model.Moment, target: str
+) -> bool:
+    """Tell whether a target gave this host's data centre no status lately.
+
+    A host that doesn't observe the target takes the word of observers in its
+    own data centre: whom others reach says little of whom it reaches itself.
+    """
+    failover = state.failover
+    watch = failover.watches.get(target)
+    if watch is not None:
+        return watch.reason in (REFUSED, TIMED_OUT)
+    centres = failover.assignment.hosts
+    return any(
+        observation.reason in (REFUSED, TIMED_OUT)
+        and centres.get(observer) == state.identity.data_centre
+        and moment.at - observation.seen_at <= limits.OBSERVATION_FRESH_S
+        for observer, observation in failover.observations.get(
+            target, {}
+        ).items()
+    )
+
+
 def probe_due_targets(
     state: state_module.ProxyState, moment: model.Moment
 ) -> Effects:
--- a/knapweedtally/core/routing/decisions.py
+++ b/knapweedtally/core/routing/decisions.py
@@ -7,6 +7,7 @@
 from knapweedtally.core.admission import shares
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.draining import rules as draining_rules
+from knapweedtally.core.failover import detection
 from knapweedtally.core.routing import lag
 from knapweedtally.core.routing import state as routing_state
 
@@ -156,6 +157,9 @@
             continue
         if state.routing.avoided_until.get(target.id, 0.0) > moment.at:
             continue
+        if detection.is_silent(state, moment, target.id):
+            # A try would use up the deadline that the primary could meet.
+            continue
         candidate = _rate_replica(state, moment, request, target)
         if candidate is not None:
             result.append(candidate)
--- a/tests/processes/scenario.py
+++ b/tests/processes/scenario.py
@@ -328,6 +328,9 @@
             except BaseException:
                 self._attach_logs(logs)
                 raise
+            # The planned stop has its own test; here it would only take time.
+            for name in list(system.processes):
+                system.kill(name)
         self._print_summary(scenario)
         violations = checker.check_history(scenario.result)
         if violations:
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -66,6 +66,7 @@
         self.assertEqual(SERVED, self.sides["other"].current_read)
         self.assertNotEqual(SERVED, self.sides["cut off"].write)
         self.assertNotEqual(SERVED, self.sides["cut off"].current_read)
+        self.assertEqual(SERVED, self.sides["cut off"].own_read)
 
     def test_data_centre_of_a_replica_is_cut_off(self):
         async def disturb(scenario: Scenario) -> None:
--- /dev/null
+++ b/tests/routing/test_decisions.py
@@ -0,0 +1,59 @@
+"""Tests of the choice of a target."""
+
+import testtools
+
+from knapweedtally.core import model
+from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.failover import detection
+from knapweedtally.core.failover import state as failover_state
+from knapweedtally.core.routing import decisions
+from tests import fakes
+
+NOW = model.Moment(100.0, 0.5)
+
+
+class SilentReplicaTest(testtools.TestCase):
+    """A read of a stated age, where no replica gives a status."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = fakes.make_state()
+        group = self.state.directory.get_group(fakes.GROUP)
+        assert group is not None
+        self.primary = decisions.find_primary(self.state, fakes.GROUP)
+        ids = [target.id for target in group.targets]
+        self.replicas = [name for name in ids if name != self.primary]
+
+    def choose(self, state: state_module.ProxyState) -> str:
+        request = fakes.make_request(
+            admission_state.RequestKind.READ, 10_000, model.Position(1, 0)
+        )
+        return decisions.choose_target(state, NOW, request).target
+
+    def note(self, observer: str, reason: str) -> None:
+        for target in self.replicas:
+            self.state.failover.observations[target] = {
+                observer: failover_state.Observation(reason, 1, 0, NOW.at)
+            }
+
+    def test_replica_is_chosen_while_it_answers(self) -> None:
+        self.assertIn(self.choose(self.state), self.replicas)
+
+    def test_primary_is_chosen_by_an_own_verdict(self) -> None:
+        for target in self.replicas:
+            self.state.failover.watches[target] = failover_state.Watch(
+                fakes.GROUP, NOW.at, reason=detection.TIMED_OUT
+            )
+        self.assertEqual(self.primary, self.choose(self.state))
+
+    def test_primary_is_chosen_by_a_verdict_of_the_same_centre(self) -> None:
+        centre = self.state.identity.data_centre
+        self.state.failover.assignment.hosts = {"near": centre}
+        self.note("near", detection.TIMED_OUT)
+        self.assertEqual(self.primary, self.choose(self.state))
+
+    def test_verdict_of_another_centre_decides_nothing(self) -> None:
+        self.state.failover.assignment.hosts = {"far": "elsewhere"}
+        self.note("far", detection.TIMED_OUT)
+        self.assertIn(self.choose(self.state), self.replicas)
