Confirm reads of a small stated age at the primary

A read with a token and an age below the time between two confirmations (about 50 ms) was refused at its deadline: the primary's own age never met it. Below 200 ms it now asks for a confirmation, which covers any age.

--- a/knapweedtally/core/routing/rules.py
+++ b/knapweedtally/core/routing/rules.py
@@ -4,6 +4,9 @@
 from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.admission import state as admission_state
 
+# Below this stated age, a read at the primary asks for a confirmation.
+MIN_UNCONFIRMED_AGE_MS = 200
+
 
 def reaches_position(
     report: model.TargetReport, position: model.Position | None
@@ -29,11 +32,14 @@
 
     Writes need it to be acknowledged. Reads need it when current data is
     demanded or when the session's position isn't known: only the
-    confirmation shows that the primary wasn't replaced.
+    confirmation shows that the primary wasn't replaced. Reads of a small age
+    need it because a primary's own confirmations are further apart.
     """
     if request.traits.may_write or request.kind in _BEGINNINGS:
         return True
-    return request.max_age_ms == 0 or request.position is None
+    return request.max_age_ms < MIN_UNCONFIRMED_AGE_MS or (
+        request.position is None
+    )
 
 
 def is_answer_fresh(
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -63,6 +63,7 @@
         self.run_scenario(disturb, self.layout)
         self.assertEqual(SERVED, self.sides["other"].write)
         self.assertEqual(SERVED, self.sides["other"].own_read)
+        self.assertEqual(SERVED, self.sides["other"].tight_read)
         self.assertEqual(SERVED, self.sides["other"].current_read)
         self.assertNotEqual(SERVED, self.sides["cut off"].write)
         self.assertNotEqual(SERVED, self.sides["cut off"].current_read)
@@ -80,6 +81,7 @@
 
         self.run_scenario(disturb, self.layout)
         self.assertEqual(SERVED, self.sides["other"].write)
+        self.assertEqual(SERVED, self.sides["other"].tight_read)
         self.assertNotEqual(SERVED, self.sides["cut off"].write)
         self.assertNotEqual(SERVED, self.sides["cut off"].current_read)
         self.assertEqual(SERVED, self.sides["cut off"].own_read)
--- a/tests/routing/test_rules.py
+++ b/tests/routing/test_rules.py
@@ -77,3 +77,16 @@
         self.assertTrue(
             rules.is_answer_fresh(request, report, model.Position(1, 6))
         )
+
+
+class BarrierTest(testtools.TestCase):
+    def needs_barrier(self, max_age_ms: int) -> bool:
+        request = fakes.make_request(
+            admission_state.RequestKind.READ, max_age_ms, model.Position(1, 1)
+        )
+        return rules.needs_barrier(request)
+
+    def test_read_of_a_small_age_is_confirmed_at_the_primary(self) -> None:
+        # The primary's age between two confirmations would exceed it.
+        self.assertTrue(self.needs_barrier(1))
+        self.assertFalse(self.needs_barrier(10_000))
