Give the same run for a seed in every process

Cause: wanted links and the groups with queues were walked as sets of strings, whose order changes with the hash seed of the process; the fake target walked its connections as a set of objects. Ruled out: time and other randomness, as the traces were equal up to the first of these.

--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -117,7 +117,7 @@
     shares.lift_caps(state, moment)
     result += _release_idle_transactions(state, moment)
     result += act_on_records(state, moment, event)
-    for group in {lane.group for lane in state.admission.queues}:
+    for group in dict.fromkeys(lane.group for lane in state.admission.queues):
         result += dispatch.dispatch_group(state, moment, group)
     return result
 
@@ -127,7 +127,7 @@
 ) -> Effects:
     """Let work on a replaced primary run out, and start what waited."""
     result: Effects = []
-    for group in {lane.group for lane in state.admission.queues}:
+    for group in dict.fromkeys(lane.group for lane in state.admission.queues):
         record = state.directory.records.get(group)
         if record is None or record.phase is not model.Phase.OPEN:
             continue
--- a/knapweedtally/core/membership/links.py
+++ b/knapweedtally/core/membership/links.py
@@ -73,7 +73,7 @@
         membership.hosts[name].data_centre for name in membership.suspected
     ]
     wanted = set(overlay.list_wanted(own, data_centre, live, suspects))
-    for host in wanted:
+    for host in sorted(wanted):
         get_link(state, moment, host)
     for link in list(membership.links.values()):
         link.is_wanted = link.host in wanted
--- a/tests/driver/target.py
+++ b/tests/driver/target.py
@@ -65,7 +65,8 @@
         self.on_opened: Callable[[int], None] = connection_module.ignore
         self._schedule = process.schedule
         self._network = network
-        self._connections: set[Connection] = set()
+        # In the order of their opening, which a set would not keep.
+        self._connections: dict[Connection, None] = {}
         self._waiting: list[_Waiting] = []
         self._pull()
 
@@ -89,7 +90,7 @@
         if len(self._connections) >= self.connection_limit:
             return None
         connection = Connection()
-        self._connections.add(connection)
+        self._connections[connection] = None
         return connection
 
     def close(self, connection: Connection) -> None:
@@ -103,7 +104,7 @@
             return
         connection.is_open = False
         connection.transaction = None
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
 
     # Statements.
 
--- a/tests/driver/test_driver.py
+++ b/tests/driver/test_driver.py
@@ -1,5 +1,9 @@
 """The fixed seeds of the driver, and the driver's own parts."""
 
+import os
+import subprocess
+import sys
+
 import testtools
 
 from tests.driver import network as network_module
@@ -23,6 +27,26 @@
         self.assertEqual(first.trace, second.trace)
         self.assertEqual(first.history, second.history)
 
+    def test_hash_seed_of_the_process_changes_nothing(self) -> None:
+        traces = {self.run_apart(hash_seed) for hash_seed in ("1", "2")}
+        self.assertEqual(1, len(traces))
+
+    def run_apart(self, hash_seed: str) -> str:
+        """Return the traces of some seeds, run in a process of their own."""
+        program = (
+            "from tests.driver import run\n"
+            "for seed in (0, 5, 8):\n"
+            "    print(*run.run_seed(seed).trace, sep='\\n')\n"
+        )
+        finished = subprocess.run(
+            [sys.executable, "-c", program],
+            env={**os.environ, "PYTHONHASHSEED": hash_seed},
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        return finished.stdout
+
 
 class FakesTest(testtools.TestCase):
     def setUp(self) -> None:
