Measure storms on the control path

Many hosts restarting at once and a data centre that comes back, as fleets of reducers in one process: time until all agree, and bytes and processor time per host meanwhile.

--- a/bench/control_model.py
+++ b/bench/control_model.py
@@ -115,7 +115,10 @@
 
     def replace_host(self, incarnation: int) -> None:
         """End one host and start it anew."""
-        name = max(self.net.nodes)
+        self.restart_host(max(self.net.nodes), incarnation)
+
+    def restart_host(self, name: str, incarnation: int) -> None:
+        """End a host and start it anew with nothing in its state."""
         place, number = name[2:].split("-h")
         self.net.kill(name)
         self.net.add_node(int(place), int(number), incarnation)
--- a/tests/bench/test_control_cost.py
+++ b/tests/bench/test_control_cost.py
@@ -4,6 +4,7 @@
 
 from bench import control_cost
 from bench import control_memory
+from bench import control_storms
 from bench import fits
 
 
@@ -13,6 +14,11 @@
         for name in ("cpu_ms_per_s", "sent_bytes_per_s", "bundle_bytes"):
             self.assertGreater(point[name], 0.0)
 
+    def test_storms_end(self) -> None:
+        for name in control_storms.STORMS:
+            point = control_storms.measure_storm(name, 6, 3)
+            self.assertGreater(point["bytes"], 0.0)
+
     def test_a_state_grows_with_the_fleet(self) -> None:
         small = control_memory.measure_state(3, 3)
         self.assertGreater(control_memory.measure_state(60, 3), small)
