Go once through a queue that turned out to be standing

Cause: what arrives in the first 200 ms, before the queue counts as standing, was admitted by the estimate for a burst and held until its deadline. When a queue has stood for 1 s, requests that can't get their turn within 0.8 of the timeout are refused then.

--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -22,6 +22,10 @@
 MAX_WAIT_SHARE = 0.5
 # Time after which a queue that is never empty is no burst any more.
 STANDING_QUEUE_S = 0.2
+# Time after which the requests of that burst are gone through again.
+TRIM_QUEUE_S = 1.0
+# Larger than the share for admission, so that a queue that varies isn't cut.
+TRIM_WAIT_SHARE = 0.8
 IDLE_TRANSACTION_LIMIT_S = 60.0
 # Time for answers under way when a term ends.
 TERM_CHANGE_GRACE_S = 0.2
@@ -80,14 +84,63 @@
 ) -> float:
     """Return the expected time in the queue, in seconds."""
     lane = attempts.get_lane(request)
-    busy_since = state.admission.busy_since.get(lane, moment.at)
-    is_standing = moment.at - busy_since >= STANDING_QUEUE_S
     waiting = attempts.get_queue(state, lane)
+    is_standing = _get_age(state, moment, lane) >= STANDING_QUEUE_S
     ahead = waiting.count_ahead(request.caller, is_standing)
+    return ahead * _get_turn_time(state, group, lane)
+
+
+def trim_queues(
+    state: state_module.ProxyState, moment: model.Moment
+) -> Effects:
+    """Refuse, once, what a standing queue can't serve within its limit.
+
+    These requests came before the queue counted as standing.
+    """
+    result: Effects = []
+    for lane, waiting in state.admission.queues.items():
+        group = state.directory.get_group(lane.group)
+        if group is None or _get_age(state, moment, lane) < TRIM_QUEUE_S:
+            continue
+        busy_since = state.admission.busy_since[lane]
+        if state.admission.trimmed.get(lane) == busy_since:
+            continue
+        state.admission.trimmed[lane] = busy_since
+        limit_s = TRIM_WAIT_SHARE * group.request_timeout_ms / 1000.0
+        round_s = waiting.count_callers() * _get_turn_time(state, group, lane)
+        for request_id in waiting.list_beyond(int(limit_s / round_s) + 1):
+            result += attempts.give_error(
+                state,
+                moment,
+                state.admission.requests[request_id],
+                errors.ErrorKind.OVERLOADED,
+                f"{round_s:.1f} s between two turns of its caller",
+                retry_after_ms=math.ceil(limit_s * 1000),
+            )
+    return result
+
+
+def _get_age(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    lane: admission_state.Lane,
+) -> float:
+    """Return for how many seconds a lane's queue has not been empty."""
+    if not len(attempts.get_queue(state, lane)):
+        return 0.0
+    return moment.at - state.admission.busy_since.get(lane, moment.at)
+
+
+def _get_turn_time(
+    state: state_module.ProxyState,
+    group: model.Group,
+    lane: admission_state.Lane,
+) -> float:
+    """Return the time between two requests of a lane that begin, in seconds."""
     targets = 1 if lane.is_primary else max(1, len(group.targets) - 1)
     parallel = shares.get_share(state, group) * targets
     service_s = state.admission.service_s.get(lane, attempts.DEFAULT_SERVICE_S)
-    return ahead * service_s / parallel
+    return service_s / parallel
 
 
 def resume_request(
@@ -125,6 +178,7 @@
             result += writes.expire_request(state, moment, request)
         elif request.abort_at <= moment.at:
             result += writes.abort_attempt(state, moment, request)
+    result += trim_queues(state, moment)
     result += _release_idle_transactions(state, moment)
     result += act_on_records(state, moment, event)
     for group in {lane.group for lane in state.admission.queues}:
--- a/knapweedtally/core/admission/queue.py
+++ b/knapweedtally/core/admission/queue.py
@@ -42,6 +42,15 @@
         )
         return turns - 1 + others
 
+    def list_beyond(self, turns: int) -> list[int]:
+        """Return the requests that come after a caller's first turns."""
+        return [
+            request
+            for queue in self._queues.values()
+            if len(queue) > turns
+            for request in list(queue)[turns:]
+        ]
+
     def push(self, caller: str, request: int) -> None:
         """Add a request at the end of its caller's queue."""
         self._queues.setdefault(caller, collections.deque()).append(request)
--- a/knapweedtally/core/admission/state.py
+++ b/knapweedtally/core/admission/state.py
@@ -158,6 +158,7 @@
         requests: requests without a final answer, by id.
         queues: queue of each lane.
         busy_since: time since when a lane's queue has not been empty.
+        trimmed: value of ``busy_since`` for which a queue was trimmed.
         leases: leases in use, by id.
         transactions: lease of each session with an open transaction.
         usage: leases in use, by target.
@@ -173,6 +174,7 @@
         default_factory=dict
     )
     busy_since: dict[Lane, float] = dataclasses.field(default_factory=dict)
+    trimmed: dict[Lane, float] = dataclasses.field(default_factory=dict)
     leases: dict[int, Lease] = dataclasses.field(default_factory=dict)
     transactions: dict[int, int] = dataclasses.field(default_factory=dict)
     usage: dict[str, int] = dataclasses.field(default_factory=dict)
