Hand back the newest token in the load tool

A token that a connection had brought long ago replaced a newer one when a session roamed back, which made sessions look as if they missed their writes.

--- a/bench/workload.py
+++ b/bench/workload.py
@@ -185,7 +185,8 @@
         for reply in replies:
             if reply.sqlstate:
                 raise _StatementError(reply)
-        token = connection.parameters.get("knapweedtally.token", "")
+        # Another connection may have brought a newer one since this came.
+        token = connection.parameters.pop("knapweedtally.token", "")
         self._token = token or self._token
         return replies[-1]
 
