--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -122,18 +122,20 @@
             self._waiting.cancel()
 
     async def _serve_messages(self) -> None:
-        """Take messages until the caller or a planned stop ends it."""
-        while not (self._is_ending and self.is_quiet):
-            message = None
-            with anyio.CancelScope() as scope:
-                self._waiting = scope
+        """Take messages until the caller or a planned stop ends it.
+
+        The scope is cancelled only while the session is quiet, which is while
+        it waits for a message.
+        """
+        with anyio.CancelScope() as scope:
+            self._waiting = scope
+            while not (self._is_ending and self.is_quiet):
                 message = await self._stream.receive_message()
-            self._waiting = None
-            if message is None or isinstance(message, messages.Terminate):
-                return
-            self.is_idle = False
-            await self._take_message(message)
-            self.is_idle = not self._parts
+                if message is None or isinstance(message, messages.Terminate):
+                    return
+                self.is_idle = False
+                await self._take_message(message)
+                self.is_idle = not self._parts
 
     async def _say_goodbye(self) -> None:
         await self._stream.send(
--- a/knapweedtally/core/admission/dispatch.py
+++ b/knapweedtally/core/admission/dispatch.py
@@ -1,7 +1,5 @@
 """Give queued requests their turns."""
 
-import itertools
-
 from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
@@ -26,8 +24,7 @@
     is_moving = True
     while is_moving and len(waiting):
         is_moving = False
-        heads = itertools.islice(waiting.list_heads(), MAX_FRUITLESS_CHOICES)
-        for caller, request_id in list(heads):
+        for caller, request_id in waiting.list_heads(MAX_FRUITLESS_CHOICES):
             request = state.admission.requests[request_id]
             choice = routing.choose_target(state, moment, request)
             if not choice.target and not choice.retry_at:
--- a/knapweedtally/core/admission/queue.py
+++ b/knapweedtally/core/admission/queue.py
@@ -1,6 +1,7 @@
 """A bounded queue that serves callers in turn."""
 
 import collections
+import itertools
 
 
 class FairQueue:
@@ -61,9 +62,14 @@
         self._queues.setdefault(caller, collections.deque()).appendleft(request)
         self._size += 1
 
-    def list_heads(self) -> list[tuple[str, int]]:
-        """Return each caller's first request, the next caller first."""
-        return [(name, queue[0]) for name, queue in self._queues.items()]
+    def list_heads(self, limit: int | None = None) -> list[tuple[str, int]]:
+        """Return callers' first requests, the next caller first.
+
+        Args:
+            limit: number of callers; all if None.
+        """
+        queues = itertools.islice(self._queues.items(), limit)
+        return [(name, queue[0]) for name, queue in queues]
 
     def take_head(self, caller: str) -> int:
         """Remove a caller's first request and move the caller to the end.
--- a/knapweedtally/core/admission/state.py
+++ b/knapweedtally/core/admission/state.py
@@ -15,6 +15,9 @@
 class RequestKind(enum.Enum):
     """Name what a request asks of a target."""
 
+    # Members are single objects; the default hashes their names each time.
+    __hash__ = object.__hash__
+
     READ = "read"
     WRITE = "write"
     BEGIN = "begin"
--- a/knapweedtally/targets/wire.py
+++ b/knapweedtally/targets/wire.py
@@ -4,6 +4,7 @@
 are decoded.
 """
 
+import struct
 from typing import NamedTuple
 
 from pygwire import messages
@@ -12,6 +13,7 @@
 from knapweedtally.core import model
 
 HEADER_LENGTH = 5
+_LENGTH = struct.Struct("!I")
 MAX_FRAME_LENGTH = 64 * 1024 * 1024
 READY_FOR_QUERY = ord("Z")
 PARAMETER_STATUS = ord("S")
@@ -55,24 +57,38 @@
         Raises:
             ProtocolError: a frame has an impossible length.
         """
-        buffer = self._buffer
-        buffer += data
         self.size += len(data)
-        sections = []
+        # Whole messages are read from the received bytes without a copy.
+        source: bytes | bytearray = data
+        if self._buffer:
+            self._buffer += data
+            source = self._buffer
+        sections: list[Section] = []
+        rest = self._take_frames(source, sections)
+        if source is data:
+            self._buffer += data[rest:]
+        else:
+            del self._buffer[:rest]
+        return sections
+
+    def _take_frames(
+        self, source: bytes | bytearray, sections: list[Section]
+    ) -> int:
+        """Take whole frames and return where the next one begins."""
         start = 0
-        while len(buffer) - start >= HEADER_LENGTH:
-            length = int.from_bytes(buffer[start + 1 : start + 5], "big") + 1
+        available = len(source)
+        while available - start >= HEADER_LENGTH:
+            length = _LENGTH.unpack_from(source, start + 1)[0] + 1
             if not HEADER_LENGTH <= length <= MAX_FRAME_LENGTH:
                 raise exceptions.ProtocolError(f"frame of {length} bytes")
-            if len(buffer) - start < length:
+            if available - start < length:
                 break
-            frame = bytes(buffer[start : start + length])
+            frame = bytes(source[start : start + length])
             start += length
             section = self._take_frame(frame)
             if section is not None:
                 sections.append(section)
-        del buffer[:start]
-        return sections
+        return start
 
     def _take_frame(self, frame: bytes) -> Section | None:
         kind = frame[0]
