--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -115,6 +115,8 @@
             return
         self._load_token()
         welcome = answers.encode_welcome(self.id, self.secret, self._host)
+        if self._has_token:
+            welcome += self._encode_token()
         await self._stream.send(welcome)
         await self._serve_messages()
         if self._is_ending:
@@ -124,40 +126,35 @@
         """End the connection once nothing is running or open on it."""
         self._is_ending = True
         if self.is_quiet and self._waiting is not None:
-            self._waiting.deadline = anyio.current_time() + GOODBYE_DELAY_S
+            self._waiting.cancel()
 
     async def _serve_messages(self) -> None:
         """Take messages until the caller or a planned stop ends it.
 
-        A request that comes to an ending session is not run: the goodbye is
-        its answer.
-        """
-        while True:
-            message = await self._wait_message()
-            if message is None or isinstance(message, messages.Terminate):
-                return
-            if self._is_ending and self.is_quiet:
-                return
-            self.is_idle = False
-            await self._take_message(message)
-            self.is_idle = not self._parts
-
-    async def _wait_message(self) -> messages.FrontendMessage | None:
-        """Return the next message, or None when the session is to end.
-
-        A goodbye right behind an answer would reach clients of libpq
-        together with it and be dropped as a notice, so an ending session
-        waits for a moment.
+        The scope is cancelled only while the session is quiet, which is while
+        it waits for a message.
         """
         with anyio.CancelScope() as scope:
-            if self._is_ending and self.is_quiet:
-                scope.deadline = anyio.current_time() + GOODBYE_DELAY_S
             self._waiting = scope
-            try:
-                return await self._stream.receive_message()
-            finally:
-                self._waiting = None
-        return None
+            while not (self._is_ending and self.is_quiet):
+                message = await self._stream.receive_message()
+                if message is None or isinstance(message, messages.Terminate):
+                    return
+                self.is_idle = False
+                await self._take_message(message)
+                self.is_idle = not self._parts
+        self._waiting = None
+        await self._await_last_request()
+
+    async def _await_last_request(self) -> None:
+        """Wait for a moment before the goodbye of a planned stop.
+
+        A goodbye right behind an answer would reach clients of libpq together
+        with it and be dropped as a notice. A request that comes meanwhile is
+        not run: the goodbye is its answer.
+        """
+        with anyio.move_on_after(GOODBYE_DELAY_S):
+            await self._stream.receive_message()
 
     async def _say_goodbye(self) -> None:
         await self._stream.send(
@@ -345,6 +342,7 @@
             return
         if statement.name == options_module.PREFIX + "token":
             self._load_token()
+            answer += self._encode_token()
         await self._answer_locally(unit, answer)
 
     async def _answer_locally(self, unit: Unit, answer: bytes) -> None:
--- a/knapweedtally/core/admission/state.py
+++ b/knapweedtally/core/admission/state.py
@@ -15,6 +15,9 @@
 class RequestKind(enum.Enum):
     """Name what a request asks of a target."""
 
+    # Members are single objects; the default hashes their names each time.
+    __hash__ = object.__hash__
+
     READ = "read"
     WRITE = "write"
     BEGIN = "begin"
@@ -158,6 +161,7 @@
         requests: requests without a final answer, by id.
         queues: queue of each lane.
         busy_since: time since when a lane's queue has not been empty.
+        trimmed: value of ``busy_since`` for which a queue was trimmed.
         leases: leases in use, by id.
         transactions: lease of each session with an open transaction.
         usage: leases in use, by target.
@@ -175,6 +179,7 @@
         default_factory=dict
     )
     busy_since: dict[Lane, float] = dataclasses.field(default_factory=dict)
+    trimmed: dict[Lane, float] = dataclasses.field(default_factory=dict)
     leases: dict[int, Lease] = dataclasses.field(default_factory=dict)
     transactions: dict[int, int] = dataclasses.field(default_factory=dict)
     usage: dict[str, int] = dataclasses.field(default_factory=dict)
