--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -37,7 +37,7 @@
     Fault(3.5, "kill target", PRIMARY, 9.0),
 )
 ONE_BEHIND_PRIMARY_KILLED = (
-    Fault(1.0, "far behind", "records-archive", 10.0),
+    Fault(1.0, "far behind", "records-south", 10.0),
     Fault(3.0, "kill target", PRIMARY, 5.0),
 )
 ALL_FROZEN = (
