--- a/bench/control_storms.py
+++ b/bench/control_storms.py
@@ -13,6 +13,7 @@
 
 from bench import control_cost
 from bench import control_model
+from knapweedtally.core.membership import hosts
 from tests.membership import network
 
 OUTPUT = pathlib.Path("out/control_storms.json")
@@ -33,10 +34,20 @@
 
 
 def return_data_centre(fleet: control_model.Fleet) -> None:
-    """Cut a data centre off until both sides count as dead, and heal."""
+    """Cut a data centre off until both sides count as dead, and heal.
+
+    Raises:
+        RuntimeError: a host still counts one of the other side as live.
+    """
     first = {name for name in fleet.net.nodes if name.startswith("dc3")}
     fleet.net.cut(first, fleet.net.nodes.keys() - first)
     fleet.net.run(CUT_S)
+    for name, node in fleet.net.nodes.items():
+        live = hosts.live_hosts(node.state).keys()
+        if any((other in first) != (name in first) for other in live):
+            raise RuntimeError(
+                f"{name} is not done with the other side; raise CUT_S"
+            )
     fleet.net.faults = network.Faults()
 
 
@@ -46,13 +57,13 @@
 }
 
 
-def measure_storm(name: str, hosts: int, groups: int) -> dict[str, Any]:
+def measure_storm(name: str, host_count: int, groups: int) -> dict[str, Any]:
     """Return how long a storm lasts and what it costs the mean host.
 
     Raises:
         RuntimeError: the hosts do not agree again in time.
     """
-    sizes = [hosts // DATA_CENTRES] * DATA_CENTRES
+    sizes = [host_count // DATA_CENTRES] * DATA_CENTRES
     fleet = control_model.Fleet(sizes, groups)
     STORMS[name](fleet)
     seconds = []
@@ -79,8 +90,8 @@
     parser.add_argument("--groups", type=int, default=90)
     options = parser.parse_args()
     points = [
-        control_cost.show(measure_storm(name, hosts, options.groups))
-        for hosts in options.hosts
+        control_cost.show(measure_storm(name, host_count, options.groups))
+        for host_count in options.hosts
         for name in STORMS
     ]
     result = {"commit": control_cost.get_commit(), "points": points}
