--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -17,6 +17,11 @@
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.sessions import token as token_module
 
+# Pause between an answer and the goodbye of a planned stop.
+GOODBYE_DELAY_S = 0.1
+# Time that a caller gets to close its side after the goodbye.
+LINGER_S = 1.0
+
 Kind = sql.StatementKind
 RequestKind = admission_state.RequestKind
 
@@ -110,6 +115,8 @@
             return
         self._load_token()
         welcome = answers.encode_welcome(self.id, self.secret, self._host)
+        if self._has_token:
+            welcome += self._encode_token()
         await self._stream.send(welcome)
         await self._serve_messages()
         if self._is_ending:
@@ -122,18 +129,32 @@
             self._waiting.cancel()
 
     async def _serve_messages(self) -> None:
-        """Take messages until the caller or a planned stop ends it."""
-        while not (self._is_ending and self.is_quiet):
-            message = None
-            with anyio.CancelScope() as scope:
-                self._waiting = scope
+        """Take messages until the caller or a planned stop ends it.
+
+        The scope is cancelled only while the session is quiet, which is while
+        it waits for a message.
+        """
+        with anyio.CancelScope() as scope:
+            self._waiting = scope
+            while not (self._is_ending and self.is_quiet):
                 message = await self._stream.receive_message()
-            self._waiting = None
-            if message is None or isinstance(message, messages.Terminate):
-                return
-            self.is_idle = False
-            await self._take_message(message)
-            self.is_idle = not self._parts
+                if message is None or isinstance(message, messages.Terminate):
+                    return
+                self.is_idle = False
+                await self._take_message(message)
+                self.is_idle = not self._parts
+        self._waiting = None
+        await self._await_last_request()
+
+    async def _await_last_request(self) -> None:
+        """Wait for a moment before the goodbye of a planned stop.
+
+        A goodbye right behind an answer would reach clients of libpq together
+        with it and be dropped as a notice. A request that comes meanwhile is
+        not run: the goodbye is its answer.
+        """
+        with anyio.move_on_after(GOODBYE_DELAY_S):
+            await self._stream.receive_message()
 
     async def _say_goodbye(self) -> None:
         await self._stream.send(
@@ -144,6 +165,10 @@
                 severity="FATAL",
             )
         )
+        # Closing with unread bytes would reset the connection, and the caller
+        # might never read the goodbye.
+        with anyio.move_on_after(LINGER_S):
+            await self._stream.drain()
 
     async def _take_message(self, message: messages.FrontendMessage) -> None:
         if isinstance(message, messages.Query):
@@ -317,6 +342,7 @@
             return
         if statement.name == options_module.PREFIX + "token":
             self._load_token()
+            answer += self._encode_token()
         await self._answer_locally(unit, answer)
 
     async def _answer_locally(self, unit: Unit, answer: bytes) -> None:
--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -44,10 +44,14 @@
                 if isinstance(
                     message, messages.StartupMessage | messages.CancelRequest
                 ):
-                    self._decoder.phase = constants.ConnectionPhase.READY
+                    self.expect_messages()
                     return message
                 raise exceptions.ProtocolError("expected a startup message")
 
+    def expect_messages(self) -> None:
+        """Take what follows as ordinary messages, not as a startup."""
+        self._decoder.phase = constants.ConnectionPhase.READY
+
     async def receive_message(self) -> messages.FrontendMessage | None:
         """Return the next message, or None when the caller is gone.
 
@@ -66,6 +70,15 @@
         """Send bytes to the caller."""
         await self.stream.send(data)
 
+    async def drain(self) -> None:
+        """Close for sending, then drop bytes until the caller closes too."""
+        try:
+            await self.stream.send_eof()
+            while True:
+                await self.stream.receive(RECEIVE_SIZE)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            return
+
     async def _receive_message(self) -> messages.PGMessage:
         while True:
             try:
--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -18,6 +18,14 @@
 from knapweedtally.core.writes import decisions as writes
 
 MAX_QUEUE_LENGTH = 10_000
+# Share of the timeout that the queue may take; the rest is for running.
+MAX_WAIT_SHARE = 0.5
+# Time after which a queue that is never empty is no burst any more.
+STANDING_QUEUE_S = 0.2
+# Time after which the requests of that burst are gone through again.
+TRIM_QUEUE_S = 1.0
+# Larger than the share for admission, so that a queue that varies isn't cut.
+TRIM_WAIT_SHARE = 0.8
 IDLE_TRANSACTION_LIMIT_S = 60.0
 # Time for answers under way when a term ends.
 TERM_CHANGE_GRACE_S = 0.2
@@ -48,17 +56,20 @@
     if request.position is not None:
         offset = request.position.offset
         lag.note_offset(state.routing, request.group, offset, moment.at)
-    wait_s = estimate_wait(state, group, request)
     lane = attempts.get_lane(request)
     waiting = attempts.get_queue(state, lane)
-    is_hopeless = moment.at + wait_s >= request.deadline
+    if not len(waiting):
+        state.admission.busy_since[lane] = moment.at
+    wait_s = estimate_wait(state, moment, group, request)
+    limit_s = MAX_WAIT_SHARE * group.request_timeout_ms / 1000.0
+    is_hopeless = wait_s >= limit_s
     if is_hopeless or len(waiting) >= MAX_QUEUE_LENGTH:
         return attempts.give_error(
             state,
             moment,
             request,
             errors.ErrorKind.OVERLOADED,
-            f"estimated wait {wait_s:.1f} s reaches the deadline",
+            f"estimated wait {wait_s:.1f} s exceeds {limit_s:.1f} s",
             retry_after_ms=max(100, math.ceil(wait_s * 500)),
         )
     waiting.push(request.caller, request.id)
@@ -67,16 +78,69 @@
 
 def estimate_wait(
     state: state_module.ProxyState,
+    moment: model.Moment,
     group: model.Group,
     request: admission_state.Request,
 ) -> float:
     """Return the expected time in the queue, in seconds."""
     lane = attempts.get_lane(request)
-    ahead = attempts.get_queue(state, lane).count_ahead(request.caller)
+    waiting = attempts.get_queue(state, lane)
+    is_standing = _get_age(state, moment, lane) >= STANDING_QUEUE_S
+    ahead = waiting.count_ahead(request.caller, is_standing)
+    return ahead * _get_turn_time(state, group, lane)
+
+
+def trim_queues(
+    state: state_module.ProxyState, moment: model.Moment
+) -> Effects:
+    """Refuse, once, what a standing queue can't serve within its limit.
+
+    These requests came before the queue counted as standing.
+    """
+    result: Effects = []
+    for lane, waiting in state.admission.queues.items():
+        group = state.directory.get_group(lane.group)
+        if group is None or _get_age(state, moment, lane) < TRIM_QUEUE_S:
+            continue
+        busy_since = state.admission.busy_since[lane]
+        if state.admission.trimmed.get(lane) == busy_since:
+            continue
+        state.admission.trimmed[lane] = busy_since
+        limit_s = TRIM_WAIT_SHARE * group.request_timeout_ms / 1000.0
+        round_s = waiting.count_callers() * _get_turn_time(state, group, lane)
+        for request_id in waiting.list_beyond(int(limit_s / round_s) + 1):
+            result += attempts.give_error(
+                state,
+                moment,
+                state.admission.requests[request_id],
+                errors.ErrorKind.OVERLOADED,
+                f"{round_s:.1f} s between two turns of its caller",
+                retry_after_ms=math.ceil(limit_s * 1000),
+            )
+    return result
+
+
+def _get_age(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    lane: admission_state.Lane,
+) -> float:
+    """Return for how many seconds a lane's queue has not been empty."""
+    if not len(attempts.get_queue(state, lane)):
+        return 0.0
+    return moment.at - state.admission.busy_since.get(lane, moment.at)
+
+
+def _get_turn_time(
+    state: state_module.ProxyState,
+    group: model.Group,
+    lane: admission_state.Lane,
+) -> float:
+    """Return the time between two requests of a lane that begin, in seconds."""
     targets = 1 if lane.is_primary else max(1, len(group.targets) - 1)
     parallel = shares.get_share(state, group) * targets
     service_s = state.admission.service_s.get(lane, attempts.DEFAULT_SERVICE_S)
-    return ahead * service_s / parallel
+    return service_s / parallel
 
 
 def resume_request(
@@ -115,9 +179,10 @@
         elif request.abort_at <= moment.at:
             result += writes.abort_attempt(state, moment, request)
     shares.lift_caps(state, moment)
+    result += trim_queues(state, moment)
     result += _release_idle_transactions(state, moment)
     result += act_on_records(state, moment, event)
-    for group in {lane.group for lane in state.admission.queues}:
+    for group in dict.fromkeys(lane.group for lane in state.admission.queues):
         result += dispatch.dispatch_group(state, moment, group)
     return result
 
@@ -127,7 +192,7 @@
 ) -> Effects:
     """Let work on a replaced primary run out, and start what waited."""
     result: Effects = []
-    for group in {lane.group for lane in state.admission.queues}:
+    for group in dict.fromkeys(lane.group for lane in state.admission.queues):
         record = state.directory.records.get(group)
         if record is None or record.phase is not model.Phase.OPEN:
             continue
--- a/knapweedtally/core/admission/queue.py
+++ b/knapweedtally/core/admission/queue.py
@@ -1,6 +1,7 @@
 """A bounded queue that serves callers in turn."""
 
 import collections
+import itertools
 
 
 class FairQueue:
@@ -23,19 +24,33 @@
         """Return the number of callers with a queued request."""
         return len(self._queues)
 
-    def count_ahead(self, caller: str) -> int:
+    def count_ahead(self, caller: str, is_standing: bool) -> int:
         """Return how many requests are served before a new one of a caller.
 
         Every other caller is served at most once for each of the caller's
-        own requests, and at most as often as it has requests.
+        own requests. In a burst it has no more than its queued requests; in
+        a standing queue it sends another one for each that is served.
+
+        Args:
+            caller: name of the caller.
+            is_standing: whether the queue stands for longer than a burst.
         """
-        own = len(self._queues.get(caller, ()))
+        turns = len(self._queues.get(caller, ())) + 1
         others = sum(
-            min(len(queue), own + 1)
+            turns if is_standing else min(len(queue), turns)
             for name, queue in self._queues.items()
             if name != caller
         )
-        return own + others
+        return turns - 1 + others
+
+    def list_beyond(self, turns: int) -> list[int]:
+        """Return the requests that come after a caller's first turns."""
+        return [
+            request
+            for queue in self._queues.values()
+            if len(queue) > turns
+            for request in list(queue)[turns:]
+        ]
 
     def push(self, caller: str, request: int) -> None:
         """Add a request at the end of its caller's queue."""
@@ -47,9 +62,14 @@
         self._queues.setdefault(caller, collections.deque()).appendleft(request)
         self._size += 1
 
-    def list_heads(self) -> list[tuple[str, int]]:
-        """Return each caller's first request, the next caller first."""
-        return [(name, queue[0]) for name, queue in self._queues.items()]
+    def list_heads(self, limit: int | None = None) -> list[tuple[str, int]]:
+        """Return callers' first requests, the next caller first.
+
+        Args:
+            limit: number of callers; all if None.
+        """
+        queues = itertools.islice(self._queues.items(), limit)
+        return [(name, queue[0]) for name, queue in queues]
 
     def take_head(self, caller: str) -> int:
         """Remove a caller's first request and move the caller to the end.
