--- a/bench/naive_proxy.py
+++ b/bench/naive_proxy.py
@@ -93,7 +93,7 @@
     async def _run(self, text: str, kind: Kind) -> bytes:
         connection = self._pinned
         if connection is None:
-            connection = await self._pool.take(self._choose_target(kind))
+            connection = await self._take_connection(kind)
         is_kept = False
         try:
             (section,) = await connection.exchange(wire.encode_query(text), 1)
@@ -104,6 +104,18 @@
                 self._pool.give_back(connection)
         return self._encode_answer(section, kind)
 
+    async def _take_connection(
+        self, kind: Kind
+    ) -> connection_module.TargetConnection:
+        """Return a connection; a read falls back to the primary."""
+        target = self._choose_target(kind)
+        try:
+            return await self._pool.take(target)
+        except exceptions.AttemptLostError:
+            if kind is not Kind.READ or self._lease is None:
+                raise
+            return await self._pool.take(self._lease.primary)
+
     def _encode_answer(self, section: wire.Section, kind: Kind) -> bytes:
         answer = b"".join(section.frames)
         if section.report:
