--- a/bench/commands.py
+++ b/bench/commands.py
@@ -69,6 +69,7 @@
         _option("sessions", 8, "sessions of each group"),
         _option("groups", 1, "number of groups"),
         _option("hosts-per-centre", 1, "entry hosts in each data centre"),
+        _option("entry-hosts", 0, "hosts that callers use; 0 for all"),
         _option("write-share", 0.1, "share of statements that write"),
         _option("keyed-share", 0.5, "share of writes with a key"),
         _option("transaction-share", 0.1, "share of writes in a transaction"),
@@ -89,7 +90,12 @@
         adjust = {"apply_lag_ms": float(self.option("apply-lag-ms"))}
         made = tuple(
             runs.Run(
-                systems.Configuration(kind, kind, self._make_layout()),
+                systems.Configuration(
+                    kind,
+                    kind,
+                    self._make_layout(),
+                    int(self.option("entry-hosts")),
+                ),
                 {"load": self._make_plan(kind)},
                 happens,
                 adjust,
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,7 +1,7 @@
 """Read a faults file and make its faults happen.
 
-The file is a YAML list; each entry says at which second of the run, warm-up
-included, what happens::
+The file is a YAML list; each entry says at which second, warm-up
+not included, what happens::
 
     - {at_s: 5, do: kill, name: fog-1-a}
     - {at_s: 8, do: freeze, name: sala-norte-1, for_s: 3}
--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -47,6 +47,7 @@
     Kind.COMMIT: RequestKind.COMMIT,
     Kind.ROLLBACK: RequestKind.ROLLBACK,
 }
+_IDLE_KINDS = {**_OUTSIDE_KINDS, **_INSIDE_KINDS}
 
 
 class Session:
@@ -238,7 +239,7 @@
         self, statement: sql.Statement
     ) -> RequestKind | None:
         if self._status == "I":
-            return {**_OUTSIDE_KINDS, **_INSIDE_KINDS}.get(statement.kind)
+            return _IDLE_KINDS.get(statement.kind)
         if statement.kind in _INSIDE_KINDS:
             return _INSIDE_KINDS[statement.kind]
         if statement.kind in _OUTSIDE_KINDS:
--- a/knapweedtally/callers/sql.py
+++ b/knapweedtally/callers/sql.py
@@ -13,6 +13,9 @@
 class StatementKind(enum.Enum):
     """Name what a statement asks for."""
 
+    # Members are single objects; the default hashes their names each time.
+    __hash__ = object.__hash__
+
     EMPTY = "empty"
     READ = "read"
     WRITE = "write"
--- a/knapweedtally/core/admission/attempts.py
+++ b/knapweedtally/core/admission/attempts.py
@@ -34,7 +34,10 @@
     state: state_module.ProxyState, lane: admission_state.Lane
 ) -> queue.FairQueue:
     """Return the queue of a lane, made on first use."""
-    return state.admission.queues.setdefault(lane, queue.FairQueue())
+    found = state.admission.queues.get(lane)
+    if found is None:
+        found = state.admission.queues[lane] = queue.FairQueue()
+    return found
 
 
 def start_attempt(
