--- a/knapweedtally/core/admission/queue.py
+++ b/knapweedtally/core/admission/queue.py
@@ -36,8 +36,11 @@
             is_standing: whether the queue stands for longer than a burst.
         """
         turns = len(self._queues.get(caller, ())) + 1
+        count = len(self._queues) - (caller in self._queues)
+        if is_standing or turns == 1:
+            return turns - 1 + turns * count
         others = sum(
-            turns if is_standing else min(len(queue), turns)
+            min(len(queue), turns)
             for name, queue in self._queues.items()
             if name != caller
         )
