Show metrics of the data path at GET /metrics

Operators had only the counters of /v1/status, without durations, queues or labels. Most instruments are observable and read the state when the page is asked for; the duration of a request is recorded by the callers' edge when the request ends, so that the core stays as it was. The SDK has no Prometheus reader without a further package, so the text format is written from the SDK's own data points.

Gaps are computed from the ends of writes alone: sampling the known term would miss the time before a failure is detected.

--- a/knapweedtally/admin/edge.py
+++ b/knapweedtally/admin/edge.py
@@ -17,6 +17,8 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.draining import events as draining_events
 from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.metrics import measures as measures_module
+from knapweedtally.metrics import prometheus
 from knapweedtally.platform import client as platform_client
 from knapweedtally.runtime import edges
 from knapweedtally.utils import http
@@ -44,6 +46,7 @@
         token: str,
         platform: platform_client.PlatformClient,
         fetch_decision: remote.DecisionFetcher,
+        measures: measures_module.Measures,
     ) -> None:
         """Make an edge; nothing listens before ``serve``.
 
@@ -54,16 +57,19 @@
             token: token that calls have to show.
             platform: client for planned changes of a primary.
             fetch_decision: fetches a decision record of another host.
+            measures: instruments of the proxy.
         """
         self._submit = submit
         self._state = state
         self._token = token.encode()
         self._platform = platform
         self._fetch_decision = fetch_decision
+        self._measures = measures
         self._server = http_server.Server(self.answer, *address, limits=LIMITS)
         self.routes = [
             routes.Route("GET", "/healthz", self._show_health, False),
             routes.Route("GET", "/readyz", self._show_readiness, False),
+            routes.Route("GET", "/metrics", self._show_metrics),
             routes.Route("GET", "/v1/status", self._show_status),
             routes.Route("GET", "/v1/groups", self._list_groups),
             routes.Route("GET", "/v1/targets", self._list_targets),
@@ -124,6 +130,11 @@
         status = 503 if obstacles else 200
         return http.make_json_response(status, {"obstacles": obstacles})
 
+    async def _show_metrics(self, request: http.Request) -> http.Response:
+        body = self._measures.write_page().encode()
+        headers = {"content-type": prometheus.CONTENT_TYPE}
+        return http.Response(200, body, headers)
+
     async def _show_status(self, request: http.Request) -> http.Response:
         return make_answer(views.show_status(self._state))
 
--- a/knapweedtally/callers/edge.py
+++ b/knapweedtally/callers/edge.py
@@ -21,6 +21,7 @@
 from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.draining import events as draining_events
 from knapweedtally.core.sessions import token as token_module
+from knapweedtally.metrics import requests
 from knapweedtally.runtime import edges
 from knapweedtally.targets import edge as targets_edge
 
@@ -50,12 +51,13 @@
         targets: targets_edge.TargetsEdge,
         address: tuple[str, int],
         keys: tuple[token_module.SigningKey, ...],
+        recorder: requests.Recorder,
     ) -> None:
         self._submit = submit
         self._state = state
         self._address = address
         self._keys = keys
-        self._executor = execution.Executor(submit, state, targets)
+        self._executor = execution.Executor(submit, state, targets, recorder)
         self._ids = itertools.count(1)
         self._sessions: dict[int, session_module.Session] = {}
         self._listening: anyio.CancelScope | None = None
--- a/knapweedtally/callers/execution.py
+++ b/knapweedtally/callers/execution.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import time
 from collections.abc import Iterable
 from typing import NamedTuple
 from typing import Protocol
@@ -15,6 +16,7 @@
 from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.writes import events as writes_events
+from knapweedtally.metrics import requests
 from knapweedtally.runtime import edges
 from knapweedtally.targets import attempt as attempt_module
 from knapweedtally.targets import edge as targets_edge
@@ -107,10 +109,12 @@
         submit: edges.Submit,
         state: state_module.ProxyState,
         targets: targets_edge.TargetsEdge,
+        recorder: requests.Recorder,
     ) -> None:
         self._submit = submit
         self._state = state
         self._targets = targets
+        self._recorder = recorder
         self._ids = itertools.count(1)
         self._mailboxes: dict[int, _Mailbox] = {}
 
@@ -124,14 +128,35 @@
         """Run an order to its final answer."""
         request_id = next(self._ids)
         mailbox = _Mailbox()
+        arrived_at = time.monotonic()
+        is_read_only = self._is_read_only(order.session)
         self._mailboxes[request_id] = mailbox
         try:
             self._submit(
                 admission_events.RequestArrived(request_id, *order[:-1])
             )
-            return await self._follow(order, mailbox)
+            outcome = await self._follow(order, mailbox)
         finally:
             del self._mailboxes[request_id]
+        self._recorder.note_request(
+            requests.Ended(
+                order.group,
+                order.kind,
+                is_read_only,
+                outcome.refusal.kind if outcome.refusal else None,
+                arrived_at,
+                time.monotonic(),
+            )
+        )
+        return outcome
+
+    def _is_read_only(self, session: int) -> bool:
+        """Tell whether a session's open transaction only reads."""
+        admission = self._state.admission
+        lease_id = admission.transactions.get(session)
+        if lease_id is None:
+            return False
+        return admission.leases[lease_id].is_read_only
 
     async def _follow(self, order: Order, mailbox: _Mailbox) -> Outcome:
         results: dict[int, attempt_module.Result] = {}
--- /dev/null
+++ b/knapweedtally/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""What the proxy measures of itself, by OpenTelemetry."""
--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -19,6 +19,7 @@
 from knapweedtally.core.draining import state as draining_state
 from knapweedtally.core.membership import state as membership_state
 from knapweedtally.core.sessions import token as token_module
+from knapweedtally.metrics import measures as measures_module
 from knapweedtally.peers import edge as peers_edge
 from knapweedtally.peers import handshake
 from knapweedtally.platform import client as platform_client
@@ -97,6 +98,7 @@
     def __init__(self, settings: settings_module.Settings) -> None:
         self.state = make_state(settings)
         self.loop = loop_module.Loop(self.state)
+        measures = measures_module.Measures(self.state)
         submit = self.loop.submit
         source_host = settings.listen_address
         targets = targets_edge.TargetsEdge(submit, self.state, source_host)
@@ -122,6 +124,7 @@
                 targets,
                 (settings.listen_address, settings.listen_port),
                 make_signing_keys(settings),
+                measures.requests,
             ),
             admin_edge.AdminEdge(
                 submit,
@@ -134,6 +137,7 @@
                 remote.AdminFetcher(
                     self.state, settings.admin_token.reveal(), source_host
                 ),
+                measures,
             ),
         )
         for edge in self._edges:
--- a/tests/admin/bed.py
+++ b/tests/admin/bed.py
@@ -16,6 +16,7 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.explanations import decisions as explanations
 from knapweedtally.core.membership import state as membership_state
+from knapweedtally.metrics import measures as measures_module
 from knapweedtally.platform import client as platform_client
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
@@ -65,6 +66,7 @@
         self.events: list[Any] = []
         self.fetched: dict[str, dict[str, Any]] = {}
         self.platform = platform_client.PlatformClient(("127.0.0.1", platform))
+        self.measures = measures_module.Measures(state)
         self.edge = edge.AdminEdge(
             self.events.append,
             state,
@@ -72,6 +74,7 @@
             TOKEN,
             self.platform,
             self._fetch_decision,
+            self.measures,
         )
 
     async def call(
--- /dev/null
+++ b/tests/metrics/test_metrics.py
@@ -0,0 +1,216 @@
+"""Tests of the instruments, the page and the gaps."""
+
+import pathlib
+import re
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from opentelemetry.sdk.metrics import export
+
+from knapweedtally.core import errors
+from knapweedtally.core.admission import state as admission_state
+from knapweedtally.metrics import gaps
+from knapweedtally.metrics import measures as measures_module
+from knapweedtally.metrics import prometheus
+from knapweedtally.metrics import requests
+from tests.admin import bed as bed_module
+
+Kind = admission_state.RequestKind
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PAGE = ROOT / "docs/reference/metrics.md"
+LINE = re.compile(r"(\w+)(?:\{(.*)\})? (\S+)")
+LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+
+
+def make_measures() -> measures_module.Measures:
+    """Return measures with something to show in every instrument."""
+    state = bed_module.make_state()
+    measures = measures_module.Measures(state)
+    state.admission.usage["fog-1"] = 2
+    state.admission.count("eligible reads by replica")
+    lane = admission_state.Lane("fog", True)
+    admission_queue = admission_state.queue.FairQueue()
+    admission_queue.push("panel", 1)
+    state.admission.queues[lane] = admission_queue
+    for error, took_s in (
+        (None, 0.002),
+        (errors.ErrorKind.NO_PRIMARY, 5.0),
+        (None, 0.4),
+    ):
+        measures.requests.note_request(
+            requests.Ended("fog", Kind.WRITE, False, error, 100, 100 + took_s)
+        )
+    return measures
+
+
+def parse_page(page: str) -> dict[tuple[str, tuple[str, ...]], float]:
+    """Return each sample by its name and its labels."""
+    samples = {}
+    for line in page.splitlines():
+        if line.startswith("#"):
+            continue
+        match = LINE.fullmatch(line)
+        assert match, line
+        labels = LABEL.findall(match[2] or "")
+        shown = tuple(sorted(f"{name}={value}" for name, value in labels))
+        samples[match[1], shown] = float(match[3])
+    return samples
+
+
+def list_metrics(measures: measures_module.Measures) -> list[export.Metric]:
+    """Return the metrics of all scopes."""
+    data = measures.read_metrics()
+    assert data is not None
+    return [
+        metric
+        for resource in data.resource_metrics
+        for scope in resource.scope_metrics
+        for metric in scope.metrics
+    ]
+
+
+def sum_naively(writes: list[tuple[int, int, bool]]) -> int:
+    """Count the ticks that a blocked write covers after the last landing."""
+    blocked: set[int] = set()
+    closed = -1
+    is_open = False
+    for arrived, ended, has_landed in writes:
+        ticks = {t for t in range(arrived, ended) if t >= closed}
+        if not has_landed or is_open or len(ticks) > 1:
+            blocked |= ticks
+            is_open = is_open or bool(ticks)
+        closed = max(closed, ended)
+        if has_landed:
+            is_open = False
+    return len(blocked)
+
+
+class PageTest(testtools.TestCase):
+    def test_page_shows_what_the_instruments_hold(self) -> None:
+        measures = make_measures()
+        samples = parse_page(measures.write_page())
+        count = 0
+        for metric in list_metrics(measures):
+            name = prometheus.make_name(metric)
+            for point in metric.data.data_points:
+                labels = tuple(
+                    sorted(f"{k}={v}" for k, v in point.attributes.items())
+                )
+                if isinstance(metric.data, export.Histogram):
+                    self.assertEqual(
+                        point.count, samples[f"{name}_count", labels]
+                    )
+                    self.assertEqual(point.sum, samples[f"{name}_sum", labels])
+                    highest = tuple(sorted([*labels, "le=+Inf"]))
+                    self.assertEqual(
+                        point.count, samples[f"{name}_bucket", highest]
+                    )
+                    count += 2 + len(point.bucket_counts)
+                else:
+                    self.assertEqual(point.value, samples[name, labels])
+                    count += 1
+        self.assertEqual(count, len(samples))
+
+    def test_every_metric_is_described(self) -> None:
+        rows = re.findall(r"^\| `(\w+)` \| (\w+) \|", PAGE.read_text(), re.M)
+        shown = re.findall(
+            r"^# TYPE (\w+) (\w+)$", make_measures().write_page(), re.M
+        )
+        self.assertEqual(sorted(rows), sorted(shown))
+
+    def test_buckets_are_cumulative(self) -> None:
+        samples = parse_page(make_measures().write_page())
+        name = "knapweedtally_request_duration_seconds_bucket"
+        counts = [
+            samples[name, ("kind=write", f"le={bound}", "outcome=answered")]
+            for bound in ("0.001", "0.0025", "0.5", "+Inf")
+        ]
+        self.assertEqual([0, 1, 2, 2], counts)
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(strategies.text(alphabet='ab\\"\n{},= '))
+    def test_label_values_keep_their_text(self, text: str) -> None:
+        shown = prometheus.format_labels({"group": text})
+        self.assertNotIn("\n", shown)
+        ((name, value),) = LABEL.findall(shown)
+        self.assertEqual(f'{{{name}="{value}"}}', shown)
+        back = re.sub(r"\\(.)", lambda m: {"n": "\n"}.get(m[1], m[1]), value)
+        self.assertEqual(text, back)
+
+    def test_call_needs_the_token(self) -> None:
+        async def body(bed: bed_module.Bed) -> None:
+            refused = await bed.call("GET", "/metrics", token="")
+            self.assertEqual(401, refused.status)
+            answer = await bed.call("GET", "/metrics")
+            self.assertEqual(200, answer.status)
+            self.assertEqual(
+                prometheus.CONTENT_TYPE, answer.headers["content-type"]
+            )
+            samples = parse_page(answer.body.decode())
+            self.assertEqual(3, samples["knapweedtally_bundle_version", ()])
+
+        bed_module.run_with_bed(body)
+
+
+class RequestMeterTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.measures = measures_module.Measures(bed_module.make_state())
+
+    def note(self, *values: object) -> None:
+        self.measures.requests.note_request(
+            requests.Ended(*values)  # type: ignore[arg-type]
+        )
+
+    def test_only_writes_that_were_blocked_make_a_gap(self) -> None:
+        error = errors.ErrorKind
+        self.note("fog", Kind.WRITE, False, None, 0.0, 0.2)
+        self.note("fog", Kind.READ, False, error.DEADLINE, 0.0, 5.0)
+        self.note("fog", Kind.WRITE, False, error.OVERLOADED, 0.0, 5.0)
+        self.note("fog", Kind.COMMIT, True, error.DEADLINE, 0.0, 5.0)
+        self.note("unknown", Kind.WRITE, False, error.NO_PRIMARY, 0.0, 5.0)
+        self.note("fog", Kind.BEGIN, False, None, 0.0, 5.0)
+        self.assertEqual(0.0, self.measures.requests.sum_totals().blocked_s)
+        self.note("fog", Kind.BEGIN, False, error.NO_PRIMARY, 6.0, 8.0)
+        self.note("fog", Kind.WRITE, False, None, 7.0, 9.0)
+        self.assertEqual(3.0, self.measures.requests.sum_totals().blocked_s)
+        samples = parse_page(self.measures.write_page())
+        self.assertEqual(
+            3.0,
+            samples["knapweedtally_failover_gap_seconds_sum", ("group=fog",)],
+        )
+
+    def test_totals_count_each_request_once(self) -> None:
+        self.note("fog", Kind.READ, False, None, 0.0, 0.1)
+        self.note(
+            "fog", Kind.WRITE, False, errors.ErrorKind.OUTCOME_UNKNOWN, 0, 1
+        )
+        totals = self.measures.requests.sum_totals()
+        self.assertEqual((2, 1), (totals.requests, totals.failed))
+
+
+class GroupGapsTest(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 30),
+                strategies.integers(1, 10),
+                strategies.booleans(),
+            ),
+            max_size=20,
+        )
+    )
+    def test_sum_is_that_of_single_ticks(
+        self, writes: list[tuple[int, int, bool]]
+    ) -> None:
+        # One tick is 0.25 s, the longest time that is no sign of a gap.
+        ordered = sorted(
+            ((a, a + took, landed) for a, took, landed in writes),
+            key=lambda write: write[1],
+        )
+        group = gaps.GroupGaps()
+        for arrived, ended, has_landed in ordered:
+            group.note_write(arrived / 4, ended / 4, has_landed)
+        self.assertEqual(sum_naively(ordered) / 4, group.blocked_s)
