--- a/knapweedtally/admin/switches.py
+++ b/knapweedtally/admin/switches.py
@@ -69,17 +69,19 @@
         SwitchError: it is not known to be in place; names the remedy.
     """
     may_have_run = False
+    reason = "the group's object kept changing"
     for _ in range(MAX_ATTEMPTS):
         try:
             done = await _attempt(client, name, target)
-        except platform_client.AnswerLostError:
+        except platform_client.AnswerLostError as error:
             may_have_run = True
+            reason = str(error)
             continue
         except platform_client.PlatformError as error:
             raise _make_failure(may_have_run, str(error)) from error
         if done:
             return done
-    raise _make_failure(may_have_run, "the group's object kept changing")
+    raise _make_failure(may_have_run, reason)
 
 
 async def _attempt(
--- a/tests/admin/test_edge.py
+++ b/tests/admin/test_edge.py
@@ -206,6 +206,18 @@
 
         self.run_on_platform(body)
 
+    def test_a_lost_answer_is_named(self) -> None:
+        async def body(bed: Bed, port: int) -> None:
+            async def fail(*_: Any) -> Any:
+                raise platform_client.AnswerLostError("lost by the test")
+
+            self.patch(bed.platform, "get_object", fail)
+            status, value = await self.switch(bed, "fog-2")
+            self.assertEqual(504, status)
+            self.assertIn("lost by the test", value["error"])
+
+        self.run_on_platform(body)
+
 
 class FetchTest(testtools.TestCase):
     def test_a_decision_is_fetched_from_its_host(self) -> None:
