--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -1,7 +1,5 @@
 """One caller's connection."""
 
-from typing import NamedTuple
-
 import anyio
 from pygwire import messages
 
@@ -13,6 +11,7 @@
 from knapweedtally.callers import sql
 from knapweedtally.callers import stream as stream_module
 from knapweedtally.callers import tokens
+from knapweedtally.callers import units
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.sessions import token as token_module
 
@@ -25,33 +24,13 @@
 RequestKind = admission_state.RequestKind
 
 
-class Unit(NamedTuple):
-    """Hold what is answered with one ReadyForQuery.
-
-    Attributes:
-        batch: the messages for a target.
-        statements: the statements that it executes.
-        is_extended: whether it came by the extended protocol.
-        parts: the caller's messages, for the extended protocol.
-    """
-
-    batch: execution.FilteringBatch
-    statements: list[sql.Statement]
-    is_extended: bool
-    parts: list[messages.FrontendMessage]
-
-
-_OUTSIDE_KINDS = {
-    Kind.READ: RequestKind.READ,
-    Kind.WRITE: RequestKind.WRITE,
-    Kind.BEGIN: RequestKind.BEGIN,
-    Kind.BEGIN_READ_ONLY: RequestKind.BEGIN_READ_ONLY,
-}
-_INSIDE_KINDS = {
-    Kind.COMMIT: RequestKind.COMMIT,
-    Kind.ROLLBACK: RequestKind.ROLLBACK,
-}
-_IDLE_KINDS = {**_OUTSIDE_KINDS, **_INSIDE_KINDS}
+_EXTENDED_MESSAGES = (
+    messages.Parse,
+    messages.Bind,
+    messages.Describe,
+    messages.Execute,
+    messages.Close,
+)
 
 
 class Session:
@@ -174,7 +153,9 @@
         if isinstance(message, messages.Query):
             text = message.query_string
             statement = sql.classify(text)
-            unit = Unit(batch_module.SimpleBatch(text), [statement], False, [])
+            unit = units.Unit(
+                batch_module.SimpleBatch(text), [statement], False, []
+            )
             await self._run_unit(unit)
         elif isinstance(message, messages.Sync):
             self._is_skipping = False
@@ -228,11 +209,11 @@
             parts, self._statements, self._portals
         )
         batch = batch_module.ExtendedBatch(parts, self._statements)
-        await self._run_unit(Unit(batch, statements, True, parts))
+        await self._run_unit(units.Unit(batch, statements, True, parts))
 
-    async def _run_unit(self, unit: Unit) -> None:
-        statement = combine(unit.statements)
-        if self._is_detached and statement.kind not in _INSIDE_KINDS:
+    async def _run_unit(self, unit: units.Unit) -> None:
+        statement = units.combine(unit.statements)
+        if self._is_detached and not units.ends_transaction(statement):
             await self._refuse(
                 "25P02", "transaction was lost; commands wait for ROLLBACK"
             )
@@ -247,32 +228,21 @@
         if statement.kind in local.KINDS:
             await self._run_local(unit, statement)
             return
-        kind = self._find_request_kind(statement)
+        kind = units.find_request_kind(statement, self._status != "I")
         if kind is None:
             await self._refuse("0A000", "this statement through the proxy")
             return
-        if kind in _INSIDE_KINDS.values() and self._status == "I":
+        if units.ends_transaction(statement) and self._status == "I":
             tag = kind.value.upper()
             await self._answer_locally(unit, answers.encode_complete(tag))
             return
         await self._run_request(unit, statement, kind)
 
-    def _find_request_kind(
-        self, statement: sql.Statement
-    ) -> RequestKind | None:
-        if self._status == "I":
-            return _IDLE_KINDS.get(statement.kind)
-        if statement.kind in _INSIDE_KINDS:
-            return _INSIDE_KINDS[statement.kind]
-        if statement.kind in _OUTSIDE_KINDS:
-            return RequestKind.STATEMENT
-        return None
-
     async def _run_request(
-        self, unit: Unit, statement: sql.Statement, kind: RequestKind
+        self, unit: units.Unit, statement: sql.Statement, kind: RequestKind
     ) -> None:
         key = ""
-        if kind in _KEYED_KINDS:
+        if kind in units.KEYED_KINDS:
             key = self._options.idempotency_key
             self._options.idempotency_key = ""
         order = execution.Order(
@@ -293,7 +263,7 @@
         await self._send_outcome(unit, outcome)
 
     async def _send_outcome(
-        self, unit: Unit, outcome: execution.Outcome
+        self, unit: units.Unit, outcome: execution.Outcome
     ) -> None:
         frames = list(unit.batch.filter_answer(outcome.frames))
         if unit.is_extended and outcome.is_replayed:
@@ -328,7 +298,9 @@
             answer = answers.encode_refusal(refusal)
         await self._stream.send(answer + self._encode_ready(self._status))
 
-    async def _run_local(self, unit: Unit, statement: sql.Statement) -> None:
+    async def _run_local(
+        self, unit: units.Unit, statement: sql.Statement
+    ) -> None:
         try:
             answer = local.run_statement(statement, self._options)
         except options_module.OptionError as error:
@@ -342,7 +314,7 @@
             answer += self._encode_token()
         await self._answer_locally(unit, answer)
 
-    async def _answer_locally(self, unit: Unit, answer: bytes) -> None:
+    async def _answer_locally(self, unit: units.Unit, answer: bytes) -> None:
         if unit.is_extended:
             answer = local.render_bound(unit.parts) + answer
         ready = self._encode_ready(self._status)
@@ -379,28 +351,3 @@
     async def close(self) -> None:
         """Close the connection."""
         await anyio.aclose_forcefully(self._stream.stream)
-
-
-def combine(statements: list[sql.Statement]) -> sql.Statement:
-    """Return one statement that stands for all of a batch."""
-    if len(statements) == 1:
-        return statements[0]
-    kinds = {statement.kind for statement in statements}
-    if not statements:
-        return sql.Statement(Kind.READ)
-    tables = frozenset().union(*(s.tables for s in statements))
-    if kinds == {Kind.READ}:
-        return sql.Statement(Kind.READ, tables)
-    if kinds <= {Kind.READ, Kind.WRITE}:
-        return sql.Statement(Kind.WRITE)
-    return sql.Statement(Kind.MULTIPLE)
-
-
-_KEYED_KINDS = (RequestKind.WRITE, RequestKind.BEGIN)
-_EXTENDED_MESSAGES = (
-    messages.Parse,
-    messages.Bind,
-    messages.Describe,
-    messages.Execute,
-    messages.Close,
-)
