--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -1,7 +1,5 @@
 """One caller's connection."""
 
-from typing import NamedTuple
-
 import anyio
 from pygwire import messages
 
@@ -12,8 +10,8 @@
 from knapweedtally.callers import options as options_module
 from knapweedtally.callers import sql
 from knapweedtally.callers import stream as stream_module
-from knapweedtally.core import exceptions
-from knapweedtally.core import model
+from knapweedtally.callers import tokens
+from knapweedtally.callers import units
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.sessions import token as token_module
 
@@ -26,32 +24,13 @@
 RequestKind = admission_state.RequestKind
 
 
-class Unit(NamedTuple):
-    """Hold what is answered with one ReadyForQuery.
-
-    Attributes:
-        batch: the messages for a target.
-        statements: the statements that it executes.
-        is_extended: whether it came by the extended protocol.
-        parts: the caller's messages, for the extended protocol.
-    """
-
-    batch: execution.FilteringBatch
-    statements: list[sql.Statement]
-    is_extended: bool
-    parts: list[messages.FrontendMessage]
-
-
-_OUTSIDE_KINDS = {
-    Kind.READ: RequestKind.READ,
-    Kind.WRITE: RequestKind.WRITE,
-    Kind.BEGIN: RequestKind.BEGIN,
-    Kind.BEGIN_READ_ONLY: RequestKind.BEGIN_READ_ONLY,
-}
-_INSIDE_KINDS = {
-    Kind.COMMIT: RequestKind.COMMIT,
-    Kind.ROLLBACK: RequestKind.ROLLBACK,
-}
+_EXTENDED_MESSAGES = (
+    messages.Parse,
+    messages.Bind,
+    messages.Describe,
+    messages.Execute,
+    messages.Close,
+)
 
 
 class Session:
@@ -81,8 +60,7 @@
         self._options = options_module.Options()
         self._caller = ""
         self._group = ""
-        self._positions: token_module.Positions = {}
-        self._has_token = False
+        self._tokens = tokens.SessionTokens(keys, "")
         self._status = "I"
         self._is_detached = False
         self._statements: batch_module.Statements = {}
@@ -106,6 +84,7 @@
         """
         self._caller = startup.params.get("user", "")
         self._group = startup.params.get("database", self._caller)
+        self._tokens = tokens.SessionTokens(self._keys, self._caller)
         try:
             self._options = options_module.parse_startup(startup.params)
         except options_module.OptionError as error:
@@ -115,6 +94,8 @@
             return
         self._load_token()
         welcome = answers.encode_welcome(self.id, self.secret, self._host)
+        if self._tokens.is_carried:
+            welcome += self._encode_token()
         await self._stream.send(welcome)
         await self._serve_messages()
         if self._is_ending:
@@ -124,40 +105,35 @@
         """End the connection once nothing is running or open on it."""
         self._is_ending = True
         if self.is_quiet and self._waiting is not None:
-            self._waiting.deadline = anyio.current_time() + GOODBYE_DELAY_S
+            self._waiting.cancel()
 
     async def _serve_messages(self) -> None:
         """Take messages until the caller or a planned stop ends it.
 
-        A request that comes to an ending session is not run: the goodbye is
-        its answer.
-        """
-        while True:
-            message = await self._wait_message()
-            if message is None or isinstance(message, messages.Terminate):
-                return
-            if self._is_ending and self.is_quiet:
-                return
-            self.is_idle = False
-            await self._take_message(message)
-            self.is_idle = not self._parts
-
-    async def _wait_message(self) -> messages.FrontendMessage | None:
-        """Return the next message, or None when the session is to end.
-
-        A goodbye right behind an answer would reach clients of libpq
-        together with it and be dropped as a notice, so an ending session
-        waits for a moment.
+        The scope is cancelled only while the session is quiet, which is while
+        it waits for a message.
         """
         with anyio.CancelScope() as scope:
-            if self._is_ending and self.is_quiet:
-                scope.deadline = anyio.current_time() + GOODBYE_DELAY_S
             self._waiting = scope
-            try:
-                return await self._stream.receive_message()
-            finally:
-                self._waiting = None
-        return None
+            while not (self._is_ending and self.is_quiet):
+                message = await self._stream.receive_message()
+                if message is None or isinstance(message, messages.Terminate):
+                    return
+                self.is_idle = False
+                await self._take_message(message)
+                self.is_idle = not self._parts
+        self._waiting = None
+        await self._await_last_request()
+
+    async def _await_last_request(self) -> None:
+        """Wait for a moment before the goodbye of a planned stop.
+
+        A goodbye right behind an answer would reach clients of libpq together
+        with it and be dropped as a notice. A request that comes meanwhile is
+        not run: the goodbye is its answer.
+        """
+        with anyio.move_on_after(GOODBYE_DELAY_S):
+            await self._stream.receive_message()
 
     async def _say_goodbye(self) -> None:
         await self._stream.send(
@@ -177,7 +153,9 @@
         if isinstance(message, messages.Query):
             text = message.query_string
             statement = sql.classify(text)
-            unit = Unit(batch_module.SimpleBatch(text), [statement], False, [])
+            unit = units.Unit(
+                batch_module.SimpleBatch(text), [statement], False, []
+            )
             await self._run_unit(unit)
         elif isinstance(message, messages.Sync):
             self._is_skipping = False
@@ -231,11 +209,11 @@
             parts, self._statements, self._portals
         )
         batch = batch_module.ExtendedBatch(parts, self._statements)
-        await self._run_unit(Unit(batch, statements, True, parts))
+        await self._run_unit(units.Unit(batch, statements, True, parts))
 
-    async def _run_unit(self, unit: Unit) -> None:
-        statement = combine(unit.statements)
-        if self._is_detached and statement.kind not in _INSIDE_KINDS:
+    async def _run_unit(self, unit: units.Unit) -> None:
+        statement = units.combine(unit.statements)
+        if self._is_detached and not units.ends_transaction(statement):
             await self._refuse(
                 "25P02", "transaction was lost; commands wait for ROLLBACK"
             )
@@ -250,32 +228,21 @@
         if statement.kind in local.KINDS:
             await self._run_local(unit, statement)
             return
-        kind = self._find_request_kind(statement)
+        kind = units.find_request_kind(statement, self._status != "I")
         if kind is None:
             await self._refuse("0A000", "this statement through the proxy")
             return
-        if kind in _INSIDE_KINDS.values() and self._status == "I":
+        if units.ends_transaction(statement) and self._status == "I":
             tag = kind.value.upper()
             await self._answer_locally(unit, answers.encode_complete(tag))
             return
         await self._run_request(unit, statement, kind)
 
-    def _find_request_kind(
-        self, statement: sql.Statement
-    ) -> RequestKind | None:
-        if self._status == "I":
-            return {**_OUTSIDE_KINDS, **_INSIDE_KINDS}.get(statement.kind)
-        if statement.kind in _INSIDE_KINDS:
-            return _INSIDE_KINDS[statement.kind]
-        if statement.kind in _OUTSIDE_KINDS:
-            return RequestKind.STATEMENT
-        return None
-
     async def _run_request(
-        self, unit: Unit, statement: sql.Statement, kind: RequestKind
+        self, unit: units.Unit, statement: sql.Statement, kind: RequestKind
     ) -> None:
         key = ""
-        if kind in _KEYED_KINDS:
+        if kind in units.KEYED_KINDS:
             key = self._options.idempotency_key
             self._options.idempotency_key = ""
         order = execution.Order(
@@ -285,7 +252,7 @@
             kind,
             self._options.max_age_ms,
             statement.tables,
-            self._get_position(),
+            self._tokens.get_position(self._group),
             key,
             unit.batch,
         )
@@ -296,7 +263,7 @@
         await self._send_outcome(unit, outcome)
 
     async def _send_outcome(
-        self, unit: Unit, outcome: execution.Outcome
+        self, unit: units.Unit, outcome: execution.Outcome
     ) -> None:
         frames = list(unit.batch.filter_answer(outcome.frames))
         if unit.is_extended and outcome.is_replayed:
@@ -306,10 +273,7 @@
             self._note_failure()
         answer = b"".join(frames)
         if outcome.position is not None:
-            self._has_token = True
-            token_module.advance_positions(
-                self._positions, self._group, outcome.position
-            )
+            self._tokens.advance(self._group, outcome.position)
             answer += self._encode_token()
         answer += answers.encode_parameter(
             "knapweedtally.decision", outcome.decision
@@ -334,7 +298,9 @@
             answer = answers.encode_refusal(refusal)
         await self._stream.send(answer + self._encode_ready(self._status))
 
-    async def _run_local(self, unit: Unit, statement: sql.Statement) -> None:
+    async def _run_local(
+        self, unit: units.Unit, statement: sql.Statement
+    ) -> None:
         try:
             answer = local.run_statement(statement, self._options)
         except options_module.OptionError as error:
@@ -345,9 +311,10 @@
             return
         if statement.name == options_module.PREFIX + "token":
             self._load_token()
+            answer += self._encode_token()
         await self._answer_locally(unit, answer)
 
-    async def _answer_locally(self, unit: Unit, answer: bytes) -> None:
+    async def _answer_locally(self, unit: units.Unit, answer: bytes) -> None:
         if unit.is_extended:
             answer = local.render_bound(unit.parts) + answer
         ready = self._encode_ready(self._status)
@@ -371,57 +338,16 @@
         """
         return self._status
 
-    def _get_position(self) -> model.Position | None:
-        if not self._has_token:
-            return None
-        return self._positions.get(self._group, model.Position(0, 0))
-
     def _load_token(self) -> None:
-        """Read the token of the options; an invalid one counts as none."""
-        if not self._options.token:
-            return
-        try:
-            decoded = token_module.decode_token(
-                self._keys, self._caller, self._options.token
-            )
-        except exceptions.TokenError:
-            return
-        for group, position in decoded.items():
-            token_module.advance_positions(self._positions, group, position)
-        self._has_token = True
+        if self._options.token:
+            self._tokens.load(self._options.token)
 
     def _encode_token(self) -> bytes:
-        token = token_module.encode_token(
-            self._keys[0], self._caller, self._positions
+        self._options.token = self._tokens.encode()
+        return answers.encode_parameter(
+            "knapweedtally.token", self._options.token
         )
-        self._options.token = token
-        return answers.encode_parameter("knapweedtally.token", token)
 
     async def close(self) -> None:
         """Close the connection."""
         await anyio.aclose_forcefully(self._stream.stream)
-
-
-def combine(statements: list[sql.Statement]) -> sql.Statement:
-    """Return one statement that stands for all of a batch."""
-    if len(statements) == 1:
-        return statements[0]
-    kinds = {statement.kind for statement in statements}
-    if not statements:
-        return sql.Statement(Kind.READ)
-    tables = frozenset().union(*(s.tables for s in statements))
-    if kinds == {Kind.READ}:
-        return sql.Statement(Kind.READ, tables)
-    if kinds <= {Kind.READ, Kind.WRITE}:
-        return sql.Statement(Kind.WRITE)
-    return sql.Statement(Kind.MULTIPLE)
-
-
-_KEYED_KINDS = (RequestKind.WRITE, RequestKind.BEGIN)
-_EXTENDED_MESSAGES = (
-    messages.Parse,
-    messages.Bind,
-    messages.Describe,
-    messages.Execute,
-    messages.Close,
-)
--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -44,10 +44,14 @@
                 if isinstance(
                     message, messages.StartupMessage | messages.CancelRequest
                 ):
-                    self._decoder.phase = constants.ConnectionPhase.READY
+                    self.expect_messages()
                     return message
                 raise exceptions.ProtocolError("expected a startup message")
 
+    def expect_messages(self) -> None:
+        """Take what follows as ordinary messages, not as a startup."""
+        self._decoder.phase = constants.ConnectionPhase.READY
+
     async def receive_message(self) -> messages.FrontendMessage | None:
         """Return the next message, or None when the caller is gone.
 
