Offer TLS to callers and between hosts, with reload of the keys

The callers' edge answered SSLRequest with N, and the peers' edge got no contexts. Settings now name the files; check refuses missing or unusable ones (KW007, KW008). SIGHUP, which ended the process before, reads the files again: into a scratch context first, since a certificate without its key would break every new connection. Open connections stay.

The list of check ids in the settings' test grows by the two new ones.

Not offered: TLS for the administration API, targets and the platform. Not measured: its cost.

--- a/knapweedtally/callers/edge.py
+++ b/knapweedtally/callers/edge.py
@@ -3,6 +3,7 @@
 import hmac
 import itertools
 import secrets
+import ssl
 from collections.abc import Callable
 from typing import Any
 
@@ -52,11 +53,13 @@
         address: tuple[str, int],
         keys: tuple[token_module.SigningKey, ...],
         recorder: requests.Recorder,
+        tls_context: ssl.SSLContext | None = None,
     ) -> None:
         self._submit = submit
         self._state = state
         self._address = address
         self._keys = keys
+        self._tls_context = tls_context
         self._executor = execution.Executor(submit, state, targets, recorder)
         self._ids = itertools.count(1)
         self._sessions: dict[int, session_module.Session] = {}
@@ -116,7 +119,7 @@
             self._report_callers_gone()
 
     async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
-        caller_stream = stream_module.CallerStream(stream)
+        caller_stream = stream_module.CallerStream(stream, self._tls_context)
         async with stream:
             try:
                 startup = await caller_stream.receive_startup()
--- a/knapweedtally/callers/stream.py
+++ b/knapweedtally/callers/stream.py
@@ -1,7 +1,10 @@
 """Read a caller's messages from its connection."""
 
+import ssl
+
 import anyio
 import anyio.abc
+from anyio.streams import tls
 from pygwire import codec
 from pygwire import constants
 from pygwire import exceptions as wire_exceptions
@@ -13,20 +16,33 @@
 MAX_MESSAGE_SIZE = 8 * 1024 * 1024
 STARTUP_TIMEOUT_S = 10.0
 
+_SSL_ACCEPTED = b"S"
 _SSL_REFUSED = b"N"
 
 
 class CallerStream:
     """Exchange messages with one caller."""
 
-    def __init__(self, stream: anyio.abc.ByteStream) -> None:
+    def __init__(
+        self,
+        stream: anyio.abc.ByteStream,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Make a stream.
+
+        Args:
+            stream: the caller's connection.
+            context: TLS to offer, or None.
+        """
         self.stream = stream
+        self._transport = stream
+        self._context = context
         self._decoder = codec.FrontendMessageDecoder()
 
     async def receive_startup(
         self,
     ) -> messages.StartupMessage | messages.CancelRequest:
-        """Return the first real message; encryption requests are refused.
+        """Return the first real message; TLS begins if it is asked for.
 
         Raises:
             ProtocolError: the message is malformed.
@@ -36,9 +52,10 @@
         with anyio.fail_after(STARTUP_TIMEOUT_S):
             while True:
                 message = await self._receive_message()
-                if isinstance(
-                    message, messages.SSLRequest | messages.GSSEncRequest
-                ):
+                if isinstance(message, messages.SSLRequest):
+                    await self._answer_tls_request()
+                    continue
+                if isinstance(message, messages.GSSEncRequest):
                     await self.stream.send(_SSL_REFUSED)
                     continue
                 if isinstance(
@@ -69,12 +86,29 @@
     async def drain(self) -> None:
         """Close for sending, then drop bytes until the caller closes too."""
         try:
-            await self.stream.send_eof()
+            # TLS can't be closed for sending alone; its transport can.
+            await self._transport.send_eof()
             while True:
-                await self.stream.receive(RECEIVE_SIZE)
+                await self._transport.receive(RECEIVE_SIZE)
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
             return
 
+    async def _answer_tls_request(self) -> None:
+        """Begin TLS, or refuse it when there is none or it runs already."""
+        if self._context is None or self.stream is not self._transport:
+            await self.stream.send(_SSL_REFUSED)
+            return
+        if self._decoder.buffered:
+            # Bytes that came unencrypted must not pass for encrypted ones.
+            raise exceptions.ProtocolError("data before the TLS handshake")
+        await self._transport.send(_SSL_ACCEPTED)
+        self.stream = await tls.TLSStream.wrap(
+            self._transport,
+            server_side=True,
+            ssl_context=self._context,
+            standard_compatible=False,
+        )
+
     async def _receive_message(self) -> messages.PGMessage:
         while True:
             try:
--- a/knapweedtally/conf/checks.py
+++ b/knapweedtally/conf/checks.py
@@ -9,6 +9,7 @@
 
 from knapweedtally.conf import secrets
 from knapweedtally.conf import table
+from knapweedtally.utils import tls
 
 MISSING = "KW001"
 NOT_ALLOWED = "KW002"
@@ -16,6 +17,8 @@
 UNKNOWN_OPTION = "KW004"
 PORT_USED_TWICE = "KW005"
 TOKEN_KEY_IS_ADMIN_TOKEN = "KW006"
+TLS_FILE_MISSING = "KW007"
+TLS_FILES_UNUSABLE = "KW008"
 
 DESCRIPTIONS = {
     MISSING: "a setting without a default has no value",
@@ -24,6 +27,8 @@
     UNKNOWN_OPTION: "an option is no setting",
     PORT_USED_TWICE: "two of the host's ports are the same",
     TOKEN_KEY_IS_ADMIN_TOKEN: "the admin token is also a key of tokens",
+    TLS_FILE_MISSING: "some, but not all files of a TLS key are named",
+    TLS_FILES_UNUSABLE: "the files of a TLS key can't be used",
 }
 
 
@@ -126,5 +131,33 @@
         )
 
 
+def check_tls(values: Mapping[str, Any]) -> Iterator[Problem]:
+    """Find TLS files that are missing or can't be used."""
+    for names in _TLS_FILES:
+        paths = [values.get(name.replace("-", "_")) for name in names]
+        missing = [
+            name for name, path in zip(names, paths, strict=True) if not path
+        ]
+        if not any(paths):
+            continue
+        for name in missing:
+            others = ", ".join(f"--{n}" for n in names if n != name)
+            remedy = f"name a file, or leave out {others}"
+            yield Problem(TLS_FILE_MISSING, f"--{name}", "no value", remedy)
+        if missing:
+            continue
+        try:
+            tls.make_context(tls.CertificateFiles(*map(str, paths)), True)
+        except tls.CertificateError as error:
+            text, _, remedy = str(error).rpartition("; ")
+            yield Problem(TLS_FILES_UNUSABLE, f"--{names[0]}", text, remedy)
+
+
+# Settings that go together, in the order of ``tls.CertificateFiles``.
+_TLS_FILES = (
+    ("tls-certificate", "tls-key"),
+    ("peer-tls-certificate", "peer-tls-key", "peer-tls-authority"),
+)
+
 # Checks over several settings; each takes the values that are known, by field.
-CROSS_CHECKS = (check_ports, check_secrets)
+CROSS_CHECKS = (check_ports, check_secrets, check_tls)
--- a/knapweedtally/conf/parsers.py
+++ b/knapweedtally/conf/parsers.py
@@ -52,6 +52,13 @@
     return _parse_int(text, 0, 65_535)
 
 
+def parse_path(text: str) -> str:
+    """Return the path of a file; the empty text names none."""
+    if "\0" in text:
+        raise ValueError
+    return text
+
+
 def parse_address(text: str) -> Address:
     """Return the parts of ``IP:PORT``."""
     host, _, port = text.rpartition(":")
--- a/knapweedtally/conf/settings.py
+++ b/knapweedtally/conf/settings.py
@@ -30,6 +30,11 @@
     log_level: str
     log_format: str
     drain_timeout_s: float
+    tls_certificate: str
+    tls_key: str
+    peer_tls_certificate: str
+    peer_tls_key: str
+    peer_tls_authority: str
 
 
 class SettingsError(Exception):
--- a/knapweedtally/conf/table.py
+++ b/knapweedtally/conf/table.py
@@ -42,6 +42,7 @@
 _NAME = "lower-case letters, digits, dots and dashes, at most 63"
 _IP = "an IP address, for example 127.0.1.2"
 _PORT = "a port from 0 to 65535; 0 lets the system choose"
+_FILE = "the path of a PEM file, or empty"
 _LOG_LEVELS = ("debug", "info", "warning", "error")
 _LOG_FORMATS = ("json", "text")
 
@@ -160,6 +161,41 @@
         "time that open transactions get when the host stops",
         "30",
     ),
+    Setting(
+        "tls-certificate",
+        parsers.parse_path,
+        _FILE,
+        "certificate for callers; empty offers them no TLS",
+        "",
+    ),
+    Setting(
+        "tls-key",
+        parsers.parse_path,
+        _FILE,
+        "private key of --tls-certificate",
+        "",
+    ),
+    Setting(
+        "peer-tls-certificate",
+        parsers.parse_path,
+        _FILE,
+        "certificate that this host shows peers; empty links without TLS",
+        "",
+    ),
+    Setting(
+        "peer-tls-key",
+        parsers.parse_path,
+        _FILE,
+        "private key of --peer-tls-certificate",
+        "",
+    ),
+    Setting(
+        "peer-tls-authority",
+        parsers.parse_path,
+        _FILE,
+        "authorities of the peers' certificates",
+        "",
+    ),
 )
 
 # Variables of the commands that talk to a running host or sign a bundle.
--- /dev/null
+++ b/knapweedtally/runtime/certificates.py
@@ -0,0 +1,59 @@
+"""The TLS contexts of one proxy, made of its settings."""
+
+import structlog
+
+from knapweedtally.conf import settings as settings_module
+from knapweedtally.utils import tls
+
+_log = structlog.get_logger("process")
+
+
+class Certificates:
+    """Hold the contexts of the edges.
+
+    Attributes:
+        callers: context for callers, or None without TLS.
+        peer_server: context for links that peers open, or None.
+        peer_client: context for links to peers, or None.
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        """Read the files that the settings name.
+
+        Raises:
+            tls.CertificateError: they can't be used.
+        """
+        self.callers: tls.ReloadableContext | None = None
+        self.peer_server: tls.ReloadableContext | None = None
+        self.peer_client: tls.ReloadableContext | None = None
+        if settings.tls_certificate:
+            files = tls.CertificateFiles(
+                settings.tls_certificate, settings.tls_key
+            )
+            self.callers = tls.ReloadableContext(files, True)
+        if settings.peer_tls_certificate:
+            files = tls.CertificateFiles(
+                settings.peer_tls_certificate,
+                settings.peer_tls_key,
+                settings.peer_tls_authority,
+            )
+            self.peer_server = tls.ReloadableContext(files, True)
+            self.peer_client = tls.ReloadableContext(files, False)
+
+    def reload(self) -> None:
+        """Read all files again; a context that can't be made stays."""
+        for name, context in (
+            ("callers", self.callers),
+            ("peers, accepted links", self.peer_server),
+            ("peers, opened links", self.peer_client),
+        ):
+            if context is None:
+                continue
+            try:
+                context.reload()
+            except tls.CertificateError as error:
+                _log.warning(
+                    "process: certificate kept", of=name, reason=str(error)
+                )
+            else:
+                _log.info("process: certificate read again", of=name)
--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -1,6 +1,7 @@
 """Put one proxy together and run it."""
 
 import signal
+import ssl
 import time
 
 import anyio
@@ -24,10 +25,12 @@
 from knapweedtally.peers import handshake
 from knapweedtally.platform import client as platform_client
 from knapweedtally.platform import edge as platform_edge
+from knapweedtally.runtime import certificates as certificates_module
 from knapweedtally.runtime import edges
 from knapweedtally.runtime import logs
 from knapweedtally.runtime import loop as loop_module
 from knapweedtally.targets import edge as targets_edge
+from knapweedtally.utils import tls
 
 _log = structlog.get_logger()
 MILLISECONDS = 1000
@@ -46,9 +49,13 @@
     )
 
     def __init__(
-        self, submit: edges.Submit, platform: platform_edge.PlatformEdge
+        self,
+        submit: edges.Submit,
+        platform: platform_edge.PlatformEdge,
+        certificates: certificates_module.Certificates,
     ) -> None:
         self._submit = submit
+        self._certificates = certificates
         self._platform = platform
         self._scope: anyio.CancelScope | None = None
 
@@ -57,13 +64,19 @@
         *,
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Turn the first stop signal into a planned stop, end at a second."""
+        """Turn the first stop signal into a planned stop, end at a second.
+
+        SIGHUP reads the certificates again.
+        """
         signals_seen = 0
         with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             task_status.started()
             async for number in signals:
+                if number is signal.SIGHUP:
+                    self._certificates.reload()
+                    continue
                 signals_seen += 1
                 if signals_seen > 1:
                     self._stop()
@@ -101,6 +114,7 @@
         self._measures = measures_module.Measures(self.state)
         submit = self.loop.submit
         source_host = settings.listen_address
+        certificates = certificates_module.Certificates(settings)
         targets = targets_edge.TargetsEdge(submit, self.state, source_host)
         platform = platform_edge.PlatformEdge(
             submit,
@@ -110,9 +124,9 @@
             is_leaving=lambda: views.is_draining(self.state),
         )
         peers = peers_edge.PeersEdge(
-            submit, self.state, make_peer_settings(settings)
+            submit, self.state, make_peer_settings(settings, certificates)
         )
-        self._process = ProcessEdge(submit, platform)
+        self._process = ProcessEdge(submit, platform, certificates)
         self._edges: tuple[edges.Edge, ...] = (
             self._process,
             targets,
@@ -125,6 +139,7 @@
                 (settings.listen_address, settings.listen_port),
                 make_signing_keys(settings),
                 self._measures.requests,
+                get_context(certificates.callers),
             ),
             admin_edge.AdminEdge(
                 submit,
@@ -193,15 +208,23 @@
 
 def make_peer_settings(
     settings: settings_module.Settings,
+    certificates: certificates_module.Certificates,
 ) -> handshake.PeerSettings:
     """Return the settings of the peers edge."""
     return handshake.PeerSettings(
         settings.peer_address,
         settings.peer_port,
         settings.peer_token.reveal(),
+        get_context(certificates.peer_server),
+        get_context(certificates.peer_client),
     )
 
 
+def get_context(held: tls.ReloadableContext | None) -> ssl.SSLContext | None:
+    """Return the context that is held, if any."""
+    return held.context if held else None
+
+
 def make_signing_keys(
     settings: settings_module.Settings,
 ) -> tuple[token_module.SigningKey, ...]:
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -98,7 +98,7 @@
         )
 
     def test_every_check_is_described(self) -> None:
-        ids = [f"KW{number:03}" for number in range(1, 7)]
+        ids = [f"KW{number:03}" for number in range(1, 9)]
         self.assertEqual(ids, list(checks.DESCRIPTIONS))
 
     def test_the_reference_names_every_setting_and_check(self) -> None:
