Call the failover part's checks and its probe on a lost connection

Cause: both were written and used by nobody. An error answer to a probe also no longer counts as a refused connection: it shows that the target is up, and two refusals skip the pause after a promotion. Bundles whose groups can't survive the loss of a target are warned about by 'bundle validate'. The new tests fail without the changes.

--- a/knapweedtally/core/writes/decisions.py
+++ b/knapweedtally/core/writes/decisions.py
@@ -11,6 +11,7 @@
 from knapweedtally.core.admission import dispatch
 from knapweedtally.core.admission import shares
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.failover import detection
 from knapweedtally.core.routing import decisions as routing
 from knapweedtally.core.routing import lag
 from knapweedtally.core.routing import rules as routing_rules
@@ -66,6 +67,7 @@
         result += _end_attempt(state, moment, request, False)
     else:
         routing.note_failure(state.routing, request.target, moment.at)
+        result += detection.note_connection_lost(state, moment, request.target)
         result += _end_attempt(state, moment, request, event.was_sent)
     return result + dispatch.dispatch_group(state, moment, request.group)
 
--- a/knapweedtally/management/commands/bundle_validate.py
+++ b/knapweedtally/management/commands/bundle_validate.py
@@ -2,6 +2,8 @@
 
 from cleo.io.inputs import argument
 
+from knapweedtally.core.bundles import codec
+from knapweedtally.core.failover import checks
 from knapweedtally.management import base
 from knapweedtally.management import bundle_options
 from knapweedtally.management import exit_codes
@@ -19,12 +21,18 @@
     def run_command(self) -> int:
         """Print a summary when the file is right."""
         value = bundle_options.load_file(self.argument("file"))
+        warnings = [
+            warning
+            for group in codec.parse_bundle(value).groups.values()
+            for warning in checks.check_group(group)
+        ]
         self.write_values(
             {
                 "version": value["version"],
                 "groups": len(value["groups"]),
                 "targets": sum(len(g["targets"]) for g in value["groups"]),
                 "signer": value["signer"] or None,
+                "warnings": "; ".join(warnings) or None,
             }
         )
         return exit_codes.OK
--- a/knapweedtally/targets/control.py
+++ b/knapweedtally/targets/control.py
@@ -39,7 +39,9 @@
                 target, group, "SELECT kt_status()", timeout_s
             )
         except exceptions.AttemptLostError as error:
-            is_refused = not isinstance(error.__cause__, TimeoutError)
+            is_timeout = isinstance(error.__cause__, TimeoutError)
+            # An error answer shows that the target is up.
+            is_refused = not is_timeout and not error.sqlstate
             return events.ProbeFailed(target.id, is_refused)
         rtt_ms = (time.monotonic() - started_at) * 1000
         return events.ProbeAnswered(
@@ -90,7 +92,9 @@
                 (section,) = await connection.exchange(batch, 1)
                 if section.sqlstate:
                     raise exceptions.AttemptLostError(
-                        f"{target.id} refused {sql}: {section.sqlstate}", True
+                        f"{target.id} refused {sql}",
+                        was_sent=True,
+                        sqlstate=section.sqlstate,
                     )
                 rows = wire.read_rows(section)
                 value: dict[str, Any] = json.loads(rows[0][0] or "{}")
--- a/tests/admission/test_requests.py
+++ b/tests/admission/test_requests.py
@@ -95,6 +95,13 @@
         driver, run = self.start()
         take(driver.lose(run, was_sent=False), effects.SetTimer)
 
+    def test_a_lost_connection_makes_a_probe_due_at_once(self) -> None:
+        driver, run = self.start()
+        driver.decide(events.Ticked())
+        driver.state.failover.in_flight.clear()
+        probe = take(driver.lose(run, was_sent=True), effects.ProbeTarget)
+        self.assertEqual(run.target, probe.target)
+
     def test_late_answers_are_ignored(self) -> None:
         driver, run = self.start(key="k")
         driver.lose(run, was_sent=True)
--- a/tests/management/test_bundle_commands.py
+++ b/tests/management/test_bundle_commands.py
@@ -96,6 +96,7 @@
         self.write("wrong.yaml", test_bundle_files.WRONG_FORM)
         summary = self.run_command("bundle validate DIR/right.yaml --json")
         self.assertEqual(2, json.loads(summary)["targets"])
+        self.assertIn("has 2 targets", json.loads(summary)["warnings"])
         mistakes = self.run_command(
             "bundle validate DIR/wrong.yaml", exit_codes.INVALID
         )
