--- a/tests/driver/links.py
+++ b/tests/driver/links.py
@@ -1,5 +1,6 @@
 """A proxy's connections to targets, and its commands to them."""
 
+import math
 from collections.abc import Callable
 
 from knapweedtally.core import effects
@@ -27,7 +28,8 @@
 
     Attributes:
         target: the target.
-        remote: the target's side, or None before it accepted.
+        remote: the target's side, or None before the proxy knows of it.
+        accepted: the target's side, as soon as it has accepted.
         expected: request and attempt whose answer is due, or None.
         is_open: whether the proxy holds it.
     """
@@ -36,6 +38,7 @@
         """Describe a connection that isn't open yet."""
         self.target = target
         self.remote: connection_module.Connection | None = None
+        self.accepted: connection_module.Connection | None = None
         self.expected: Attempt | None = None
         self.is_open = True
 
@@ -127,15 +130,15 @@
         target = link.target
 
         def accept() -> None:
-            remote = target.accept()
+            if not link.is_open:
+                return
+            remote = link.accepted = target.accept()
             self._network.send(
                 target.process, self._process, lambda: opened(remote)
             )
 
         def opened(remote: connection_module.Connection | None) -> None:
             if remote is None or not link.is_open:
-                if remote is not None:
-                    target.close(remote)
                 self._fail(link, was_sent=False)
                 return
             if link.remote is None:
@@ -217,12 +220,14 @@
 
     def _close(self, link: Link) -> None:
         link.is_open = False
-        remote = link.remote
+        remote = link.accepted
         if remote is not None:
+            # However long a cut lasts, keepalives end the connection.
             self._network.send(
                 self._process,
                 link.target.process,
                 lambda: link.target.close(remote),
+                limit=math.inf,
             )
 
     # Commands.
--- a/tests/driver/network.py
+++ b/tests/driver/network.py
@@ -67,8 +67,16 @@
         source: Process,
         target: Process,
         action: schedule_module.Action,
+        limit: float = RETRANSMIT_LIMIT,
     ) -> None:
-        """Run an action at the target after a delay, or never."""
+        """Run an action at the target after a delay, or never.
+
+        Args:
+            source: process that sends.
+            target: process that the action belongs to.
+            action: what the message brings about.
+            limit: how often it is sent again during a cut.
+        """
         draw = self._schedule.random.random
         is_near = source.data_centre == target.data_centre
         delay_s = NEAR_DELAY_S if is_near else FAR_DELAY_S
@@ -87,7 +95,7 @@
                 return
             if not self.is_cut(source, target):
                 target.call_later(0.0, action)
-            elif source.is_running and tries < RETRANSMIT_LIMIT:
+            elif source.is_running and tries < limit:
                 tries += 1
                 self._schedule.call_later(RETRANSMIT_S, arrive)
 
