Hand the token over whenever the connection doesn't know it

After a connection attempt that failed, a session could go on at another host with that host's older token.

--- a/bench/workload.py
+++ b/bench/workload.py
@@ -75,6 +75,8 @@
         self._entry = random_source.choice(entries)
         self._connections: dict[client.Address, client.Connection] = {}
         self._token = ""
+        # The newest token that the connection to each host knows.
+        self._given: dict[client.Address, str] = {}
         self._count = 0
         self._runners = {
             "read": self._read,
@@ -153,7 +155,6 @@
         self,
     ) -> tuple[client.Connection, tuple[str, ...]]:
         """Return a connection, and statements that have to go before."""
-        previous = self._entry
         if self._random.random() < self._mix.roam_share:
             self._entry = self._random.choice(self._entries)
         prefix: tuple[str, ...] = ()
@@ -171,7 +172,9 @@
         if is_new and self._mix.max_age_ms is not None:
             age = self._mix.max_age_ms
             prefix = (f"SET knapweedtally.max_age_ms = '{age}'",)
-        if self._token and (is_new or self._entry != previous):
+        if is_new:
+            self._given.pop(self._entry, None)
+        if self._token and self._given.get(self._entry) != self._token:
             prefix += (f"SET knapweedtally.token = '{self._token}'",)
         return connection, prefix
 
@@ -188,6 +191,7 @@
         # Another connection may have brought a newer one since this came.
         token = connection.parameters.pop("knapweedtally.token", "")
         self._token = token or self._token
+        self._given[self._entry] = self._token
         return replies[-1]
 
     async def _read(
