--- a/knapweedtally/callers/edge.py
+++ b/knapweedtally/callers/edge.py
@@ -3,6 +3,7 @@
 import hmac
 import itertools
 import secrets
+import ssl
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +22,7 @@
 from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.draining import events as draining_events
 from knapweedtally.core.sessions import token as token_module
+from knapweedtally.metrics import requests
 from knapweedtally.runtime import edges
 from knapweedtally.targets import edge as targets_edge
 
@@ -50,16 +52,20 @@
         targets: targets_edge.TargetsEdge,
         address: tuple[str, int],
         keys: tuple[token_module.SigningKey, ...],
+        recorder: requests.Recorder,
+        tls_context: ssl.SSLContext | None = None,
     ) -> None:
         self._submit = submit
         self._state = state
         self._address = address
         self._keys = keys
-        self._executor = execution.Executor(submit, state, targets)
+        self._tls_context = tls_context
+        self._executor = execution.Executor(submit, state, targets, recorder)
         self._ids = itertools.count(1)
         self._sessions: dict[int, session_module.Session] = {}
         self._listening: anyio.CancelScope | None = None
         self._is_closing = False
+        self._connections = 0
         self._runners: dict[type, Callable[[Any], None]] = {
             effects.RunStatement: self._executor.deliver,
             effects.DeliverAnswer: self._executor.deliver,
@@ -101,11 +107,19 @@
         self._report_callers_gone()
 
     def _report_callers_gone(self) -> None:
-        if self._is_closing and not self._sessions:
+        if self._is_closing and not self._connections:
             self._submit(draining_events.CallersGone())
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
-        caller_stream = stream_module.CallerStream(stream)
+        self._connections += 1
+        try:
+            await self._serve_stream(stream)
+        finally:
+            self._connections -= 1
+            self._report_callers_gone()
+
+    async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
+        caller_stream = stream_module.CallerStream(stream, self._tls_context)
         async with stream:
             try:
                 startup = await caller_stream.receive_startup()
@@ -137,12 +151,13 @@
             self._state.identity.host,
         )
         self._sessions[session.id] = session
+        if self._is_closing:
+            session.end_when_quiet()
         try:
             await session.serve(startup)
         finally:
             del self._sessions[session.id]
             self._submit(admission_events.SessionEnded(session.id))
-            self._report_callers_gone()
 
     def _cancel(self, request: messages.CancelRequest) -> None:
         session = self._sessions.get(request.process_id)
--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -178,10 +178,11 @@
             result += writes.expire_request(state, moment, request)
         elif request.abort_at <= moment.at:
             result += writes.abort_attempt(state, moment, request)
+    shares.lift_caps(state, moment)
     result += trim_queues(state, moment)
     result += _release_idle_transactions(state, moment)
     result += act_on_records(state, moment, event)
-    for group in {lane.group for lane in state.admission.queues}:
+    for group in dict.fromkeys(lane.group for lane in state.admission.queues):
         result += dispatch.dispatch_group(state, moment, group)
     return result
 
@@ -191,7 +192,7 @@
 ) -> Effects:
     """Let work on a replaced primary run out, and start what waited."""
     result: Effects = []
-    for group in {lane.group for lane in state.admission.queues}:
+    for group in dict.fromkeys(lane.group for lane in state.admission.queues):
         record = state.directory.records.get(group)
         if record is None or record.phase is not model.Phase.OPEN:
             continue
--- a/knapweedtally/core/failover/promotion.py
+++ b/knapweedtally/core/failover/promotion.py
@@ -22,6 +22,7 @@
 PART = "failover"
 GIVE_UP = "give up"
 BACKOFF_DOUBLINGS = 5
+MILLISECONDS = 1000
 REVERSIBLE_STEPS = frozenset(
     {Step.PREVOTING, Step.HOLDING, Step.CATCHING_UP, Step.RESERVING}
 )
@@ -138,6 +139,8 @@
 ) -> Effects:
     """Enter a step and run it for the first time."""
     promotion.step = step
+    took_s = moment.at - promotion.started_at
+    promotion.entered_ms[step.value] = round(took_s * MILLISECONDS)
     promotion.attempt = 0
     promotion.is_uncertain = False
     return run_step(state, moment, promotion)
@@ -178,7 +181,13 @@
 
 
 def find_exhausted_limit(moment: model.Moment, promotion: Promotion) -> str:
-    """Return which limit of a promotion is used up, or an empty string."""
+    """Return which limit of a promotion is used up, or an empty string.
+
+    An update that may have run is looked into without a limit: if it did,
+    the term has begun and needs a primary.
+    """
+    if promotion.is_uncertain:
+        return ""
     is_switch = promotion.aim is Aim.PLANNED_CHANGE
     is_late = moment.at >= promotion.started_at + limits.SWITCH_LIMIT_S
     if is_switch and is_late and promotion.step in REVERSIBLE_STEPS:
@@ -230,6 +239,7 @@
         step=promotion.step.value,
         statuses=len(promotion.statuses),
         fenced=sorted(promotion.fenced),
+        entered_ms=dict(promotion.entered_ms),
     )
     level = "warning" if choice == GIVE_UP else "info"
     return [make_log(level, f"promotion ended: {choice}", promotion, reason)]
--- a/knapweedtally/core/routing/decisions.py
+++ b/knapweedtally/core/routing/decisions.py
@@ -7,6 +7,7 @@
 from knapweedtally.core.admission import shares
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.draining import rules as draining_rules
+from knapweedtally.core.failover import detection
 from knapweedtally.core.routing import lag
 from knapweedtally.core.routing import state as routing_state
 
@@ -23,11 +24,14 @@
         target: id of the target, or empty when none can take it now.
         retry_at: time to choose again, or 0 when an event decides.
         reason: one sentence for the decision record.
+        is_primary_busy: whether the primary alone can serve it, but has no
+            free connection.
     """
 
     target: str
     retry_at: float
     reason: str
+    is_primary_busy: bool = False
 
 
 class _Candidate(NamedTuple):
@@ -134,7 +138,7 @@
     if avoided_until > moment.at:
         return Choice("", avoided_until, "the primary failed a moment ago")
     if not shares.has_free_connection(state, primary):
-        return Choice("", 0.0, "the primary has no free connection")
+        return Choice("", 0.0, "the primary has no free connection", True)
     return Choice(primary, 0.0, reason)
 
 
@@ -153,6 +157,9 @@
             continue
         if state.routing.avoided_until.get(target.id, 0.0) > moment.at:
             continue
+        if detection.is_silent(state, moment, target.id):
+            # A try would use up the deadline that the primary could meet.
+            continue
         candidate = _rate_replica(state, moment, request, target)
         if candidate is not None:
             result.append(candidate)
--- a/tests/bench/__init__.py
+++ b/tests/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the load tool."""
+"""Tests of the benchmarks."""
--- a/tests/callers/test_session.py
+++ b/tests/callers/test_session.py
@@ -32,6 +32,9 @@
     async def send(self, data: bytes) -> None:
         self.sent.append(data)
 
+    async def drain(self) -> None:
+        """Take the caller's side as closed."""
+
 
 class FakeExecutor:
     """Answer an order when it is told to."""
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -3,10 +3,15 @@
 from collections.abc import Mapping
 from typing import Any
 
+from knapweedtally.core import effects
+from knapweedtally.core import errors
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.admission import attempts
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.bundles import rules as bundle_rules
+from knapweedtally.core.draining import decisions as draining
+from knapweedtally.core.draining import state as draining_state
 from tests.driver import run
 from tests.history import model as history_model
 from tests.proofs import mutant
@@ -21,11 +26,18 @@
 
 REPLICAS_BEHIND = (Fault(1.0, "replicas behind", "", 9.0),)
 PRIMARY_CUT_OFF = (Fault(2.0, "cut target", PRIMARY, 5.0),)
-PRIMARY_KILLED_OFTEN = tuple(
-    Fault(at, "kill target", PRIMARY, 0.4) for at in (1.5, 3.0, 4.5, 6.0, 7.5)
+PRIMARY_MUTE = (
+    Fault(2.0, "mute target", PRIMARY, 4.0),
+    Fault(7.0, "mute target", PRIMARY, 4.0),
+)
+# No new primary before the deadline of what the old one has run.
+KILLED_WITHOUT_PLATFORM = (
+    Fault(2.0, "platform down", "", 8.5),
+    Fault(2.5, "mute target", PRIMARY, 1.4),
+    Fault(3.5, "kill target", PRIMARY, 9.0),
 )
 ONE_BEHIND_PRIMARY_KILLED = (
-    Fault(1.0, "far behind", "records-archive", 10.0),
+    Fault(1.0, "far behind", "records-south", 10.0),
     Fault(3.0, "kill target", PRIMARY, 5.0),
 )
 ALL_FROZEN = (
@@ -39,7 +51,22 @@
     Fault(6.0, "freeze target", "records-south", 3.0),
 )
 
+TARGET_LEAVES = (Fault(3.0, "bundles race", "records-south", 0.1),)
+# A late answer of the platform brings a bundle that is no longer in force.
+BUNDLES_WITH_SLOW_PLATFORM = (
+    Fault(1.5, "platform slow", "", 9.0),
+    *(
+        Fault(2.0 + 0.4 * number, "bundles race", "records-south", 0.1)
+        for number in range(20)
+    ),
+)
+STOP_WITH_REQUESTS_IN_FLIGHT = (
+    Fault(3.0, "planned stop", "proxy-south", 3.0),
+    Fault(3.8, "freeze target", PRIMARY, 1.5),
+)
+
 _release_lease = attempts.release_lease
+_settle_lease = attempts.settle_lease
 
 
 def release_for_reuse(
@@ -59,6 +86,38 @@
     return _release_lease(state, request.lease, True)
 
 
+def return_false(*arguments: object) -> bool:
+    """Take the place of a rule that then never finds anything."""
+    return False
+
+
+def settle_and_share(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    request: admission_state.Request,
+    is_open: bool,
+) -> attempts.Effects:
+    """Let others use the connection of an open transaction."""
+    result = _settle_lease(state, moment, request, is_open)
+    return result or [effects.ReleaseLease(request.lease, True)]
+
+
+def accept_any_other(
+    candidate: model.Bundle, in_force: model.Bundle | None
+) -> bundle_rules.Standing:
+    """Take every bundle but the one in force for newer."""
+    if in_force is None or candidate.digest != in_force.digest:
+        return bundle_rules.Standing.NEWER
+    return bundle_rules.Standing.SAME
+
+
+def return_kind(
+    request: admission_state.Request, kind: errors.ErrorKind
+) -> errors.ErrorKind:
+    """Give the error as it is, whatever an earlier attempt may have done."""
+    return kind
+
+
 def fence_one(group: model.Group, fenced: Mapping[str, Any]) -> bool:
     """Take one instance for a majority."""
     return len(fenced) >= 1
@@ -79,11 +138,23 @@
     return len(failed) >= 1
 
 
+def stop_at_once(
+    state: state_module.ProxyState, moment: model.Moment
+) -> attempts.Effects:
+    """End the process without waiting for requests in flight."""
+    return [effects.StopProcess()]
+
+
 class PromiseTest(mutant.MutantTest):
     def check(
-        self, rule: str, replacement: Any, check: str, *faults: Fault
+        self,
+        rule: str,
+        replacement: Any,
+        check: str,
+        *faults: Fault,
+        guide: str = "",
     ) -> None:
-        self.prove(mutant.Mutant(rule, replacement, check, faults))
+        self.prove(mutant.Mutant(rule, replacement, check, faults, guide))
 
     def test_replica_that_lacks_own_write(self) -> None:
         self.check(
@@ -99,6 +170,7 @@
             mutant.return_true,
             "stated_age",
             *REPLICAS_BEHIND,
+            guide="knapweedtally.core.routing.decisions.AGE_MARGIN",
         )
 
     def test_acknowledgement_without_majority(self) -> None:
@@ -140,6 +212,13 @@
             "no_lost_write",
         )
 
+    def test_statements_of_others_in_a_transaction(self) -> None:
+        self.check(
+            ATTEMPTS + "settle_lease",
+            settle_and_share,
+            "no_mixed_transactions",
+        )
+
     def test_connection_reused_before_its_answer(self) -> None:
         self.check(
             ATTEMPTS + "release_lease",
@@ -161,22 +240,54 @@
             WRITES + "may_run_again",
             mutant.return_true,
             "at_most_once",
-            *PRIMARY_KILLED_OFTEN,
+            *PRIMARY_MUTE,
         )
 
     def test_refusal_without_proof(self) -> None:
         self.check(WRITES + "is_not_run", mutant.return_true, "not_run")
 
+    def test_refusal_of_a_write_that_may_have_run(self) -> None:
+        self.check(
+            ATTEMPTS + "resolve_kind",
+            return_kind,
+            "not_run",
+            *KILLED_WITHOUT_PLATFORM,
+        )
+
+    def test_new_work_on_a_leaving_target(self) -> None:
+        self.check(
+            "knapweedtally.core.draining.rules.is_leaving",
+            return_false,
+            "leaving",
+            *TARGET_LEAVES,
+        )
+
+    def test_bundle_that_reverts(self) -> None:
+        self.check(
+            "knapweedtally.core.bundles.rules.compare_bundles",
+            accept_any_other,
+            "bundle",
+            *BUNDLES_WITH_SLOW_PLATFORM,
+        )
+
+    def test_planned_stop_with_requests_in_flight(self) -> None:
+        closing = draining_state.Phase.CLOSING
+        self.check(
+            "knapweedtally.core.draining.decisions._TICKS",
+            {**draining._TICKS, closing: stop_at_once},
+            "planned_stop",
+            *STOP_WITH_REQUESTS_IN_FLIGHT,
+        )
+
 
 class FalsePromotionTest(mutant.MutantTest):
     def test_one_observer_cut_off(self) -> None:
-        faults = (Fault(2.0, "split", "proxy-south", 5.0),)
-        for seed in range(3):
-            result = run.run_seed(seed, faults)
-            self.assertEqual([], list_terms(result), f"seed {seed}")
+        faults = (Fault(2.0, "cut link", "proxy-south,records-north", 5.0),)
+        for result in run.run_seeds(range(4), faults):
+            self.assertEqual([], list_terms(result), f"seed {result.seed}")
         rule = FAILOVER + "is_failure_agreed"
         with mutant.mock.patch(rule, agree_alone):
-            results = [run.run_seed(seed, faults) for seed in range(3)]
+            results = run.run_seeds(range(4), faults)
         self.assertTrue(any(list_terms(result) for result in results))
 
 
--- a/tests/targets/__init__.py
+++ b/tests/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the targets edge."""
+"""Tests of the edge towards targets."""
