Keep signs of a comment inside the value of SET

Ruled out, by reading and by runs with the tool instrumented: the target stand-in's report, the freshness rules, the load tool's handing over. Mended twice: comments are dropped outside of literals only, and after an invalid token a connection's position is not known, so that its reads are confirmed. Both new tests failed before.

--- a/knapweedtally/callers/sql.py
+++ b/knapweedtally/callers/sql.py
@@ -50,6 +50,9 @@
     r"""--[^\n]*|/\*.*?\*/|'(?:[^']|'')*'|"(?:[^"]|"")*"|\$(\w*)\$.*?\$\1\$""",
     re.DOTALL,
 )
+_COMMENT = re.compile(
+    r"(?P<literal>'(?:[^']|'')*')|--[^\n]*|/\*.*?\*/", re.DOTALL
+)
 _WORD = re.compile(r"[a-z_]+")
 _TABLE = re.compile(r"\b(?:from|join)\s+([a-z_][\w.]*)")
 _WRITING_WORD = re.compile(
@@ -144,8 +147,13 @@
     return Statement(kind)
 
 
+def _drop_comment(match: re.Match[str]) -> str:
+    """Return a literal as it is, which may hold signs of a comment."""
+    return match["literal"] or " "
+
+
 def _refine_set(kind: StatementKind, lowered: str, text: str) -> Statement:
-    stripped = re.sub(r"/\*.*?\*/|--[^\n]*", " ", text, flags=re.DOTALL)
+    stripped = _COMMENT.sub(_drop_comment, text)
     match = _SET.match(stripped.strip().rstrip(";").strip())
     if match is None:
         return Statement(kind, name=" ".join(lowered.split()[1:3]))
--- a/knapweedtally/callers/tokens.py
+++ b/knapweedtally/callers/tokens.py
@@ -30,7 +30,11 @@
         self._is_new = False
 
     def load(self, text: str) -> None:
-        """Take in a token; an invalid one counts as none."""
+        """Take in a token; an invalid one counts as none.
+
+        After an invalid one the position isn't known: the session may stand
+        further on than this connection has seen.
+        """
         if text == NEW_SESSION:
             self._is_new = not self.is_carried
             self.is_carried = True
@@ -38,6 +42,7 @@
         try:
             decoded = token_module.decode_token(self._keys, self._caller, text)
         except exceptions.TokenError:
+            self.is_carried = False
             return
         for group, position in decoded.items():
             self.advance(group, position)
--- a/tests/callers/test_session_tokens.py
+++ b/tests/callers/test_session_tokens.py
@@ -34,3 +34,11 @@
         made = self.make(text, tokens.NEW_SESSION)
         self.assertEqual(model.Position(1, 5), made.get_position("g"))
         self.assertEqual(model.Position(0, 0), made.get_position("other"))
+
+    def test_after_an_invalid_token_the_position_is_not_known(self) -> None:
+        """What it stood for may be newer than what is known here."""
+        text = token.encode_token(KEYS[0], "ana", {"g": model.Position(1, 5)})
+        made = self.make(text, text[:-3])
+        self.assertIsNone(made.get_position("g"))
+        made.load(text)
+        self.assertEqual(model.Position(1, 5), made.get_position("g"))
--- a/tests/callers/test_sql.py
+++ b/tests/callers/test_sql.py
@@ -48,6 +48,13 @@
             ("knapweedtally.token", "aB'c"), (found.name, found.value)
         )
 
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(st.text(alphabet="-/*'; aB1=", max_size=20))
+    def test_comment_signs_inside_a_value_stay(self, value: str) -> None:
+        quoted = value.replace("'", "''")
+        text = f"SET /* a */ knapweedtally.token -- b\n = '{quoted}' -- c"
+        self.assertEqual(value, sql.classify(text).value)
+
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(st.text(alphabet="select;'\"insertx-/* $\n", max_size=60))
     def test_text_that_inserts_is_no_read(self, noise: str) -> None:
