Fetch another host's decisions in one way only

Cause: the administration API and the peers edge each had a way; the first took the same token and the peer's address for granted, the second was used by nobody and sent a time of the other host's clock. Kept: the peers edge, whose records now travel with their age. The test of the first way is replaced by one over real links, which checks the age too.

--- a/knapweedtally/admin/remote.py
+++ b/knapweedtally/admin/remote.py
@@ -1,14 +1,12 @@
 """Fetch a decision record from the host that took the decision."""
 
+import time
 from typing import Any
 from typing import Protocol
-from urllib import parse
 
-from knapweedtally.core import state as state_module
-from knapweedtally.utils import http
-from knapweedtally.utils import http_client
-
-TIMEOUT_S = 2.0
+from knapweedtally.admin import views
+from knapweedtally.core.explanations import state as explanations_state
+from knapweedtally.peers import errors
 
 
 class DecisionFetcher(Protocol):
@@ -20,36 +18,29 @@
         """Return the record, or None when it can't be had."""
 
 
-class AdminFetcher:
-    """Ask the administration API of the other host, with the same token."""
+class DecisionSource(Protocol):
+    """Ask another host over the peers edge."""
+
+    async def fetch_decision(
+        self, host: str, decision: str
+    ) -> explanations_state.Decision | None:
+        """Return a record, its time on this host's clock, or None."""
+
 
-    def __init__(
-        self, state: state_module.ProxyState, token: str, source_host: str
-    ) -> None:
-        self._state = state
-        self._token = token
-        self._source_host = source_host
+class PeerFetcher:
+    """Show the records that the peers edge fetches."""
+
+    def __init__(self, source: DecisionSource) -> None:
+        self._source = source
 
     async def __call__(
         self, host: str, decision_id: str
     ) -> dict[str, Any] | None:
         """Return the record, or None when it can't be had."""
-        known = self._state.membership.hosts.get(host)
-        if known is None or known.admin_port == 0:
-            return None
-        client = http_client.Client(
-            known.address, known.admin_port, self._source_host
-        )
-        request = http.Request(
-            "GET",
-            f"/v1/decisions/{parse.quote(decision_id)}",
-            {"authorization": f"Bearer {self._token}"},
-        )
         try:
-            response = await client.send(request, TIMEOUT_S)
-            shown: dict[str, Any] = response.parse_json()
-        except (http.HttpError, ValueError):
+            found = await self._source.fetch_decision(host, decision_id)
+        except errors.PeerError:
+            return None
+        if found is None:
             return None
-        finally:
-            await client.close()
-        return shown if response.status == 200 else None
+        return views.show_decision(found, time.monotonic())
--- a/knapweedtally/peers/edge.py
+++ b/knapweedtally/peers/edge.py
@@ -1,5 +1,6 @@
 """The edge towards other proxies: links over websockets with CBOR."""
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -111,6 +112,9 @@
     ) -> explanations_state.Decision | None:
         """Return a decision record of another host, or None if it has none.
 
+        Clocks of hosts are never compared: the record travels with its age,
+        and its time here is on this host's clock.
+
         Raises:
             UnknownHostError: no such host is known.
             PeerError: the host can't be asked.
@@ -209,7 +213,7 @@
             if not isinstance(request, messages.DecisionRequest):
                 raise errors.PeerCodecError("expected a question")
             found = explanations.find_decision(self._state, request.decision)
-            answer = messages.DecisionAnswer(found)
+            answer = messages.DecisionAnswer(_turn_age(found))
             await socket.send(codec.encode_message(answer))
             await socket.wait_closed()
 
@@ -293,4 +297,13 @@
         raise errors.PeerUnreachableError("no answer from the host") from error
     if not isinstance(answer, messages.DecisionAnswer):
         raise errors.PeerCodecError("expected an answer")
-    return answer.decision
+    return _turn_age(answer.decision)
+
+
+def _turn_age(
+    decision: explanations_state.Decision | None,
+) -> explanations_state.Decision | None:
+    """Turn the time of a record into its age, or its age into the time."""
+    if decision is None:
+        return None
+    return decision._replace(at=time.monotonic() - decision.at)
--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -149,9 +149,7 @@
                 platform_client.PlatformClient(
                     settings.platform_address, source_host
                 ),
-                remote.AdminFetcher(
-                    self.state, settings.admin_token.reveal(), source_host
-                ),
+                remote.PeerFetcher(peers),
                 self._measures,
             ),
         )
--- a/tests/admin/bed.py
+++ b/tests/admin/bed.py
@@ -10,12 +10,10 @@
 import anyio
 
 from knapweedtally.admin import edge
-from knapweedtally.admin import remote
 from knapweedtally.core import model
 from knapweedtally.core import reducer
 from knapweedtally.core import state as state_module
 from knapweedtally.core.explanations import decisions as explanations
-from knapweedtally.core.membership import state as membership_state
 from knapweedtally.metrics import measures as measures_module
 from knapweedtally.platform import client as platform_client
 from knapweedtally.utils import http
@@ -108,21 +106,3 @@
             group.cancel_scope.cancel()
 
     anyio.run(run)
-
-
-def make_fetcher(
-    state: state_module.ProxyState, port: int
-) -> remote.AdminFetcher:
-    """Return a fetcher whose state knows host ``far-1`` at a port."""
-    state.membership.hosts["far-1"] = membership_state.Host(
-        "far-1",
-        "127.0.0.1",
-        0,
-        port,
-        "dc2",
-        membership_state.Status.LIVE,
-        3,
-        7,
-        0,
-    )
-    return remote.AdminFetcher(state, TOKEN, "127.0.0.1")
--- a/tests/admin/test_edge.py
+++ b/tests/admin/test_edge.py
@@ -3,7 +3,6 @@
 import json
 from typing import Any
 
-import anyio
 import jsonschema
 import testtools
 
@@ -217,22 +216,3 @@
             self.assertIn("lost by the test", value["error"])
 
         self.run_on_platform(body)
-
-
-class FetchTest(testtools.TestCase):
-    def test_a_decision_is_fetched_from_its_host(self) -> None:
-        async def run() -> None:
-            far = Bed(bed_module.make_state("far-1"), 1)
-            decision = bed_module.record_decision(far.state)
-            near = bed_module.make_state()
-            async with anyio.create_task_group() as group:
-                await group.start(far.edge.serve)
-                fetch = bed_module.make_fetcher(near, far.edge.port)
-                shown = await fetch("far-1", decision)
-                assert shown is not None
-                self.assertEqual(decision, shown["id"])
-                self.assertIsNone(await fetch("far-1", "far-1-7-999"))
-                self.assertIsNone(await fetch("unknown", "unknown-1-1"))
-                group.cancel_scope.cancel()
-
-        anyio.run(run)
--- a/tests/peers/test_edge.py
+++ b/tests/peers/test_edge.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +15,7 @@
 from websockets import exceptions
 from websockets.asyncio import client
 
+from knapweedtally.admin import remote
 from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core.explanations import decisions as explanations
@@ -202,7 +204,7 @@
             await wait_until(lambda: "b" in first.state.membership.hosts)
             decision_id = explanations.record_decision(
                 second.state,
-                model.Moment(1.0, 0.5),
+                model.Moment(time.monotonic() - 100.0, 0.5),
                 "routing",
                 "request 1",
                 "t1",
@@ -213,6 +215,12 @@
             self.assertEqual("it is near", found.reason)
             self.assertEqual({"position": [1, 2]}, found.evidence)
             self.assertIsNone(await first.edge.fetch_decision("b", "b-1-99"))
+            fetch = remote.PeerFetcher(first.edge)
+            shown = await fetch("b", decision_id)
+            self.assertEqual(decision_id, shown["id"])
+            self.assertGreaterEqual(shown["ago_ms"], 100_000)
+            self.assertIsNone(await fetch("b", "b-1-99"))
+            self.assertIsNone(await fetch("nobody", "nobody-1-1"))
             with testtools.ExpectedException(errors.UnknownHostError):
                 await first.edge.fetch_decision("nobody", "nobody-1-1")
             second.scope.cancel()
