--- /dev/null
+++ b/tests/targets/test_keys.py
@@ -0,0 +1,80 @@
+"""Prove that the record of an idempotency key stops a second run."""
+
+from unittest import mock
+
+import anyio
+import testtools
+
+from knapweedtally.callers import batch
+from knapweedtally.core import effects
+from knapweedtally.core import model
+from knapweedtally.targets import attempt
+from knapweedtally.targets import connection as connection_module
+from knapweedtally.targets import wire
+from tests.standins import processes
+
+INSERT = "INSERT INTO readings (value) VALUES ('x')"
+BARRIER_MS = 5_000
+
+
+def encode_nothing(*_: object) -> bytes:
+    """Record no key."""
+    return wire.encode_query("SELECT 1")
+
+
+class KeyTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.group = processes.Group()
+        self.addCleanup(self.group.stop)
+        with self.group.connect("a") as client:
+            client.execute("CREATE TABLE readings (value TEXT)")
+
+    def count_rows(self) -> int:
+        with self.group.connect("a") as client:
+            row = client.execute("SELECT count(*) FROM readings").fetchone()
+        assert row is not None
+        return int(row[0])
+
+    async def run_twice(self, *statements: str) -> list[attempt.Result]:
+        """Run each statement with one key, over a connection of its own."""
+        host, port = self.group.addresses["a"]
+        target = model.Target("a", host, port, "norte")
+        results = []
+        for number, text in enumerate(statements, 1):
+            connection = await connection_module.TargetConnection.connect(
+                target, None, {"user": "proxy", "database": "group"}
+            )
+            effect = effects.RunStatement(
+                number, 1, "a", number, True, True, "k1"
+            )
+            results.append(
+                await attempt.run_attempt(
+                    connection,
+                    effect,
+                    batch.SimpleBatch(text),
+                    "ana",
+                    BARRIER_MS,
+                )
+            )
+            await connection.close()
+        return results
+
+    def test_a_repeat_answers_from_the_record(self) -> None:
+        first, second = anyio.run(self.run_twice, INSERT, INSERT)
+        self.assertEqual(1, self.count_rows())
+        self.assertEqual("INSERT 0 1", wire.read_tag(second.section))
+        self.assertEqual([False, True], [first.is_replayed, second.is_replayed])
+        self.assertIsNotNone(second.confirmed)
+
+    def test_another_statement_under_the_key_does_not_run(self) -> None:
+        other = INSERT.replace("'x'", "'y'")
+        _, second = anyio.run(self.run_twice, INSERT, other)
+        self.assertEqual(1, self.count_rows())
+        self.assertTrue(second.is_key_reused)
+
+    def test_without_the_record_the_repeat_runs_again(self) -> None:
+        """The mutant: shows that the checks above bite."""
+        with mock.patch.object(attempt, "_encode_key", encode_nothing):
+            anyio.run(self.run_twice, INSERT, INSERT)
+        self.assertEqual(2, self.count_rows())
