Give the retry timer a typed key

Cause: its key was a tuple that began with the word 'retry'; a timer of the failover part for a group of that name and term N resumed request N. The new test fails without the change. Also: a service time that runs towards nought can't be divided by any more.

--- a/knapweedtally/core/admission/attempts.py
+++ b/knapweedtally/core/admission/attempts.py
@@ -6,6 +6,7 @@
 from knapweedtally.core import errors
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.admission import queue
 from knapweedtally.core.admission import state as admission_state
 from knapweedtally.core.explanations import decisions as explanations
@@ -213,7 +214,8 @@
 ) -> Effects:
     """Choose a target for a request again at a later time."""
     request.phase = admission_state.RequestPhase.WAITING
-    return [effects.SetTimer(("retry", request.id), max(0.0, at - moment.at))]
+    key = admission_events.RetryDue(request.id)
+    return [effects.SetTimer(key, max(0.0, at - moment.at))]
 
 
 def retry_request(
--- a/knapweedtally/core/admission/decisions.py
+++ b/knapweedtally/core/admission/decisions.py
@@ -27,6 +27,8 @@
 # Larger than the share for admission, so that a queue that varies isn't cut.
 TRIM_WAIT_SHARE = 0.8
 IDLE_TRANSACTION_LIMIT_S = 60.0
+# Keeps a division by the service time possible.
+MIN_SERVICE_S = 1e-6
 # Time for answers under way when a term ends.
 TERM_CHANGE_GRACE_S = 0.2
 
@@ -140,7 +142,7 @@
     targets = 1 if lane.is_primary else max(1, len(group.targets) - 1)
     parallel = shares.get_share(state, group) * targets
     service_s = state.admission.service_s.get(lane, attempts.DEFAULT_SERVICE_S)
-    return service_s / parallel
+    return max(service_s, MIN_SERVICE_S) / parallel
 
 
 def resume_request(
@@ -149,12 +151,9 @@
     event: events.TimerFired,
 ) -> Effects:
     """Put a waiting request back to the head of its caller's queue."""
-    if event.key[0] != "retry":
+    if not isinstance(event.key, admission_events.RetryDue):
         return []
-    request_id = event.key[1]
-    if not isinstance(request_id, int):
-        return []
-    request = state.admission.requests.get(request_id)
+    request = state.admission.requests.get(event.key.request)
     if request is None:
         return []
     if request.phase is not admission_state.RequestPhase.WAITING:
--- a/knapweedtally/core/admission/events.py
+++ b/knapweedtally/core/admission/events.py
@@ -44,3 +44,13 @@
     """Report that a caller's connection ended."""
 
     session: int
+
+
+class RetryDue(NamedTuple):
+    """Be the key of the timer after which a waiting request goes on.
+
+    Attributes:
+        request: id of the request.
+    """
+
+    request: int
--- a/tests/admission/test_requests.py
+++ b/tests/admission/test_requests.py
@@ -13,6 +13,7 @@
 from knapweedtally.core import reducer
 from knapweedtally.core.admission import events as admission_events
 from knapweedtally.core.admission import state as admission_state
+from knapweedtally.core.failover import events as failover_events
 from knapweedtally.core.writes import events as writes_events
 from tests import fakes
 
@@ -201,6 +202,18 @@
         self.assertNotEqual(fakes.TARGETS[0], run.target)
 
 
+class TimerTest(testtools.TestCase):
+    def test_a_timer_of_another_part_resumes_nothing(self) -> None:
+        """Whatever a group is called, its timers are not a request's."""
+        driver = Driver()
+        arrival = fakes.make_arrival(1, Kind.WRITE)
+        run = take(driver.decide(arrival), effects.RunStatement)
+        driver.lose(run, was_sent=False)
+        key = failover_events.StartDue("retry", 1)
+        result = driver.decide(events.TimerFired(key), 0.1)
+        self.assertEqual([], fakes.find_effects(result, effects.RunStatement))
+
+
 class ConnectionCapTest(testtools.TestCase):
     def test_a_full_target_is_asked_for_no_more_for_a_time(self) -> None:
         driver = Driver()
