--- a/tests/admin/bed.py
+++ b/tests/admin/bed.py
@@ -14,6 +14,7 @@
 from knapweedtally.core import reducer
 from knapweedtally.core import state as state_module
 from knapweedtally.core.explanations import decisions as explanations
+from knapweedtally.core.membership import state as membership_state
 from knapweedtally.metrics import measures as measures_module
 from knapweedtally.platform import client as platform_client
 from knapweedtally.utils import http
@@ -106,3 +107,18 @@
             group.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+def add_host(state: state_module.ProxyState, admin_port: int) -> None:
+    """Make host ``far-1`` known with the port of its API."""
+    state.membership.hosts["far-1"] = membership_state.Host(
+        "far-1",
+        "127.0.0.1",
+        0,
+        admin_port,
+        "dc2",
+        membership_state.Status.LIVE,
+        3,
+        7,
+        0,
+    )
--- a/tests/report/test_burn.py
+++ b/tests/report/test_burn.py
@@ -155,7 +155,7 @@
             note_requests(bed, 100, 0)
             async with anyio.create_task_group() as tasks:
                 await tasks.start(far.edge.serve)
-                bed_module.make_fetcher(bed.state, far.edge.port)
+                bed_module.add_host(bed.state, far.edge.port)
                 await self.check_report(bed)
                 tasks.cancel_scope.cancel()
 
