Fuzz the callers edge

150 drawn inputs of random bytes and of frames whose length and content don't fit, before and after startup: another caller is welcomed each time.

--- /dev/null
+++ b/tests/callers/test_fuzz.py
@@ -0,0 +1,74 @@
+"""Send malformed bytes to the callers edge; the process goes on."""
+
+import contextlib
+from typing import Any
+from unittest import mock
+
+import anyio
+import anyio.abc
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+from pygwire import messages
+
+from bench import cluster
+from knapweedtally.callers import edge as callers_edge
+from knapweedtally.core.sessions import token
+from knapweedtally.targets import edge as targets_edge
+from tests import fakes
+
+HOST = "127.0.0.1"
+KEYS = (token.SigningKey("k1", b"1" * 32),)
+STARTUP = messages.StartupMessage(params={"user": "a", "database": "none"})
+LIMIT_S = 20.0
+# Time to go through the bytes; a request among them is never answered here.
+SETTLE_S = 0.02
+
+# A frame of a known kind whose length and content don't fit.
+FRAMES = st.builds(
+    lambda kind, length, body: kind + length.to_bytes(4, "big") + body,
+    st.sampled_from([bytes([letter]) for letter in b"QPBDESCHXdcfpF\0"]),
+    st.integers(0, 2**32 - 1) | st.integers(0, 40),
+    st.binary(max_size=40),
+)
+INPUTS = st.lists(st.binary(max_size=60) | FRAMES, max_size=4)
+
+
+class FuzzTest(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+    @hypothesis.given(st.booleans(), INPUTS)
+    def test_the_edge_goes_on(self, is_started: bool, parts: Any) -> None:
+        data = STARTUP.to_wire() if is_started else b""
+        anyio.run(self.attack, data + b"".join(parts))
+
+    async def attack(self, data: bytes) -> None:
+        """Send bytes, then see that another caller is welcomed."""
+        state = fakes.make_state()
+        events: list[Any] = []
+        port = cluster.find_port(HOST)
+        targets = targets_edge.TargetsEdge(events.append, state, None)
+        edge = callers_edge.CallersEdge(
+            events.append, state, targets, (HOST, port), KEYS, mock.Mock()
+        )
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(edge.serve)
+                async with await anyio.connect_tcp(HOST, port) as attacker:
+                    await attacker.send(data + b"\0")
+                    async with await anyio.connect_tcp(HOST, port) as caller:
+                        await caller.send(STARTUP.to_wire())
+                        answer = await caller.receive()
+                        self.assertEqual(b"R", answer[:1])
+                    with contextlib.suppress(
+                        anyio.BrokenResourceError, OSError
+                    ):
+                        await attacker.send_eof()
+                    with (
+                        anyio.move_on_after(SETTLE_S),
+                        contextlib.suppress(
+                            anyio.EndOfStream, anyio.BrokenResourceError
+                        ),
+                    ):
+                        while True:
+                            await attacker.receive()
+                tasks.cancel_scope.cancel()
