--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -20,7 +20,7 @@
 import anyio
 
 from knapweedtally.core.bundles import signatures
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
 
--- a/bench/naive_lease.py
+++ b/bench/naive_lease.py
@@ -9,7 +9,7 @@
 from bench import naive_pool
 from knapweedtally.core import exceptions
 from knapweedtally.core import model
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.targets import wire
 
 KIND = "naive"
--- a/bench/naive_proxy.py
+++ b/bench/naive_proxy.py
@@ -22,7 +22,7 @@
 from knapweedtally.callers import sql
 from knapweedtally.callers import stream as stream_module
 from knapweedtally.core import exceptions
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.targets import connection as connection_module
 from knapweedtally.targets import wire
 
--- a/knapweedtally/__main__.py
+++ b/knapweedtally/__main__.py
@@ -2,11 +2,18 @@
 
 import sys
 
-from knapweedtally.management import application
-
 
 def main() -> None:
     """Run the command line and exit with its code."""
+    if sys.argv[1:] == ["entry"]:
+        # The process that serves callers on the platform doesn't load the
+        # command line's libraries, which it would pay for in memory.
+        from knapweedtally.entry import process
+
+        process.main()
+        return
+    from knapweedtally.management import application
+
     sys.exit(application.make_application().run())
 
 
--- a/knapweedtally/admin/switches.py
+++ b/knapweedtally/admin/switches.py
@@ -6,7 +6,7 @@
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.draining import rules as draining_rules
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 
 KIND = "group"
 MAX_ATTEMPTS = 3
--- /dev/null
+++ b/knapweedtally/core/groups/placement.py
@@ -0,0 +1,260 @@
+"""Choose the target that serves a request.
+
+Answers the load in which replicas lag by different and changing amounts while
+one target is slower than the others: reads go where an answer is expected
+first among the targets that may serve them, and what only the primary can do
+finds it less busy.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import model
+
+# Weight of the newest run time in the moving average.
+AVERAGE_WEIGHT = 0.2
+
+# Run time assumed of a target that has not answered yet, in seconds.
+FIRST_RUN_S = 0.015
+
+# Expected answer times that another data centre adds, in seconds: two ways
+# between data centres.
+DISTANCE_S = 0.003
+
+# Reads see the primary as this much busier, which leaves it to what only it
+# can do while replicas are as fast.
+PRIMARY_FACTOR = 1.5
+
+# A target that failed is tried again after this, in seconds, doubled with
+# each failure in a row up to the limit.
+FIRST_REST_S = 0.05
+MAX_REST_S = 1.0
+
+# How long a replica's word that it lacks a position holds, in seconds.
+BEHIND_S = 0.02
+
+
+class Need(NamedTuple):
+    """Say what a request asks of a target.
+
+    Attributes:
+        is_primary_only: whether only the primary can serve it.
+        is_write: whether it writes by itself.
+        consistency: what its reads may miss.
+        max_age_s: accepted age of what it reads.
+        arrived_s: when its first byte arrived, or that of its transaction.
+        own_position: position of the session's last commit, or None.
+    """
+
+    is_primary_only: bool
+    is_write: bool
+    consistency: model.Consistency
+    max_age_s: float
+    arrived_s: float
+    own_position: model.Position | None
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLoad:
+    """Hold what this host knows of one target's load and log.
+
+    Attributes:
+        target: id of the target.
+        data_centre: its data centre.
+        is_offered: whether it may get new work.
+        idle: idle connections to it.
+        running: statements that run on it for this host.
+        run_s: moving average of the time to an answer.
+        position: newest log position that it answered with.
+        rests_until_s: gets no work before this time after failures.
+        failures: failures in a row.
+        behind_position: position that it lacked when last asked for one.
+        behind_until_s: until when this is believed.
+    """
+
+    target: str
+    data_centre: str = ""
+    is_offered: bool = True
+    idle: int = 0
+    running: int = 0
+    run_s: float = FIRST_RUN_S
+    position: model.Position = model.Position(0, 0)
+    rests_until_s: float = 0.0
+    failures: int = 0
+    behind_position: model.Position | None = None
+    behind_until_s: float = 0.0
+
+
+class Choice(NamedTuple):
+    """Name the target that serves a request.
+
+    Attributes:
+        target: id of the target, or None where none can.
+        position: position that the target's log must hold, or None where it
+            is the primary.
+        reason: why no target was chosen.
+    """
+
+    target: str | None
+    position: model.Position | None
+    reason: "Reason"
+
+
+class Reason(enum.Enum):
+    """Say why a request waits."""
+
+    CHOSEN = "chosen"
+    NO_PRIMARY = "no known primary"
+    EVIDENCE_EXPIRED = "evidence about the primary is too old"
+    NO_POSITION = "no position of the primary is recent enough"
+    NO_CONNECTION = "no idle connection"
+    NO_TARGET = "no target may serve it"
+
+
+def note_run(load: TargetLoad, run_s: float) -> None:
+    """Record the time to an answer."""
+    load.run_s += AVERAGE_WEIGHT * (run_s - load.run_s)
+    load.failures = 0
+
+
+def note_failure(load: TargetLoad, now_s: float) -> None:
+    """Record a failed attempt; the target rests for a while."""
+    load.failures += 1
+    rest_s = min(MAX_REST_S, FIRST_REST_S * 2 ** min(load.failures, 6))
+    load.rests_until_s = now_s + rest_s
+
+
+def note_behind(
+    load: TargetLoad, position: model.Position, now_s: float
+) -> None:
+    """Record that a target lacks a position."""
+    load.behind_position = position
+    load.behind_until_s = now_s + BEHIND_S
+
+
+def may_use_primary(
+    need: Need, leadership: evidence.Leadership, now_s: float
+) -> bool:
+    """Tell whether the evidence allows a request at the primary.
+
+    A write has to run before a promotion can have taken effect. A read only
+    has to show what was acknowledged before it arrived.
+    """
+    if leadership.target is None:
+        return False
+    if need.is_write:
+        return leadership.valid_until_s >= now_s
+    since_s = need.arrived_s
+    if need.consistency is not model.Consistency.PRIMARY:
+        since_s -= max(0.0, need.max_age_s - evidence.AGE_MARGIN_S)
+    if need.own_position and need.own_position.term > leadership.term:
+        return False
+    return leadership.valid_until_s >= since_s
+
+
+def find_needed_position(
+    need: Need, leadership: evidence.Leadership
+) -> model.Position | None:
+    """Return the position that a replica must hold to serve a read."""
+    if need.is_primary_only or need.consistency is model.Consistency.PRIMARY:
+        return None
+    allowed_s = max(0.0, need.max_age_s - evidence.AGE_MARGIN_S)
+    position = evidence.find_position(leadership, need.arrived_s - allowed_s)
+    if position is None:
+        return None
+    is_session = need.consistency is model.Consistency.SESSION
+    if is_session and need.own_position is not None:
+        return max(position, need.own_position)
+    return position
+
+
+def choose_target(
+    need: Need,
+    loads: Iterable[TargetLoad],
+    leadership: evidence.Leadership,
+    data_centre: str,
+    now_s: float,
+    excluded: frozenset[str] = frozenset(),
+) -> Choice:
+    """Choose the target that is expected to answer first.
+
+    Args:
+        need: what the request asks for.
+        loads: the group's targets.
+        leadership: evidence about the group's primary.
+        data_centre: data centre of this host.
+        now_s: time of the evidence's clock.
+        excluded: targets that the request was tried on in vain.
+    """
+    primary_allowed = may_use_primary(need, leadership, now_s)
+    position = find_needed_position(need, leadership)
+    best: TargetLoad | None = None
+    best_cost = 0.0
+    has_candidate = False
+    for load in loads:
+        is_primary = load.target == leadership.target
+        if is_primary and not primary_allowed:
+            continue
+        if not is_primary and not _may_use_replica(load, position, now_s):
+            continue
+        if not _is_offered(load, is_primary, excluded, now_s):
+            continue
+        has_candidate = True
+        if load.idle <= 0:
+            continue
+        cost = estimate_answer_s(load, is_primary and not need.is_primary_only)
+        if load.data_centre != data_centre:
+            cost += DISTANCE_S
+        if best is None or cost < best_cost:
+            best, best_cost = load, cost
+    if best is not None:
+        is_replica = best.target != leadership.target
+        return Choice(
+            best.target, position if is_replica else None, Reason.CHOSEN
+        )
+    if has_candidate:
+        return Choice(None, None, Reason.NO_CONNECTION)
+    return Choice(None, None, _explain(need, leadership, position))
+
+
+def _may_use_replica(
+    load: TargetLoad, position: model.Position | None, now_s: float
+) -> bool:
+    if position is None:
+        return False
+    behind = load.behind_position
+    return not (
+        behind is not None
+        and now_s < load.behind_until_s
+        and position >= behind
+        and position > load.position
+    )
+
+
+def _is_offered(
+    load: TargetLoad, is_primary: bool, excluded: frozenset[str], now_s: float
+) -> bool:
+    if load.target in excluded:
+        return False
+    return load.is_offered and (is_primary or load.rests_until_s <= now_s)
+
+
+def estimate_answer_s(load: TargetLoad, counts_as_spare: bool) -> float:
+    """Return the expected time to an answer, in seconds."""
+    expected_s = load.run_s * (1 + load.running)
+    return expected_s * PRIMARY_FACTOR if counts_as_spare else expected_s
+
+
+def _explain(
+    need: Need,
+    leadership: evidence.Leadership,
+    position: model.Position | None,
+) -> Reason:
+    if need.is_primary_only or need.consistency is model.Consistency.PRIMARY:
+        if leadership.target is None:
+            return Reason.NO_PRIMARY
+        return Reason.EVIDENCE_EXPIRED
+    return Reason.NO_POSITION if position is None else Reason.NO_TARGET
--- /dev/null
+++ b/knapweedtally/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process of an entry host on the platform."""
--- /dev/null
+++ b/knapweedtally/entry/host.py
@@ -0,0 +1,380 @@
+"""What one entry host knows and does, apart from its sockets."""
+
+import asyncio
+
+from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import detection
+from knapweedtally.core.groups import model
+from knapweedtally.core.groups import succession
+from knapweedtally.entry import clock
+from knapweedtally.entry import logs
+from knapweedtally.entry import measures
+from knapweedtally.entry import pools
+from knapweedtally.entry import promoter
+from knapweedtally.entry import router as router_module
+from knapweedtally.entry import sessions
+from knapweedtally.entry import store
+from knapweedtally.platform import records
+from knapweedtally.platform import settings
+from knapweedtally.platform import store_calls
+
+# Interval of the checks that no event triggers, in seconds.
+TICK_S = 0.05
+
+# Interval of the checks on callers' sessions, in seconds.
+SESSION_CHECK_S = 0.5
+
+# Pause after a change of primary that did not come about, in seconds.
+CHANGE_RETRY_S = 0.4
+
+# A leaving primary gets no more work this long before the limit, in seconds.
+LEAVE_MARGIN_S = 1.5
+
+# A step of the clock between two ticks beyond this, in seconds, means that the
+# machine stood still and that failures seen before it prove nothing.
+STANDSTILL_S = 0.5
+
+# A host without evidence about half of the groups for this long, in seconds,
+# sends callers elsewhere: it is cut off rather than a primary.
+CUT_OFF_S = 1.0
+
+# Resting sessions are closed this long after the host stopped being ready, in
+# seconds: new connections reach other hosts by then.
+MOVE_AWAY_S = 2.2
+
+
+class Host:
+    """Hold the state of one entry host.
+
+    Attributes:
+        catalog: configuration and targets.
+        log: where decisions are written.
+        counters: counters and histograms.
+        is_draining: whether the process is about to stop.
+        routers: routers by name of the group.
+        sessions: sessions of callers.
+    """
+
+    def __init__(
+        self, configured: settings.HostSettings, log: logs.Log
+    ) -> None:
+        """Make a host that knows nothing yet."""
+        self.catalog = catalog.Catalog()
+        self.log = log
+        self.counters = measures.Measures()
+        self.is_draining = False
+        self.routers: dict[str, router_module.Router] = {}
+        self.sessions: set[sessions.CallerSession] = set()
+        self.store = store.StoreClient(configured.store, log)
+        self._settings = configured
+        self._promoter: promoter.Promoter | None = None
+        if configured.duties is not None:
+            self._promoter = promoter.Promoter(
+                promoter.Duty(self.store, configured.host, log),
+                configured.duties,
+                configured.host,
+                log,
+            )
+        self._changing: set[str] = set()
+        self._change_after_s: dict[str, float] = {}
+        self._draining_since_s: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._last_tick_s = clock.get_time_s()
+        self._next_session_check_s = 0.0
+        self._unserved_since_s: float | None = None
+        self._was_ready = False
+
+    def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
+        """Return the watchers of the configuration and of the targets."""
+        return (
+            store.Watcher(
+                self.store,
+                records.CONFIGURATION_KIND,
+                self._put_configurations,
+                lambda change: self._put_configurations([change.stored]),
+                self.log,
+            ),
+            store.Watcher(
+                self.store,
+                records.TARGETS_KIND,
+                self._put_entries,
+                self._put_entry_change,
+                self.log,
+            ),
+        )
+
+    # What sessions need.
+
+    def find_router(self, group: str) -> router_module.Router | None:
+        """Return the router of a group."""
+        return self.routers.get(group)
+
+    def add_session(self, session: sessions.CallerSession) -> None:
+        """Take note of a session."""
+        self.sessions.add(session)
+
+    def drop_session(self, session: sessions.CallerSession) -> None:
+        """Forget a session."""
+        self.sessions.discard(session)
+
+    # What the store says.
+
+    def _put_configurations(
+        self, objects: list[store_calls.StoredObject]
+    ) -> None:
+        for stored in objects:
+            if stored.name != records.CONFIGURATION_NAME:
+                continue
+            try:
+                configuration = records.parse_configuration(stored.spec)
+            except records.UnreadableRecord as error:
+                self.log.write("configuration_unreadable", reason=str(error))
+                continue
+            if catalog.put_configuration(self.catalog, configuration):
+                self.log.write(
+                    "configuration_in_force",
+                    version=configuration.version,
+                    revision=stored.revision,
+                    routes=len(configuration.routes),
+                )
+                self._sync_routers()
+
+    def _put_entries(self, objects: list[store_calls.StoredObject]) -> None:
+        entries = [entry for entry in map(self._parse_entry, objects) if entry]
+        renewed = catalog.put_list(self.catalog, entries, clock.get_time_s())
+        self._restart(renewed)
+        self._sync_routers()
+
+    def _put_entry_change(self, change: store_calls.Change) -> None:
+        stored = change.stored
+        if change.is_removed:
+            self.log.write("target_missing", target=stored.name)
+            catalog.note_missing(self.catalog, stored.name, clock.get_time_s())
+        else:
+            entry = self._parse_entry(stored)
+            if entry is None:
+                return
+            if catalog.put_entry(self.catalog, entry):
+                self._restart([entry.target])
+        self._sync_routers()
+
+    def _parse_entry(
+        self, stored: store_calls.StoredObject
+    ) -> model.TargetEntry | None:
+        try:
+            return records.parse_target(
+                stored.name, stored.revision, stored.spec
+            )
+        except records.UnreadableRecord as error:
+            self.log.write("entry_unreadable", reason=str(error))
+            return None
+
+    def _restart(self, targets: list[str]) -> None:
+        for target in targets:
+            entry = self.catalog.members[target].entry
+            router = self.routers.get(entry.group)
+            pool = router.pools.get(target) if router else None
+            self.log.write(
+                "target_listed",
+                target=target,
+                group=entry.group,
+                started_ms=entry.started_ms,
+                is_known=pool is not None,
+            )
+            if pool is not None:
+                pool.restart(entry)
+
+    def _sync_routers(self) -> None:
+        """Give each group of the configuration the targets that exist."""
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return
+        now_s = clock.get_time_s()
+        for name, group in configuration.groups.items():
+            router = self.routers.get(name)
+            if router is None:
+                router = router_module.Router(
+                    group, self._settings.data_centre, self.log, self.counters
+                )
+                self.routers[name] = router
+            router.settings = group
+            self._sync_pools(router, now_s)
+
+    def _sync_pools(self, router: router_module.Router, now_s: float) -> None:
+        members = catalog.list_members(self.catalog, router.settings.name)
+        known = {member.entry.target for member in members}
+        for target in [t for t in router.pools if t not in known]:
+            router.pools.pop(target).close()
+        for member in members:
+            target = member.entry.target
+            pool = router.pools.get(target)
+            if pool is None:
+                pool = pools.Pool(
+                    member.entry,
+                    router.settings.max_connections,
+                    "knapweedtally",
+                    self.log,
+                    router.dispatch,
+                )
+                router.pools[target] = pool
+                pool.open()
+            pool.entry = member.entry
+            pool.max_connections = router.settings.max_connections
+            self._sync_offer(router, pool, member, now_s)
+
+    def _sync_offer(
+        self,
+        router: router_module.Router,
+        pool: pools.Pool,
+        member: catalog.Member,
+        now_s: float,
+    ) -> None:
+        target = member.entry.target
+        if member.entry.is_draining:
+            since_s = self._draining_since_s.setdefault(target, now_s)
+            is_primary = router.leadership.target == target
+            limit_s = self._settings.drain_s - LEAVE_MARGIN_S
+            pool.load.is_offered = is_primary and now_s - since_s < limit_s
+        else:
+            self._draining_since_s.pop(target, None)
+            pool.load.is_offered = catalog.is_usable(member, now_s)
+
+    # Regular checks.
+
+    async def run_ticks(self) -> None:
+        """Run the regular checks for ever."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.tick(clock.get_time_s())
+
+    def tick(self, now_s: float) -> None:
+        """Run the checks that no event triggers."""
+        if now_s - self._last_tick_s > STANDSTILL_S:
+            self._note_standstill(now_s)
+        self._last_tick_s = now_s
+        gone = catalog.forget_gone(self.catalog, now_s)
+        if gone:
+            self.log.write("targets_gone", targets=gone)
+        self._sync_routers()
+        for router in self.routers.values():
+            router.tick(now_s)
+            self._check_primary(router, now_s)
+        self._check_service(now_s)
+        if now_s >= self._next_session_check_s:
+            self._next_session_check_s = now_s + SESSION_CHECK_S
+            self._check_sessions(now_s)
+
+    def _note_standstill(self, now_s: float) -> None:
+        """Start the waits for answers anew after a standstill."""
+        self.log.write(
+            "standstill", lasted_s=round(now_s - self._last_tick_s, 2)
+        )
+        for router in self.routers.values():
+            for pool in router.pools.values():
+                pool.failing_since_s = None
+                pool.failures = 0
+            if router.unled_since_s is not None:
+                router.unled_since_s = now_s
+            router.commits.clear()
+
+    def _check_primary(
+        self, router: router_module.Router, now_s: float
+    ) -> None:
+        name = router.settings.name
+        if self._promoter is None or name in self._changing:
+            return
+        if now_s < self._change_after_s.get(name, 0.0):
+            return
+        if self.is_draining or self._find_cause(router) is None:
+            return
+        self._changing.add(name)
+        task = asyncio.get_running_loop().create_task(self._change(router))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _change(self, router: router_module.Router) -> None:
+        name = router.settings.name
+        assert self._promoter is not None
+        leaving = frozenset(
+            target
+            for target in router.pools
+            if self._is_leaving(target, clock.get_time_s())
+        )
+        try:
+            await self._promoter.run(
+                router, lambda: self._find_cause(router), leaving
+            )
+        finally:
+            self._changing.discard(name)
+            self._change_after_s[name] = clock.get_time_s() + CHANGE_RETRY_S
+
+    def _is_leaving(self, target: str, now_s: float) -> bool:
+        member = self.catalog.members.get(target)
+        if member is None:
+            return True
+        return member.entry.is_draining or not catalog.is_usable(member, now_s)
+
+    def _find_cause(
+        self, router: router_module.Router
+    ) -> succession.Cause | None:
+        now_s = clock.get_time_s()
+        primary = router.leadership.target
+        pool = router.pools.get(primary) if primary else None
+        view = detection.View(
+            has_primary=pool is not None,
+            known_since_s=router.known_since_s,
+            unled_since_s=router.unled_since_s,
+            failing_since_s=pool.failing_since_s if pool else None,
+            failures=pool.failures if pool else 0,
+            is_refusing=pool.is_refusing if pool else False,
+            is_leaving=bool(primary) and self._is_leaving(primary or "", now_s),
+            oldest_commit_s=min(router.commits.values(), default=None),
+            last_commit_s=router.last_commit_s,
+            member_seen_s=router.leadership.member_seen_s,
+            has_answering_member=any(
+                other.failing_since_s is None and other.size
+                for target, other in router.pools.items()
+                if target != primary
+            ),
+            other_members=len(router.pools) - (1 if pool else 0),
+        )
+        return detection.find_cause(view, now_s)
+
+    def _check_service(self, now_s: float) -> None:
+        """Note since when most groups can't be served from here."""
+        served = sum(1 for r in self.routers.values() if r.is_served(now_s))
+        if not self.routers or served * 2 < len(self.routers):
+            if self._unserved_since_s is None:
+                self._unserved_since_s = now_s
+                self.log.write("groups_unserved", served=served)
+        elif self._unserved_since_s is not None:
+            self._unserved_since_s = None
+            self.log.write("groups_served", served=served)
+
+    def _check_sessions(self, now_s: float) -> None:
+        configuration = self.catalog.configuration
+        limit_s = configuration.transaction_idle_s if configuration else 0.0
+        unserved_s = 0.0
+        if self._unserved_since_s is not None:
+            unserved_s = now_s - self._unserved_since_s
+        moves_away = unserved_s > CUT_OFF_S + MOVE_AWAY_S
+        for session in tuple(self.sessions):
+            session.tick(now_s, limit_s)
+            if moves_away and session.is_resting():
+                session.close()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        if self.is_draining or not self.catalog.is_listed:
+            return False
+        if self.catalog.configuration is None:
+            return False
+        now_s = clock.get_time_s()
+        since_s = self._unserved_since_s
+        is_ready = since_s is None or (
+            self._was_ready and now_s - since_s < CUT_OFF_S
+        )
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            self.log.write("ready_changed", is_ready=is_ready)
+        return is_ready
--- /dev/null
+++ b/knapweedtally/entry/router.py
@@ -0,0 +1,558 @@
+"""The requests of one group: queue, placement, attempts and evidence."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import model
+from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import statements
+from knapweedtally.entry import clock
+from knapweedtally.entry import connections
+from knapweedtally.entry import logs
+from knapweedtally.entry import measures
+from knapweedtally.entry import pools
+from knapweedtally.platform import lines
+
+# A read without an answer is also tried elsewhere after this, in seconds, and
+# after this many times the target's usual run time.
+SECOND_TRY_S = 0.15
+SECOND_TRY_FACTOR = 5.0
+
+# Attempts of one request.
+MAX_ATTEMPTS = 4
+
+# Evidence is renewed when it is older than this, in seconds.
+ASK_AFTER_S = evidence.EVIDENCE_SPAN_S * 0.4
+
+# Members are asked this often while no primary is known, in seconds.
+SEARCH_S = 0.1
+
+_Code = statements.Code
+_Kind = statements.Kind
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """Hold a statement, or the begin of a transaction, that needs a target.
+
+    Attributes:
+        session: the caller's session.
+        statement: the statement; that of the transaction for a begin.
+        need: what it asks of a target.
+        begins: whether a transaction is to be begun for it.
+        priority: 0 is served first.
+        arrived_s: when it arrived.
+        deadline_s: when it is given up.
+        on_end: called once with the result.
+        attempts: number of attempts so far.
+        running: attempts under way.
+        tried_s: when the last attempt was sent.
+        second_try_s: when a second try may be made.
+        excluded: targets tried in vain.
+        is_done: whether the result was told.
+        reason: why it waits.
+    """
+
+    session: connections.Session
+    statement: statements.Statement
+    need: placement.Need
+    begins: bool
+    priority: int
+    arrived_s: float
+    deadline_s: float
+    on_end: "Callable[[Result], None]"
+    attempts: int = 0
+    running: int = 0
+    tried_s: float = 0.0
+    second_try_s: float = 0.0
+    excluded: frozenset[str] = frozenset()
+    is_done: bool = False
+    reason: placement.Reason = placement.Reason.CHOSEN
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Hold how a request ended.
+
+    Attributes:
+        answer: the target's answer, or None.
+        code: error to tell the caller where there is no answer.
+        detail: text of that error.
+        target: id of the target, or empty.
+        connection: connection that the transaction now owns, or None.
+        position: position that the target's log had to hold.
+        waited_s: time in the queue.
+        attempts: attempts made.
+        evidence_age_s: age of the evidence about the primary.
+    """
+
+    answer: statements.Answer | None
+    code: statements.Code | None
+    detail: str = ""
+    target: str = ""
+    connection: connections.Connection | None = None
+    position: model.Position | None = None
+    waited_s: float = 0.0
+    attempts: int = 0
+    evidence_age_s: float = 0.0
+
+
+Listener = Callable[[Result], None]
+
+
+class Router:
+    """Serve the requests of one group.
+
+    Attributes:
+        settings: the group's settings.
+        leadership: evidence about the primary.
+        pools: pools by id of the target.
+        known_term: highest term that a member has shown.
+        unled_since_s: since when no primary is known, or None.
+        known_since_s: when the primary became known.
+        commits: when each commit under way was sent.
+        last_commit_s: when the newest acknowledged commit was sent.
+    """
+
+    def __init__(
+        self,
+        settings: model.GroupSettings,
+        data_centre: str,
+        log: logs.Log,
+        counters: measures.Measures,
+    ) -> None:
+        """Make a router without targets."""
+        self.settings = settings
+        self.leadership = evidence.Leadership()
+        self.pools: dict[str, pools.Pool] = {}
+        self.known_term = 0
+        self.known_since_s = 0.0
+        self.unled_since_s: float | None = clock.get_time_s()
+        self.commits: dict[object, float] = {}
+        self.last_commit_s = 0.0
+        self._data_centre = data_centre
+        self._log = log
+        self._counters = counters
+        self._queue: list[Request] = []
+        self._hedged: set[Request] = set()
+        self._asking: set[str] = set()
+        self._next_search_s = 0.0
+        self._turn = 0
+        self._is_dispatching = False
+
+    @property
+    def queue_length(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def submit(self, request: Request) -> None:
+        """Queue a request and serve what can be served."""
+        self._queue.append(request)
+        self._queue.sort(key=_order)
+        self.dispatch()
+
+    def cancel(self, request: Request) -> None:
+        """Forget a request whose caller has gone."""
+        request.is_done = True
+        if request in self._queue:
+            self._queue.remove(request)
+
+    def dispatch(self) -> None:
+        """Give requests to targets as far as connections allow."""
+        if self._is_dispatching or not self._queue:
+            return
+        self._is_dispatching = True
+        try:
+            now_s = clock.get_time_s()
+            for request in tuple(self._queue):
+                self._place(request, now_s)
+        finally:
+            self._is_dispatching = False
+
+    def _place(self, request: Request, now_s: float) -> None:
+        choice = placement.choose_target(
+            request.need,
+            [pool.load for pool in self.pools.values()],
+            self.leadership,
+            self._data_centre,
+            now_s,
+            request.excluded,
+        )
+        request.reason = choice.reason
+        if choice.target is None:
+            if choice.reason is placement.Reason.NO_CONNECTION:
+                self._want_connections(request, now_s)
+            elif choice.reason is placement.Reason.NO_TARGET:
+                request.excluded = frozenset()
+            return
+        pool = self.pools[choice.target]
+        connection = pool.take(request.session.values)
+        if connection is None:
+            pool.load.idle = 0
+            return
+        self._queue.remove(request)
+        self._start(request, pool, connection, choice.position, now_s)
+
+    def _want_connections(self, request: Request, now_s: float) -> None:
+        for target, pool in self.pools.items():
+            is_primary = target == self.leadership.target
+            if request.need.is_primary_only and not is_primary:
+                continue
+            if pool.load.is_offered and pool.load.rests_until_s <= now_s:
+                pool.want_connection()
+
+    def _start(
+        self,
+        request: Request,
+        pool: pools.Pool,
+        connection: connections.Connection,
+        position: model.Position | None,
+        now_s: float,
+    ) -> None:
+        request.attempts += 1
+        request.running += 1
+        request.tried_s = now_s
+        pool.load.running += 1
+        limit_s = max(0.05, request.deadline_s - now_s)
+        prefix = None
+        if position is not None:
+            needed = position
+
+            def prefix(text: bytes) -> bytes:
+                return lines.add_position(text, needed)
+
+        attempt = _Attempt(self, request, pool, connection, position, now_s)
+        if request.begins:
+            connection.is_held = True
+            is_read = request.statement.kind is _Kind.BEGIN_READ
+            text = lines.BEGIN_READ if is_read else lines.BEGIN
+            if prefix is not None:
+                text = prefix(text)
+            connection.send(lines.OWN_ID, text, attempt.note_end, limit_s)
+        else:
+            connection.run(
+                request.session,
+                request.statement,
+                prefix,
+                attempt.note_end,
+                limit_s,
+            )
+        pool.count_idle()
+        if not request.need.is_write:
+            usual_s = pool.load.run_s * SECOND_TRY_FACTOR
+            request.second_try_s = now_s + max(SECOND_TRY_S, usual_s)
+            self._hedged.add(request)
+        elif not request.begins:
+            self.commits[request] = now_s
+
+    def finish(self, request: Request, result: Result) -> None:
+        """Tell a request's result once."""
+        if request.is_done:
+            if result.connection is not None:
+                result.connection.abort()
+            return
+        request.is_done = True
+        self._hedged.discard(request)
+        if request in self._queue:
+            self._queue.remove(request)
+        result.attempts = request.attempts
+        now_s = clock.get_time_s()
+        seen_s = self.leadership.primary_seen_s
+        result.evidence_age_s = min(9999.0, now_s - seen_s)
+        request.on_end(result)
+
+    def retry(self, request: Request, excluded: str | None) -> None:
+        """Queue a request again that has not run, or only read."""
+        if request.is_done:
+            return
+        if excluded is not None:
+            request.excluded = request.excluded | {excluded}
+        if request not in self._queue:
+            self._queue.append(request)
+            self._queue.sort(key=_order)
+        asyncio.get_running_loop().call_soon(self.dispatch)
+
+    def tick(self, now_s: float) -> None:
+        """Give up what is overdue, try reads elsewhere, ask for evidence."""
+        for pool in tuple(self.pools.values()):
+            pool.tick(now_s)
+        for request in [r for r in self._queue if r.deadline_s <= now_s]:
+            if not request.running:
+                self._give_up(request, now_s)
+        for request in tuple(self._hedged):
+            self._check_second_try(request, now_s)
+        self._ask(now_s)
+        self.dispatch()
+
+    def _give_up(self, request: Request, now_s: float) -> None:
+        self._counters.count("refused", request.reason.name)
+        detail = f"{request.reason.value}; retry after 500 ms"
+        waited_s = now_s - request.arrived_s
+        self.finish(
+            request, Result(None, _Code.BUSY, detail, waited_s=waited_s)
+        )
+
+    def _check_second_try(self, request: Request, now_s: float) -> None:
+        if request.is_done or not request.running:
+            self._hedged.discard(request)
+        elif request.second_try_s <= now_s and request.attempts < MAX_ATTEMPTS:
+            request.second_try_s = now_s + 10.0
+            self._counters.count("second_tries", self.settings.name)
+            self.retry(request, None)
+
+    # Evidence.
+
+    def _ask(self, now_s: float) -> None:
+        leadership = self.leadership
+        if leadership.target not in self.pools:
+            if leadership.target is not None:
+                self.lose_primary(leadership.target, now_s, "it is gone")
+            if now_s >= self._next_search_s:
+                self._next_search_s = now_s + SEARCH_S
+                for target in tuple(self.pools):
+                    self.ask_status(target)
+            return
+        if now_s - leadership.primary_seen_s > ASK_AFTER_S:
+            self.ask_status(leadership.target)
+        others = [t for t in self.pools if t != leadership.target]
+        leadership.needs_member = bool(others)
+        if others and now_s - leadership.member_seen_s > ASK_AFTER_S:
+            self._turn += 1
+            self.ask_status(others[self._turn % len(others)])
+
+    def ask_status(self, target: str) -> None:
+        """Ask a target for its status unless an answer is awaited."""
+        if target in self._asking:
+            return
+        self._asking.add(target)
+        pool = self.pools[target]
+        life = pool.life
+
+        def note_end(outcome: connections.Outcome) -> None:
+            self._asking.discard(target)
+            if self.pools.get(target) is not pool:
+                return
+            if outcome.answer is None:
+                if outcome.is_timeout:
+                    pool.note_failure(outcome.asked_s, False)
+                return
+            status = lines.parse_status(outcome.answer)
+            if status is not None and pool.life == life:
+                self.note_status(target, status, outcome.asked_s)
+
+        pool.ask(lines.STATUS, note_end, pools.ASK_TIMEOUT_S)
+
+    def note_status(
+        self, target: str, status: model.TargetStatus, asked_s: float
+    ) -> None:
+        """Draw the conclusions from a target's status."""
+        pool = self.pools.get(target)
+        if pool is None:
+            return
+        pool.known_connections = status.connections
+        pool.load.position = max(pool.load.position, status.received)
+        self.known_term = max(self.known_term, status.term)
+        leadership = self.leadership
+        if status.is_primary:
+            is_new = evidence.note_primary(
+                leadership, target, status.term, asked_s
+            )
+            if is_new:
+                self._note_new_primary(target, status.term)
+            evidence.note_position(leadership, target, status.received, asked_s)
+        elif target == leadership.target or status.term > leadership.term:
+            if evidence.note_no_primary(leadership, target, status.term):
+                self._note_unled(target, "another term or role")
+        else:
+            evidence.note_member(
+                leadership, status.term, status.paused_for, asked_s
+            )
+        self.dispatch()
+
+    def _note_new_primary(self, target: str, term: int) -> None:
+        self.unled_since_s = None
+        self.known_since_s = clock.get_time_s()
+        self.commits.clear()
+        self._log.write(
+            "primary_known",
+            group=self.settings.name,
+            target=target,
+            term=term,
+        )
+        for other in self.pools:
+            if other != target:
+                self.ask_status(other)
+
+    def lose_primary(self, target: str, now_s: float, reason: str) -> None:
+        """Give up a primary that said that it no longer leads."""
+        if self.leadership.target != target:
+            return
+        self.leadership.target = None
+        self.leadership.primary_seen_s = float("-inf")
+        self._note_unled(target, reason)
+        self._next_search_s = now_s
+
+    def _note_unled(self, target: str, reason: str) -> None:
+        self.unled_since_s = clock.get_time_s()
+        self._log.write(
+            "primary_lost",
+            group=self.settings.name,
+            target=target,
+            reason=reason,
+        )
+
+    def note_answer_position(
+        self, pool: pools.Pool, answer: statements.Answer, asked_s: float
+    ) -> model.Position | None:
+        """Record the log position that came with an answer."""
+        position = lines.parse_position(answer.position)
+        if position is None:
+            return None
+        pool.load.position = max(pool.load.position, position)
+        evidence.note_position(
+            self.leadership, pool.entry.target, position, asked_s
+        )
+        return position
+
+    def note_commit(self, target: str, asked_s: float) -> None:
+        """Record an acknowledged commit."""
+        self.last_commit_s = max(self.last_commit_s, asked_s)
+        is_replicated = self.settings.acknowledging_replicas > 0
+        evidence.note_commit(self.leadership, target, asked_s, is_replicated)
+
+    def is_served(self, now_s: float) -> bool:
+        """Tell whether the group's primary is known and confirmed."""
+        return self.leadership.valid_until_s + 1.0 >= now_s
+
+
+class _Attempt:
+    """Take the outcome of one attempt at a request."""
+
+    __slots__ = (
+        "_connection",
+        "_pool",
+        "_position",
+        "_request",
+        "_router",
+        "_started_s",
+    )
+
+    def __init__(
+        self,
+        router: Router,
+        request: Request,
+        pool: pools.Pool,
+        connection: connections.Connection,
+        position: model.Position | None,
+        started_s: float,
+    ) -> None:
+        self._router = router
+        self._request = request
+        self._pool = pool
+        self._connection = connection
+        self._position = position
+        self._started_s = started_s
+
+    def note_end(self, outcome: connections.Outcome) -> None:
+        """Tell the result, or try again where that is safe."""
+        request, pool, router = self._request, self._pool, self._router
+        now_s = clock.get_time_s()
+        request.running -= 1
+        pool.load.running -= 1
+        router.commits.pop(request, None)
+        answer = outcome.answer
+        if answer is None:
+            self._note_lost(outcome, now_s)
+        elif answer.code is None:
+            placement.note_run(pool.load, now_s - self._started_s)
+            self._note_success(answer, outcome.asked_s)
+        else:
+            self._note_error(answer, now_s)
+
+    def _note_success(self, answer: statements.Answer, asked_s: float) -> None:
+        request, router = self._request, self._router
+        target = self._pool.entry.target
+        if request.need.is_write and not request.begins:
+            router.note_commit(target, asked_s)
+        router.note_answer_position(self._pool, answer, asked_s)
+        self._finish(answer, None)
+
+    def _finish(
+        self, answer: statements.Answer | None, code: statements.Code | None
+    ) -> None:
+        request = self._request
+        held = self._connection if request.begins and answer else None
+        self._router.finish(
+            request,
+            Result(
+                answer,
+                code,
+                target=self._pool.entry.target,
+                connection=held,
+                position=self._position,
+                waited_s=self._started_s - request.arrived_s,
+            ),
+        )
+
+    def _release(self) -> None:
+        if self._request.begins:
+            self._connection.is_held = False
+
+    def _note_error(self, answer: statements.Answer, now_s: float) -> None:
+        request, pool, router = self._request, self._pool, self._router
+        target = pool.entry.target
+        code = answer.code
+        assert code is not None
+        self._release()
+        if code is _Code.BEHIND and self._position is not None:
+            placement.note_behind(pool.load, self._position, now_s)
+            self._retry_or_finish(answer, None, now_s)
+        elif code is _Code.READ_ONLY:
+            router.lose_primary(target, now_s, "it refused a write")
+            self._retry_or_finish(answer, None, now_s)
+        elif code in statements.NOT_RUN:
+            placement.note_failure(pool.load, now_s)
+            self._retry_or_finish(answer, None, now_s)
+        elif code is _Code.FAILED and not request.need.is_write:
+            placement.note_failure(pool.load, now_s)
+            self._retry_or_finish(answer, target, now_s)
+        else:
+            self._finish_refused(answer)
+
+    def _retry_or_finish(
+        self, answer: statements.Answer, excluded: str | None, now_s: float
+    ) -> None:
+        request = self._request
+        request.attempts -= 1 if answer.code is _Code.BEHIND else 0
+        if request.attempts < MAX_ATTEMPTS and now_s < request.deadline_s:
+            self._router.retry(request, excluded)
+        elif not request.running:
+            self._finish_refused(answer)
+
+    def _finish_refused(self, answer: statements.Answer) -> None:
+        result = Result(
+            answer,
+            answer.code,
+            target=self._pool.entry.target,
+            position=self._position,
+            waited_s=self._started_s - self._request.arrived_s,
+        )
+        self._router.finish(self._request, result)
+
+    def _note_lost(self, outcome: connections.Outcome, now_s: float) -> None:
+        request = self._request
+        placement.note_failure(self._pool.load, now_s)
+        if request.need.is_write and not request.begins:
+            code = _Code.TIMED_OUT if outcome.is_timeout else None
+            self._finish(None, code or _Code.UNKNOWN_OUTCOME)
+        elif request.attempts < MAX_ATTEMPTS and now_s < request.deadline_s:
+            self._router.retry(request, self._pool.entry.target)
+        elif not request.running:
+            code = _Code.ABORTED if request.begins else _Code.TIMED_OUT
+            self._finish(None, code)
+
+
+def _order(request: Request) -> tuple[int, float]:
+    return (request.priority, request.deadline_s)
--- /dev/null
+++ b/knapweedtally/entry/sessions.py
@@ -0,0 +1,707 @@
+"""One caller's session: its transaction, its values and its answers."""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+import typing
+from typing import Protocol
+
+from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import model
+from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import statements
+from knapweedtally.entry import clock
+from knapweedtally.entry import connections
+from knapweedtally.entry import logs
+from knapweedtally.entry import measures
+from knapweedtally.entry import router as router_module
+from knapweedtally.platform import lines
+
+# Messages of one caller that wait before its connection is read on.
+MAX_WAITING_MESSAGES = 64
+
+# Bytes that wait for a caller that doesn't read; beyond it it is cut off.
+MAX_UNREAD_BYTES = 4 * 1024 * 1024
+
+# Time for a started message, and for the first one, to arrive whole.
+MESSAGE_TIMEOUT_S = 10.0
+
+# Requests of one group that wait at this host; beyond it they are refused.
+MAX_QUEUED = 400
+
+# A statement that a target had no room for inside a transaction is sent again
+# after this, in seconds.
+RETRY_IN_TRANSACTION_S = 0.02
+
+# Time for a target to roll back a transaction, in seconds.
+ROLLBACK_TIMEOUT_S = 1.0
+
+_Kind = statements.Kind
+_Code = statements.Code
+_State = statements.SessionState
+
+
+class Services(Protocol):
+    """Give a session what it needs of its host.
+
+    Attributes:
+        catalog: configuration and targets.
+        log: where decisions are written.
+        counters: counters and histograms.
+        is_draining: whether the host is about to stop.
+    """
+
+    catalog: catalog.Catalog
+    log: logs.Log
+    counters: measures.Measures
+    is_draining: bool
+
+    def find_router(self, group: str) -> router_module.Router | None:
+        """Return the router of a group."""
+
+    def add_session(self, session: "CallerSession") -> None:
+        """Take note of a session."""
+
+    def drop_session(self, session: "CallerSession") -> None:
+        """Forget a session."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Transaction:
+    """Hold a caller's open transaction.
+
+    Attributes:
+        begin: the statement that began it.
+        arrived_s: when that arrived.
+        route: its route, fixed from the begin to the end.
+        connection: connection that it owns, or None before its first use.
+        target: id of the connection's target.
+        has_written: whether a write was sent in it.
+        is_failed: whether it can only be ended.
+        abort_reason: why the host ended it, to be told next; or empty.
+        rest_since_s: when its last statement ended.
+    """
+
+    begin: statements.Statement
+    arrived_s: float
+    route: model.Route
+    connection: connections.Connection | None = None
+    target: str = ""
+    has_written: bool = False
+    is_failed: bool = False
+    abort_reason: str = ""
+    rest_since_s: float = 0.0
+
+
+class CallerSession(asyncio.Protocol):
+    """Serve one caller's connection.
+
+    Attributes:
+        values: session values by name.
+        prepared: definitions of prepared statements by name.
+        idle_since_s: when its last answer was sent.
+    """
+
+    def __init__(self, services: Services) -> None:
+        """Make a session that waits for its first message."""
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[bytes, bytes] = {}
+        self.idle_since_s = clock.get_time_s()
+        self._services = services
+        self._buffer = lines.LineBuffer()
+        self._waiting: collections.deque[tuple[bytes, float]] = (
+            collections.deque()
+        )
+        self._transport: asyncio.Transport | None = None
+        self._database: str | None = None
+        self._transaction: Transaction | None = None
+        self._request: router_module.Request | None = None
+        self._router: router_module.Router | None = None
+        self._own_position: model.Position | None = None
+        self._is_busy = False
+        self._is_closed = False
+        self._partial_since_s: float | None = self.idle_since_s
+
+    # Transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the session."""
+        # uvloop's transports don't derive from asyncio's.
+        self._transport = typing.cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        self._services.add_session(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Queue the messages that are complete and serve the first."""
+        now_s = clock.get_time_s()
+        try:
+            messages = self._buffer.feed(data)
+        except lines.OversizedLine as error:
+            self._end_broken(_Code.TOO_LARGE, str(error))
+            return
+        if self._database is not None or messages:
+            partial = self._buffer.size > 0
+            self._partial_since_s = now_s if partial else None
+        self._waiting.extend((message, now_s) for message in messages)
+        if len(self._waiting) > MAX_WAITING_MESSAGES:
+            assert self._transport is not None
+            self._transport.pause_reading()
+        if not self._is_busy:
+            self._serve_next()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the caller's transaction and forget its request."""
+        self._end()
+
+    def tick(self, now_s: float, idle_limit_s: float) -> None:
+        """End what rests too long."""
+        since_s = self._partial_since_s
+        if since_s is not None and now_s - since_s > MESSAGE_TIMEOUT_S:
+            self._end_broken(_Code.MALFORMED, "message not complete in time")
+            return
+        transaction = self._transaction
+        if transaction is None or self._is_busy or not idle_limit_s:
+            return
+        if transaction.connection is None:
+            return
+        if now_s - transaction.rest_since_s > idle_limit_s:
+            self._abort_transaction("idle in transaction for too long")
+
+    def is_resting(self) -> bool:
+        """Tell whether no request and no transaction is open."""
+        return (
+            not self._is_busy
+            and not self._waiting
+            and self._transaction is None
+            and not self._buffer.size
+        )
+
+    def stop_transaction(self, reason: str) -> None:
+        """End an open transaction that rests, and then the session."""
+        if self._is_busy or self._waiting:
+            return
+        if self._transaction is not None:
+            self._services.log.write(
+                "transaction_aborted", database=self._database, reason=reason
+            )
+        self.close()
+
+    def close(self) -> None:
+        """End the session in the ordinary way."""
+        if self._transport is not None and not self._is_closed:
+            self._transport.close()
+        self._end()
+
+    def _end(self) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._waiting.clear()
+        if self._request is not None and self._router is not None:
+            self._router.cancel(self._request)
+        self._release(self._transaction)
+        self._transaction = None
+        self._services.drop_session(self)
+
+    def _end_broken(self, code: statements.Code, reason: str) -> None:
+        self._services.log.write(
+            "session_ended", database=self._database, reason=reason
+        )
+        if self._transport is not None:
+            self._transport.write(lines.encode_error(code, reason.encode()))
+            self._transport.close()
+        self._end()
+
+    # Messages.
+
+    def _serve_next(self) -> None:
+        while self._waiting and not self._is_busy and not self._is_closed:
+            message, arrived_s = self._waiting.popleft()
+            if len(self._waiting) == MAX_WAITING_MESSAGES:
+                assert self._transport is not None
+                self._transport.resume_reading()
+            if self._database is None:
+                self._start(message)
+                continue
+            statement = lines.parse_query(message)
+            if statement is not None:
+                self._serve(statement, arrived_s)
+            elif lines.is_goodbye(message):
+                self.close()
+            else:
+                self._end_broken(_Code.MALFORMED, "unknown message")
+
+    def _start(self, message: bytes) -> None:
+        database = lines.parse_start(message)
+        if database is None:
+            self._end_broken(_Code.MALFORMED, "START expected")
+            return
+        if self._services.catalog.find_route(database) is None:
+            self._services.counters.count("refused", "UNKNOWN_DATABASE")
+            self._end_broken(_Code.UNKNOWN_DATABASE, "no such database")
+            return
+        self._database = database
+        self._write(lines.encode_ready(_State.IDLE))
+
+    def _serve(self, statement: statements.Statement, arrived_s: float) -> None:
+        transaction = self._transaction
+        if transaction is not None and transaction.is_failed:
+            self._serve_failed(statement, transaction)
+            return
+        if transaction is not None and transaction.abort_reason:
+            self._tell_abort(statement, transaction)
+            return
+        handler = _HANDLERS[statement.kind]
+        handler(self, statement, arrived_s)
+
+    def _serve_failed(
+        self, statement: statements.Statement, transaction: Transaction
+    ) -> None:
+        """Serve a statement after the transaction has failed."""
+        if statement.kind is _Kind.ROLLBACK:
+            self._transaction = None
+            self._answer_done(_State.IDLE)
+        elif statement.kind is _Kind.COMMIT:
+            self._transaction = None
+            self._answer_error(
+                statement, _Code.ABORTED, "the transaction has failed"
+            )
+        else:
+            self._answer_error(
+                statement, _Code.MALFORMED, "the transaction has failed"
+            )
+
+    def _tell_abort(
+        self, statement: statements.Statement, transaction: Transaction
+    ) -> None:
+        """Tell a caller that its transaction was ended meanwhile."""
+        reason, transaction.abort_reason = transaction.abort_reason, ""
+        transaction.is_failed = True
+        if statement.kind in (_Kind.COMMIT, _Kind.ROLLBACK):
+            self._transaction = None
+        if statement.kind is _Kind.ROLLBACK:
+            self._answer_done(_State.IDLE)
+            return
+        self._answer_error(statement, _Code.ABORTED, reason)
+
+    # Statements that the host answers itself.
+
+    def _serve_malformed(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        self._answer_error(statement, _Code.MALFORMED, "unknown statement")
+
+    def _serve_set(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        self.values[statement.name] = statement.rest
+        self._answer_done(self._get_state())
+
+    def _serve_prepare(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        self.prepared[statement.name] = statement.rest
+        self._answer_done(self._get_state())
+
+    def _serve_deallocate(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        self.prepared.pop(statement.name, None)
+        self._answer_done(self._get_state())
+
+    def _serve_begin(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        if self._transaction is not None:
+            self._answer_error(statement, _Code.MALFORMED, "already begun")
+            return
+        route = self._find_route(statement)
+        if route is not None:
+            # The target is chosen with the first statement, so that a caller
+            # that pauses after its begin holds no connection.
+            self._transaction = Transaction(
+                statement, arrived_s, route, rest_since_s=arrived_s
+            )
+            self._answer_done(_State.IN_TRANSACTION)
+
+    def _serve_rollback(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        if self._transaction is None:
+            self._answer_error(statement, _Code.MALFORMED, "no transaction")
+            return
+        self._release(self._transaction)
+        self._transaction = None
+        self._answer_done(_State.IDLE)
+
+    # Statements that a target runs.
+
+    def _serve_forwarded(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        transaction = self._transaction
+        if statement.kind is _Kind.EXECUTE:
+            if statement.name not in self.prepared:
+                self._answer_error(
+                    statement, _Code.UNKNOWN_STATEMENT, "not prepared"
+                )
+                return
+        if transaction is None and statement.kind is _Kind.COMMIT:
+            self._answer_error(statement, _Code.MALFORMED, "no transaction")
+            return
+        self._is_busy = True
+        if transaction is None:
+            self._submit_single(statement, arrived_s)
+        elif transaction.connection is None:
+            self._submit_begin(transaction, statement, arrived_s)
+        else:
+            self._run_held(transaction, statement, arrived_s)
+
+    def _is_write(self, statement: statements.Statement) -> bool:
+        if statement.kind is _Kind.EXECUTE:
+            return lines.is_write_definition(self.prepared[statement.name])
+        return statement.kind is _Kind.WRITE
+
+    def _submit_single(
+        self, statement: statements.Statement, arrived_s: float
+    ) -> None:
+        route = self._find_route(statement)
+        if route is None:
+            self._is_busy = False
+            return
+        is_write = self._is_write(statement)
+        is_primary = route.consistency is model.Consistency.PRIMARY
+        need = placement.Need(
+            is_write or is_primary,
+            is_write,
+            route.consistency,
+            route.max_age_s,
+            arrived_s,
+            self._own_position,
+        )
+
+        def note_result(result: router_module.Result) -> None:
+            self._request = None
+            if is_write and result.answer and not result.code:
+                self._note_own_commit(result.answer)
+            self._tell(statement, route, arrived_s, result)
+
+        self._submit(statement, route, need, arrived_s, False, note_result)
+
+    def _submit_begin(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        arrived_s: float,
+    ) -> None:
+        route = transaction.route
+        is_read = transaction.begin.kind is _Kind.BEGIN_READ
+        is_primary = route.consistency is model.Consistency.PRIMARY
+        need = placement.Need(
+            not is_read or is_primary,
+            False,
+            route.consistency,
+            route.max_age_s,
+            transaction.arrived_s,
+            self._own_position,
+        )
+
+        def note_result(result: router_module.Result) -> None:
+            self._request = None
+            if result.connection is None:
+                transaction.is_failed = True
+                self._tell(statement, route, arrived_s, result)
+                return
+            if self._is_closed:
+                result.connection.abort()
+                return
+            transaction.connection = result.connection
+            transaction.target = result.target
+            self._run_held(transaction, statement, arrived_s)
+
+        self._submit(
+            transaction.begin, route, need, arrived_s, True, note_result
+        )
+
+    def _submit(
+        self,
+        statement: statements.Statement,
+        route: model.Route,
+        need: placement.Need,
+        arrived_s: float,
+        begins: bool,
+        on_end: router_module.Listener,
+    ) -> None:
+        router = self._services.find_router(route.group)
+        if router is None or router.queue_length >= MAX_QUEUED:
+            detail = "too many requests wait; retry after 300 ms"
+            on_end(router_module.Result(None, _Code.BUSY, detail))
+            return
+        request = router_module.Request(
+            self,
+            statement,
+            need,
+            begins,
+            route.priority,
+            arrived_s,
+            arrived_s + route.statement_timeout_s,
+            on_end,
+        )
+        self._request = request
+        self._router = router
+        router.submit(request)
+
+    def _run_held(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        arrived_s: float,
+    ) -> None:
+        """Run a statement on the connection that the transaction owns."""
+        connection = transaction.connection
+        assert connection is not None
+        if connection.is_closed:
+            self._note_transaction_lost(transaction, statement, arrived_s)
+            return
+        now_s = clock.get_time_s()
+        limit_s = arrived_s + transaction.route.statement_timeout_s - now_s
+        is_commit = statement.kind is _Kind.COMMIT
+        transaction.has_written |= self._is_write(statement)
+
+        def note_end(outcome: connections.Outcome) -> None:
+            if outcome.answer is None:
+                self._note_transaction_lost(
+                    transaction, statement, arrived_s, outcome
+                )
+            elif is_commit:
+                self._note_committed(transaction, statement, arrived_s, outcome)
+            else:
+                self._note_held_answer(
+                    transaction, statement, arrived_s, outcome.answer
+                )
+
+        router = self._services.find_router(transaction.route.group)
+        if is_commit and transaction.has_written and router is not None:
+            router.commits[transaction] = now_s
+        connection.run(self, statement, None, note_end, max(0.05, limit_s))
+
+    def _note_held_answer(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        arrived_s: float,
+        answer: statements.Answer,
+    ) -> None:
+        now_s = clock.get_time_s()
+        transaction.rest_since_s = now_s
+        is_open = answer.state is _State.IN_TRANSACTION
+        limit_s = transaction.route.statement_timeout_s
+        if answer.code is _Code.BUSY and is_open and not self._is_closed:
+            if now_s - arrived_s < limit_s - RETRY_IN_TRANSACTION_S:
+                asyncio.get_running_loop().call_later(
+                    RETRY_IN_TRANSACTION_S,
+                    self._run_held,
+                    transaction,
+                    statement,
+                    arrived_s,
+                )
+                return
+        if not is_open:
+            transaction.is_failed = True
+            self._release(transaction)
+        result = router_module.Result(
+            answer, answer.code, target=transaction.target
+        )
+        self._tell(statement, transaction.route, arrived_s, result)
+
+    def _note_committed(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        arrived_s: float,
+        outcome: connections.Outcome,
+    ) -> None:
+        answer = outcome.answer
+        assert answer is not None
+        router = self._services.find_router(transaction.route.group)
+        if router is not None:
+            router.commits.pop(transaction, None)
+        if answer.code is None and transaction.has_written:
+            self._note_own_commit(answer)
+            if router is not None:
+                router.note_commit(transaction.target, outcome.asked_s)
+        self._release(transaction)
+        self._transaction = None
+        result = router_module.Result(
+            answer, answer.code, target=transaction.target
+        )
+        self._tell(statement, transaction.route, arrived_s, result)
+
+    def _note_transaction_lost(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        arrived_s: float,
+        outcome: connections.Outcome | None = None,
+    ) -> None:
+        """Tell what is known after the transaction's connection is gone."""
+        router = self._services.find_router(transaction.route.group)
+        if router is not None:
+            router.commits.pop(transaction, None)
+        was_sent = outcome is not None and statement.kind is _Kind.COMMIT
+        code = _Code.ABORTED
+        if was_sent and transaction.has_written:
+            code = _Code.UNKNOWN_OUTCOME
+        transaction.connection = None
+        transaction.is_failed = True
+        if statement.kind is _Kind.COMMIT:
+            self._transaction = None
+        is_timeout = outcome is not None and outcome.is_timeout
+        detail = "no answer in time" if is_timeout else "connection lost"
+        result = router_module.Result(
+            None, code, detail, target=transaction.target
+        )
+        self._tell(statement, transaction.route, arrived_s, result)
+
+    def _note_own_commit(self, answer: statements.Answer) -> None:
+        position = lines.parse_position(answer.position)
+        if position is not None:
+            known = self._own_position
+            self._own_position = max(known, position) if known else position
+
+    def _release(self, transaction: Transaction | None) -> None:
+        """Give a transaction's connection back."""
+        if transaction is None or transaction.connection is None:
+            return
+        connection = transaction.connection
+        transaction.connection = None
+        if connection.is_closed:
+            return
+        if self._is_busy and connection.get_oldest_s() is not None:
+            # A statement is under way; closing rolls it back.
+            connection.abort()
+            return
+        connection.release(ROLLBACK_TIMEOUT_S)
+
+    def _abort_transaction(self, reason: str) -> None:
+        transaction = self._transaction
+        assert transaction is not None
+        self._services.log.write(
+            "transaction_aborted", database=self._database, reason=reason
+        )
+        self._services.counters.count("transactions_aborted", "idle")
+        self._release(transaction)
+        transaction.abort_reason = reason
+
+    # Answers.
+
+    def _find_route(
+        self, statement: statements.Statement
+    ) -> model.Route | None:
+        route = self._services.catalog.find_route(self._database or "")
+        if route is None:
+            self._services.counters.count("refused", "UNKNOWN_DATABASE")
+            self._answer_error(
+                statement, _Code.UNKNOWN_DATABASE, "no such database"
+            )
+        return route
+
+    def _get_state(self) -> statements.SessionState:
+        if self._transaction is None:
+            return _State.IDLE
+        if self._transaction.is_failed:
+            return _State.FAILED
+        return _State.IN_TRANSACTION
+
+    def _answer_done(self, state: statements.SessionState) -> None:
+        self._write(lines.encode_done() + lines.encode_ready(state))
+
+    def _answer_error(
+        self,
+        statement: statements.Statement,
+        code: statements.Code,
+        detail: str,
+    ) -> None:
+        self._services.log.write(
+            "statement_refused",
+            id=statement.id,
+            database=self._database,
+            code=code.name,
+            reason=detail,
+        )
+        self._write(
+            lines.encode_error(code, detail.encode())
+            + lines.encode_ready(self._get_state())
+        )
+
+    def _tell(
+        self,
+        statement: statements.Statement,
+        route: model.Route,
+        arrived_s: float,
+        result: router_module.Result,
+    ) -> None:
+        """Send a result to the caller and write down how it came about."""
+        self._is_busy = False
+        now_s = clock.get_time_s()
+        if self._transaction is not None:
+            self._transaction.rest_since_s = now_s
+        answer = result.answer
+        outcome = result.code.name if result.code else "DONE"
+        services = self._services
+        services.counters.observe(outcome, now_s - arrived_s)
+        position = result.position
+        services.log.write(
+            "statement_ended",
+            id=statement.id.decode("ascii", "replace"),
+            kind=statement.kind.name,
+            database=self._database,
+            group=route.group,
+            target=result.target,
+            outcome=outcome,
+            reason=result.detail,
+            position=f"{position.term}.{position.number}" if position else "",
+            evidence_age_ms=round(result.evidence_age_s * 1000),
+            waited_ms=round(result.waited_s * 1000, 1),
+            total_ms=round((now_s - arrived_s) * 1000, 1),
+            attempts=result.attempts,
+        )
+        if self._is_closed:
+            return
+        if answer is not None and answer.code is None:
+            data = answer.rows + lines.encode_done(answer.signature or b"-")
+            position_text = answer.position
+        else:
+            code = result.code or _Code.BUSY
+            detail = answer.detail if answer else result.detail.encode()
+            data = lines.encode_error(code, detail)
+            position_text = lines.NO_POSITION
+        self._write(data + lines.encode_ready(self._get_state(), position_text))
+        self._serve_next()
+
+    def _write(self, data: bytes) -> None:
+        self.idle_since_s = clock.get_time_s()
+        transport = self._transport
+        if transport is None or self._is_closed:
+            return
+        transport.write(data)
+        if transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
+            transport.abort()
+
+
+_HANDLERS = {
+    _Kind.MALFORMED: CallerSession._serve_malformed,
+    _Kind.SET: CallerSession._serve_set,
+    _Kind.PREPARE: CallerSession._serve_prepare,
+    _Kind.DEALLOCATE: CallerSession._serve_deallocate,
+    _Kind.BEGIN: CallerSession._serve_begin,
+    _Kind.BEGIN_READ: CallerSession._serve_begin,
+    _Kind.ROLLBACK: CallerSession._serve_rollback,
+    _Kind.COMMIT: CallerSession._serve_forwarded,
+    _Kind.READ: CallerSession._serve_forwarded,
+    _Kind.WRITE: CallerSession._serve_forwarded,
+    _Kind.EXECUTE: CallerSession._serve_forwarded,
+}
--- a/knapweedtally/management/bundle_options.py
+++ b/knapweedtally/management/bundle_options.py
@@ -14,7 +14,7 @@
 from knapweedtally.management import options
 from knapweedtally.management import roll_outs
 from knapweedtally.management import yaml_files
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 
 _Result = TypeVar("_Result")
 
--- a/knapweedtally/management/commands/bundle_roll_out.py
+++ b/knapweedtally/management/commands/bundle_roll_out.py
@@ -15,7 +15,7 @@
 from knapweedtally.management import exit_codes
 from knapweedtally.management import options
 from knapweedtally.management import roll_outs
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 
 DEFAULT_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.2
--- a/knapweedtally/management/roll_outs.py
+++ b/knapweedtally/management/roll_outs.py
@@ -14,7 +14,7 @@
 import anyio
 
 from knapweedtally.core.bundles import codec
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.utils import backoff
 
 KIND = "bundle"
--- /dev/null
+++ b/knapweedtally/platform/promotion_call.py
@@ -0,0 +1,25 @@
+"""The call that names the target that takes over a group."""
+
+import json
+
+from knapweedtally.utils import http
+
+
+def make_request(
+    group: str, target: str, holder: str, fence: int
+) -> http.Request:
+    """Return the request that promotes a target.
+
+    Args:
+        group: name of the group.
+        target: id of the target.
+        holder: name of the host that holds the duty.
+        fence: number of this turn of the duty; rises with each turn.
+    """
+    body = {"backend": group, "id": target}
+    headers = {
+        "content-type": "application/json",
+        "x-duty-holder": holder,
+        "x-fence-token": str(fence),
+    }
+    return http.Request("POST", "/promote", headers, json.dumps(body).encode())
--- /dev/null
+++ b/knapweedtally/platform/records.py
@@ -0,0 +1,122 @@
+"""The operator's configuration and the targets' entries, decoded."""
+
+from typing import Any
+
+from knapweedtally.core.groups import model
+from knapweedtally.platform import settings
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+TARGETS_KIND = "servers"
+
+_CONSISTENCIES = {
+    "primary": model.Consistency.PRIMARY,
+    "bounded_stale": model.Consistency.BOUNDED,
+    "read_your_writes": model.Consistency.SESSION,
+}
+_TARGET_STATES = frozenset({"ready", "draining"})
+_TARGET_ROLES = frozenset({"primary", "replica"})
+
+# Used where a route states no limit of its own.
+DEFAULT_STATEMENT_TIMEOUT_S = 1.0
+
+
+class UnreadableRecord(ValueError):  # noqa: N818 - named after the cause
+    """Report an object that doesn't have the expected form."""
+
+
+def parse_configuration(spec: Any) -> model.Configuration:
+    """Return the configuration in an object's ``spec``.
+
+    A route or group that can't be read is left out, the others hold.
+
+    Raises:
+        UnreadableRecord: there is no version or no list of routes.
+    """
+    try:
+        version = spec["version"]
+        routes = [_parse_route(item) for item in spec["routes"]]
+        groups = [_parse_group(item) for item in spec["backends"]]
+        idle_ms = (spec.get("limits") or {}).get("txIdleMs") or 0
+        if not isinstance(version, int):
+            raise UnreadableRecord(f"version is {version!r}")
+        return model.Configuration(
+            version,
+            {route.database: route for route in routes if route},
+            {group.name: group for group in groups if group},
+            float(idle_ms) / 1000,
+        )
+    except (AttributeError, KeyError, TypeError) as error:
+        raise UnreadableRecord(f"configuration: {error!r}") from error
+
+
+def _parse_route(item: Any) -> model.Route | None:
+    try:
+        # "host" holds the name of the database that callers ask for, and
+        # "backend" the service, which is a group of targets here.
+        timeout_ms = item.get("timeoutMs")
+        timeout_s = DEFAULT_STATEMENT_TIMEOUT_S
+        if timeout_ms:
+            timeout_s = float(timeout_ms) / 1000
+        return model.Route(
+            database=str(item["host"]),
+            group=str(item["backend"]),
+            consistency=_CONSISTENCIES[item["type"]],
+            max_age_s=float(item.get("maxStalenessMs") or 0) / 1000,
+            statement_timeout_s=timeout_s,
+            aim_s=float(item.get("targetLatencyMs") or 1000) / 1000,
+            priority=int(item.get("priority") or 0),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _parse_group(item: Any) -> model.GroupSettings | None:
+    try:
+        return model.GroupSettings(
+            name=str(item["name"]),
+            max_connections=int(item.get("maxConns") or 8),
+            acknowledging_replicas=int(item.get("syncReplicas") or 0),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def parse_target(name: str, revision: int, spec: Any) -> model.TargetEntry:
+    """Return the target that an entry describes.
+
+    Raises:
+        UnreadableRecord: a field is missing, of another type, or holds a
+            state or role that is not known; the entry names no target.
+    """
+    try:
+        state = spec["state"]
+        role = spec["dbRole"]
+        started_ms = spec.get("born", 0)
+        update = spec["seq"]
+        address = settings.parse_address(spec["addr"])
+        is_known = state in _TARGET_STATES and role in _TARGET_ROLES
+        texts = (spec["backend"], spec["zone"], spec["addr"], spec["version"])
+        numbers = (started_ms, update, spec["slots"], spec["coldLeftMs"])
+        is_typed = all(
+            isinstance(text, str) and text for text in texts
+        ) and all(type(number) is int for number in numbers[:3])
+        is_typed = is_typed and type(numbers[3]) in (int, float)
+        if not is_known or not is_typed:
+            raise UnreadableRecord(f"entry {name!r} is not of the known form")
+        return model.TargetEntry(
+            target=name,
+            revision=revision,
+            group=spec["backend"],
+            address=address.host,
+            port=address.port,
+            data_centre=spec["zone"],
+            started_ms=started_ms,
+            update=update,
+            is_draining=state == "draining",
+            is_primary=role == "primary",
+        )
+    except (AttributeError, KeyError, TypeError) as error:
+        raise UnreadableRecord(f"entry {name!r}: {error!r}") from error
+    except settings.SettingsError as error:
+        raise UnreadableRecord(f"entry {name!r}: {error}") from error
--- /dev/null
+++ b/knapweedtally/store/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards the platform's object API."""
--- a/knapweedtally/platform/edge.py
+++ b/knapweedtally/store/edge.py
@@ -12,9 +12,9 @@
 from knapweedtally.core import effects
 from knapweedtally.core import events
 from knapweedtally.core import model
-from knapweedtally.platform import client as platform_client
-from knapweedtally.platform import hosts
-from knapweedtally.platform import watches
+from knapweedtally.store import client as platform_client
+from knapweedtally.store import hosts
+from knapweedtally.store import watches
 from knapweedtally.runtime import edges
 
 WATCHED_KINDS = ("bundle", "group")
--- a/knapweedtally/platform/hosts.py
+++ b/knapweedtally/store/hosts.py
@@ -10,7 +10,7 @@
 
 from knapweedtally.core import events
 from knapweedtally.core import model
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.utils import backoff
 
 # How soon the platform is told that the host is leaving.
--- a/knapweedtally/platform/watches.py
+++ b/knapweedtally/store/watches.py
@@ -8,7 +8,7 @@
 import structlog
 
 from knapweedtally.core import events
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.utils import backoff
 
 WATCH_WAIT_MS = 10_000
--- a/knapweedtally/utils/http_client.py
+++ b/knapweedtally/utils/http_client.py
@@ -1,5 +1,7 @@
 """A small HTTP/1.1 client with a pool of kept connections."""
 
+import socket
+import struct
 import time
 
 import anyio
@@ -14,6 +16,10 @@
 MAX_IDLE_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
 
+# SO_LINGER with a time of nought: closing discards what was not yet received
+# by the server and resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Client:
     """Send requests to one server.
@@ -85,6 +91,16 @@
                 await connection.close()
         return response
 
+    async def connect(self) -> None:
+        """Make a connection ahead of the next request.
+
+        Raises:
+            http.ConnectionRefused: no connection was made.
+        """
+        connection = await self._take()
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+
     async def close(self) -> None:
         """Close the kept connections."""
         while self._idle:
@@ -148,7 +164,15 @@
         return response
 
     async def close(self) -> None:
-        """Close the connection at once."""
+        """Reset the connection, so that nothing held up on the way arrives."""
+        try:
+            sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        except (AttributeError, OSError, anyio.TypedAttributeLookupError):
+            # The socket is closed already, so nothing is left to discard.
+            pass
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
--- a/knapweedtally/utils/http_server.py
+++ b/knapweedtally/utils/http_server.py
@@ -1,5 +1,6 @@
 """A small HTTP/1.1 server with bounded messages and keep-alive."""
 
+import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
@@ -7,11 +8,10 @@
 import anyio
 import anyio.abc
 import h11
-import structlog
 
 from knapweedtally.utils import http
 
-_logger = structlog.get_logger()
+_logger = logging.getLogger(__name__)
 
 Handler = Callable[[http.Request], Awaitable[http.Response]]
 
@@ -150,7 +150,7 @@
         except http.ExchangeDropped:
             raise
         except Exception:  # One bad request must not end the process.
-            _logger.exception("http: handler failed", path=request.path)
+            _logger.exception("http: handler of %s failed", request.path)
             return http.make_json_response(500, {"error": "internal error"})
 
     async def _read_body(self) -> bytes:
--- a/tests/admin/bed.py
+++ b/tests/admin/bed.py
@@ -16,7 +16,7 @@
 from knapweedtally.core.explanations import decisions as explanations
 from knapweedtally.core.membership import state as membership_state
 from knapweedtally.metrics import measures as measures_module
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
 from tests.bundles import test_decisions
--- a/tests/admin/test_edge.py
+++ b/tests/admin/test_edge.py
@@ -8,9 +8,9 @@
 
 from knapweedtally.core import events
 from knapweedtally.core.draining import events as draining_events
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from tests.admin import bed as bed_module
-from tests.platform import stand_in
+from tests.store import stand_in
 
 Bed = bed_module.Bed
 GROUP_VALUE: dict[str, object] = {
--- a/tests/management/test_bundle_commands.py
+++ b/tests/management/test_bundle_commands.py
@@ -9,7 +9,7 @@
 from knapweedtally.management import exit_codes
 from tests.management import test_application
 from tests.management import test_bundle_files
-from tests.platform import stand_in
+from tests.store import stand_in
 
 
 class BundleCommandsTest(testtools.TestCase):
--- a/tests/management/test_roll_outs.py
+++ b/tests/management/test_roll_outs.py
@@ -9,9 +9,9 @@
 import testtools
 
 from knapweedtally.management import roll_outs
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from tests.bundles import test_decisions
-from tests.platform import stand_in
+from tests.store import stand_in
 
 ROUNDS = 12
 Outcome = roll_outs.Outcome
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -7,7 +7,7 @@
 
 from bench import cluster
 from knapweedtally.management import roll_outs
-from knapweedtally.platform import client as platform_client
+from knapweedtally.store import client as platform_client
 from tests.processes import scenario as scenarios
 
 Scenario = scenarios.Scenario
--- a/tests/platform/test_edge.py
+++ b/tests/store/test_edge.py
@@ -11,8 +11,8 @@
 from knapweedtally.core import effects
 from knapweedtally.core import events
 from knapweedtally.core import model
-from knapweedtally.platform import edge
-from tests.platform import stand_in
+from knapweedtally.store import edge
+from tests.store import stand_in
 
 HOST = model.ListedHost("a1", "127.0.1.2", 7100, "dc1", False)
 
--- a/tests/platform/test_stand_in.py
+++ b/tests/store/test_stand_in.py
@@ -4,7 +4,7 @@
 import testtools
 
 from knapweedtally.utils import http
-from tests.platform import stand_in
+from tests.store import stand_in
 
 
 class StandInTest(testtools.TestCase):
