Play an entry host before stand-ins of the users' platform

A store with watches, a group of targets that speak the line protocol and the promote call, in memory; an entry host in the test's own process serves callers before them.

--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -132,6 +132,12 @@
         if isinstance(host, str) and isinstance(port, int):
             self._peers.setdefault(stored.name, Peer((host, port)))
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
--- /dev/null
+++ b/standins/line_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: store, line-protocol targets and the promote call."""
--- /dev/null
+++ b/standins/line_platform/platform.py
@@ -0,0 +1,181 @@
+"""Store, targets and promote call together, on loopback."""
+
+import asyncio
+import json
+from typing import Any
+
+from knapweedtally.utils import http
+from knapweedtally.utils import http_server
+from standins.line_platform import store
+from standins.line_platform import targets
+
+# Time that a promotion takes, in seconds.
+PROMOTE_S = 0.2
+
+# Interval of the targets' entries, in seconds.
+HEARTBEAT_S = 0.2
+
+
+class Platform:
+    """Run the stand-ins of one deployment.
+
+    Attributes:
+        store: the store.
+        groups: groups by name.
+        promotions: pairs of the fence number and the target of each call.
+        routes: routes of the configuration in force.
+    """
+
+    def __init__(self, group_names: tuple[str, ...] = ("g",)) -> None:
+        """Make a platform that isn't started."""
+        self.store = store.Store()
+        self.groups = {name: targets.Group(name, 3, 16) for name in group_names}
+        self.promotions: list[tuple[int, str, str]] = []
+        self.routes: list[dict[str, Any]] = []
+        self.leaving: set[str] = set()
+        self._version = 0
+        self._updates = 0
+        self._servers: list[http_server.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start every part and write the first configuration."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                await target.start()
+        for name in self.groups:
+            self.routes += make_routes(name)
+        self.put_configuration()
+        self.write_entries()
+        for handler in (self.store.answer, self._answer_duty):
+            server = http_server.Server(handler, "127.0.0.1", 0)
+            started = asyncio.get_running_loop().create_future()
+            task = asyncio.create_task(_serve(server, started))
+            self._tasks.append(task)
+            await started
+            self._servers.append(server)
+        self._tasks.append(asyncio.create_task(self._run_heartbeats()))
+
+    async def stop(self) -> None:
+        """Stop every part."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for group in self.groups.values():
+            for target in group.targets.values():
+                await target.stop()
+
+    def put_configuration(self) -> None:
+        """Write the next version of the configuration."""
+        self._version += 3
+        groups = [
+            {
+                "name": name,
+                "maxConns": group.max_connections,
+                "syncReplicas": 1,
+            }
+            for name, group in self.groups.items()
+        ]
+        spec = {
+            "version": self._version,
+            "routes": self.routes,
+            "backends": groups,
+            "limits": {"txIdleMs": 3000},
+        }
+        self.store.put("config", "main", spec)
+
+    def write_entries(self) -> None:
+        """Write the entries of the targets that run."""
+        self._updates += 1
+        for group in self.groups.values():
+            for target in group.targets.values():
+                if target.is_up and not target.is_dark:
+                    spec = self._make_entry(group, target)
+                    self.store.put("servers", target.id, spec)
+
+    def make_settings(self, host: str, ports: list[int]) -> dict[str, Any]:
+        """Return the settings of an entry host.
+
+        Args:
+            host: its name.
+            ports: ports of callers, readiness, datagrams and measures.
+        """
+        return {
+            "node": host,
+            "zone": "dc",
+            "ip": "127.0.0.1",
+            "listen": {
+                "front": f"127.0.0.1:{ports[0]}",
+                "ready": f"127.0.0.1:{ports[1]}",
+            },
+            "internalPorts": ports[2:4],
+            "platform": {"addr": f"127.0.0.1:{self._servers[0].port}"},
+            "cloudApi": {"addr": f"127.0.0.1:{self._servers[1].port}"},
+            "bounds": {"graceS": 2, "drainMs": 7000},
+        }
+
+    def _make_entry(
+        self, group: targets.Group, target: targets.Target
+    ) -> dict[str, Any]:
+        return {
+            "backend": group.name,
+            "addr": f"127.0.0.1:{target.port}",
+            "zone": "dc",
+            "version": "v1",
+            "slots": 2,
+            "state": "draining" if target.id in self.leaving else "ready",
+            "coldLeftMs": 0,
+            "dbRole": "primary" if target.is_primary else "replica",
+            "seq": self._updates,
+        }
+
+    async def _run_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.write_entries()
+
+    async def _answer_duty(self, request: http.Request) -> http.Response:
+        body = json.loads(request.body)
+        fence = int(request.headers["x-fence-token"])
+        holder = request.headers["x-duty-holder"]
+        self.promotions.append((fence, holder, body["id"]))
+        group = self.groups[body["backend"]]
+        target = group.targets.get(body["id"])
+        if target is None or not target.is_up:
+            return http.Response(409)
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROMOTE_S, group.promote, body["id"])
+        return http.Response(200)
+
+
+def make_routes(group: str) -> list[dict[str, Any]]:
+    """Return one route of each consistency to a group."""
+    kinds = {
+        "primary": 0,
+        "bounded_stale": 1500,
+        "read_your_writes": 2500,
+    }
+    return [
+        {
+            "name": f"r-{group}-{kind}",
+            "host": f"{group}-{kind}",
+            "pathPrefix": "/",
+            "type": kind,
+            "timeoutMs": 4000,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "backend": group,
+            "maxStalenessMs": age_ms,
+        }
+        for kind, age_ms in kinds.items()
+    ]
+
+
+async def _serve(
+    server: http_server.Server, started: "asyncio.Future[None]"
+) -> None:
+    class Status:
+        def started(self, value: None = None) -> None:
+            started.set_result(None)
+
+    await server.serve(task_status=Status())
--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,156 @@
+"""An entry host in this process, before the platform's stand-ins."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from typing import Any
+
+from knapweedtally.entry import host as host_module
+from knapweedtally.entry import logs
+from knapweedtally.entry import sessions
+from knapweedtally.platform import settings
+from standins.line_platform import platform as platform_module
+
+# Longest wait for something to come about, in seconds; no test asserts it.
+WAIT_S = 20.0
+
+
+class Entry:
+    """Hold one entry host and its loops."""
+
+    def __init__(self, configured: settings.HostSettings) -> None:
+        self.lines: list[dict[str, Any]] = []
+        log = logs.Log(configured.host, -1)
+        log.write = self._note  # type: ignore[method-assign]
+        self.host = host_module.Host(configured, log)
+        self.port = 0
+        self._server: asyncio.AbstractServer | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _note(self, event: str, **fields: Any) -> None:
+        self.lines.append({"event": event, **fields})
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: sessions.CallerSession(self.host), "127.0.0.1", 0
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        runs = [
+            *(watcher.run() for watcher in self.host.make_watchers()),
+            self.host.peers.run(),
+            self.host.run_ticks(),
+        ]
+        self._tasks = [loop.create_task(run) for run in runs]
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+        for session in tuple(self.host.sessions):
+            session.close()
+        for router in self.host.routers.values():
+            for pool in router.pools.values():
+                pool.close()
+        self.host.peers.close()
+
+    def find_lines(self, event: str) -> list[dict[str, Any]]:
+        return [line for line in self.lines if line["event"] == event]
+
+
+class Caller:
+    """Speak the line protocol with an entry host."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._ids = 0
+        self.state = ""
+
+    async def start(self, database: str) -> str:
+        self._reader, self._writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+        await self.send_raw(f"START {database} tests\r\n".encode())
+        return await self.read_line()
+
+    async def send_raw(self, data: bytes) -> None:
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def read_line(self) -> str:
+        async with asyncio.timeout(WAIT_S):
+            line = await self._reader.readuntil(b"\r\n")
+        return line[:-2].decode()
+
+    async def send(self, text: str) -> None:
+        self._ids += 1
+        await self.send_raw(f"QUERY q{self._ids} {text}\r\n".encode())
+
+    async def receive(self) -> list[str]:
+        """Return an answer's messages; the last one's state is kept."""
+        messages: list[str] = []
+        while not messages or not messages[-1].startswith("READY "):
+            messages.append(await self.read_line())
+        self.state = messages.pop().split(" ")[1]
+        return messages
+
+    async def run(self, text: str) -> list[str]:
+        await self.send(text)
+        return await self.receive()
+
+    async def is_ended(self) -> bool:
+        """Wait for the end of the connection."""
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return not await self._reader.read(1)
+        except ConnectionError:
+            return True
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that are free at the moment."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+@contextlib.asynccontextmanager
+async def run_system(
+    hosts: int = 1,
+) -> AsyncIterator[tuple[platform_module.Platform, list[Entry]]]:
+    """Run the stand-ins and entry hosts that serve their group."""
+    platform = platform_module.Platform()
+    await platform.start()
+    entries: list[Entry] = []
+    try:
+        for number in range(hosts):
+            content = platform.make_settings(f"host-{number}", find_ports(4))
+            entry = Entry(settings.parse_settings(content))
+            entries.append(entry)
+            await entry.start()
+        for entry in entries:
+            await wait_for(entry.host.is_ready)
+        yield platform, entries
+    finally:
+        for entry in entries:
+            await entry.stop()
+        await platform.stop()
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -22,9 +22,7 @@
 
     def test_older_version_is_not_taken(self) -> None:
         known = catalog.Catalog()
-        self.assertTrue(
-            catalog.put_configuration(known, make_configuration(7))
-        )
+        self.assertTrue(catalog.put_configuration(known, make_configuration(7)))
         self.assertFalse(
             catalog.put_configuration(known, make_configuration(6))
         )
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -81,7 +81,5 @@
 
     def test_single_target_stays(self) -> None:
         since_s = NOW_S - 5.0
-        found = self.find(
-            failing_since_s=since_s, failures=9, other_members=0
-        )
+        found = self.find(failing_since_s=since_s, failures=9, other_members=0)
         self.assertIsNone(found)
--- a/tests/groups/test_duty.py
+++ b/tests/groups/test_duty.py
@@ -43,6 +43,12 @@
         self.assertFalse(duty.may_act(claimed_s, last_s))
 
     def test_foreign_object_holds_no_turn(self) -> None:
-        for spec in (None, 3, {}, {"holder": 1}, HELD._asdict() | {"fence": "4"}):
+        for spec in (
+            None,
+            3,
+            {},
+            {"holder": 1},
+            HELD._asdict() | {"fence": "4"},
+        ):
             self.assertIsNone(duty.parse_turn(spec))
         self.assertEqual(duty.parse_turn(HELD._asdict()), HELD)
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -90,9 +90,7 @@
 
     def test_gives_up_where_another_leads_already(self) -> None:
         attempt = make_attempt()
-        status = model.TargetStatus(
-            True, 2, model.Position(2, 9), 0, 0.0, 0, 1
-        )
+        status = model.TargetStatus(True, 2, model.Position(2, 9), 0, 0.0, 0, 1)
         report = succession.Report(status, 0, 100.0)
         succession.note_reports(attempt, _Order.PAUSE, {"a": report}, 100.0)
         step = succession.next_step(attempt, 100.0)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -91,7 +91,12 @@
                 records.parse_target("i-1", 9, ENTRY | change)
 
     def test_other_type_names_no_target(self) -> None:
-        for change in ({"seq": "4"}, {"addr": 7}, {"slots": None}, {"seq": True}):
+        for change in (
+            {"seq": "4"},
+            {"addr": 7},
+            {"slots": None},
+            {"seq": True},
+        ):
             with testtools.ExpectedException(records.UnreadableRecord):
                 records.parse_target("i-1", 9, ENTRY | change)
 
