Renew the duty for real, hold callers until configured, shorten a change

The turn now counts its renewals. Also: a host that had just started told 41 callers that their database doesn't exist; they now wait for the first configuration. A change of primary took 3.2 s after a crash: the claim is made in the order of ranks, the silent primary is not asked again, silence is judged after 0.5 s (was 0.7). While a group is stopped, the promoter tells every host the position that covers all commits, so that reads of a stated age go on at replicas. A host counts as cut off only if it also reaches less than half of the targets. A primary that stepped down is asked again right before the promotion.

--- a/knapweedtally/admin/edge.py
+++ b/knapweedtally/admin/edge.py
@@ -19,8 +19,8 @@
 from knapweedtally.core.explanations import decisions as explanations
 from knapweedtally.metrics import measures as measures_module
 from knapweedtally.metrics import prometheus
-from knapweedtally.store import client as platform_client
 from knapweedtally.runtime import edges
+from knapweedtally.store import client as platform_client
 from knapweedtally.utils import http
 from knapweedtally.utils import http_server
 
--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -8,8 +8,9 @@
 # seconds: two attempts, so that a restart in between is seen.
 REFUSED_S = 0.2
 
-# The same for one that is silent: longer than a full queue takes to answer.
-SILENT_S = 0.7
+# The same for one that is silent: longer than any of the answers takes that a
+# target with a full queue gives.
+SILENT_S = 0.5
 
 # A commit without an answer for this long, in seconds, while the primary
 # answers questions, shows that no replica receives.
--- a/knapweedtally/core/groups/duty.py
+++ b/knapweedtally/core/groups/duty.py
@@ -27,12 +27,16 @@
         incarnation: which start of the host's process.
         fence: number of the turn.
         is_held: False once the holder gave the duty back.
+        renewals: counts the renewals of the turn. The store gives an object
+            that stays the same no new revision, and others would take the
+            turn for abandoned.
     """
 
     holder: str
     incarnation: str
     fence: int
     is_held: bool
+    renewals: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,7 +73,12 @@
 def make_next_turn(turn: Turn | None, host: str, incarnation: str) -> Turn:
     """Return the turn that a claim writes."""
     fence = turn.fence + 1 if turn is not None else 1
-    return Turn(host, incarnation, fence, True)
+    return Turn(host, incarnation, fence, True, 0)
+
+
+def renew_turn(turn: Turn) -> Turn:
+    """Return the turn that a renewal writes."""
+    return turn._replace(renewals=turn.renewals + 1)
 
 
 def may_act(claimed_s: float, now_s: float) -> bool:
@@ -88,8 +97,11 @@
         return None
     holder, incarnation = spec.get("holder"), spec.get("incarnation")
     fence, is_held = spec.get("fence"), spec.get("is_held")
+    renewals = spec.get("renewals")
     if not isinstance(holder, str) or not isinstance(incarnation, str):
         return None
-    if type(fence) is not int or not isinstance(is_held, bool):
+    if type(fence) is not int or type(renewals) is not int:
+        return None
+    if not isinstance(is_held, bool):
         return None
-    return Turn(holder, incarnation, fence, is_held)
+    return Turn(holder, incarnation, fence, is_held, renewals)
--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -146,6 +146,24 @@
     positions.append((asked_s, position))
 
 
+def note_fenced_position(
+    leadership: Leadership,
+    term: int,
+    position: model.Position,
+    known_s: float,
+) -> None:
+    """Record what a promoter found once no commit could be acknowledged.
+
+    From the fence until the promotion is asked for, this position covers every
+    acknowledged commit of the term, so replicas can serve on meanwhile.
+    """
+    if leadership.term != term:
+        return
+    positions = leadership.positions
+    if not positions or (known_s, position) > positions[-1]:
+        positions.append((known_s, position))
+
+
 def find_position(
     leadership: Leadership, since_s: float
 ) -> model.Position | None:
--- a/knapweedtally/core/groups/sharing.py
+++ b/knapweedtally/core/groups/sharing.py
@@ -82,6 +82,8 @@
         member_age_s: age of the evidence of another member.
         position_age_s: age of the position.
         position: position that the primary answered.
+        is_fenced: whether the position is that of a promoter which has
+            stopped the group; the rest then says nothing.
     """
 
     group: str
@@ -91,6 +93,7 @@
     member_age_s: float
     position_age_s: float
     position: model.Position
+    is_fenced: bool = False
 
 
 def make_shared(
@@ -126,6 +129,14 @@
     Returns:
         Whether it shows a new primary or a new term.
     """
+    if shared.is_fenced:
+        evidence.note_fenced_position(
+            leadership,
+            shared.term,
+            shared.position,
+            sent_here_s - shared.position_age_s,
+        )
+        return False
     primary_s = sent_here_s - shared.primary_age_s
     is_new = evidence.note_primary(
         leadership, shared.target, shared.term, primary_s
@@ -143,8 +154,13 @@
     return is_new
 
 
-def list_askers(group: str, hosts: Iterable[str]) -> list[str]:
-    """Return the hosts that ask for a group, by rendezvous hashing."""
+def rank_hosts(group: str, hosts: Iterable[str]) -> list[str]:
+    """Return the hosts in a group's order, by rendezvous hashing."""
     return sorted(
         hosts, key=lambda host: zlib.crc32(f"{group}/{host}".encode())
-    )[:ASKERS]
+    )
+
+
+def list_askers(group: str, hosts: Iterable[str]) -> list[str]:
+    """Return the hosts that ask a group's targets for the others."""
+    return rank_hosts(group, hosts)[:ASKERS]
--- a/knapweedtally/core/groups/succession.py
+++ b/knapweedtally/core/groups/succession.py
@@ -101,6 +101,7 @@
         stepped_down_s: when its answer came.
         fenced: reports of the members that stopped receiving.
         candidate: id of the chosen target.
+        is_asked: whether the platform was asked for the promotion.
         reason: why it was given up.
     """
 
@@ -117,6 +118,7 @@
     stepped_down_s: float = 0.0
     fenced: dict[str, Report] = dataclasses.field(default_factory=dict)
     candidate: str | None = None
+    is_asked: bool = False
     reason: str = ""
 
 
@@ -203,7 +205,7 @@
 
 
 def next_step(attempt: Attempt, now_s: float) -> Step:
-    """Return what is to be done next, and move on to the phase it belongs to."""
+    """Return what is to be done next, and move on to its phase."""
     if attempt.phase is Phase.DONE:
         return Finish(True, "")
     is_late = now_s - attempt.started_s > ATTEMPT_LIMIT_S
@@ -234,6 +236,22 @@
     return Ask(Order.PAUSE, missing, ROUND_S)
 
 
+def find_safe_position(attempt: Attempt) -> model.Position | None:
+    """Return a position that covers every acknowledged commit for now.
+
+    Holds from the fence, or the step down, until the promotion is asked for.
+    """
+    is_stopped = attempt.phase in (Phase.WAIT, Phase.CONFIRM, Phase.PROMOTE)
+    if not is_stopped or attempt.is_asked:
+        return None
+    if attempt.stepped_down_s:
+        return attempt.final_position
+    return max(
+        (report.status.received for report in attempt.fenced.values()),
+        default=None,
+    )
+
+
 def get_wait_end_s(attempt: Attempt) -> float:
     """Return when all evidence about the old primary has expired."""
     since_s = attempt.stepped_down_s
@@ -256,12 +274,15 @@
 def _confirm(attempt: Attempt, now_s: float) -> Step:
     if attempt.stepped_down_s:
         assert attempt.candidate is not None
-        return Ask(Order.STATUS, (attempt.candidate,), ROUND_S)
+        assert attempt.old_primary is not None
+        targets = {attempt.candidate, attempt.old_primary}
+        return Ask(Order.STATUS, tuple(targets), ROUND_S)
     return Ask(Order.PAUSE, tuple(attempt.fenced), ROUND_S)
 
 
 def _promote(attempt: Attempt, now_s: float) -> Step:
     assert attempt.candidate is not None
+    attempt.is_asked = True
     return Promote(attempt.candidate)
 
 
@@ -375,10 +396,7 @@
     attempt: Attempt, reports: dict[str, Report], now_s: float
 ) -> None:
     if attempt.stepped_down_s:
-        if attempt.candidate in reports:
-            _move(attempt, Phase.PROMOTE, now_s)
-        elif now_s - attempt.phase_since_s > 1.0:
-            _move(attempt, Phase.FENCE, now_s)
+        _note_confirm_step_down(attempt, reports, now_s)
         return
     for target, known in list(attempt.fenced.items()):
         report = reports.get(target)
@@ -391,13 +409,30 @@
         _move(attempt, Phase.FENCE, now_s)
 
 
+def _note_confirm_step_down(
+    attempt: Attempt, reports: dict[str, Report], now_s: float
+) -> None:
+    """Promote if the old primary is still no primary.
+
+    One that restarted may lead again and commit; then the others are stopped.
+    """
+    old = reports.get(attempt.old_primary or "")
+    is_down = old is not None and not old.status.is_primary
+    if is_down and attempt.candidate in reports:
+        _move(attempt, Phase.PROMOTE, now_s)
+    else:
+        attempt.stepped_down_s = 0.0
+        _move(attempt, Phase.FENCE, now_s)
+
+
 def _note_effect(
     attempt: Attempt, reports: dict[str, Report], now_s: float
 ) -> None:
     report = reports.get(attempt.candidate or "")
-    if report and report.status.is_primary:
-        if report.status.term >= attempt.term:
-            _move(attempt, Phase.FOLLOW, now_s)
+    if report is None or not report.status.is_primary:
+        return
+    if report.status.term >= attempt.term:
+        _move(attempt, Phase.FOLLOW, now_s)
 
 
 _NOTES = {
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -248,11 +248,10 @@
         values = session.values
         if self.values == values:
             return batch
-        if not self.values.items() <= values.items():
-            if any(name not in values for name in self.values):
-                batch.append((lines.OWN_ID, lines.RESET, self._note_setup))
-                self.values.clear()
-                self._prepared.clear()
+        if any(name not in values for name in self.values):
+            batch.append((lines.OWN_ID, lines.RESET, self._note_setup))
+            self.values.clear()
+            self._prepared.clear()
         for name, value in values.items():
             if self.values.get(name) != value:
                 text = lines.encode_set(name, value)
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -1,6 +1,7 @@
 """What one entry host knows and does, apart from its sockets."""
 
 import asyncio
+from collections.abc import Callable
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import detection
@@ -41,9 +42,10 @@
 # machine stood still and that failures seen before it prove nothing.
 STANDSTILL_S = 0.5
 
-# A host without evidence about half of the groups for this long, in seconds,
-# sends callers elsewhere: it is cut off rather than a primary.
-CUT_OFF_S = 1.0
+# A host that has no evidence about half of the groups, and reaches less than
+# half of the targets, for this long, in seconds, is cut off and sends callers
+# elsewhere. A primary that fails leaves the other targets within reach.
+CUT_OFF_S = 0.3
 
 # Resting sessions are closed this long after the host stopped being ready, in
 # seconds: new connections reach other hosts by then.
@@ -74,6 +76,7 @@
         self.sessions: set[sessions.CallerSession] = set()
         self.store = store.StoreClient(configured.store, log)
         self.peers = peers.Peers(configured, self.store, log, self._note_shared)
+        self._when_configured: list[Callable[[], None]] = []
         self._shared_s: dict[str, float] = {}
         self._settings = configured
         self._promoter: promoter.Promoter | None = None
@@ -83,6 +86,7 @@
                 configured.duties,
                 configured.host,
                 log,
+                self._share_fenced,
             )
         self._changing: set[str] = set()
         self._change_after_s: dict[str, float] = {}
@@ -126,6 +130,10 @@
         """Forget a session."""
         self.sessions.discard(session)
 
+    def call_when_configured(self, callback: Callable[[], None]) -> None:
+        """Call back once a configuration is in force."""
+        self._when_configured.append(callback)
+
     # What the store says.
 
     def _put_configurations(
@@ -147,6 +155,9 @@
                     routes=len(configuration.routes),
                 )
                 self._sync_routers()
+                waiting, self._when_configured = self._when_configured, []
+                for callback in waiting:
+                    callback()
 
     def _put_entries(self, objects: list[store_calls.StoredObject]) -> None:
         entries = [entry for entry in map(self._parse_entry, objects) if entry]
@@ -229,6 +240,7 @@
                 pool.open()
             pool.entry = member.entry
             pool.max_connections = router.settings.max_connections
+            pool.live_hosts = max(1, len(self.peers.list_live()))
             self._sync_offer(router, pool, member, now_s)
 
     def _sync_offer(
@@ -282,6 +294,21 @@
         if router is not None:
             router.note_shared(shared, sent_here_s)
 
+    def _share_fenced(
+        self,
+        router: router_module.Router,
+        term: int,
+        position: model.Position,
+    ) -> None:
+        """Tell every host which position covers all commits for now."""
+        now_s = clock.get_time_s()
+        evidence.note_fenced_position(router.leadership, term, position, now_s)
+        router.dispatch()
+        shared = sharing.SharedEvidence(
+            router.settings.name, "", term, 0.0, 0.0, 0.0, position, True
+        )
+        self.peers.share((shared,), now_s)
+
     def _share_evidence(self, now_s: float) -> None:
         """Tell the other hosts what this host asked for, when it is new."""
         live = self.peers.list_live()
@@ -339,9 +366,11 @@
             for target in router.pools
             if self._is_leaving(target, clock.get_time_s())
         )
+        ranked = sharing.rank_hosts(name, self.peers.list_live())
+        rank = ranked.index(self._settings.host) if ranked else 0
         try:
             await self._promoter.run(
-                router, lambda: self._find_cause(router), leaving
+                router, lambda: self._find_cause(router), leaving, rank
             )
         finally:
             self._changing.discard(name)
@@ -381,8 +410,13 @@
 
     def _check_service(self, now_s: float) -> None:
         """Note since when most groups can't be served from here."""
-        served = sum(1 for r in self.routers.values() if r.is_served(now_s))
-        if not self.routers or served * 2 < len(self.routers):
+        routers = self.routers.values()
+        served = sum(1 for router in routers if router.is_served(now_s))
+        pools = [p for router in routers for p in router.pools.values()]
+        failing = sum(1 for pool in pools if pool.failing_since_s is not None)
+        is_known = any(router.known_since_s for router in routers)
+        is_cut_off = not is_known or failing * 2 > len(pools)
+        if is_cut_off and served * 2 <= len(self.routers):
             if self._unserved_since_s is None:
                 self._unserved_since_s = now_s
                 self.log.write("groups_unserved", served=served)
@@ -396,7 +430,9 @@
         unserved_s = 0.0
         if self._unserved_since_s is not None:
             unserved_s = now_s - self._unserved_since_s
-        moves_away = unserved_s > CUT_OFF_S + MOVE_AWAY_S
+        # A host that just started has told nobody that it is ready.
+        is_known = any(r.known_since_s for r in self.routers.values())
+        moves_away = is_known and unserved_s > CUT_OFF_S + MOVE_AWAY_S
         for session in tuple(self.sessions):
             session.tick(now_s, limit_s)
             if moves_away and session.is_resting():
--- a/knapweedtally/entry/peer_messages.py
+++ b/knapweedtally/entry/peer_messages.py
@@ -9,7 +9,7 @@
 from knapweedtally.core.groups import sharing
 
 # Version of the form; others are dropped, as during an update of the hosts.
-FORM = 1
+FORM = 2
 
 
 class PeerMessage(NamedTuple):
@@ -52,6 +52,7 @@
             min(_to_us(item.member_age_s), 10**9),
             min(_to_us(item.position_age_s), 10**9),
             *item.position,
+            item.is_fenced,
         ]
         for item in message.shared
     ]
@@ -93,7 +94,8 @@
 
 
 def _decode_shared(item: Any) -> sharing.SharedEvidence:
-    group, target, term, primary_us, member_us, age_us, log_term, number = item
+    group, target, term, primary_us, member_us, age_us, *rest = item
+    log_term, number, is_fenced = rest
     if not isinstance(group, str) or not isinstance(target, str):
         raise BrokenMessage("names are no texts")
     return sharing.SharedEvidence(
@@ -104,4 +106,5 @@
         member_us / 1e6,
         age_us / 1e6,
         model.Position(int(log_term), int(number)),
+        bool(is_fenced),
     )
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -15,10 +15,10 @@
 
 # Time to make a connection, in seconds: a lost opening packet is sent again
 # after a second, which is too late to wait for.
-CONNECT_TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_S = 0.4
 
 # Time for the answer to a question about a target's status, in seconds.
-ASK_TIMEOUT_S = 0.4
+ASK_TIMEOUT_S = 0.3
 
 # Connections of the target's limit that are left to hosts that start.
 RESERVED_CONNECTIONS = 2
@@ -28,6 +28,9 @@
 # The same after the target said that it has too many.
 FULL_RETRY_S = 0.5
 
+# A target's count of its connections is believed for this long, in seconds.
+COUNT_AGE_S = 1.0
+
 # A connection beyond the first is closed after it was idle for this long.
 IDLE_CLOSE_S = 10.0
 
@@ -49,6 +52,8 @@
         entry: the target's entry.
         max_connections: connections that the target takes from all hosts.
         known_connections: connections that it counted when last asked.
+        counted_s: when that was.
+        live_hosts: hosts that share its connections.
         failing_since_s: first failure since its last answer, or None.
         failures: failures since its last answer.
         is_refusing: whether the last failure was a refusal.
@@ -68,6 +73,8 @@
         self.entry = entry
         self.max_connections = max_connections
         self.known_connections = 0
+        self.counted_s = 0.0
+        self.live_hosts = 1
         self.failing_since_s: float | None = None
         self.failures = 0
         self.is_refusing = False
@@ -126,11 +133,24 @@
         now_s = clock.get_time_s()
         if self._opening or self._retry_at_s > now_s or self._is_closed:
             return
-        others = max(0, self.known_connections - len(self._connections))
-        allowed = self.max_connections - RESERVED_CONNECTIONS - others
-        if self.size and self.size >= allowed:
-            return
-        self.open()
+        if self.size < self._get_share() or self._has_room(now_s):
+            self.open()
+
+    def _get_share(self) -> int:
+        """Return the connections that this host may hold at any time."""
+        free = self.max_connections - RESERVED_CONNECTIONS
+        return max(1, free // self.live_hosts)
+
+    def _has_room(self, now_s: float) -> bool:
+        """Tell whether the target has connections that no host claims.
+
+        Several hosts may find so at the same time, so each leaves room for
+        half of the others.
+        """
+        if now_s - self.counted_s > COUNT_AGE_S:
+            return False
+        free = self.max_connections - RESERVED_CONNECTIONS
+        return self.known_connections + self.live_hosts // 2 < free
 
     def open(self) -> None:
         """Open a connection in the background."""
@@ -171,6 +191,7 @@
         )
         if code is statements.Code.TOO_MANY_CONNECTIONS:
             self.known_connections = self.max_connections
+            self.counted_s = now_s
             self._retry_at_s = now_s + FULL_RETRY_S
             return
         self._note_open_failure(started_s, True, code.name)
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from knapweedtally.core.groups import duty
+from knapweedtally.core.groups import model
 from knapweedtally.core.groups import succession
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
@@ -21,9 +22,11 @@
 DUTY_KIND = "knapweedtally-duties"
 DUTY_NAME = "promotion"
 
-# Hosts that see the same failure claim the duty at random times within this,
-# in seconds, so that most find it claimed.
-CLAIM_SPREAD_S = 0.15
+# Hosts that see the same failure claim the duty one after the other in the
+# order of their ranks, this far apart, in seconds, up to the limit; most find
+# it claimed then.
+CLAIM_STEP_S = 0.06
+CLAIM_LIMIT_S = 0.3
 
 # A turn is renewed when this much of it has passed, in seconds.
 RENEW_AFTER_S = 0.5
@@ -40,7 +43,6 @@
     """Hold the right to promote, as the store's object says.
 
     Attributes:
-        fence: number of the held turn.
         claimed_s: when the claim or its last renewal was sent.
     """
 
@@ -48,8 +50,8 @@
         self, client: store.StoreClient, host: str, log: logs.Log
     ) -> None:
         """Make a duty that isn't held."""
-        self.fence = 0
         self.claimed_s = 0.0
+        self._turn = duty.Turn(host, "", 0, False, 0)
         self._client = client
         self._host = host
         self._incarnation = f"{random.getrandbits(48):x}"
@@ -57,6 +59,11 @@
         self._sighting = duty.Sighting()
         self._revision = 0
 
+    @property
+    def fence(self) -> int:
+        """Return the number of the held turn."""
+        return self._turn.fence
+
     async def claim(self) -> None:
         """Take the duty.
 
@@ -74,7 +81,7 @@
             await self._write(claimed, turn is None)
         except (store.StoreError, store_calls.BrokenAnswer) as error:
             raise DutyLost(str(error)) from error
-        self.fence = claimed.fence
+        self._turn = claimed
         self._log.write("duty_claimed", fence=self.fence)
 
     async def renew(self) -> None:
@@ -85,16 +92,17 @@
         """
         if clock.get_time_s() - self.claimed_s < RENEW_AFTER_S:
             return
-        turn = duty.Turn(self._host, self._incarnation, self.fence, True)
+        turn = duty.renew_turn(self._turn)
         try:
             await self._write(turn, False)
+            self._turn = turn
         except (store.StoreError, store_calls.BrokenAnswer) as error:
             if not duty.may_act(self.claimed_s, clock.get_time_s()):
                 raise DutyLost(str(error)) from error
 
     async def give_back(self) -> None:
         """Tell the other hosts that the duty is free."""
-        turn = duty.Turn(self._host, self._incarnation, self.fence, False)
+        turn = self._turn._replace(is_held=False)
         try:
             await self._write(turn, False)
         except (store.StoreError, store_calls.BrokenAnswer, DutyLost) as error:
@@ -138,6 +146,9 @@
         duty.note_seen(self._sighting, stored.revision, clock.get_time_s())
 
 
+FenceListener = Callable[[router_module.Router, int, model.Position], None]
+
+
 class Promoter:
     """Run attempts for several groups under one turn of the duty."""
 
@@ -147,8 +158,19 @@
         address: settings.Address,
         host: str,
         log: logs.Log,
+        on_fenced: FenceListener,
     ) -> None:
-        """Make a promoter without an attempt."""
+        """Make a promoter without an attempt.
+
+        Args:
+            held: the duty to promote.
+            address: where promotions are asked for.
+            host: name of this host.
+            log: where the steps are written.
+            on_fenced: told the position that covers every commit of a group
+                and term while an attempt has stopped it.
+        """
+        self._on_fenced = on_fenced
         self._duty = held
         self._address = address
         self._host = host
@@ -161,6 +183,7 @@
         router: router_module.Router,
         find_cause: Callable[[], succession.Cause | None],
         leaving: frozenset[str],
+        rank: int,
     ) -> bool:
         """Hold the duty and change a group's primary.
 
@@ -169,11 +192,12 @@
             find_cause: tells why the change is needed; asked again once the
                 duty is held, since another host may have made it meanwhile.
             leaving: ids of the targets that are leaving.
+            rank: place of this host among those that may do it.
 
         Returns:
             Whether a new primary leads.
         """
-        await asyncio.sleep(random.uniform(0, CLAIM_SPREAD_S))
+        await asyncio.sleep(min(CLAIM_LIMIT_S, CLAIM_STEP_S * rank))
         try:
             await self._enter()
         except DutyLost as error:
@@ -206,7 +230,11 @@
 
     async def _ask_all(self, router: router_module.Router) -> None:
         """Hear from every member, so that the cause is judged by news."""
-        targets = tuple(router.pools)
+        targets = tuple(
+            target
+            for target, pool in router.pools.items()
+            if pool.failing_since_s is None
+        )
         await asyncio.gather(
             *(
                 self._ask_one(target, succession.Order.STATUS, 0, router)
@@ -270,6 +298,9 @@
                 return step
             try:
                 await self._do(step, attempt, router)
+                position = succession.find_safe_position(attempt)
+                if position is not None:
+                    self._on_fenced(router, attempt.term - 1, position)
                 await self._duty.renew()
             except DutyLost as error:
                 await self._resume(attempt, router)
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -362,6 +362,7 @@
         if pool is None:
             return
         pool.known_connections = status.connections
+        pool.counted_s = asked_s
         pool.load.position = max(pool.load.position, status.received)
         self.known_term = max(self.known_term, status.term)
         leadership = self.leadership
@@ -385,7 +386,7 @@
         self, shared: sharing.SharedEvidence, sent_here_s: float
     ) -> None:
         """Take another host's evidence."""
-        if shared.target not in self.pools:
+        if not shared.is_fenced and shared.target not in self.pools:
             return
         self.known_term = max(self.known_term, shared.term)
         if sharing.merge_shared(self.leadership, shared, sent_here_s):
@@ -445,7 +446,7 @@
 
     def is_served(self, now_s: float) -> bool:
         """Tell whether the group's primary is known and confirmed."""
-        return self.leadership.valid_until_s + 1.0 >= now_s
+        return self.leadership.valid_until_s >= now_s
 
 
 class _Attempt:
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -5,6 +5,7 @@
 import dataclasses
 import socket
 import typing
+from collections.abc import Callable
 from typing import Protocol
 
 from knapweedtally.core.groups import catalog
@@ -66,6 +67,9 @@
     def drop_session(self, session: "CallerSession") -> None:
         """Forget a session."""
 
+    def call_when_configured(self, callback: Callable[[], None]) -> None:
+        """Call back once a configuration is in force."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Transaction:
@@ -239,6 +243,12 @@
         if database is None:
             self._end_broken(_Code.MALFORMED, "START expected")
             return
+        if self._services.catalog.configuration is None:
+            # The process has just started. Nothing is known of databases yet,
+            # so the caller waits rather than being told that there is none.
+            self._is_busy = True
+            self._services.call_when_configured(lambda: self._resume(message))
+            return
         if self._services.catalog.find_route(database) is None:
             self._services.counters.count("refused", "UNKNOWN_DATABASE")
             self._end_broken(_Code.UNKNOWN_DATABASE, "no such database")
@@ -246,6 +256,13 @@
         self._database = database
         self._write(lines.encode_ready(_State.IDLE))
 
+    def _resume(self, message: bytes) -> None:
+        """Start a session that waited for the configuration."""
+        self._is_busy = False
+        if not self._is_closed:
+            self._start(message)
+            self._serve_next()
+
     def _serve(self, statement: statements.Statement, arrived_s: float) -> None:
         transaction = self._transaction
         if transaction is not None and transaction.is_failed:
--- a/knapweedtally/runtime/process.py
+++ b/knapweedtally/runtime/process.py
@@ -23,12 +23,12 @@
 from knapweedtally.metrics import measures as measures_module
 from knapweedtally.peers import edge as peers_edge
 from knapweedtally.peers import handshake
-from knapweedtally.store import client as platform_client
-from knapweedtally.store import edge as platform_edge
 from knapweedtally.runtime import certificates as certificates_module
 from knapweedtally.runtime import edges
 from knapweedtally.runtime import logs
 from knapweedtally.runtime import loop as loop_module
+from knapweedtally.store import client as platform_client
+from knapweedtally.store import edge as platform_edge
 from knapweedtally.targets import edge as targets_edge
 from knapweedtally.utils import tls
 
--- a/knapweedtally/store/edge.py
+++ b/knapweedtally/store/edge.py
@@ -12,10 +12,10 @@
 from knapweedtally.core import effects
 from knapweedtally.core import events
 from knapweedtally.core import model
+from knapweedtally.runtime import edges
 from knapweedtally.store import client as platform_client
 from knapweedtally.store import hosts
 from knapweedtally.store import watches
-from knapweedtally.runtime import edges
 
 WATCHED_KINDS = ("bundle", "group")
 MAX_CALLS = 16
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -158,6 +158,20 @@
 
         play(scenario)
 
+    def test_caller_waits_for_the_first_configuration(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            catalog = entries[0].host.catalog
+            catalog.configuration = None
+            caller = harness.Caller(entries[0].port)
+            starting = asyncio.create_task(caller.start("g-primary"))
+            await harness.wait_for(lambda: bool(entries[0].host.sessions))
+            platform.put_configuration()
+            self.assertEqual(await starting, "READY I -")
+
+        play(scenario)
+
     def test_route_that_is_removed(self) -> None:
         async def scenario(
             platform: platform_module.Platform, entries: list[harness.Entry]
--- a/tests/groups/simulation.py
+++ b/tests/groups/simulation.py
@@ -106,9 +106,9 @@
                 member.paused_for = max(member.paused_for, term)
             if step.order is succession.Order.RESUME:
                 member.paused_for = 0
-            if step.order is succession.Order.STEP_DOWN:
-                if member.is_primary and member.term < term:
-                    member.is_primary = False
+            is_step_down = step.order is succession.Order.STEP_DOWN
+            if is_step_down and member.term < term:
+                member.is_primary = False
             reports[name] = succession.Report(
                 member.get_status(), member.life, self.now_s
             )
--- a/tests/groups/test_duty.py
+++ b/tests/groups/test_duty.py
@@ -4,7 +4,7 @@
 
 from knapweedtally.core.groups import duty
 
-HELD = duty.Turn("a", "1", 4, True)
+HELD = duty.Turn("a", "1", 4, True, 0)
 
 
 class TurnTest(testtools.TestCase):
@@ -30,6 +30,11 @@
         free_at_s = duty.get_free_at_s(HELD, sighting, "b")
         self.assertEqual(free_at_s, 101.0 + duty.TURN_S)
 
+    def test_renewal_is_another_object(self) -> None:
+        renewed = duty.renew_turn(HELD)
+        self.assertNotEqual(renewed._asdict(), HELD._asdict())
+        self.assertEqual(renewed.fence, HELD.fence)
+
     def test_duty_given_back_is_free_at_once(self) -> None:
         sighting = duty.Sighting()
         duty.note_seen(sighting, 7, 100.0)
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -133,6 +133,50 @@
         succession.note_reports(attempt, _Order.STEP_DOWN, {}, 100.4)
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
+    def test_fences_where_the_old_primary_leads_again(self) -> None:
+        attempt = make_attempt(_Cause.LEAVING)
+        succession.note_reports(
+            attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
+        )
+        succession.note_reports(
+            attempt, _Order.STATUS, {"a": make_report(9)}, 100.1
+        )
+        late_s = 100.1 + evidence.EVIDENCE_SPAN_S
+        succession.next_step(attempt, late_s)
+        again = {"a": make_report(9), "p": make_report(9, is_primary=True)}
+        succession.note_reports(attempt, _Order.STATUS, again, late_s)
+        self.assertEqual(attempt.phase, _Phase.FENCE)
+
+
+class SafePositionTest(testtools.TestCase):
+    """Which position covers all commits while a group is stopped."""
+
+    def test_known_from_the_fence_until_the_promotion(self) -> None:
+        attempt = make_attempt()
+        self.assertIsNone(succession.find_safe_position(attempt))
+        reports = {"a": make_report(5), "b": make_report(7)}
+        succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
+        found = succession.find_safe_position(attempt)
+        self.assertEqual(found, model.Position(1, 7))
+        late_s = 100.0 + evidence.EVIDENCE_SPAN_S
+        succession.next_step(attempt, late_s)
+        succession.note_reports(attempt, _Order.PAUSE, reports, late_s)
+        self.assertEqual(attempt.phase, _Phase.PROMOTE)
+        self.assertIsNotNone(succession.find_safe_position(attempt))
+        succession.next_step(attempt, late_s)
+        self.assertIsNone(succession.find_safe_position(attempt))
+        succession.note_promoted(attempt, 0, late_s)
+        self.assertIsNone(succession.find_safe_position(attempt))
+
+    def test_serves_replicas_of_the_same_term_only(self) -> None:
+        leadership = evidence.Leadership()
+        evidence.note_primary(leadership, "p", 1, 50.0)
+        position = model.Position(1, 7)
+        evidence.note_fenced_position(leadership, 2, position, 100.0)
+        self.assertIsNone(evidence.find_position(leadership, 99.0))
+        evidence.note_fenced_position(leadership, 1, position, 100.0)
+        self.assertEqual(evidence.find_position(leadership, 99.0), position)
+
 
 class SimulationTest(testtools.TestCase):
     """No acknowledged commit is missing in the promoted target's log."""
