Let a target that started again take its predecessor's place

Change: a new entry at the address of a member of the same group replaces it; its log proves something only once it reaches what the old one was known to hold. A target that doesn't answer is no candidate for reads, and a group that is out of order for longer than a change takes refuses at once with when to come back.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -89,6 +89,22 @@
     return entry.update < known.update
 
 
+def find_predecessor(catalog: Catalog, entry: model.TargetEntry) -> str | None:
+    """Return the target of the group that was at a new target's address.
+
+    A target that started again under another id, or that took over another's
+    log, is found at the same address; the other's process has ended.
+    """
+    for target, member in catalog.members.items():
+        known = member.entry
+        if target == entry.target or known.group != entry.group:
+            continue
+        is_same = (known.address, known.port) == (entry.address, entry.port)
+        if is_same and known.revision < entry.revision:
+            return target
+    return None
+
+
 def note_missing(catalog: Catalog, target: str, now_s: float) -> None:
     """Record that a target's entry is gone from the store."""
     member = catalog.members.get(target)
--- a/knapweedtally/core/groups/placement.py
+++ b/knapweedtally/core/groups/placement.py
@@ -68,6 +68,7 @@
         target: id of the target.
         data_centre: its data centre.
         is_offered: whether it may get new work.
+        is_answering: whether it answered lately.
         idle: idle connections to it.
         running: statements that run on it for this host.
         run_s: moving average of the time to an answer.
@@ -82,6 +83,7 @@
     target: str
     data_centre: str = ""
     is_offered: bool = True
+    is_answering: bool = True
     idle: int = 0
     running: int = 0
     run_s: float = FIRST_RUN_S
@@ -251,7 +253,9 @@
 ) -> bool:
     if load.target in excluded:
         return False
-    return load.is_offered and (is_primary or load.rests_until_s <= now_s)
+    if not load.is_offered or not load.is_answering:
+        return False
+    return is_primary or load.rests_until_s <= now_s
 
 
 def estimate_answer_s(load: TargetLoad, counts_as_spare: bool) -> float:
--- a/knapweedtally/core/groups/succession.py
+++ b/knapweedtally/core/groups/succession.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Collection
 from typing import NamedTuple
 
 from knapweedtally.core.groups import evidence
@@ -187,6 +188,19 @@
     return attempt
 
 
+def put_members(attempt: Attempt, members: Collection[str]) -> None:
+    """Take the group's members as they are known now.
+
+    A target that started again under another id takes the place of the old
+    one. The number of members can't fall: what is missing may hold commits.
+    """
+    others = tuple(t for t in members if t != attempt.old_primary)
+    if attempt.phase is Phase.FENCE and len(others) >= len(attempt.others):
+        attempt.others = others
+        for target in [t for t in attempt.fenced if t not in members]:
+            del attempt.fenced[target]
+
+
 def count_fences_needed(attempt: Attempt) -> int:
     """Return how many of the other members have to be fenced.
 
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -203,6 +203,23 @@
             )
             if pool is not None:
                 pool.restart(entry)
+            elif router is not None:
+                self._succeed(router, entry)
+
+    def _succeed(
+        self, router: router_module.Router, entry: model.TargetEntry
+    ) -> None:
+        """Let a new target take the place of the one at its address."""
+        old = catalog.find_predecessor(self.catalog, entry)
+        if old is None:
+            return
+        del self.catalog.members[old]
+        pool = router.pools.pop(old, None)
+        if pool is None:
+            return
+        pool.close()
+        router.add_pool(entry, pool.get_floor())
+        self.log.write("target_succeeded", target=entry.target, old=old)
 
     def _sync_routers(self) -> None:
         """Give each group of the configuration the targets that exist."""
@@ -229,15 +246,7 @@
             target = member.entry.target
             pool = router.pools.get(target)
             if pool is None:
-                pool = pools.Pool(
-                    member.entry,
-                    router.settings.max_connections,
-                    "knapweedtally",
-                    self.log,
-                    router.dispatch,
-                )
-                router.pools[target] = pool
-                pool.open()
+                pool = router.add_pool(member.entry, model.Position(0, 0))
             pool.entry = member.entry
             pool.max_connections = router.settings.max_connections
             pool.live_hosts = max(1, len(self.peers.list_live()))
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -58,6 +58,7 @@
         failures: failures since its last answer.
         is_refusing: whether the last failure was a refusal.
         life: changes when the target may have restarted.
+        floor: position that its log reached before it restarted.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.failures = 0
         self.is_refusing = False
         self.life = 0
+        self.floor = model.Position(0, 0)
         self._user = user
         self._log = log
         self._on_change = on_change
@@ -215,6 +217,7 @@
         if self.failing_since_s is None:
             self.failing_since_s = since_s
         self.failures += 1
+        self.load.is_answering = self.failures < 2
         self.is_refusing = is_refused
 
     def note_opened(self, connection: connections.Connection) -> None:
@@ -235,6 +238,7 @@
         if self.failing_since_s is not None:
             self.failing_since_s = None
             self.failures = 0
+            self.load.is_answering = True
 
     def note_closed(self, connection: connections.Connection) -> None:
         """Drop a connection that is gone."""
@@ -268,9 +272,14 @@
             ask = self._asks.popleft()
             ask.on_end(connections.Outcome(None, clock.get_time_s()))
 
+    def get_floor(self) -> model.Position:
+        """Return the newest position that its log is known to have held."""
+        return max(self.floor, self.load.position)
+
     def restart(self, entry: model.TargetEntry) -> None:
         """Begin anew with a target that began a new life."""
         self.entry = entry
+        self.floor = self.get_floor()
         self.load.data_centre = entry.data_centre
         self.load.position = model.Position(0, 0)
         self.life += 1
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -296,6 +296,7 @@
                 if not step.is_done:
                     await self._resume(attempt, router)
                 return step
+            succession.put_members(attempt, router.pools)
             try:
                 await self._do(step, attempt, router)
                 position = succession.find_safe_position(attempt)
@@ -389,6 +390,10 @@
         if status is None:
             return None
         router.note_status(target, status, outcome.asked_s)
+        if status.received < pool.floor:
+            # It restarted without what it had received before, so its log
+            # proves nothing about commits that it acknowledged.
+            return None
         return succession.Report(status, life, clock.get_time_s())
 
     async def _promote(self, group: str, target: str) -> int:
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -35,6 +35,20 @@
 # Members are asked this often while no primary is known, in seconds.
 SEARCH_S = 0.1
 
+# What a host calls itself towards targets.
+USER = "knapweedtally"
+
+# A group without usable evidence for this long, in seconds, is out of order
+# for longer than a change of its primary takes. What needs the primary is
+# then refused at once rather than held until its deadline.
+OUT_OF_ORDER_S = 2.5
+
+# Hints to callers when to come back, in milliseconds: the usual rest of a
+# change of primary, and of an outage that is longer.
+RETRY_HINT_MS = 500
+OUTAGE_HINT_MS = 1500
+
+_Reason = placement.Reason
 _Code = statements.Code
 _Kind = statements.Kind
 
@@ -140,6 +154,7 @@
         self.commits: dict[object, float] = {}
         self.last_commit_s = 0.0
         self.is_asker = True
+        self._made_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
@@ -150,6 +165,28 @@
         self._turn = 0
         self._is_dispatching = False
 
+    def add_pool(
+        self, entry: model.TargetEntry, floor: model.Position
+    ) -> pools.Pool:
+        """Add a target.
+
+        Args:
+            entry: its entry.
+            floor: position that its log must reach before it counts as one
+                that kept what its predecessor had received.
+        """
+        pool = pools.Pool(
+            entry,
+            self.settings.max_connections,
+            USER,
+            self._log,
+            self.dispatch,
+        )
+        pool.floor = floor
+        self.pools[entry.target] = pool
+        pool.open()
+        return pool
+
     @property
     def queue_length(self) -> int:
         """Return the number of requests that wait."""
@@ -190,10 +227,12 @@
         )
         request.reason = choice.reason
         if choice.target is None:
-            if choice.reason is placement.Reason.NO_CONNECTION:
+            if choice.reason is _Reason.NO_CONNECTION:
                 self._want_connections(request, now_s)
-            elif choice.reason is placement.Reason.NO_TARGET:
+            elif choice.reason is _Reason.NO_TARGET:
                 request.excluded = frozenset()
+            if not request.running and self._is_out_of_order(choice, now_s):
+                self._give_up(request, now_s, OUTAGE_HINT_MS)
             return
         pool = self.pools[choice.target]
         connection = pool.take(request.session.values)
@@ -203,6 +242,13 @@
         self._queue.remove(request)
         self._start(request, pool, connection, choice.position, now_s)
 
+    def _is_out_of_order(self, choice: placement.Choice, now_s: float) -> bool:
+        """Tell whether waiting for a target makes no sense."""
+        if choice.reason is _Reason.NO_CONNECTION:
+            return False
+        since_s = max(self.leadership.valid_until_s, self._made_s)
+        return now_s - since_s > OUT_OF_ORDER_S
+
     def _want_connections(self, request: Request, now_s: float) -> None:
         for target, pool in self.pools.items():
             is_primary = target == self.leadership.target
@@ -289,15 +335,15 @@
             pool.tick(now_s)
         for request in [r for r in self._queue if r.deadline_s <= now_s]:
             if not request.running:
-                self._give_up(request, now_s)
+                self._give_up(request, now_s, RETRY_HINT_MS)
         for request in tuple(self._hedged):
             self._check_second_try(request, now_s)
         self._ask(now_s)
         self.dispatch()
 
-    def _give_up(self, request: Request, now_s: float) -> None:
+    def _give_up(self, request: Request, now_s: float, hint_ms: int) -> None:
         self._counters.count("refused", request.reason.name)
-        detail = f"{request.reason.value}; retry after 500 ms"
+        detail = f"{request.reason.value}; retry after {hint_ms} ms"
         waited_s = now_s - request.arrived_s
         self.finish(
             request, Result(None, _Code.BUSY, detail, waited_s=waited_s)
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -85,3 +85,20 @@
         self.assertEqual(catalog.forget_gone(known, 21.0), [])
         late_s = 20.1 + catalog.MEMBER_GRACE_S
         self.assertEqual(catalog.forget_gone(known, late_s), ["i-1"])
+
+
+class PredecessorTest(testtools.TestCase):
+    """A target that starts again under another id."""
+
+    def test_found_at_the_same_address(self) -> None:
+        known = catalog.Catalog()
+        catalog.put_entry(known, make_entry("i-1"))
+        catalog.put_entry(known, make_entry("i-2", address="10.0.0.2"))
+        new = make_entry("i-3", revision=9)
+        self.assertEqual(catalog.find_predecessor(known, new), "i-1")
+
+    def test_address_of_another_group_says_nothing(self) -> None:
+        known = catalog.Catalog()
+        catalog.put_entry(known, make_entry("i-1", group="other"))
+        new = make_entry("i-3", revision=9)
+        self.assertIsNone(catalog.find_predecessor(known, new))
--- a/tests/groups/test_placement.py
+++ b/tests/groups/test_placement.py
@@ -135,6 +135,14 @@
     def test_primary_is_left_to_others_while_replicas_are_fast(self) -> None:
         self.assertNotEqual(choose(make_need()).target, "p")
 
+    def test_silent_primary_gets_no_reads(self) -> None:
+        loads = make_loads()
+        loads[0].is_answering = False
+        old = make_leadership(NOW_S - 0.5)
+        need = make_need(_Consistency.PRIMARY, 0.0, is_primary_only=True)
+        choice = choose(need, loads, old)
+        self.assertEqual(choice.reason, _Reason.EVIDENCE_EXPIRED)
+
     def test_behind_replica_is_passed_over(self) -> None:
         loads = make_loads(p_idle=0)
         placement.note_behind(loads[1], model.Position(1, 15), NOW_S)
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -78,6 +78,13 @@
         succession.note_reports(attempt, _Order.PAUSE, again, late_s)
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
+    def test_successor_takes_the_place_of_a_member(self) -> None:
+        attempt = make_attempt()
+        succession.put_members(attempt, ("p", "a"))
+        self.assertEqual(attempt.others, ("a", "b"))
+        succession.put_members(attempt, ("p", "a", "c"))
+        self.assertEqual(attempt.others, ("a", "c"))
+
     def test_waits_until_evidence_has_expired(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
