Judge replicas by the lag that their answers show

Ruled out: longer rests after a refusal (tried at first: any success with an older position ended them). Change: each answer's position, compared with when the primary passed it, gives a moving average of the replica's lag; a replica is asked for a position once it is expected there, and now and then to see.

--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -176,3 +176,23 @@
         if asked_s >= since_s:
             return position
     return None
+
+
+def find_time_of(
+    leadership: Leadership, position: model.Position
+) -> float | None:
+    """Return when the primary was first known to have a position."""
+    for asked_s, known in leadership.positions:
+        if known >= position:
+            return asked_s
+    return None
+
+
+def find_time_after(
+    leadership: Leadership, position: model.Position
+) -> float | None:
+    """Return when the primary was first known to be past a position."""
+    for asked_s, known in leadership.positions:
+        if known > position:
+            return asked_s
+    return None
--- a/knapweedtally/core/groups/placement.py
+++ b/knapweedtally/core/groups/placement.py
@@ -33,11 +33,16 @@
 FIRST_REST_S = 0.05
 MAX_REST_S = 1.0
 
-# How long a replica's word that it lacks a position holds, in seconds; doubled
-# with each such word in a row up to the limit. Replicas that lag by more than
-# a read accepts would else be asked again for each of them.
-FIRST_BEHIND_S = 0.02
-MAX_BEHIND_S = 0.16
+# Weight of the newest sample of a replica's lag in its moving average.
+LAG_WEIGHT = 0.3
+
+# A replica that is expected to lack a position is asked for it all the same
+# when its lag was last seen this long ago, in seconds.
+LAG_AGE_S = 0.15
+
+# A replica that lacked a position is not asked for a later one for this long,
+# in seconds.
+BEHIND_S = 0.02
 
 
 class Need(NamedTuple):
@@ -72,12 +77,13 @@
         idle: idle connections to it.
         running: statements that run on it for this host.
         run_s: moving average of the time to an answer.
-        position: newest log position that it answered with.
+        position: newest log position that its reads have shown.
+        lag_s: moving average of how far its reads are behind the primary.
+        lag_seen_s: when the last sample of it was taken.
         rests_until_s: gets no work before this time after failures.
         failures: failures in a row.
         behind_position: position that it lacked when last asked for one.
         behind_until_s: until when this is believed.
-        behind_s: how long the last such word was believed.
     """
 
     target: str
@@ -88,11 +94,12 @@
     running: int = 0
     run_s: float = FIRST_RUN_S
     position: model.Position = model.Position(0, 0)
+    lag_s: float = 0.0
+    lag_seen_s: float = 0.0
     rests_until_s: float = 0.0
     failures: int = 0
     behind_position: model.Position | None = None
     behind_until_s: float = 0.0
-    behind_s: float = 0.0
 
 
 class Choice(NamedTuple):
@@ -125,7 +132,6 @@
     """Record the time to an answer."""
     load.run_s += AVERAGE_WEIGHT * (run_s - load.run_s)
     load.failures = 0
-    load.behind_s = 0.0
 
 
 def note_failure(load: TargetLoad, now_s: float) -> None:
@@ -135,18 +141,38 @@
     load.rests_until_s = now_s + rest_s
 
 
+def note_position(
+    load: TargetLoad,
+    position: model.Position,
+    leadership: evidence.Leadership,
+    now_s: float,
+) -> None:
+    """Record the log position that a target's reads show."""
+    load.position = max(load.position, position)
+    if load.target == leadership.target:
+        return
+    passed_s = evidence.find_time_after(leadership, position)
+    sample_s = 0.0 if passed_s is None else max(0.0, now_s - passed_s)
+    _note_lag(load, sample_s, now_s)
+
+
 def note_behind(
-    load: TargetLoad, position: model.Position, now_s: float
+    load: TargetLoad,
+    position: model.Position,
+    leadership: evidence.Leadership,
+    now_s: float,
 ) -> None:
     """Record that a target lacks a position."""
-    known = load.behind_position
-    load.behind_position = min(known, position) if known else position
-    if now_s >= load.behind_until_s:
-        load.behind_s = min(
-            MAX_BEHIND_S, max(FIRST_BEHIND_S, load.behind_s * 2)
-        )
-        load.behind_position = position
-        load.behind_until_s = now_s + load.behind_s
+    load.behind_position = position
+    load.behind_until_s = now_s + BEHIND_S
+    known_s = evidence.find_time_of(leadership, position)
+    if known_s is not None and now_s - known_s > load.lag_s:
+        _note_lag(load, now_s - known_s, now_s)
+
+
+def _note_lag(load: TargetLoad, sample_s: float, now_s: float) -> None:
+    load.lag_s += LAG_WEIGHT * (sample_s - load.lag_s)
+    load.lag_seen_s = now_s
 
 
 def may_use_primary(
@@ -205,24 +231,27 @@
     """
     primary_allowed = may_use_primary(need, leadership, now_s)
     position = find_needed_position(need, leadership)
+    known_s = None
+    if position is not None:
+        known_s = evidence.find_time_of(leadership, position)
     best: TargetLoad | None = None
     best_cost = 0.0
     has_candidate = False
     for load in loads:
         is_primary = load.target == leadership.target
-        if is_primary and not primary_allowed:
-            continue
-        if not is_primary and not _may_use_replica(load, position, now_s):
-            continue
-        if not _is_offered(load, is_primary, excluded, now_s):
+        if is_primary:
+            may_serve = primary_allowed
+        else:
+            may_serve = position is not None and has_position(
+                load, position, known_s, now_s
+            )
+        if not may_serve or not _is_offered(load, is_primary, excluded, now_s):
             continue
         has_candidate = True
-        if load.idle <= 0:
-            continue
         cost = estimate_answer_s(load, is_primary and not need.is_primary_only)
         if load.data_centre != data_centre:
             cost += DISTANCE_S
-        if best is None or cost < best_cost:
+        if load.idle > 0 and (best is None or cost < best_cost):
             best, best_cost = load, cost
     if best is not None:
         is_replica = best.target != leadership.target
@@ -234,18 +263,29 @@
     return Choice(None, None, _explain(need, leadership, position))
 
 
-def _may_use_replica(
-    load: TargetLoad, position: model.Position | None, now_s: float
+def has_position(
+    load: TargetLoad,
+    position: model.Position,
+    known_s: float | None,
+    now_s: float,
 ) -> bool:
-    if position is None:
-        return False
+    """Tell whether a replica is expected to show a position.
+
+    Args:
+        load: what is known of the replica.
+        position: the position.
+        known_s: when the primary was first known to have it, or None.
+        now_s: the time.
+    """
+    if position <= load.position:
+        return True
     behind = load.behind_position
-    return not (
-        behind is not None
-        and now_s < load.behind_until_s
-        and position >= behind
-        and position > load.position
-    )
+    was_behind = behind is not None and now_s < load.behind_until_s
+    if was_behind and behind is not None and position >= behind:
+        return False
+    if known_s is None or now_s >= known_s + load.lag_s:
+        return True
+    return now_s - load.lag_seen_s > LAG_AGE_S
 
 
 def _is_offered(
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -58,6 +58,7 @@
         failures: failures since its last answer.
         is_refusing: whether the last failure was a refusal.
         life: changes when the target may have restarted.
+        received: newest position that its log is known to have held.
         floor: position that its log reached before it restarted.
     """
 
@@ -80,6 +81,7 @@
         self.failures = 0
         self.is_refusing = False
         self.life = 0
+        self.received = model.Position(0, 0)
         self.floor = model.Position(0, 0)
         self._user = user
         self._log = log
@@ -274,7 +276,7 @@
 
     def get_floor(self) -> model.Position:
         """Return the newest position that its log is known to have held."""
-        return max(self.floor, self.load.position)
+        return max(self.floor, self.received)
 
     def restart(self, entry: model.TargetEntry) -> None:
         """Begin anew with a target that began a new life."""
@@ -282,6 +284,7 @@
         self.floor = self.get_floor()
         self.load.data_centre = entry.data_centre
         self.load.position = model.Position(0, 0)
+        self.received = model.Position(0, 0)
         self.life += 1
         self._retry_at_s = 0.0
         for connection in tuple(self._connections):
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -409,7 +409,7 @@
             return
         pool.known_connections = status.connections
         pool.counted_s = asked_s
-        pool.load.position = max(pool.load.position, status.received)
+        pool.received = max(pool.received, status.received)
         self.known_term = max(self.known_term, status.term)
         leadership = self.leadership
         if status.is_primary:
@@ -478,10 +478,12 @@
         position = lines.parse_position(answer.position)
         if position is None:
             return None
-        pool.load.position = max(pool.load.position, position)
+        pool.received = max(pool.received, position)
         evidence.note_position(
             self.leadership, pool.entry.target, position, asked_s
         )
+        now_s = clock.get_time_s()
+        placement.note_position(pool.load, position, self.leadership, now_s)
         return position
 
     def note_commit(self, target: str, asked_s: float) -> None:
@@ -575,7 +577,9 @@
         assert code is not None
         self._release()
         if code is _Code.BEHIND and self._position is not None:
-            placement.note_behind(pool.load, self._position, now_s)
+            placement.note_behind(
+                pool.load, self._position, router.leadership, now_s
+            )
             self._retry_or_finish(answer, None, now_s)
         elif code is _Code.READ_ONLY:
             router.lose_primary(target, now_s, "it refused a write")
