Reach crowded targets through other hosts

Ruled out: one connection a host (more hosts than connections), opening on demand (that is what was measured). Change: a few hosts of each data centre, by rendezvous hashing, hold three connections each to a target; the others speak the targets' protocol with them. A silent connection counts as one failure and leads to another way, not as two.

--- a/knapweedtally/core/groups/sharing.py
+++ b/knapweedtally/core/groups/sharing.py
@@ -159,8 +159,3 @@
     return sorted(
         hosts, key=lambda host: zlib.crc32(f"{group}/{host}".encode())
     )
-
-
-def list_askers(group: str, hosts: Iterable[str]) -> list[str]:
-    """Return the hosts that ask a group's targets for the others."""
-    return rank_hosts(group, hosts)[:ASKERS]
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -82,6 +82,7 @@
         is_closed: whether it is gone.
         refusal: error with which the target refused it, if it did.
         idle_since_s: when its last statement ended.
+        way: name of the host that it goes through, or empty.
         settled: done once the target has accepted or ended it.
     """
 
@@ -95,6 +96,7 @@
         self.is_closed = False
         self.refusal: statements.Code | None = None
         self.idle_since_s = clock.get_time_s()
+        self.way = ""
         self.settled: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -6,6 +6,7 @@
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import detection
 from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import holders
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import succession
@@ -15,6 +16,7 @@
 from knapweedtally.entry import peers
 from knapweedtally.entry import pools
 from knapweedtally.entry import promoter
+from knapweedtally.entry import relays
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
 from knapweedtally.entry import store
@@ -77,6 +79,9 @@
         self.store = store.StoreClient(configured.store, log)
         self.peers = peers.Peers(configured, self.store, log, self._note_shared)
         self._when_configured: list[Callable[[], None]] = []
+        self.relays: set[relays.RelaySession] = set()
+        self._way_keys: dict[str, tuple[int, int]] = {}
+        self._ranked: tuple[int, dict[str, list[str]]] = (0, {})
         self._shared_s: dict[str, float] = {}
         self._settings = configured
         self._promoter: promoter.Promoter | None = None
@@ -249,9 +254,35 @@
                 pool = router.add_pool(member.entry, model.Position(0, 0))
             pool.entry = member.entry
             pool.max_connections = router.settings.max_connections
-            pool.live_hosts = max(1, len(self.peers.list_live()))
+            self._sync_ways(target, pool)
             self._sync_offer(router, pool, member, now_s)
 
+    def _sync_ways(self, target: str, pool: pools.Pool) -> None:
+        """Let a pool hold connections itself, or go through other hosts."""
+        live = self.peers.get_live()
+        key = (self.peers.live_version, pool.max_connections)
+        if self._way_keys.get(target) == key:
+            return
+        self._way_keys[target] = key
+        free = pools.get_free(pool.max_connections)
+        held_by = holders.list_holders(target, live, free)
+        names = holders.list_ways(target, self._settings.host, live, held_by)
+        ways = []
+        for name in names:
+            address = self.peers.find_address(name)
+            if address is not None:
+                ways.append(pools.Way(name, *address))
+        pool.sharers = max(1, len(held_by))
+        pool.set_ways(tuple(ways))
+
+    def find_held_pool(self, group: str, target: str) -> pools.Pool | None:
+        """Return the pool of a target that this host holds connections to."""
+        router = self.routers.get(group)
+        pool = router.pools.get(target) if router else None
+        if pool is None or pool.ways or self.is_draining:
+            return None
+        return pool
+
     def _sync_offer(
         self,
         router: router_module.Router,
@@ -318,12 +349,21 @@
         )
         self.peers.share((shared,), now_s)
 
+    def _rank_hosts(self, group: str) -> list[str]:
+        """Return the live hosts in a group's order."""
+        live = self.peers.get_live()
+        if self._ranked[0] != self.peers.live_version:
+            self._ranked = (self.peers.live_version, {})
+        ranked = self._ranked[1]
+        if group not in ranked:
+            ranked[group] = sharing.rank_hosts(group, live)
+        return ranked[group]
+
     def _share_evidence(self, now_s: float) -> None:
         """Tell the other hosts what this host asked for, when it is new."""
-        live = self.peers.list_live()
         news = []
         for name, router in self.routers.items():
-            askers = sharing.list_askers(name, live)
+            askers = self._rank_hosts(name)[: sharing.ASKERS]
             router.is_asker = self._settings.host in askers
             seen_s = min(
                 router.leadership.primary_seen_s,
@@ -375,7 +415,7 @@
             for target in router.pools
             if self._is_leaving(target, clock.get_time_s())
         )
-        ranked = sharing.rank_hosts(name, self.peers.list_live())
+        ranked = self._rank_hosts(name)
         rank = ranked.index(self._settings.host) if ranked else 0
         try:
             await self._promoter.run(
--- a/knapweedtally/entry/peer_messages.py
+++ b/knapweedtally/entry/peer_messages.py
@@ -9,7 +9,7 @@
 from knapweedtally.core.groups import sharing
 
 # Version of the form; others are dropped, as during an update of the hosts.
-FORM = 2
+FORM = 3
 
 
 class PeerMessage(NamedTuple):
@@ -17,6 +17,7 @@
 
     Attributes:
         host: name of the sender.
+        data_centre: its data centre.
         incarnation: start of the sending process.
         sent_s: the sender's time.
         echoed_s: the receiver's time in its last message, or None.
@@ -25,6 +26,7 @@
     """
 
     host: str
+    data_centre: str
     incarnation: int
     sent_s: float
     echoed_s: float | None
@@ -60,6 +62,7 @@
         [
             FORM,
             message.host,
+            message.data_centre,
             message.incarnation,
             _to_us(message.sent_s),
             echoed_us,
@@ -76,13 +79,13 @@
         BrokenMessage: the bytes are no message of this form.
     """
     try:
-        form, host, incarnation, sent_us, echoed_us, age_us, shared = (
-            cbor2.loads(data)
-        )
+        form, host, data_centre, *rest = cbor2.loads(data)
         if form != FORM or not isinstance(host, str):
             raise BrokenMessage(f"form {form!r}")
+        incarnation, sent_us, echoed_us, age_us, shared = rest
         return PeerMessage(
             host,
+            str(data_centre),
             int(incarnation),
             sent_us / 1e6,
             None if echoed_us is None else echoed_us / 1e6,
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -32,7 +32,8 @@
     """Hold what is known of another host.
 
     Attributes:
-        address: where its datagrams are received.
+        address: where its datagrams and connections are received.
+        data_centre: its data centre.
         clock: how its clock relates to this host's.
         heard_s: when its last message arrived, or None.
         echoed_s: its own time in that message.
@@ -40,6 +41,7 @@
     """
 
     address: tuple[str, int]
+    data_centre: str = ""
     clock: sharing.PeerClock = dataclasses.field(
         default_factory=sharing.PeerClock
     )
@@ -52,7 +54,11 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Exchange datagrams with the other hosts."""
+    """Exchange datagrams with the other hosts.
+
+    Attributes:
+        live_version: rises when a host comes or goes.
+    """
 
     def __init__(
         self,
@@ -71,6 +77,7 @@
                 this host's clock, at which it was sent at the earliest.
         """
         self._host = configured.host
+        self._data_centre = configured.data_centre
         self._address = configured.peers
         self._client = client
         self._log = log
@@ -78,7 +85,8 @@
         self._incarnation = random.getrandbits(32)
         self._peers: dict[str, Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._live: frozenset[str] = frozenset()
+        self._live: dict[str, str] = {}
+        self.live_version = 0
 
     async def run(self) -> None:
         """Open the socket, tell the store this host's address, find others."""
@@ -100,7 +108,11 @@
 
     async def _register(self) -> None:
         assert self._address is not None
-        spec = {"host": self._address.host, "port": self._address.port}
+        spec = {
+            "host": self._address.host,
+            "port": self._address.port,
+            "data_centre": self._data_centre,
+        }
         request = store_calls.make_create_request(HOSTS_KIND, self._host, spec)
         response = await self._client.send(request)
         if response.status != 409:
@@ -129,8 +141,12 @@
         if stored.name == self._host or not isinstance(spec, dict):
             return
         host, port = spec.get("host"), spec.get("port")
-        if isinstance(host, str) and isinstance(port, int):
-            self._peers.setdefault(stored.name, Peer((host, port)))
+        data_centre = spec.get("data_centre")
+        if not isinstance(host, str) or not isinstance(port, int):
+            return
+        if isinstance(data_centre, str):
+            peer = Peer((host, port), data_centre)
+            self._peers.setdefault(stored.name, peer)
 
     def close(self) -> None:
         """Close the socket."""
@@ -156,6 +172,7 @@
         if peer is None:
             peer = self._peers[message.host] = Peer((addr[0], addr[1]))
         peer.address = (addr[0], addr[1])
+        peer.data_centre = message.data_centre
         peer.heard_s = now_s
         peer.echoed_s = message.sent_s
         if message.echoed_s is None:
@@ -175,23 +192,32 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore a datagram that could not be sent: it may be lost anyway."""
 
-    def list_live(self) -> frozenset[str]:
-        """Return the names of the hosts that are heard, this one included."""
+    def get_live(self) -> dict[str, str]:
+        """Return the data centres of the hosts that are heard, by name.
+
+        This host is one of them. ``live_version`` rises with each change.
+        """
         return self._live
 
+    def find_address(self, host: str) -> tuple[str, int] | None:
+        """Return where a host takes connections of other hosts."""
+        peer = self._peers.get(host)
+        return peer.address if peer is not None else None
+
     def tick(self, now_s: float) -> None:
         """Write to hosts that heard nothing for a while."""
-        live = {self._host}
+        live = {self._host: self._data_centre}
         for name, peer in self._peers.items():
             is_live = peer.heard_s is not None and (
                 now_s - peer.heard_s < LIVE_S
             )
             if is_live:
-                live.add(name)
+                live[name] = peer.data_centre
             if now_s - peer.tried_s > (PING_S if is_live else SEARCH_S):
                 self._send(peer, (), now_s)
         if live != self._live:
-            self._live = frozenset(live)
+            self._live = live
+            self.live_version += 1
             self._log.write("hosts_heard", hosts=len(live))
 
     def share(
@@ -214,7 +240,13 @@
         echoed_s = None if peer.heard_s is None else peer.echoed_s
         age_s = 0.0 if peer.heard_s is None else now_s - peer.heard_s
         message = peer_messages.PeerMessage(
-            self._host, self._incarnation, now_s, echoed_s, age_s, shared
+            self._host,
+            self._data_centre,
+            self._incarnation,
+            now_s,
+            echoed_s,
+            age_s,
+            shared,
         )
         data = peer_messages.encode_message(message)
         self._transport.sendto(data, peer.address)
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -15,11 +15,14 @@
 
 # Time to make a connection, in seconds: a lost opening packet is sent again
 # after a second, which is too late to wait for.
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.3
 
 # Time for the answer to a question about a target's status, in seconds.
 ASK_TIMEOUT_S = 0.3
 
+# Pause between attempts to reach a silent target anew, in seconds.
+PROBE_PAUSE_S = 0.2
+
 # Connections of the target's limit that are left to hosts that start.
 RESERVED_CONNECTIONS = 2
 
@@ -31,6 +34,9 @@
 # A target's count of its connections is believed for this long, in seconds.
 COUNT_AGE_S = 1.0
 
+# Connections to one target through other hosts. They cost the target nothing.
+RELAYED_CONNECTIONS = 4
+
 # A connection beyond the first is closed after it was idle for this long.
 IDLE_CLOSE_S = 10.0
 
@@ -44,6 +50,31 @@
     deadline_s: float
 
 
+def get_free(max_connections: int) -> int:
+    """Return the connections that the hosts may hold together."""
+    return max(1, max_connections - RESERVED_CONNECTIONS)
+
+
+class Way(NamedTuple):
+    """Name a host through which a target is reached.
+
+    Attributes:
+        host: name of the host.
+        address: its address.
+        port: its port for other hosts' statements.
+    """
+
+    host: str
+    address: str
+    port: int
+
+
+class _Waiter(NamedTuple):
+    values: dict[bytes, bytes]
+    on_idle: Callable[[connections.Connection | None], None]
+    deadline_s: float
+
+
 class Pool:
     """Hold the connections to one target and judge whether it answers.
 
@@ -53,7 +84,9 @@
         max_connections: connections that the target takes from all hosts.
         known_connections: connections that it counted when last asked.
         counted_s: when that was.
-        live_hosts: hosts that share its connections.
+        sharers: hosts that hold connections to the target.
+        ways: hosts through which the target is reached; empty where this
+            host holds connections itself.
         failing_since_s: first failure since its last answer, or None.
         failures: failures since its last answer.
         is_refusing: whether the last failure was a refusal.
@@ -76,7 +109,12 @@
         self.max_connections = max_connections
         self.known_connections = 0
         self.counted_s = 0.0
-        self.live_hosts = 1
+        self.sharers = 1
+        self.ways: tuple[Way, ...] = ()
+        self._way_turn = 0
+        self._waiters: collections.deque[_Waiter] = collections.deque()
+        self._openers: list[Callable[[bool], None]] = []
+        self._serves_waiter = False
         self.failing_since_s: float | None = None
         self.failures = 0
         self.is_refusing = False
@@ -89,6 +127,8 @@
         self._connections: set[connections.Connection] = set()
         self._opening = 0
         self._retry_at_s = 0.0
+        self._next_probe_s = 0.0
+        self._answered_s = 0.0
         self._asks: collections.deque[_Ask] = collections.deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
@@ -98,6 +138,12 @@
         """Return the number of connections, those being made included."""
         return len(self._connections) + self._opening
 
+    def is_settled(self) -> bool:
+        """Tell whether every connection goes a way that is to be used."""
+        return bool(self._connections) and all(
+            self._is_current(connection) for connection in self._connections
+        )
+
     def take(self, values: dict[bytes, bytes]) -> connections.Connection | None:
         """Return an idle connection, one that needs few changes."""
         best = None
@@ -142,8 +188,9 @@
 
     def _get_share(self) -> int:
         """Return the connections that this host may hold at any time."""
-        free = self.max_connections - RESERVED_CONNECTIONS
-        return max(1, free // self.live_hosts)
+        if self.ways:
+            return RELAYED_CONNECTIONS
+        return max(1, get_free(self.max_connections) // self.sharers)
 
     def _has_room(self, now_s: float) -> bool:
         """Tell whether the target has connections that no host claims.
@@ -151,10 +198,10 @@
         Several hosts may find so at the same time, so each leaves room for
         half of the others.
         """
-        if now_s - self.counted_s > COUNT_AGE_S:
+        if self.ways or now_s - self.counted_s > COUNT_AGE_S:
             return False
-        free = self.max_connections - RESERVED_CONNECTIONS
-        return self.known_connections + self.live_hosts // 2 < free
+        free = get_free(self.max_connections)
+        return self.known_connections + self.sharers // 2 < free
 
     def open(self) -> None:
         """Open a connection in the background."""
@@ -163,18 +210,64 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def set_ways(self, ways: tuple[Way, ...]) -> None:
+        """Set the hosts through which the target is reached.
+
+        Connections of the other kind are closed once they rest.
+        """
+        if ways == self.ways:
+            return
+        self.ways = ways
+        self._way_turn = 0
+
+    def _is_current(self, connection: connections.Connection) -> bool:
+        """Tell whether a connection goes a way that is still to be used."""
+        names = [way.host for way in self.ways]
+        return connection.way in names if names else not connection.way
+
+    def call_when_open(self, on_open: Callable[[bool], None]) -> None:
+        """Call back once a connection is open, or none could be made."""
+        if self._connections:
+            on_open(True)
+            return
+        self._openers.append(on_open)
+        self.want_connection()
+
+    def call_when_idle(
+        self,
+        values: dict[bytes, bytes],
+        on_idle: Callable[[connections.Connection | None], None],
+        deadline_s: float,
+    ) -> None:
+        """Call back with an idle connection, or with None after a deadline.
+
+        Args:
+            values: session values that the connection should hold.
+            on_idle: called once.
+            deadline_s: when waiting ends.
+        """
+        connection = self.take(values) if not self._waiters else None
+        if connection is None:
+            self._waiters.append(_Waiter(values, on_idle, deadline_s))
+            self.want_connection()
+            return
+        on_idle(connection)
+        self.count_idle()
+
     async def _open(self) -> None:
         entry = self.entry
+        way = self.ways[self._way_turn % len(self.ways)] if self.ways else None
         connection = connections.Connection(
             self, entry.group, self._user, entry.target
         )
+        connection.way = way.host if way else ""
+        address = (way or entry).address
+        port = (way or entry).port
         loop = asyncio.get_running_loop()
         started_s = clock.get_time_s()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(
-                    lambda: connection, entry.address, entry.port
-                )
+                await loop.create_connection(lambda: connection, address, port)
                 await connection.settled
         except (OSError, TimeoutError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
@@ -186,6 +279,11 @@
             self._note_refusal(connection.refusal, started_s)
         if self._is_closed:
             connection.abort()
+        if not connection.is_open:
+            self._way_turn += 1
+        openers, self._openers = self._openers, []
+        for on_open in openers:
+            on_open(connection.is_open)
         self._on_change()
 
     def _note_refusal(self, code: statements.Code, started_s: float) -> None:
@@ -226,17 +324,27 @@
         """Take a connection that the target has accepted."""
         self._connections.add(connection)
         self._serve_asks()
+        self._serve_waiters()
         self.count_idle()
         self._on_change()
 
     def note_free(self, connection: connections.Connection) -> None:
-        """Give a connection to a waiting question or to the queue."""
+        """Give a connection to a question, another host or the queue."""
         self._serve_asks()
+        if not self._is_current(connection) and connection.is_idle:
+            connection.close()
+            return
+        # Other hosts' statements and this host's own take turns.
+        self._serves_waiter = not self._serves_waiter
+        if self._serves_waiter:
+            self._serve_waiters()
         self.count_idle()
         self._on_change()
+        self._serve_waiters()
 
     def note_answer(self) -> None:
         """Take note that the target answers."""
+        self._answered_s = clock.get_time_s()
         if self.failing_since_s is not None:
             self.failing_since_s = None
             self.failures = 0
@@ -252,19 +360,48 @@
 
     def tick(self, now_s: float) -> None:
         """Give up overdue answers and questions, and close what rests."""
+        self._check_silence(now_s)
         for connection in tuple(self._connections):
-            oldest_s = connection.get_oldest_s()
             connection.check_deadline(now_s)
-            if connection.is_closed and oldest_s is not None:
-                self.note_failure(oldest_s, False)
         while self._asks and self._asks[0].deadline_s < now_s:
             ask = self._asks.popleft()
             ask.on_end(connections.Outcome(None, now_s, True))
+        while self._waiters and self._waiters[0].deadline_s < now_s:
+            self._waiters.popleft().on_idle(None)
+        for connection in tuple(self._connections):
+            if connection.is_idle and not self._is_current(connection):
+                connection.close()
         if not self.size:
             self.want_connection()
         self._close_resting(now_s)
         self.count_idle()
 
+    def _check_silence(self, now_s: float) -> None:
+        """Note a failure when no statement is answered, and try anew.
+
+        Connections may go silent while new ones work, so one more is made.
+        """
+        silent = [
+            (asked_s, connection)
+            for connection in self._connections
+            if (asked_s := connection.get_oldest_s()) is not None
+            and now_s - asked_s > ASK_TIMEOUT_S
+        ]
+        if not silent or now_s < self._next_probe_s:
+            return
+        asked_s, connection = min(silent, key=lambda pair: pair[0])
+        if self._answered_s > asked_s:
+            return
+        self._next_probe_s = now_s + PROBE_PAUSE_S
+        self.note_failure(asked_s, False)
+        if connection.way:
+            self._way_turn += 1
+            for other in tuple(self._connections):
+                if other.way == connection.way and other.is_idle:
+                    other.abort()
+        if not self._opening:
+            self.open()
+
     def close(self) -> None:
         """Close every connection; transactions on them end."""
         self._is_closed = True
@@ -273,6 +410,8 @@
         while self._asks:
             ask = self._asks.popleft()
             ask.on_end(connections.Outcome(None, clock.get_time_s()))
+        while self._waiters:
+            self._waiters.popleft().on_idle(None)
 
     def get_floor(self) -> model.Position:
         """Return the newest position that its log is known to have held."""
@@ -300,6 +439,14 @@
             limit_s = max(0.05, ask.deadline_s - now_s)
             connection.send(lines.OWN_ID, ask.text, ask.on_end, limit_s)
 
+    def _serve_waiters(self) -> None:
+        while self._waiters:
+            connection = self.take(self._waiters[0].values)
+            if connection is None:
+                return
+            self._waiters.popleft().on_idle(connection)
+        self.count_idle()
+
     def _close_resting(self, now_s: float) -> None:
         if len(self._connections) < 2:
             return
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -12,6 +12,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import host as host_module
 from knapweedtally.entry import logs
+from knapweedtally.entry import relays
 from knapweedtally.entry import sessions
 from knapweedtally.platform import settings
 from knapweedtally.utils import http
@@ -60,6 +61,15 @@
             address.port,
             backlog=BACKLOG,
         )
+        if self._settings.peers is not None:
+            await loop.create_server(
+                lambda: relays.RelaySession(
+                    self._host.find_held_pool, self._host.relays
+                ),
+                self._settings.peers.host,
+                self._settings.peers.port,
+                backlog=BACKLOG,
+            )
         self._log.write("started", data_centre=self._settings.data_centre)
         loops = [
             *(watcher.run() for watcher in self._host.make_watchers()),
@@ -133,7 +143,7 @@
         grace_s = self._settings.grace_s
         started_s = clock.get_time_s()
         is_accepting = True
-        while host.sessions or is_accepting:
+        while host.sessions or host.relays or is_accepting:
             await asyncio.sleep(STOP_CHECK_S)
             now_s = clock.get_time_s()
             passed_s = now_s - started_s
@@ -142,6 +152,9 @@
             if is_accepting and passed_s > grace_s * ACCEPT_FRACTION:
                 is_accepting = False
                 server.close()
+            for relay in tuple(host.relays):
+                if relay.is_resting():
+                    relay.close()
             if is_accepting:
                 continue
             for session in tuple(host.sessions):
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -391,8 +391,6 @@
             if self.pools.get(target) is not pool:
                 return
             if outcome.answer is None:
-                if outcome.is_timeout:
-                    pool.note_failure(outcome.asked_s, False)
                 return
             status = lines.parse_status(outcome.answer)
             if status is not None and pool.life == life:
--- a/knapweedtally/platform/lines.py
+++ b/knapweedtally/platform/lines.py
@@ -159,6 +159,43 @@
     return fields[1].decode("utf-8", "replace")
 
 
+def parse_target_start(line: bytes) -> tuple[str, str] | None:
+    """Return group and target of a ``START`` message to a target."""
+    fields = line.decode("utf-8", "replace").split(" ")
+    if len(fields) != 4 or fields[0] != "START":
+        return None
+    return fields[1], fields[3]
+
+
+def split_query(line: bytes) -> tuple[bytes, bytes] | None:
+    """Return id and text of a ``QUERY`` message, None for others."""
+    fields = line.split(b" ", 2)
+    if len(fields) != 3 or fields[0] != b"QUERY":
+        return None
+    return fields[1], fields[2]
+
+
+def split_position(text: bytes) -> tuple[bytes, bytes]:
+    """Return the position that precedes a statement, or nothing, and the rest.
+
+    The first part joined to the second is the text again.
+    """
+    if not text.startswith(b"SINCE "):
+        return b"", text
+    word, position, bare = [*text.split(b" ", 2), b"", b""][:3]
+    return b"%b %b " % (word, position), bare
+
+
+def is_control(text: bytes) -> bool:
+    """Tell whether a statement is an order or a question to a target."""
+    return text.partition(b" ")[0] in _CONTROL_WORDS
+
+
+def is_reset(text: bytes) -> bool:
+    """Tell whether a statement clears a connection's values and names."""
+    return text == RESET
+
+
 def is_goodbye(line: bytes) -> bool:
     """Tell whether a caller ends its session."""
     return line == b"BYE" or line.startswith(b"BYE ")
@@ -230,6 +267,7 @@
 ROLLBACK = b"ROLLBACK"
 RESET = b"RESET"
 STATUS = b"STATUS"
+_CONTROL_WORDS = frozenset({b"STATUS", b"PAUSE", b"RESUME", b"STEPDOWN"})
 RESUME = b"RESUME"
 
 
--- a/tests/entry/test_peer_messages.py
+++ b/tests/entry/test_peer_messages.py
@@ -10,6 +10,7 @@
 
 MESSAGE = peer_messages.PeerMessage(
     "front-1",
+    "dc",
     77,
     123.5,
     99.25,
--- /dev/null
+++ b/tests/entry/test_relays.py
@@ -0,0 +1,118 @@
+"""Many hosts before a target that takes few connections."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import testtools
+
+from standins.line_platform import platform as platform_module
+from tests.entry import harness
+
+HOSTS = 7
+# Less two that are reserved: room for three holders of one connection each.
+MAX_CONNECTIONS = 5
+
+Scenario = Callable[
+    [platform_module.Platform, list[harness.Entry]], Awaitable[None]
+]
+
+
+def play(scenario: Scenario) -> None:
+    """Run a scenario once every host knows the others."""
+
+    async def run() -> None:
+        async with harness.run_system(HOSTS, MAX_CONNECTIONS) as system:
+            for entry in system[1]:
+                await harness.wait_for(
+                    lambda entry=entry: (
+                        len(entry.host.peers.get_live()) == HOSTS
+                    )
+                )
+                await harness.wait_for(lambda entry=entry: is_settled(entry))
+            await scenario(*system)
+
+    asyncio.run(run())
+
+
+def is_settled(entry: harness.Entry) -> bool:
+    """Tell whether a host holds connections of the right kind only."""
+    pools = entry.host.routers["g"].pools.values()
+    return all(pool.is_settled() for pool in pools)
+
+
+def find_relaying(entries: list[harness.Entry], target: str) -> harness.Entry:
+    """Return a host that reaches a target through others."""
+    for entry in entries:
+        if entry.host.routers["g"].pools[target].ways:
+            return entry
+    raise LookupError("every host holds connections")
+
+
+class RelayTest(testtools.TestCase):
+    """Statements that go through another host."""
+
+    def test_all_hosts_serve_within_the_limit(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            async def use(number: int, entry: harness.Entry) -> None:
+                caller = harness.Caller(entry.port)
+                await caller.start("g-primary")
+                await caller.run(f"SET tenant {number}")
+                await caller.run("PREPARE w WRITE shape")
+                for count in range(5):
+                    await caller.run("BEGIN")
+                    await caller.run(f"EXEC w item-{number} {count}")
+                    answer = await caller.run("COMMIT")
+                    self.assertThat(
+                        answer[0], testtools.matchers.StartsWith("DONE g-")
+                    )
+                    answer = await caller.run(f"READ item-{number}")
+                    self.assertEqual(answer[0], f"ROW {count}")
+
+            await asyncio.gather(*(use(*pair) for pair in enumerate(entries)))
+            for target in platform.groups["g"].targets.values():
+                self.assertLessEqual(len(target.connections), MAX_CONNECTIONS)
+
+        play(scenario)
+
+    def test_lost_connection_behind_the_relay_is_a_promise(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            primary = platform.groups["g"].get_primary()
+            entry = find_relaying(entries, primary.id)
+            caller = harness.Caller(entry.port)
+            await caller.start("g-primary")
+            await caller.run("BEGIN")
+            await caller.run("WRITE item 1")
+            for connection in tuple(primary.connections):
+                connection.abort()
+            answer = await caller.run("WRITE item 2")
+            self.assertThat(
+                answer[0], testtools.matchers.StartsWith("ERROR ABORTED")
+            )
+            self.assertEqual(primary.read("item"), "-")
+
+        play(scenario)
+
+    def test_caller_that_leaves_rolls_back(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            primary = platform.groups["g"].get_primary()
+            entry = find_relaying(entries, primary.id)
+            caller = harness.Caller(entry.port)
+            await caller.start("g-primary")
+            await caller.run("BEGIN")
+            await caller.run("WRITE item 1")
+            caller.close()
+            await harness.wait_for(
+                lambda: any("ROLLBACK" in t for _, t in primary.orders)
+            )
+            other = harness.Caller(entry.port)
+            await other.start("g-primary")
+            self.assertEqual((await other.run("READ item"))[0], "ROW -")
+
+        play(scenario)
