Let nobody go once a promotion was asked for; reach targets by detours

Change: nobody is let go once the promotion was asked for, nor by a host that lost the duty.

A host that reaches too few members leaves the change to others, a fence that doesn't come about ends after 1.5 s, and a primary that other hosts see is not replaced: what one host doesn't reach it reaches through another.

--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -42,8 +42,9 @@
         is_leaving: whether it is draining or its entry is gone.
         oldest_commit_s: when the oldest commit under way was sent, or None.
         last_commit_s: when the newest acknowledged commit was sent.
+        primary_seen_s: when the primary was last known to lead, by any host.
         member_seen_s: when another member was last seen receiving.
-        has_answering_member: whether another member answers.
+        answering_members: number of other members that answer this host.
         other_members: number of other members.
     """
 
@@ -56,8 +57,9 @@
     is_leaving: bool
     oldest_commit_s: float | None
     last_commit_s: float
+    primary_seen_s: float
     member_seen_s: float
-    has_answering_member: bool
+    answering_members: int
     other_members: int
 
 
@@ -68,9 +70,13 @@
     if not view.has_primary:
         since_s = view.unled_since_s
         is_late = since_s is not None and now_s - since_s > ABSENT_S
-        return succession.Cause.ABSENT if is_late else None
+        can_fence = view.answering_members >= view.other_members - 1
+        return succession.Cause.ABSENT if is_late and can_fence else None
     if _is_unreachable(view, now_s):
-        return succession.Cause.UNREACHABLE
+        # A host that doesn't reach the others leaves the change to one that
+        # does.
+        can_fence = view.answering_members >= view.other_members
+        return succession.Cause.UNREACHABLE if can_fence else None
     if view.is_leaving:
         return succession.Cause.LEAVING
     if now_s - view.known_since_s < SETTLE_S:
@@ -82,11 +88,13 @@
     if view.failing_since_s is None or view.failures < 2:
         return False
     limit_s = REFUSED_S if view.is_refusing else SILENT_S
-    return now_s - view.failing_since_s > limit_s
+    # Where other hosts see the primary lead, only this host is cut off.
+    since_s = max(view.failing_since_s, view.primary_seen_s)
+    return now_s - since_s > limit_s
 
 
 def _is_stalled(view: View, now_s: float) -> bool:
-    if not view.has_answering_member or view.failing_since_s is not None:
+    if not view.answering_members or view.failing_since_s is not None:
         return False
     oldest_s = view.oldest_commit_s
     if oldest_s is not None and now_s - oldest_s > STALLED_S:
--- a/knapweedtally/core/groups/succession.py
+++ b/knapweedtally/core/groups/succession.py
@@ -33,6 +33,10 @@
 # Time for a promotion to take effect before it is asked for again.
 EFFECT_TIMEOUT_S = 3.0
 
+# Time for the other members to be stopped, in seconds: several rounds. After
+# it another host, which may reach more of them, has its turn.
+FENCE_LIMIT_S = 1.5
+
 # An attempt that got nowhere is given up after this, in seconds.
 ATTEMPT_LIMIT_S = 8.0
 
@@ -56,7 +60,6 @@
     CONFIRM = "confirm"
     PROMOTE = "promote"
     EFFECT = "effect"
-    FOLLOW = "follow"
     DONE = "done"
     GIVEN_UP = "given up"
 
@@ -223,7 +226,7 @@
     if attempt.phase is Phase.DONE:
         return Finish(True, "")
     is_late = now_s - attempt.started_s > ATTEMPT_LIMIT_S
-    if is_late and attempt.phase not in (Phase.EFFECT, Phase.FOLLOW):
+    if is_late and attempt.phase is not Phase.EFFECT:
         _move(attempt, Phase.GIVEN_UP, now_s)
         attempt.reason = attempt.reason or "no proof in time"
     if attempt.phase is Phase.GIVEN_UP:
@@ -246,6 +249,10 @@
 
 
 def _fence(attempt: Attempt, now_s: float) -> Step:
+    if now_s - attempt.phase_since_s > FENCE_LIMIT_S:
+        _move(attempt, Phase.GIVEN_UP, now_s)
+        attempt.reason = "too few members could be stopped"
+        return Finish(False, attempt.reason)
     missing = tuple(t for t in attempt.others if t not in attempt.fenced)
     return Ask(Order.PAUSE, missing, ROUND_S)
 
@@ -266,6 +273,19 @@
     )
 
 
+def list_to_resume(attempt: Attempt) -> tuple[str, ...]:
+    """Return the members that may receive again after a given up attempt.
+
+    Once the promotion was asked for, it may take effect at any time, also
+    without an answer. A member that is let go then would follow the old
+    primary on, which could acknowledge commits and serve reads beside the new
+    one.
+    """
+    if attempt.is_asked or attempt.stepped_down_s:
+        return ()
+    return tuple(attempt.fenced)
+
+
 def get_wait_end_s(attempt: Attempt) -> float:
     """Return when all evidence about the old primary has expired."""
     since_s = attempt.stepped_down_s
@@ -308,11 +328,6 @@
     return Ask(Order.STATUS, (attempt.candidate,), ROUND_S)
 
 
-def _follow(attempt: Attempt, now_s: float) -> Step:
-    _move(attempt, Phase.DONE, now_s)
-    return Ask(Order.RESUME, tuple(attempt.fenced))
-
-
 _STEPS = {
     Phase.STEP_DOWN: _step_down,
     Phase.CATCH_UP: _catch_up,
@@ -321,7 +336,6 @@
     Phase.CONFIRM: _confirm,
     Phase.PROMOTE: _promote,
     Phase.EFFECT: _effect,
-    Phase.FOLLOW: _follow,
 }
 
 
@@ -446,7 +460,8 @@
     if report is None or not report.status.is_primary:
         return
     if report.status.term >= attempt.term:
-        _move(attempt, Phase.FOLLOW, now_s)
+        # The promotion lets the others receive again, from the new primary.
+        _move(attempt, Phase.DONE, now_s)
 
 
 _NOTES = {
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -30,8 +30,10 @@
 # Interval of the checks on callers' sessions, in seconds.
 SESSION_CHECK_S = 0.5
 
-# Pause after a change of primary that did not come about, in seconds.
+# Pause after a change of primary that did not come about, in seconds, and the
+# longer one of hosts further back in the group's order.
 CHANGE_RETRY_S = 0.4
+CHANGE_RETRY_STEP_S = 0.1
 
 # A leaving primary gets no more work this long before the limit, in seconds.
 LEAVE_MARGIN_S = 1.5
@@ -267,19 +269,25 @@
         free = pools.get_free(pool.max_connections)
         held_by = holders.list_holders(target, live, free)
         names = holders.list_ways(target, self._settings.host, live, held_by)
-        ways = []
-        for name in names:
-            address = self.peers.find_address(name)
-            if address is not None:
-                ways.append(pools.Way(name, *address))
         pool.sharers = max(1, len(held_by))
-        pool.set_ways(tuple(ways))
+        pool.set_ways(self._find_ways(names))
+        others = holders.list_ways(
+            target, self._settings.host, live, held_by - {self._settings.host}
+        )
+        pool.detours = self._find_ways(others)
+
+    def _find_ways(self, names: list[str]) -> tuple[pools.Way, ...]:
+        addresses = [(name, self.peers.find_address(name)) for name in names]
+        return tuple(
+            pools.Way(name, *address) for name, address in addresses if address
+        )
 
     def find_held_pool(self, group: str, target: str) -> pools.Pool | None:
         """Return the pool of a target that this host holds connections to."""
         router = self.routers.get(group)
         pool = router.pools.get(target) if router else None
-        if pool is None or pool.ways or self.is_draining:
+        is_held = pool is not None and not pool.ways and not pool.is_detouring
+        if not is_held or self.is_draining:
             return None
         return pool
 
@@ -423,7 +431,8 @@
             )
         finally:
             self._changing.discard(name)
-            self._change_after_s[name] = clock.get_time_s() + CHANGE_RETRY_S
+            pause_s = CHANGE_RETRY_S + CHANGE_RETRY_STEP_S * rank
+            self._change_after_s[name] = clock.get_time_s() + pause_s
 
     def _is_leaving(self, target: str, now_s: float) -> bool:
         member = self.catalog.members.get(target)
@@ -447,11 +456,12 @@
             is_leaving=bool(primary) and self._is_leaving(primary or "", now_s),
             oldest_commit_s=min(router.commits.values(), default=None),
             last_commit_s=router.last_commit_s,
+            primary_seen_s=router.leadership.primary_seen_s,
             member_seen_s=router.leadership.member_seen_s,
-            has_answering_member=any(
-                other.failing_since_s is None and other.size
+            answering_members=sum(
+                1
                 for target, other in router.pools.items()
-                if target != primary
+                if target != primary and other.is_answering
             ),
             other_members=len(router.pools) - (1 if pool else 0),
         )
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -34,6 +34,11 @@
 # A target's count of its connections is believed for this long, in seconds.
 COUNT_AGE_S = 1.0
 
+# A target that can't be reached directly is reached through other hosts for
+# this long, in seconds, and tried directly this often.
+DETOUR_S = 6.0
+DIRECT_PAUSE_S = 1.0
+
 # Connections to one target through other hosts. They cost the target nothing.
 RELAYED_CONNECTIONS = 4
 
@@ -87,6 +92,7 @@
         sharers: hosts that hold connections to the target.
         ways: hosts through which the target is reached; empty where this
             host holds connections itself.
+        detours: hosts to try while the target can't be reached directly.
         failing_since_s: first failure since its last answer, or None.
         failures: failures since its last answer.
         is_refusing: whether the last failure was a refusal.
@@ -111,6 +117,9 @@
         self.counted_s = 0.0
         self.sharers = 1
         self.ways: tuple[Way, ...] = ()
+        self.detours: tuple[Way, ...] = ()
+        self._detour_until_s = 0.0
+        self._next_direct_s = 0.0
         self._way_turn = 0
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self._openers: list[Callable[[bool], None]] = []
@@ -138,6 +147,11 @@
         """Return the number of connections, those being made included."""
         return len(self._connections) + self._opening
 
+    @property
+    def is_answering(self) -> bool:
+        """Tell whether the target answers as far as is known."""
+        return self.failing_since_s is None and bool(self._connections)
+
     def is_settled(self) -> bool:
         """Tell whether every connection goes a way that is to be used."""
         return bool(self._connections) and all(
@@ -210,6 +224,34 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _choose_way(self) -> Way | None:
+        """Return the host that the next connection goes through, if any."""
+        ways = self.ways
+        now_s = clock.get_time_s()
+        if not ways and now_s < self._detour_until_s:
+            if now_s >= self._next_direct_s:
+                self._next_direct_s = now_s + DIRECT_PAUSE_S
+                return None
+            ways = self.detours
+        return ways[self._way_turn % len(ways)] if ways else None
+
+    @property
+    def is_detouring(self) -> bool:
+        """Tell whether the target is reached through others for a while."""
+        return clock.get_time_s() < self._detour_until_s
+
+    def _detour(self, now_s: float) -> None:
+        """Try to reach a target through other hosts that doesn't answer."""
+        if self.ways or not self.detours or self._is_closed:
+            return
+        if now_s >= self._detour_until_s:
+            self._next_direct_s = now_s + DIRECT_PAUSE_S
+        self._detour_until_s = now_s + DETOUR_S
+        self._way_turn += 1
+        self._retry_at_s = 0.0
+        if self._opening < 2:
+            self.open()
+
     def set_ways(self, ways: tuple[Way, ...]) -> None:
         """Set the hosts through which the target is reached.
 
@@ -222,8 +264,9 @@
 
     def _is_current(self, connection: connections.Connection) -> bool:
         """Tell whether a connection goes a way that is still to be used."""
-        names = [way.host for way in self.ways]
-        return connection.way in names if names else not connection.way
+        if not self.ways:
+            return not connection.way or self.is_detouring
+        return connection.way in [way.host for way in self.ways]
 
     def call_when_open(self, on_open: Callable[[bool], None]) -> None:
         """Call back once a connection is open, or none could be made."""
@@ -256,7 +299,7 @@
 
     async def _open(self) -> None:
         entry = self.entry
-        way = self.ways[self._way_turn % len(self.ways)] if self.ways else None
+        way = self._choose_way()
         connection = connections.Connection(
             self, entry.group, self._user, entry.target
         )
@@ -281,6 +324,8 @@
             connection.abort()
         if not connection.is_open:
             self._way_turn += 1
+        elif not connection.way:
+            self._detour_until_s = 0.0
         openers, self._openers = self._openers, []
         for on_open in openers:
             on_open(connection.is_open)
@@ -304,6 +349,7 @@
         now_s = clock.get_time_s()
         self._retry_at_s = now_s + RETRY_S
         self.note_failure(started_s, is_refused)
+        self._detour(now_s)
         if self.failures in (1, 10, 100):
             self._log.write(
                 "connection_failed",
@@ -373,6 +419,8 @@
                 connection.close()
         if not self.size:
             self.want_connection()
+        elif self.is_detouring and now_s >= self._next_direct_s:
+            self.open()
         self._close_resting(now_s)
         self.count_idle()
 
@@ -401,6 +449,7 @@
                     other.abort()
         if not self._opening:
             self.open()
+        self._detour(now_s)
 
     def close(self) -> None:
         """Close every connection; transactions on them end."""
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -26,7 +26,7 @@
 # order of their ranks, this far apart, in seconds, up to the limit; most find
 # it claimed then.
 CLAIM_STEP_S = 0.06
-CLAIM_LIMIT_S = 0.3
+CLAIM_LIMIT_S = 3.0
 
 # A turn is renewed when this much of it has passed, in seconds.
 RENEW_AFTER_S = 0.5
@@ -198,6 +198,8 @@
             Whether a new primary leads.
         """
         await asyncio.sleep(min(CLAIM_LIMIT_S, CLAIM_STEP_S * rank))
+        if find_cause() is None:
+            return False
         try:
             await self._enter()
         except DutyLost as error:
@@ -304,7 +306,7 @@
                     self._on_fenced(router, attempt.term - 1, position)
                 await self._duty.renew()
             except DutyLost as error:
-                await self._resume(attempt, router)
+                # Members stay stopped: the next holder may rely on it.
                 return succession.Finish(False, str(error))
 
     async def _do(
@@ -331,10 +333,11 @@
         self, attempt: succession.Attempt, router: router_module.Router
     ) -> None:
         """Let stopped members receive again where the old primary leads on."""
-        if attempt.fenced and not attempt.stepped_down_s:
-            step = succession.Ask(
-                succession.Order.RESUME, tuple(attempt.fenced)
-            )
+        targets = succession.list_to_resume(attempt)
+        if not targets:
+            return
+        if duty.may_act(self._duty.claimed_s, clock.get_time_s()):
+            step = succession.Ask(succession.Order.RESUME, targets)
             await self._ask(step, attempt, router)
 
     async def _ask(
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -18,15 +18,19 @@
 ]
 
 
-def play(scenario: Scenario) -> None:
+def play(
+    scenario: Scenario,
+    hosts: int = HOSTS,
+    max_connections: int = MAX_CONNECTIONS,
+) -> None:
     """Run a scenario once every host knows the others."""
 
     async def run() -> None:
-        async with harness.run_system(HOSTS, MAX_CONNECTIONS) as system:
+        async with harness.run_system(hosts, max_connections) as system:
             for entry in system[1]:
                 await harness.wait_for(
                     lambda entry=entry: (
-                        len(entry.host.peers.get_live()) == HOSTS
+                        len(entry.host.peers.get_live()) == hosts
                     )
                 )
                 await harness.wait_for(lambda entry=entry: is_settled(entry))
@@ -116,3 +120,30 @@
             self.assertEqual((await other.run("READ item"))[0], "ROW -")
 
         play(scenario)
+
+
+class DetourTest(testtools.TestCase):
+    """A target that one host doesn't reach is reached through another."""
+
+    def test_primary_out_of_reach_of_one_host(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            primary = platform.groups["g"].get_primary()
+            router = entries[0].host.routers["g"]
+            pool = router.pools[primary.id]
+            (closed_port,) = harness.find_ports(1)
+            member = entries[0].host.catalog.members[primary.id]
+            cut_off = member.entry._replace(port=closed_port, revision=10**9)
+            member.entry = cut_off
+            pool.restart(cut_off)
+            caller = harness.Caller(entries[0].port)
+            await caller.start("g-primary")
+            answer = await caller.run("WRITE item 1")
+            while not answer[0].startswith("DONE g-"):
+                answer = await caller.run("WRITE item 1")
+            self.assertEqual((await caller.run("READ item"))[0], "ROW 1")
+            self.assertIs(platform.groups["g"].get_primary(), primary)
+            self.assertEqual(platform.promotions, [])
+
+        play(scenario, hosts=3, max_connections=16)
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -16,8 +16,9 @@
     is_leaving=False,
     oldest_commit_s=None,
     last_commit_s=NOW_S - 0.1,
+    primary_seen_s=NOW_S - 1.0,
     member_seen_s=NOW_S - 0.1,
-    has_answering_member=True,
+    answering_members=2,
     other_members=2,
 )
 _Cause = succession.Cause
@@ -50,6 +51,24 @@
         found = self.find(failing_since_s=since_s, failures=1)
         self.assertIsNone(found)
 
+    def test_primary_that_other_hosts_see_stays(self) -> None:
+        since_s = NOW_S - detection.SILENT_S - 0.01
+        found = self.find(
+            failing_since_s=since_s, failures=5, primary_seen_s=NOW_S - 0.3
+        )
+        self.assertIsNone(found)
+
+    def test_host_that_reaches_too_few_members_leaves_it_to_others(
+        self,
+    ) -> None:
+        since_s = NOW_S - 5.0
+        changes = {"failing_since_s": since_s, "failures": 5}
+        self.assertIsNone(self.find(**changes, answering_members=1))
+        absent = {"has_primary": False, "unled_since_s": NOW_S - 9.0}
+        self.assertIsNone(self.find(**absent, answering_members=0))
+        found = self.find(**absent, answering_members=1)
+        self.assertEqual(found, _Cause.ABSENT)
+
     def test_leaving_primary_is_replaced(self) -> None:
         self.assertEqual(self.find(is_leaving=True), _Cause.LEAVING)
 
@@ -71,7 +90,7 @@
 
     def test_members_that_do_not_answer_are_no_stall(self) -> None:
         seen_s = NOW_S - detection.STOPPED_S - 0.1
-        found = self.find(member_seen_s=seen_s, has_answering_member=False)
+        found = self.find(member_seen_s=seen_s, answering_members=0)
         self.assertIsNone(found)
 
     def test_group_without_primary_gets_one(self) -> None:
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -155,6 +155,40 @@
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
 
+class ResumeTest(testtools.TestCase):
+    """Members that stopped are let go only where the old primary leads on."""
+
+    def make_fenced(self) -> succession.Attempt:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(7)}
+        succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
+        return attempt
+
+    def test_let_go_before_the_promotion_was_asked_for(self) -> None:
+        attempt = self.make_fenced()
+        self.assertEqual(succession.list_to_resume(attempt), ("a", "b"))
+
+    def test_not_let_go_once_it_was_asked_for(self) -> None:
+        attempt = self.make_fenced()
+        late_s = 100.0 + evidence.EVIDENCE_SPAN_S
+        succession.next_step(attempt, late_s)
+        reports = {"a": make_report(5), "b": make_report(7)}
+        succession.note_reports(attempt, _Order.PAUSE, reports, late_s)
+        step = succession.next_step(attempt, late_s)
+        self.assertEqual(step, succession.Promote("b"))
+        succession.note_promoted(attempt, 0, late_s)
+        self.assertEqual(succession.list_to_resume(attempt), ())
+
+    def test_no_orders_after_the_new_primary_leads(self) -> None:
+        attempt = self.make_fenced()
+        attempt.phase = _Phase.EFFECT
+        status = model.TargetStatus(True, 2, model.Position(2, 7), 0, 0.0, 0, 1)
+        reports = {"b": succession.Report(status, 0, 101.0)}
+        succession.note_reports(attempt, _Order.STATUS, reports, 101.0)
+        step = succession.next_step(attempt, 101.0)
+        self.assertEqual(step, succession.Finish(True, ""))
+
+
 class SafePositionTest(testtools.TestCase):
     """Which position covers all commits while a group is stopped."""
 
