Wait longer in watches, and probe the connection instead

Change: watches wait 20 s, and TCP keep-alive probes find a silent connection within 3 s. Hosts of other data centres are pinged every 3 s instead of every second.

A stand-in's watch that never slept after its history was dropped is mended; it hid behind the short waits.

--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -17,11 +17,13 @@
 
 HOSTS_KIND = "knapweedtally-hosts"
 
-# A host counts as live for this long after its last message, in seconds.
-LIVE_S = 3.0
+# A host counts as live for this many missed messages.
+MISSED_MESSAGES = 3
 
-# Messages without evidence are sent this often, in seconds, for the echo.
+# Messages without evidence are sent this often, in seconds, within the data
+# centre and to others, where traffic is paid for.
 PING_S = 1.0
+FAR_PING_S = 3.0
 
 # Hosts that have not answered are tried this often, in seconds.
 SEARCH_S = 5.0
@@ -208,12 +210,14 @@
         """Write to hosts that heard nothing for a while."""
         live = {self._host: self._data_centre}
         for name, peer in self._peers.items():
+            is_near = peer.data_centre == self._data_centre
+            ping_s = PING_S if is_near else FAR_PING_S
             is_live = peer.heard_s is not None and (
-                now_s - peer.heard_s < LIVE_S
+                now_s - peer.heard_s < ping_s * MISSED_MESSAGES
             )
             if is_live:
                 live[name] = peer.data_centre
-            if now_s - peer.tried_s > (PING_S if is_live else SEARCH_S):
+            if now_s - peer.tried_s > (ping_s if is_live else SEARCH_S):
                 self._send(peer, (), now_s)
         if live != self._live:
             self._live = live
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -12,10 +12,13 @@
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
 
-# How long a watch waits for a change, in seconds. A connection that went
-# silent is found out after this and the time for the answer, well within the
-# bound for a configuration to be in force.
-WATCH_WAIT_S = 2.0
+# How long a watch waits for a change, in seconds. Each call is paid for; a
+# connection that went silent is found out by probes, not by the end of a wait.
+WATCH_WAIT_S = 20.0
+
+# Time without traffic after which the connection to the store is probed, in
+# seconds; three of them are within the bound for a configuration.
+KEEP_ALIVE_S = 1
 
 # Time for an answer of the store, in seconds.
 ANSWER_TIMEOUT_S = 1.0
@@ -39,6 +42,7 @@
             address.host,
             address.port,
             max_body_bytes=store_calls.MAX_ANSWER_BYTES,
+            keep_alive_s=KEEP_ALIVE_S,
         )
         self._log = log
         self._is_lost = False
--- a/knapweedtally/utils/http_client.py
+++ b/knapweedtally/utils/http_client.py
@@ -34,6 +34,7 @@
         port: int,
         source_host: str | None = None,
         max_body_bytes: int = 64 * 1024 * 1024,
+        keep_alive_s: int | None = None,
     ) -> None:
         """Make a client without connecting.
 
@@ -42,11 +43,16 @@
             port: port of the server.
             source_host: IP address that connections are bound to, or None.
             max_body_bytes: largest accepted body of an answer.
+            keep_alive_s: time without traffic after which a connection is
+                probed, and between probes; None for no probes. A connection
+                that went silent is then lost after three such times, also
+                while a long answer is waited for.
         """
         self._host = host
         self._port = port
         self._source_host = source_host
         self._max_body_bytes = max_body_bytes
+        self._keep_alive_s = keep_alive_s
         self._idle: list[_Connection] = []
 
     async def send(
@@ -121,9 +127,24 @@
             raise http.ConnectionRefused(
                 f"cannot connect to {self._host}:{self._port}"
             ) from error
+        if self._keep_alive_s is not None:
+            sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            _probe(sock, self._keep_alive_s)
         return _Connection(stream, self._host, self._max_body_bytes)
 
 
+def _probe(sock: socket.socket, interval_s: int) -> None:
+    """Let the system probe a connection that rests."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, interval_s),
+        (socket.TCP_KEEPINTVL, interval_s),
+        (socket.TCP_KEEPCNT, 2),
+        (socket.TCP_USER_TIMEOUT, interval_s * 3000),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class _Connection:
     """Run one exchange after the other on one connection."""
 
--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -59,10 +59,13 @@
     def drop_history(self) -> None:
         """Forget what changed so far; watches have to list again."""
         self.history_from = self._revision
-        self._changed.set()
+        self._wake()
 
     def _note(self, kind: str, stored: dict[str, Any], gone: bool) -> None:
         self._events.append((self._revision, kind, stored, gone))
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
