Survive a reset of the connection to the store

Ruled out: the keep-alive probes (the traceback is in closing).

Open: test_one_promotion_with_many_hosts failed once in five runs of tests/entry with six workers; 16 runs at the same time did not show it. It now attaches what each host decided.

--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import socket
-import struct
 import typing
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -13,13 +12,12 @@
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import clock
 from knapweedtally.platform import lines
+from knapweedtally.utils import sockets
 
 # Unacknowledged data of a connection is given up after this, in ms: a peer
 # behind a cut answers nothing and resets nothing.
 TCP_USER_TIMEOUT_MS = 2500
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class Outcome(NamedTuple):
     """Hold how a statement ended on a connection.
@@ -213,11 +211,7 @@
         """Close it at once, so that nothing held up on the way arrives."""
         transport = self._transport
         if transport is not None and not self.is_closed:
-            sock = transport.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
+            sockets.reset_on_close(transport.get_extra_info("socket"))
             transport.abort()
         self._end(is_timeout)
 
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -60,6 +60,7 @@
     """Hold the state of one entry host.
 
     Attributes:
+        name: name of the host.
         catalog: configuration and targets.
         log: where decisions are written.
         counters: counters and histograms.
@@ -72,6 +73,7 @@
         self, configured: settings.HostSettings, log: logs.Log
     ) -> None:
         """Make a host that knows nothing yet."""
+        self.name = configured.host
         self.catalog = catalog.Catalog()
         self.log = log
         self.counters = measures.Measures()
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -333,9 +333,6 @@
 
     def _note_refusal(self, code: statements.Code, started_s: float) -> None:
         now_s = clock.get_time_s()
-        self._log.write(
-            "connection_refused", target=self.entry.target, code=code.name
-        )
         if code is statements.Code.TOO_MANY_CONNECTIONS:
             self.known_connections = self.max_connections
             self.counted_s = now_s
--- a/knapweedtally/utils/http_client.py
+++ b/knapweedtally/utils/http_client.py
@@ -1,7 +1,5 @@
 """A small HTTP/1.1 client with a pool of kept connections."""
 
-import socket
-import struct
 import time
 
 import anyio
@@ -9,6 +7,7 @@
 import h11
 
 from knapweedtally.utils import http
+from knapweedtally.utils import sockets
 
 MAX_IDLE_CONNECTIONS = 8
 # Below the server's idle timeout, so that a kept connection is rarely closed
@@ -16,10 +15,6 @@
 MAX_IDLE_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
 
-# SO_LINGER with a time of nought: closing discards what was not yet received
-# by the server and resets the connection.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class Client:
     """Send requests to one server.
@@ -129,22 +124,10 @@
             ) from error
         if self._keep_alive_s is not None:
             sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            _probe(sock, self._keep_alive_s)
+            sockets.probe_when_idle(sock, self._keep_alive_s)
         return _Connection(stream, self._host, self._max_body_bytes)
 
 
-def _probe(sock: socket.socket, interval_s: int) -> None:
-    """Let the system probe a connection that rests."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, interval_s),
-        (socket.TCP_KEEPINTVL, interval_s),
-        (socket.TCP_KEEPCNT, 2),
-        (socket.TCP_USER_TIMEOUT, interval_s * 3000),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 class _Connection:
     """Run one exchange after the other on one connection."""
 
@@ -188,12 +171,10 @@
         """Reset the connection, so that nothing held up on the way arrives."""
         try:
             sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
         except (AttributeError, OSError, anyio.TypedAttributeLookupError):
-            # The socket is closed already, so nothing is left to discard.
-            pass
+            # The stream looks up its peer's name first, which is gone.
+            sock = None
+        sockets.reset_on_close(sock)
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -7,6 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
+import testtools
+from testtools import content
+from testtools import content_type
+
 from knapweedtally.entry import host as host_module
 from knapweedtally.entry import logs
 from knapweedtally.entry import relays
@@ -73,6 +77,22 @@
                 pool.close()
         self.host.peers.close()
 
+    def attach_changes(self, test: testtools.TestCase) -> None:
+        """Show what the host decided about primaries if the test fails."""
+
+        def write() -> list[bytes]:
+            words = ("change", "duty", "primary", "promotion", "standstill")
+            return [
+                f"{line}\n".encode()
+                for line in self.lines
+                if line["event"].startswith(words)
+            ]
+
+        kind = content_type.UTF8_TEXT
+        test.addDetail(
+            f"changes-{self.host.name}", content.Content(kind, write)
+        )
+
     def find_lines(self, event: str) -> list[dict[str, Any]]:
         return [line for line in self.lines if line["event"] == event]
 
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -309,6 +309,7 @@
             new = group.get_primary()
             for entry in entries:
                 router = entry.host.routers["g"]
+                entry.attach_changes(self)
                 await harness.wait_for(
                     lambda router=router: router.leadership.target == new.id
                 )
