List again after each lost watch; take no detour for a way

A watcher now lists after every failed call, and waits 10 s. - No promotion at all in test_one_promotion_with_many_hosts, twice: hosts that reached the dead primary through one another took each other's greeting for its answer. Only direct connections serve other hosts, and only the target's own answers count. - A host that was cut off promoted although others saw the primary: they tell every 0.36 s, the limit for a refusing primary was 0.2 s.

--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -12,6 +12,10 @@
 # target with a full queue gives.
 SILENT_S = 0.5
 
+# No host may have seen the primary lead for this long, in seconds: more than
+# the interval at which hosts ask and tell one another.
+UNSEEN_S = 0.5
+
 # A commit without an answer for this long, in seconds, while the primary
 # answers questions, shows that no replica receives.
 STALLED_S = 0.8
@@ -89,8 +93,8 @@
         return False
     limit_s = REFUSED_S if view.is_refusing else SILENT_S
     # Where other hosts see the primary lead, only this host is cut off.
-    since_s = max(view.failing_since_s, view.primary_seen_s)
-    return now_s - since_s > limit_s
+    is_unseen = now_s - view.primary_seen_s > UNSEEN_S
+    return is_unseen and now_s - view.failing_since_s > limit_s
 
 
 def _is_stalled(view: View, now_s: float) -> bool:
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -274,7 +274,9 @@
             self._is_setup_broken = True
 
     def _take_answer(self, answer: statements.Answer) -> None:
-        self._owner.note_answer()
+        if self.is_open or not self.way:
+            # Another host accepts a connection without asking the target.
+            self._owner.note_answer()
         if not self.is_open:
             self.is_open = True
             self._settle()
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -152,18 +152,30 @@
         """Tell whether the target answers as far as is known."""
         return self.failing_since_s is None and bool(self._connections)
 
+    @property
+    def has_direct(self) -> bool:
+        """Tell whether a connection doesn't go through another host."""
+        return any(not connection.way for connection in self._connections)
+
     def is_settled(self) -> bool:
         """Tell whether every connection goes a way that is to be used."""
         return bool(self._connections) and all(
             self._is_current(connection) for connection in self._connections
         )
 
-    def take(self, values: dict[bytes, bytes]) -> connections.Connection | None:
-        """Return an idle connection, one that needs few changes."""
+    def take(
+        self, values: dict[bytes, bytes], is_direct: bool = False
+    ) -> connections.Connection | None:
+        """Return an idle connection, one that needs few changes.
+
+        Args:
+            values: session values that it should hold.
+            is_direct: whether it must not go through another host.
+        """
         best = None
         best_changes = 3
         for connection in self._connections:
-            if connection.is_idle:
+            if connection.is_idle and not (is_direct and connection.way):
                 changes = connection.count_changes(values)
                 if changes < best_changes:
                     best, best_changes = connection, changes
@@ -240,8 +252,9 @@
         """Tell whether the target is reached through others for a while."""
         return clock.get_time_s() < self._detour_until_s
 
-    def _detour(self, now_s: float) -> None:
+    def start_detour(self) -> None:
         """Try to reach a target through other hosts that doesn't answer."""
+        now_s = clock.get_time_s()
         if self.ways or not self.detours or self._is_closed:
             return
         if now_s >= self._detour_until_s:
@@ -252,6 +265,10 @@
         if self._opening < 2:
             self.open()
 
+    def end_detour(self) -> None:
+        """Go back to direct connections."""
+        self._detour_until_s = 0.0
+
     def set_ways(self, ways: tuple[Way, ...]) -> None:
         """Set the hosts through which the target is reached.
 
@@ -269,8 +286,12 @@
         return connection.way in [way.host for way in self.ways]
 
     def call_when_open(self, on_open: Callable[[bool], None]) -> None:
-        """Call back once a connection is open, or none could be made."""
-        if self._connections:
+        """Call back once a direct connection is open, or none was made.
+
+        Hosts that reach each other's targets by detours must not take each
+        other for a way to a target that is down.
+        """
+        if self.has_direct:
             on_open(True)
             return
         self._openers.append(on_open)
@@ -282,14 +303,16 @@
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
     ) -> None:
-        """Call back with an idle connection, or with None after a deadline.
+        """Call back with an idle direct connection, or None after a deadline.
 
         Args:
             values: session values that the connection should hold.
             on_idle: called once.
             deadline_s: when waiting ends.
         """
-        connection = self.take(values) if not self._waiters else None
+        connection = None
+        if not self._waiters:
+            connection = self.take(values, is_direct=True)
         if connection is None:
             self._waiters.append(_Waiter(values, on_idle, deadline_s))
             self.want_connection()
@@ -325,10 +348,10 @@
         if not connection.is_open:
             self._way_turn += 1
         elif not connection.way:
-            self._detour_until_s = 0.0
+            self.end_detour()
         openers, self._openers = self._openers, []
         for on_open in openers:
-            on_open(connection.is_open)
+            on_open(connection.is_open and not connection.way)
         self._on_change()
 
     def _note_refusal(self, code: statements.Code, started_s: float) -> None:
@@ -346,7 +369,7 @@
         now_s = clock.get_time_s()
         self._retry_at_s = now_s + RETRY_S
         self.note_failure(started_s, is_refused)
-        self._detour(now_s)
+        self.start_detour()
         if self.failures in (1, 10, 100):
             self._log.write(
                 "connection_failed",
@@ -366,6 +389,9 @@
     def note_opened(self, connection: connections.Connection) -> None:
         """Take a connection that the target has accepted."""
         self._connections.add(connection)
+        if connection.way and self.failing_since_s is not None:
+            # Only the target's own answer shows that it is reached this way.
+            connection.send(lines.OWN_ID, lines.STATUS, None, ASK_TIMEOUT_S)
         self._serve_asks()
         self._serve_waiters()
         self.count_idle()
@@ -446,7 +472,7 @@
                     other.abort()
         if not self._opening:
             self.open()
-        self._detour(now_s)
+        self.start_detour()
 
     def close(self) -> None:
         """Close every connection; transactions on them end."""
@@ -487,7 +513,7 @@
 
     def _serve_waiters(self) -> None:
         while self._waiters:
-            connection = self.take(self._waiters[0].values)
+            connection = self.take(self._waiters[0].values, is_direct=True)
             if connection is None:
                 return
             self._waiters.popleft().on_idle(connection)
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -14,7 +14,7 @@
 
 # How long a watch waits for a change, in seconds. Each call is paid for; a
 # connection that went silent is found out by probes, not by the end of a wait.
-WATCH_WAIT_S = 20.0
+WATCH_WAIT_S = 10.0
 
 # Time without traffic after which the connection to the store is probed, in
 # seconds; three of them are within the bound for a configuration.
@@ -120,6 +120,9 @@
                 self._log.write(
                     "store_call_failed", kind=self._kind, reason=str(error)
                 )
+                # A watch from before the failure may never hear of changes
+                # that the store has dropped from its history meanwhile.
+                revision = None
                 await asyncio.sleep(pause.next_delay_s())
 
     async def _list(self) -> int:
--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -15,6 +15,8 @@
 
     Attributes:
         is_down: whether every call is answered with 503.
+        is_deaf: whether watches hear of nothing, dropped history included,
+            before their wait ends.
         history_from: oldest revision that a watch may start from.
         calls: number of calls.
     """
@@ -22,8 +24,10 @@
     def __init__(self) -> None:
         """Start empty."""
         self.is_down = False
+        self.is_deaf = False
         self.history_from = 0
         self.calls = 0
+        self._cuts = 0
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -61,6 +65,11 @@
         self.history_from = self._revision
         self._wake()
 
+    def cut_watches(self) -> None:
+        """End each waiting watch without an answer."""
+        self._cuts += 1
+        self._wake()
+
     def _note(self, kind: str, stored: dict[str, Any], gone: bool) -> None:
         self._events.append((self._revision, kind, stored, gone))
         self._wake()
@@ -103,7 +112,14 @@
         loop = asyncio.get_running_loop()
         wait_s = min(MAX_WAIT_S, int(query.get("waitMs", "0")) / 1000)
         until_s = loop.time() + wait_s
+        cuts = self._cuts
         while True:
+            if self._cuts != cuts:
+                raise http.ExchangeDropped("the watch is cut")
+            left_s = until_s - loop.time()
+            if self.is_deaf and left_s > 0:
+                await self._wait(left_s)
+                continue
             if since < self.history_from:
                 return http.Response(410)
             events = [
@@ -111,15 +127,18 @@
                 for revision, of_kind, stored, gone in self._events
                 if of_kind == kind and revision > since
             ]
-            left_s = until_s - loop.time()
             if events or left_s <= 0:
                 answer = {"events": events, "asOf": self._revision}
                 return http.make_json_response(200, answer)
-            try:
-                async with asyncio.timeout(left_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                continue
+            await self._wait(left_s)
+
+    async def _wait(self, limit_s: float) -> None:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._changed.wait()
+        except TimeoutError:
+            # The caller looks at the time.
+            pass
 
     def _write(
         self, request: http.Request, kind: str, name: str
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -147,3 +147,22 @@
             self.assertEqual(platform.promotions, [])
 
         play(scenario, hosts=3, max_connections=16)
+
+    def test_detour_is_no_way_for_others(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            primary = platform.groups["g"].get_primary()
+            pool = entries[0].host.routers["g"].pools[primary.id]
+            await harness.wait_for(lambda: bool(pool.detours))
+            pool.start_detour()
+            await harness.wait_for(lambda: bool(entries[1].host.relays))
+            pool.end_detour()
+            await primary.stop()
+            await harness.wait_for(lambda: not pool.has_direct)
+            opened: list[bool] = []
+            pool.call_when_open(opened.append)
+            await harness.wait_for(lambda: bool(opened))
+            self.assertEqual(opened, [False])
+
+        play(scenario, hosts=2, max_connections=16)
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from knapweedtally.entry import store
 from standins.line_platform import platform as platform_module
 from tests.entry import harness
 
@@ -301,6 +302,8 @@
         ) -> None:
             group = platform.groups["g"]
             old = group.get_primary()
+            for entry in entries:
+                entry.attach_changes(self)
             await old.stop()
             await harness.wait_for(
                 lambda: group.find_primary() not in (None, old)
@@ -309,7 +312,6 @@
             new = group.get_primary()
             for entry in entries:
                 router = entry.host.routers["g"]
-                entry.attach_changes(self)
                 await harness.wait_for(
                     lambda router=router: router.leadership.target == new.id
                 )
@@ -356,6 +358,24 @@
 
         play(scenario)
 
+    def test_lists_again_after_a_watch_was_cut(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            platform.store.is_deaf = True
+            platform.routes.append(
+                {**platform.routes[0], "host": "added", "name": "r-added"}
+            )
+            platform.put_configuration()
+            platform.store.cut_watches()
+            catalog = entries[0].host.catalog
+            async with asyncio.timeout(store.WATCH_WAIT_S / 2):
+                await harness.wait_for(
+                    lambda: catalog.find_route("added") is not None
+                )
+
+        play(scenario)
+
     def test_foreign_entries_change_nothing(self) -> None:
         async def scenario(
             platform: platform_module.Platform, entries: list[harness.Entry]
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -58,6 +58,15 @@
         )
         self.assertIsNone(found)
 
+    def test_refusing_primary_that_other_hosts_see_stays(self) -> None:
+        found = self.find(
+            failing_since_s=NOW_S - 3.0,
+            failures=9,
+            is_refusing=True,
+            primary_seen_s=NOW_S - 0.4,
+        )
+        self.assertIsNone(found)
+
     def test_host_that_reaches_too_few_members_leaves_it_to_others(
         self,
     ) -> None:
