--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -101,6 +101,7 @@
         code: error to tell the caller where there is no answer.
         detail: text of that error.
         target: id of the target, or empty.
+        way: host that the target was reached through, or empty.
         connection: connection that the transaction now owns, or None.
         position: position that the target's log had to hold.
         waited_s: time in the queue.
@@ -112,6 +113,7 @@
     code: statements.Code | None
     detail: str = ""
     target: str = ""
+    way: str = ""
     connection: connections.Connection | None = None
     position: model.Position | None = None
     waited_s: float = 0.0
@@ -558,6 +560,7 @@
                 answer,
                 code,
                 target=self._pool.entry.target,
+                way=self._connection.way,
                 connection=held,
                 position=self._position,
                 waited_s=self._started_s - request.arrived_s,
@@ -606,6 +609,7 @@
             answer,
             answer.code,
             target=self._pool.entry.target,
+            way=self._connection.way,
             position=self._position,
             waited_s=self._started_s - self._request.arrived_s,
         )
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -633,6 +633,11 @@
             )
         return route
 
+    def _get_version(self) -> int:
+        """Return the version of the configuration in force; 0 for none."""
+        configuration = self._services.catalog.configuration
+        return configuration.version if configuration is not None else 0
+
     def _get_state(self) -> statements.SessionState:
         if self._transaction is None:
             return _State.IDLE
@@ -651,7 +656,8 @@
     ) -> None:
         self._services.log.write(
             "statement_refused",
-            id=statement.id,
+            id=statement.id.decode("ascii", "replace"),
+            configuration=self._get_version(),
             database=self._database,
             code=code.name,
             reason=detail,
@@ -688,6 +694,8 @@
             outcome=outcome,
             reason=result.detail,
             position=f"{position.term}.{position.number}" if position else "",
+            way=result.way,
+            configuration=self._get_version(),
             evidence_age_ms=round(result.evidence_age_s * 1000),
             waited_ms=round(result.waited_s * 1000, 1),
             total_ms=round((now_s - arrived_s) * 1000, 1),
--- a/knapweedtally/management/application.py
+++ b/knapweedtally/management/application.py
@@ -43,6 +43,7 @@
     "report burn": Entry("report_burn", "ReportBurnCommand"),
     "switch": Entry("switch", "SwitchCommand"),
     "targets": Entry("targets", "TargetsCommand"),
+    "trace": Entry("trace", "TraceCommand"),
     "version": Entry("version", "VersionCommand"),
 }
 
--- /dev/null
+++ b/tests/management/test_traces.py
@@ -0,0 +1,61 @@
+"""Tests of one request's story."""
+
+import json
+
+import testtools
+
+from knapweedtally.management import traces
+
+
+def make_line(time: float, event: str, **fields: object) -> str:
+    return json.dumps({"time": time, "host": "h1", "event": event, **fields})
+
+
+TEXTS = [
+    make_line(90.0, "primary_lost", group="g", target="i-1"),
+    make_line(97.0, "primary_lost", group="g", target="i-1"),
+    make_line(97.5, "primary_lost", group="other", target="i-9"),
+    make_line(98.0, "dependency_lost", dependency="store"),
+    " 5.2 h2 " + make_line(98.2, "change_started", group="g", host="h2"),
+    "Traceback (most recent call last):",
+    make_line(98.5, "dependency_lost", dependency="store", host="h3"),
+    make_line(
+        100.0,
+        "statement_ended",
+        id="5c0e",
+        group="g",
+        outcome="BUSY",
+        total_ms=800,
+    ),
+    make_line(100.1, "statement_ended", id="77", group="g", outcome="DONE"),
+    make_line(100.4, "primary_known", group="g", target="i-2"),
+    '{"time": 100.5, "host": "h1", "ev',
+]
+
+
+class StoryTest(testtools.TestCase):
+    """Which lines tell about a request."""
+
+    def find(self, request: str) -> list[tuple[float, str]]:
+        story = traces.find_story(traces.read_lines(TEXTS), request)
+        return [(line["time"], line["event"]) for line in story]
+
+    def test_request_with_its_group_and_host(self) -> None:
+        expected = [
+            (97.0, "primary_lost"),
+            (98.0, "dependency_lost"),
+            (98.2, "change_started"),
+            (100.0, "statement_ended"),
+            (100.4, "primary_known"),
+        ]
+        self.assertEqual(self.find("5c0e"), expected)
+
+    def test_unknown_request(self) -> None:
+        self.assertEqual(self.find("nothing"), [])
+
+    def test_line_for_people(self) -> None:
+        (line,) = traces.read_lines([TEXTS[1]])
+        self.assertEqual(
+            traces.format_line(line),
+            "97.000 h1 primary_lost group=g target=i-1",
+        )
