Give each run of the stand-ins ids of its own

Cause: a stopped target's port was given to another test's target of the same id, which hosts took for the old one; shown by starting such a target on purpose (no promotion in 5 s with the same id, one after 2.6 s with another). A test now plays an address that another target took over. Open: test_one_promotion_with_many_hosts failed in two of seven runs beside others after this too; its trace is next.

--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import secrets
 from typing import Any
 
 # Time that one statement takes on a target, in seconds.
@@ -153,7 +154,10 @@
         """Make a group whose first target leads."""
         self.name = name
         self.max_connections = max_connections
-        ids = [f"{name}-{number}" for number in range(count)]
+        # Ids appear nowhere else, as on the platform: runs beside each other
+        # may be given each other's ports.
+        run = secrets.token_hex(3)
+        ids = [f"{name}-{run}-{number}" for number in range(count)]
         self.targets = {id_: Target(self, id_) for id_ in ids}
         self.targets[ids[0]].is_primary = True
 
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -8,6 +8,7 @@
 
 from knapweedtally.entry import store
 from standins.line_platform import platform as platform_module
+from standins.line_platform import targets
 from tests.entry import harness
 
 Scenario = Callable[
@@ -296,6 +297,29 @@
 
         play(scenario)
 
+    def test_address_that_another_target_took_over(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            group = platform.groups["g"]
+            old = group.get_primary()
+            await old.stop()
+            stranger = targets.Group("g", 1, 16).get_primary()
+            stranger.port = old.port
+            await stranger.start()
+            await harness.wait_for(
+                lambda: group.find_primary() not in (None, old)
+            )
+            old.is_primary = False
+            caller = harness.Caller(entries[0].port)
+            await caller.start("g-primary")
+            while (await caller.run("WRITE item 1"))[0].startswith("ERROR"):
+                await asyncio.sleep(0.05)
+            self.assertEqual(stranger.statements, [])
+            await stranger.stop()
+
+        play(scenario)
+
     def test_one_promotion_with_many_hosts(self) -> None:
         async def scenario(
             platform: platform_module.Platform, entries: list[harness.Entry]
