--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -274,8 +274,9 @@
             self._is_setup_broken = True
 
     def _take_answer(self, answer: statements.Answer) -> None:
-        if self.is_open or not self.way:
-            # Another host accepts a connection without asking the target.
+        if not self.way or answer.position != lines.NO_POSITION:
+            # Another host answers some messages without asking the target;
+            # only the target's own answers carry a position.
             self._owner.note_answer()
         if not self.is_open:
             self.is_open = True
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -16,6 +16,7 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import measures
+from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
 from knapweedtally.platform import lines
 
@@ -120,7 +121,7 @@
         self._transport: asyncio.Transport | None = None
         self._database: str | None = None
         self._transaction: Transaction | None = None
-        self._request: router_module.Request | None = None
+        self._request: requests.Request | None = None
         self._router: router_module.Router | None = None
         self._own_position: model.Position | None = None
         self._is_busy = False
@@ -400,7 +401,7 @@
             self._own_position,
         )
 
-        def note_result(result: router_module.Result) -> None:
+        def note_result(result: requests.Result) -> None:
             self._request = None
             if is_write and result.answer and not result.code:
                 self._note_own_commit(result.answer)
@@ -426,7 +427,7 @@
             self._own_position,
         )
 
-        def note_result(result: router_module.Result) -> None:
+        def note_result(result: requests.Result) -> None:
             self._request = None
             if result.connection is None:
                 transaction.is_failed = True
@@ -450,14 +451,14 @@
         need: placement.Need,
         arrived_s: float,
         begins: bool,
-        on_end: router_module.Listener,
+        on_end: requests.Listener,
     ) -> None:
         router = self._services.find_router(route.group)
         if router is None or router.queue_length >= MAX_QUEUED:
             detail = "too many requests wait; retry after 300 ms"
-            on_end(router_module.Result(None, _Code.BUSY, detail))
+            on_end(requests.Result(None, _Code.BUSY, detail))
             return
-        request = router_module.Request(
+        request = requests.Request(
             self,
             statement,
             need,
@@ -529,9 +530,7 @@
         if not is_open:
             transaction.is_failed = True
             self._release(transaction)
-        result = router_module.Result(
-            answer, answer.code, target=transaction.target
-        )
+        result = requests.Result(answer, answer.code, target=transaction.target)
         self._tell(statement, transaction.route, arrived_s, result)
 
     def _note_committed(
@@ -552,9 +551,7 @@
                 router.note_commit(transaction.target, outcome.asked_s)
         self._release(transaction)
         self._transaction = None
-        result = router_module.Result(
-            answer, answer.code, target=transaction.target
-        )
+        result = requests.Result(answer, answer.code, target=transaction.target)
         self._tell(statement, transaction.route, arrived_s, result)
 
     def _note_transaction_lost(
@@ -578,9 +575,7 @@
             self._transaction = None
         is_timeout = outcome is not None and outcome.is_timeout
         detail = "no answer in time" if is_timeout else "connection lost"
-        result = router_module.Result(
-            None, code, detail, target=transaction.target
-        )
+        result = requests.Result(None, code, detail, target=transaction.target)
         self._tell(statement, transaction.route, arrived_s, result)
 
     def _note_own_commit(self, answer: statements.Answer) -> None:
@@ -672,7 +667,7 @@
         statement: statements.Statement,
         route: model.Route,
         arrived_s: float,
-        result: router_module.Result,
+        result: requests.Result,
     ) -> None:
         """Send a result to the caller and write down how it came about."""
         self._is_busy = False
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -125,6 +125,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = Connection(self, reader, writer)
+        if not self.is_up:
+            # Accepted just before the stop, which didn't see it.
+            connection.abort()
+            return
         self.connections.add(connection)
         try:
             await connection.run()
