--- /dev/null
+++ b/tests/entry/test_process.py
@@ -0,0 +1,169 @@
+"""The entry host as a process of its own, before the stand-ins."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import testtools
+
+from knapweedtally.platform import settings
+from standins.line_platform import platform as platform_module
+from tests.entry import harness
+
+
+class Process:
+    """Hold one started entry host and where it listens."""
+
+    def __init__(
+        self, process: asyncio.subprocess.Process, ports: list[int]
+    ) -> None:
+        self.process = process
+        self.callers_port, self.ready_port = ports[:2]
+
+    async def ask_ready(self) -> int:
+        """Return the status of the readiness question, 0 for none."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ready_port
+            )
+        except OSError:
+            return 0
+        writer.write(b"GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return int(line.split(b" ")[1]) if line else 0
+
+    async def wait_ready(self) -> None:
+        async with asyncio.timeout(harness.WAIT_S):
+            while await self.ask_ready() != 200:
+                await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def run_process(
+    platform: platform_module.Platform,
+) -> AsyncIterator[Process]:
+    """Run ``knapweedtally entry`` until the block ends."""
+    ports = harness.find_ports(4)
+    content = platform.make_settings("host-0", ports)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder, "settings.json")
+        path.write_text(json.dumps(content), encoding="utf-8")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "knapweedtally",
+            "entry",
+            env={**os.environ, settings.SETTINGS_VARIABLE: str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        try:
+            started = Process(process, ports)
+            await started.wait_ready()
+            yield started
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+Scenario = Callable[[platform_module.Platform, Process], Awaitable[None]]
+
+
+def play(scenario: Scenario) -> None:
+    """Run a scenario with a started process."""
+
+    async def run() -> None:
+        platform = platform_module.Platform()
+        await platform.start()
+        try:
+            async with run_process(platform) as started:
+                await scenario(platform, started)
+        finally:
+            await platform.stop()
+
+    asyncio.run(run())
+
+
+class StopTest(testtools.TestCase):
+    """A planned stop."""
+
+    def test_open_transaction_ends_before_the_process(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, started: Process
+        ) -> None:
+            caller = harness.Caller(started.callers_port)
+            await caller.start("g-primary")
+            await caller.run("BEGIN")
+            await caller.run("WRITE item 1")
+            started.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(harness.WAIT_S):
+                while await started.ask_ready() == 200:
+                    await asyncio.sleep(0.01)
+            answer = await caller.run("COMMIT")
+            self.assertThat(answer[0], testtools.matchers.StartsWith("DONE g-"))
+            self.assertTrue(await caller.is_ended())
+            self.assertEqual(await started.process.wait(), 0)
+            self.assertEqual(
+                platform.groups["g"].get_primary().read("item"), "1"
+            )
+
+        play(scenario)
+
+    def test_callers_that_arrive_during_the_stop_are_served(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, started: Process
+        ) -> None:
+            started.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(harness.WAIT_S):
+                while await started.ask_ready() == 200:
+                    await asyncio.sleep(0.01)
+            caller = harness.Caller(started.callers_port)
+            await caller.start("g-primary")
+            answer = await caller.run("WRITE item 1")
+            self.assertThat(answer[0], testtools.matchers.StartsWith("DONE g-"))
+
+        play(scenario)
+
+    def test_settings_that_changed_do_not_stop_it(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, started: Process
+        ) -> None:
+            started.process.send_signal(signal.SIGHUP)
+            caller = harness.Caller(started.callers_port)
+            await caller.start("g-primary")
+            answer = await caller.run("READ item")
+            self.assertEqual(answer[0], "ROW -")
+
+        play(scenario)
+
+
+class StartTest(testtools.TestCase):
+    """Recovery after every process was killed."""
+
+    def test_serves_again_with_what_the_store_holds(self) -> None:
+        async def run() -> None:
+            platform = platform_module.Platform()
+            await platform.start()
+            try:
+                for number in range(2):
+                    async with run_process(platform) as started:
+                        caller = harness.Caller(started.callers_port)
+                        await caller.start("g-primary")
+                        if number:
+                            answer = await caller.run("READ item")
+                            self.assertEqual(answer[0], "ROW 1")
+                        await caller.run("WRITE item 1")
+                        started.process.kill()
+            finally:
+                await platform.stop()
+
+        asyncio.run(run())
