Split the caller's session; drop what nothing reads

The session's services and its transaction are modules of their own; unused constants, fields and properties are gone. No behaviour changes.

--- a/knapweedtally/core/groups/model.py
+++ b/knapweedtally/core/groups/model.py
@@ -34,7 +34,6 @@
         consistency: what reads may miss.
         max_age_s: accepted age of what reads show; 0 for ``PRIMARY``.
         statement_timeout_s: limit of one statement.
-        aim_s: time within which callers want an operation answered.
         priority: 0 is served first.
     """
 
@@ -43,7 +42,6 @@
     consistency: Consistency
     max_age_s: float
     statement_timeout_s: float
-    aim_s: float
     priority: int
 
 
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -45,9 +45,6 @@
 # A connection beyond the first is closed after it was idle for this long.
 IDLE_CLOSE_S = 10.0
 
-# The target closes connections that rest for a minute.
-MAX_IDLE_S = 45.0
-
 
 class _Ask(NamedTuple):
     text: bytes
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -2,22 +2,18 @@
 
 import asyncio
 import collections
-import dataclasses
 import socket
 import typing
-from collections.abc import Callable
-from typing import Protocol
 
-from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import measures
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
+from knapweedtally.entry import services as services_module
+from knapweedtally.entry import transactions
 from knapweedtally.platform import lines
 
 # Messages of one caller that wait before its connection is read on.
@@ -44,61 +40,6 @@
 _State = statements.SessionState
 
 
-class Services(Protocol):
-    """Give a session what it needs of its host.
-
-    Attributes:
-        catalog: configuration and targets.
-        log: where decisions are written.
-        counters: counters and histograms.
-        is_draining: whether the host is about to stop.
-    """
-
-    catalog: catalog.Catalog
-    log: logs.Log
-    counters: measures.Measures
-    is_draining: bool
-
-    def find_router(self, group: str) -> router_module.Router | None:
-        """Return the router of a group."""
-
-    def add_session(self, session: "CallerSession") -> None:
-        """Take note of a session."""
-
-    def drop_session(self, session: "CallerSession") -> None:
-        """Forget a session."""
-
-    def call_when_configured(self, callback: Callable[[], None]) -> None:
-        """Call back once a configuration is in force."""
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Transaction:
-    """Hold a caller's open transaction.
-
-    Attributes:
-        begin: the statement that began it.
-        arrived_s: when that arrived.
-        route: its route, fixed from the begin to the end.
-        connection: connection that it owns, or None before its first use.
-        target: id of the connection's target.
-        has_written: whether a write was sent in it.
-        is_failed: whether it can only be ended.
-        abort_reason: why the host ended it, to be told next; or empty.
-        rest_since_s: when its last statement ended.
-    """
-
-    begin: statements.Statement
-    arrived_s: float
-    route: model.Route
-    connection: connections.Connection | None = None
-    target: str = ""
-    has_written: bool = False
-    is_failed: bool = False
-    abort_reason: str = ""
-    rest_since_s: float = 0.0
-
-
 class CallerSession(asyncio.Protocol):
     """Serve one caller's connection.
 
@@ -108,7 +49,7 @@
         idle_since_s: when its last answer was sent.
     """
 
-    def __init__(self, services: Services) -> None:
+    def __init__(self, services: services_module.Services) -> None:
         """Make a session that waits for its first message."""
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, bytes] = {}
@@ -120,7 +61,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._database: str | None = None
-        self._transaction: Transaction | None = None
+        self._transaction: transactions.Transaction | None = None
         self._request: requests.Request | None = None
         self._router: router_module.Router | None = None
         self._own_position: model.Position | None = None
@@ -276,7 +217,9 @@
         handler(self, statement, arrived_s)
 
     def _serve_failed(
-        self, statement: statements.Statement, transaction: Transaction
+        self,
+        statement: statements.Statement,
+        transaction: transactions.Transaction,
     ) -> None:
         """Serve a statement after the transaction has failed."""
         if statement.kind is _Kind.ROLLBACK:
@@ -293,7 +236,9 @@
             )
 
     def _tell_abort(
-        self, statement: statements.Statement, transaction: Transaction
+        self,
+        statement: statements.Statement,
+        transaction: transactions.Transaction,
     ) -> None:
         """Tell a caller that its transaction was ended meanwhile."""
         reason, transaction.abort_reason = transaction.abort_reason, ""
@@ -340,7 +285,7 @@
         if route is not None:
             # The target is chosen with the first statement, so that a caller
             # that pauses after its begin holds no connection.
-            self._transaction = Transaction(
+            self._transaction = transactions.Transaction(
                 statement, arrived_s, route, rest_since_s=arrived_s
             )
             self._answer_done(_State.IN_TRANSACTION)
@@ -411,7 +356,7 @@
 
     def _submit_begin(
         self,
-        transaction: Transaction,
+        transaction: transactions.Transaction,
         statement: statements.Statement,
         arrived_s: float,
     ) -> None:
@@ -474,7 +419,7 @@
 
     def _run_held(
         self,
-        transaction: Transaction,
+        transaction: transactions.Transaction,
         statement: statements.Statement,
         arrived_s: float,
     ) -> None:
@@ -508,7 +453,7 @@
 
     def _note_held_answer(
         self,
-        transaction: Transaction,
+        transaction: transactions.Transaction,
         statement: statements.Statement,
         arrived_s: float,
         answer: statements.Answer,
@@ -535,7 +480,7 @@
 
     def _note_committed(
         self,
-        transaction: Transaction,
+        transaction: transactions.Transaction,
         statement: statements.Statement,
         arrived_s: float,
         outcome: connections.Outcome,
@@ -556,7 +501,7 @@
 
     def _note_transaction_lost(
         self,
-        transaction: Transaction,
+        transaction: transactions.Transaction,
         statement: statements.Statement,
         arrived_s: float,
         outcome: connections.Outcome | None = None,
@@ -585,7 +530,9 @@
             self._own_position = max(known, position) if known else position
 
     def _release(
-        self, transaction: Transaction | None, id_: bytes = lines.OWN_ID
+        self,
+        transaction: transactions.Transaction | None,
+        id_: bytes = lines.OWN_ID,
     ) -> None:
         """Give a transaction's connection back.
 
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable
 
-from knapweedtally.entry import clock
 from knapweedtally.entry import logs
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -103,7 +102,6 @@
         self._on_list = on_list
         self._on_change = on_change
         self._log = log
-        self.listed_s: float | None = None
 
     async def run(self) -> None:
         """List and watch for ever."""
@@ -140,7 +138,6 @@
                 break
             after = page.objects[-1].name
         self._on_list(objects)
-        self.listed_s = clock.get_time_s()
         return first_revision
 
     async def _watch(self, revision: int) -> int | None:
--- a/knapweedtally/platform/lines.py
+++ b/knapweedtally/platform/lines.py
@@ -319,13 +319,6 @@
         self._code: statements.Code | None = None
         self._detail = b""
 
-    @property
-    def is_partial(self) -> bool:
-        """Tell whether an answer has begun and not ended."""
-        return bool(
-            self._rows or self._signature or self._code or self._lines.size
-        )
-
     def feed(self, data: bytes) -> list[statements.Answer]:
         """Add received bytes and return the answers that are complete.
 
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -64,7 +64,6 @@
             consistency=_CONSISTENCIES[item["type"]],
             max_age_s=float(item.get("maxStalenessMs") or 0) / 1000,
             statement_timeout_s=timeout_s,
-            aim_s=float(item.get("targetLatencyMs") or 1000) / 1000,
             priority=int(item.get("priority") or 0),
         )
     except (AttributeError, KeyError, TypeError, ValueError):
--- a/knapweedtally/platform/settings.py
+++ b/knapweedtally/platform/settings.py
@@ -38,7 +38,6 @@
             there are none.
         grace_s: time between the request to stop and the kill.
         drain_s: time within which a leaving target gets no more work.
-        descriptors: limit of open files and sockets.
         metrics: where measures are served; None for nowhere.
         peers: where datagrams of other hosts are received; None for nowhere.
     """
@@ -51,7 +50,6 @@
     duties: Address | None
     grace_s: float
     drain_s: float
-    descriptors: int
     metrics: Address | None
     peers: Address | None
 
@@ -103,7 +101,6 @@
             duties=parse_address(duties["addr"]) if duties else None,
             grace_s=float(bounds.get("graceS", 6)),
             drain_s=float(bounds.get("drainMs", 7000)) / 1000,
-            descriptors=int((content.get("limits") or {}).get("maxFds", 4096)),
             # The range's ends: deploy/system.toml can only name fixed ports.
             metrics=own[-1] if own else None,
             peers=own[0] if own else None,
