Renew evidence by one member only while it holds

Evidence about a primary took any one member that receives. A promotion lets all members receive again, and one that has not heard of the new primary yet answers as before; asked in that window, it prolonged evidence about the old primary by another span, beyond the new primary's first commits.

Change: one member renews evidence that still holds when it answers, since a promotion in between would find it stopped for a whole span. Expired evidence comes back from every other member, from a host whose evidence held, or with a new primary that was last seen to follow less than a span ago.

--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -2,15 +2,23 @@
 
 A promotion first stops every other target of the group from receiving, or
 makes the old primary step down, and then waits ``EVIDENCE_SPAN_S`` before the
-new primary is named. So a host that asked the primary and another member at a
-time t, and found both as they were, knows that no promotion took effect before
-t + ``EVIDENCE_SPAN_S``. Times are those of ``CLOCK_BOOTTIME``, counted from the
-moment when the question was sent: a suspended host then finds its evidence
-expired, and a slow answer makes it older, never younger.
+new primary is named. It lets the others receive again, and they may learn of
+the new primary late. So a target that receives is a sign against a promotion
+under way, but not against one that has taken effect. Two things are:
+
+- Every other target showed that it receives and leads no later term. One that
+  had been promoted would have said so.
+- Some target receives while earlier evidence still holds. A promotion since
+  then would find all of them stopped for the whole span.
+
+Both hold until ``EVIDENCE_SPAN_S`` after the question was sent. Times are those
+of ``CLOCK_BOOTTIME``: a suspended host then finds its evidence expired, and a
+slow answer makes it older, never younger.
 """
 
 import collections
 import dataclasses
+from collections.abc import Collection
 
 from knapweedtally.core.groups import model
 
@@ -37,12 +45,15 @@
         term: its term.
         primary_seen_s: when the question was sent that the primary answered
             as the primary.
-        member_seen_s: when the question was sent to which another member
-            showed that it still receives under this term.
+        member_seen_s: when no promotion beyond this term had taken effect,
+            nor could before the end of a span that begins there.
         needs_member: whether a promotion would need other members.
         positions: pairs of the time of a question and the position that the
             primary answered, oldest first. A position covers every commit
             that was acknowledged before its time.
+        receiving: when each other member was last asked that then showed
+            that it receives and knows no later term.
+        terms: the term that each member last showed, and when it was asked.
     """
 
     target: str | None = None
@@ -55,6 +66,10 @@
             default_factory=lambda: collections.deque(maxlen=MAX_POSITIONS)
         )
     )
+    receiving: dict[str, float] = dataclasses.field(default_factory=dict)
+    terms: dict[str, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def valid_until_s(self) -> float:
@@ -80,7 +95,8 @@
         leadership.target = target
         leadership.term = term
         leadership.primary_seen_s = asked_s
-        leadership.member_seen_s = _NEVER
+        leadership.member_seen_s = _get_start_s(leadership, target, term)
+        leadership.receiving.clear()
         leadership.positions.clear()
     leadership.primary_seen_s = max(leadership.primary_seen_s, asked_s)
     return is_new
@@ -101,17 +117,74 @@
     return is_given_up
 
 
+def _get_start_s(leadership: Leadership, target: str, term: int) -> float:
+    """Return when a new primary was last seen under an earlier term.
+
+    Its promotion came later, and the next one has to stop the others for a
+    whole span first.
+    """
+    shown_term, asked_s = leadership.terms.get(target, (term, _NEVER))
+    return asked_s if shown_term < term else _NEVER
+
+
+def note_term(
+    leadership: Leadership, target: str, term: int, asked_s: float
+) -> None:
+    """Record the term that a member showed, after all else it showed."""
+    leadership.terms[target] = (term, asked_s)
+
+
+def forget_member(leadership: Leadership, target: str) -> None:
+    """Forget what a target showed that is no member any more."""
+    leadership.receiving.pop(target, None)
+    leadership.terms.pop(target, None)
+
+
 def note_member(
-    leadership: Leadership, term: int, paused_for: int, asked_s: float
+    leadership: Leadership,
+    target: str,
+    members: Collection[str],
+    paused_for: int,
+    asked_s: float,
+    answered_s: float,
 ) -> None:
-    """Record that another member answered that it receives, or stopped."""
-    if term > leadership.term or paused_for > leadership.term:
+    """Record that another member of no later term receives, or stopped.
+
+    Args:
+        leadership: the evidence.
+        target: id of the member.
+        members: ids of all members, the primary among them.
+        paused_for: term for which it has stopped receiving, or 0.
+        asked_s: when it was asked.
+        answered_s: when the answer came.
+    """
+    receiving = leadership.receiving
+    if paused_for > leadership.term:
+        receiving.pop(target, None)
+        return
+    receiving[target] = max(asked_s, receiving.get(target, _NEVER))
+    if _renew(leadership, asked_s, answered_s):
         return
+    others = [member for member in members if member != leadership.target]
+    if all(member in receiving for member in others):
+        seen_s = min(receiving[member] for member in others)
+        leadership.member_seen_s = max(leadership.member_seen_s, seen_s)
+
+
+def _renew(leadership: Leadership, asked_s: float, answered_s: float) -> bool:
+    """Prolong evidence that still holds, by one member that receives."""
+    if answered_s > leadership.member_seen_s + EVIDENCE_SPAN_S:
+        return False
     leadership.member_seen_s = max(leadership.member_seen_s, asked_s)
+    return True
 
 
 def note_commit(
-    leadership: Leadership, target: str, asked_s: float, is_replicated: bool
+    leadership: Leadership,
+    target: str,
+    asked_s: float,
+    answered_s: float,
+    is_replicated: bool,
 ) -> None:
     """Record a commit that the primary acknowledged.
 
@@ -122,7 +195,7 @@
         return
     leadership.primary_seen_s = max(leadership.primary_seen_s, asked_s)
     if is_replicated:
-        leadership.member_seen_s = max(leadership.member_seen_s, asked_s)
+        _renew(leadership, asked_s, answered_s)
 
 
 def note_position(
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -223,10 +223,9 @@
         if old is None:
             return
         del self.catalog.members[old]
-        pool = router.pools.pop(old, None)
+        pool = router.remove_pool(old)
         if pool is None:
             return
-        pool.close()
         router.add_pool(entry, pool.get_floor())
         self.log.write("target_succeeded", target=entry.target, old=old)
 
@@ -250,7 +249,7 @@
         members = catalog.list_members(self.catalog, router.settings.name)
         known = {member.entry.target for member in members}
         for target in [t for t in router.pools if t not in known]:
-            router.pools.pop(target).close()
+            router.remove_pool(target)
         for member in members:
             target = member.entry.target
             pool = router.pools.get(target)
--- a/knapweedtally/entry/peer_messages.py
+++ b/knapweedtally/entry/peer_messages.py
@@ -9,7 +9,7 @@
 from knapweedtally.core.groups import sharing
 
 # Version of the form; others are dropped, as during an update of the hosts.
-FORM = 3
+FORM = 4
 
 
 class PeerMessage(NamedTuple):
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -115,6 +115,14 @@
         pool.open()
         return pool
 
+    def remove_pool(self, target: str) -> pools.Pool | None:
+        """Close the pool of a target that is no member any more."""
+        pool = self.pools.pop(target, None)
+        if pool is not None:
+            pool.close()
+            evidence.forget_member(self.leadership, target)
+        return pool
+
     @property
     def queue_length(self) -> int:
         """Return the number of requests that wait."""
@@ -364,8 +372,14 @@
                 self._note_unled(target, "another term or role")
         else:
             evidence.note_member(
-                leadership, status.term, status.paused_for, asked_s
+                leadership,
+                target,
+                self.pools,
+                status.paused_for,
+                asked_s,
+                clock.get_time_s(),
             )
+        evidence.note_term(leadership, target, status.term, asked_s)
         self.dispatch()
 
     def note_shared(
@@ -430,7 +444,13 @@
         """Record an acknowledged commit."""
         self.last_commit_s = max(self.last_commit_s, asked_s)
         is_replicated = self.settings.acknowledging_replicas > 0
-        evidence.note_commit(self.leadership, target, asked_s, is_replicated)
+        evidence.note_commit(
+            self.leadership,
+            target,
+            asked_s,
+            clock.get_time_s(),
+            is_replicated,
+        )
 
     def is_served(self, now_s: float) -> bool:
         """Tell whether the group's primary is known and confirmed."""
--- a/tests/groups/test_evidence.py
+++ b/tests/groups/test_evidence.py
@@ -11,30 +11,69 @@
 def make_leadership(seen_s: float = 10.0) -> evidence.Leadership:
     leadership = evidence.Leadership()
     evidence.note_primary(leadership, "a", 3, seen_s)
-    evidence.note_member(leadership, 3, 0, seen_s)
+    for member in "bc":
+        note_member(leadership, member, seen_s)
     return leadership
 
 
+def note_member(
+    leadership: evidence.Leadership,
+    target: str,
+    asked_s: float,
+    answered_s: float | None = None,
+    paused_for: int = 0,
+) -> None:
+    """Record that a member of a group of three showed the primary's term."""
+    if answered_s is None:
+        answered_s = asked_s
+    evidence.note_member(
+        leadership, target, "abc", paused_for, asked_s, answered_s
+    )
+
+
 class LeadershipTest(testtools.TestCase):
     """What shows that no promotion took effect."""
 
-    def test_needs_primary_and_member(self) -> None:
+    def test_needs_primary_and_every_member_at_first(self) -> None:
         leadership = evidence.Leadership()
         evidence.note_primary(leadership, "a", 3, 10.0)
-        self.assertLess(leadership.valid_until_s, 10.0)
-        evidence.note_member(leadership, 3, 0, 9.5)
+        note_member(leadership, "b", 9.5)
+        self.assertLess(leadership.valid_until_s, 9.5)
+        note_member(leadership, "c", 9.6)
         self.assertEqual(leadership.valid_until_s, 9.5 + SPAN_S)
 
-    def test_paused_member_proves_nothing(self) -> None:
+    def test_one_member_renews_evidence_that_holds(self) -> None:
         leadership = make_leadership(10.0)
-        evidence.note_member(leadership, 3, 4, 11.0)
+        evidence.note_primary(leadership, "a", 3, 10.7)
+        note_member(leadership, "b", 10.6, 10.7)
+        self.assertEqual(leadership.valid_until_s, 10.6 + SPAN_S)
+
+    def test_one_member_renews_nothing_that_has_expired(self) -> None:
+        leadership = make_leadership(10.0)
+        evidence.note_primary(leadership, "a", 3, 10.9)
+        note_member(leadership, "b", 10.7, 10.0 + SPAN_S + 0.01)
         self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
+        note_member(leadership, "c", 10.85)
+        self.assertEqual(leadership.valid_until_s, 10.7 + SPAN_S)
 
-    def test_member_of_later_term_proves_nothing(self) -> None:
+    def test_paused_member_proves_nothing(self) -> None:
         leadership = make_leadership(10.0)
-        evidence.note_member(leadership, 4, 0, 11.0)
+        note_member(leadership, "b", 10.5, paused_for=4)
+        self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
+        note_member(leadership, "c", 10.9)
         self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
 
+    def test_new_primary_holds_since_it_was_seen_to_follow(self) -> None:
+        leadership = make_leadership(10.0)
+        evidence.note_term(leadership, "b", 3, 10.5)
+        evidence.note_primary(leadership, "b", 4, 10.6)
+        self.assertEqual(leadership.valid_until_s, 10.5 + SPAN_S)
+
+    def test_new_primary_of_unknown_past_proves_nothing(self) -> None:
+        leadership = make_leadership(10.0)
+        evidence.note_primary(leadership, "d", 4, 10.6)
+        self.assertLess(leadership.valid_until_s, 10.6)
+
     def test_lower_term_never_replaces(self) -> None:
         leadership = make_leadership()
         self.assertFalse(evidence.note_primary(leadership, "b", 2, 20.0))
@@ -50,17 +89,22 @@
 
     def test_replicated_commit_shows_both(self) -> None:
         leadership = make_leadership(10.0)
-        evidence.note_commit(leadership, "a", 12.0, is_replicated=True)
-        self.assertEqual(leadership.valid_until_s, 12.0 + SPAN_S)
+        evidence.note_commit(leadership, "a", 10.7, 10.75, True)
+        self.assertEqual(leadership.valid_until_s, 10.7 + SPAN_S)
+
+    def test_commit_answered_late_does_not_show_members(self) -> None:
+        leadership = make_leadership(10.0)
+        evidence.note_commit(leadership, "a", 10.7, 10.9, True)
+        self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
 
     def test_commit_without_replicas_shows_the_primary_only(self) -> None:
         leadership = make_leadership(10.0)
-        evidence.note_commit(leadership, "a", 12.0, is_replicated=False)
+        evidence.note_commit(leadership, "a", 10.7, 10.75, False)
         self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
 
     def test_commit_at_another_target_shows_nothing(self) -> None:
         leadership = make_leadership(10.0)
-        evidence.note_commit(leadership, "b", 12.0, is_replicated=True)
+        evidence.note_commit(leadership, "b", 10.7, 10.75, True)
         self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
 
     def test_later_term_of_a_member_ends_the_primary(self) -> None:
--- a/tests/groups/test_placement.py
+++ b/tests/groups/test_placement.py
@@ -14,7 +14,7 @@
 def make_leadership(seen_s: float = NOW_S - 0.1) -> evidence.Leadership:
     leadership = evidence.Leadership()
     evidence.note_primary(leadership, "p", 1, seen_s)
-    evidence.note_member(leadership, 1, 0, seen_s)
+    evidence.note_member(leadership, "m", "m", 0, seen_s, seen_s)
     for number, age_s in ((10, 1.4), (20, 0.9), (30, 0.1)):
         # Positions of the past hold; only their order matters here.
         leadership.positions.append(
--- a/tests/groups/test_sharing.py
+++ b/tests/groups/test_sharing.py
@@ -74,7 +74,7 @@
     def test_older_evidence_takes_nothing_back(self) -> None:
         leadership = evidence.Leadership()
         evidence.note_primary(leadership, "a", 3, 60.0)
-        evidence.note_member(leadership, 3, 0, 60.0)
+        evidence.note_member(leadership, "m", "m", 0, 60.0, 60.0)
         sharing.merge_shared(leadership, self.make_shared(), 50.0)
         self.assertEqual(
             leadership.valid_until_s, 60.0 + evidence.EVIDENCE_SPAN_S
@@ -84,7 +84,7 @@
         leadership = evidence.Leadership()
         self.assertIsNone(sharing.make_shared("g", leadership, 10.0))
         evidence.note_primary(leadership, "a", 3, 9.9)
-        evidence.note_member(leadership, 3, 0, 9.8)
+        evidence.note_member(leadership, "m", "m", 0, 9.8, 9.8)
         evidence.note_position(leadership, "a", model.Position(3, 9), 9.9)
         shared = sharing.make_shared("g", leadership, 10.0)
         assert shared is not None
