Tell of a commit only under evidence that covers its answer

A commit that hangs at a primary whose replicas were stopped is acknowledged once a promotion lets them receive again, as long as one of them has not heard of the new primary. The caller was told that it is kept; the new primary lacks it.

Ruled out: faults of the stand-in.

Change: an acknowledged commit whose answer arrives after evidence expired waits until new evidence covers it, and is in doubt once a later term is known or its caller's time is over. Evidence that holds costs nothing.

Tests: the pure decision, the list of those that wait, and a late acknowledgement before the stand-ins (told as done before, in doubt now); a group whose evidence was lost while a member is silent serves again.

--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -198,6 +198,32 @@
         _renew(leadership, asked_s, answered_s)
 
 
+def judge_commit(
+    leadership: Leadership, term: int, answered_s: float
+) -> bool | None:
+    """Tell whether a commit was acknowledged before any later promotion.
+
+    A replaced primary that has heard of nothing goes on, and members that the
+    promotion let go may receive from it until they learn of the new one.
+
+    Args:
+        leadership: the evidence.
+        term: term of the commit.
+        answered_s: when its acknowledgement arrived.
+
+    Returns:
+        None while neither is known.
+    """
+    if leadership.term > term:
+        return False
+    if leadership.term < term:
+        return None
+    covered_s = leadership.member_seen_s + EVIDENCE_SPAN_S
+    if not leadership.needs_member or answered_s <= covered_s:
+        return True
+    return None
+
+
 def note_position(
     leadership: Leadership,
     target: str,
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -65,11 +65,24 @@
 
     def _note_success(self, answer: statements.Answer, asked_s: float) -> None:
         request, router = self._request, self._router
-        target = self._pool.entry.target
-        if request.need.is_write and not request.begins:
-            router.note_commit(target, asked_s)
         router.note_answer_position(self._pool, answer, asked_s)
-        self._finish(answer, None)
+        if not request.need.is_write or request.begins:
+            self._finish(answer, None)
+            return
+
+        def note_settled(is_kept: bool) -> None:
+            if is_kept:
+                self._finish(answer, None)
+            else:
+                self._finish(None, _Code.UNKNOWN_OUTCOME)
+
+        router.note_commit(
+            self._pool.entry.target,
+            answer,
+            asked_s,
+            request.deadline_s,
+            note_settled,
+        )
 
     def _finish(
         self, answer: statements.Answer | None, code: statements.Code | None
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -1,12 +1,14 @@
 """The requests of one group: queue, placement, attempts and evidence."""
 
 import asyncio
+from collections.abc import Callable
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import statements
+from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import attempts
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
@@ -61,6 +63,7 @@
         unled_since_s: since when no primary is known, or None.
         known_since_s: when the primary became known.
         commits: when each commit under way was sent.
+        acknowledgements: commits that wait for evidence.
         last_commit_s: when the newest acknowledged commit was sent.
         is_asker: whether this host asks for the others.
     """
@@ -80,6 +83,9 @@
         self.known_since_s = 0.0
         self.unled_since_s: float | None = clock.get_time_s()
         self.commits: dict[object, float] = {}
+        self.acknowledgements = acknowledgements.Acknowledgements(
+            self.leadership
+        )
         self.last_commit_s = 0.0
         self.is_asker = True
         self._made_s = clock.get_time_s()
@@ -281,6 +287,7 @@
         for request in tuple(self._hedged):
             self._check_second_try(request, now_s)
         self._ask(now_s)
+        self.acknowledgements.settle(now_s)
         self.dispatch()
 
     def _give_up(
@@ -380,6 +387,7 @@
                 clock.get_time_s(),
             )
         evidence.note_term(leadership, target, status.term, asked_s)
+        self.acknowledgements.settle(clock.get_time_s())
         self.dispatch()
 
     def note_shared(
@@ -391,6 +399,7 @@
         self.known_term = max(self.known_term, shared.term)
         if sharing.merge_shared(self.leadership, shared, sent_here_s):
             self._note_new_primary(shared.target, shared.term)
+        self.acknowledgements.settle(clock.get_time_s())
         self.dispatch()
 
     def _note_new_primary(self, target: str, term: int) -> None:
@@ -440,17 +449,33 @@
         placement.note_position(pool.load, position, self.leadership, now_s)
         return position
 
-    def note_commit(self, target: str, asked_s: float) -> None:
-        """Record an acknowledged commit."""
+    def note_commit(
+        self,
+        target: str,
+        answer: statements.Answer,
+        asked_s: float,
+        deadline_s: float,
+        on_settled: Callable[[bool], None],
+    ) -> None:
+        """Record a commit that a target acknowledged.
+
+        Args:
+            target: id of the target.
+            answer: its answer.
+            asked_s: when the commit was sent.
+            deadline_s: until when the caller waits.
+            on_settled: told whether the commit is certain to be kept.
+        """
+        now_s = clock.get_time_s()
         self.last_commit_s = max(self.last_commit_s, asked_s)
         is_replicated = self.settings.acknowledging_replicas > 0
         evidence.note_commit(
-            self.leadership,
-            target,
-            asked_s,
-            clock.get_time_s(),
-            is_replicated,
+            self.leadership, target, asked_s, now_s, is_replicated
         )
+        position = lines.parse_position(answer.position)
+        term = position.term if position else self.leadership.term
+        pending = acknowledgements.Pending(term, now_s, deadline_s, on_settled)
+        self.acknowledgements.add(pending, now_s)
 
     def is_served(self, now_s: float) -> bool:
         """Tell whether the group's primary is known and confirmed."""
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -490,14 +490,28 @@
         router = self._services.find_router(transaction.route.group)
         if router is not None:
             router.commits.pop(transaction, None)
-        if answer.code is None and transaction.has_written:
-            self._note_own_commit(answer)
-            if router is not None:
-                router.note_commit(transaction.target, outcome.asked_s)
         self._release(transaction)
         self._transaction = None
+        route = transaction.route
         result = requests.Result(answer, answer.code, target=transaction.target)
-        self._tell(statement, transaction.route, arrived_s, result)
+
+        def note_settled(is_kept: bool) -> None:
+            if is_kept:
+                self._note_own_commit(answer)
+            else:
+                result.answer, result.code = None, _Code.UNKNOWN_OUTCOME
+            self._tell(statement, route, arrived_s, result)
+
+        if router is None or answer.code or not transaction.has_written:
+            self._tell(statement, route, arrived_s, result)
+            return
+        router.note_commit(
+            transaction.target,
+            answer,
+            outcome.asked_s,
+            arrived_s + route.statement_timeout_s,
+            note_settled,
+        )
 
     def _note_transaction_lost(
         self,
--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -48,14 +48,22 @@
         self.put_configuration()
         self.write_entries()
         for handler in (self.store.answer, self._answer_duty):
-            server = http_server.Server(handler, "127.0.0.1", 0)
-            started = asyncio.get_running_loop().create_future()
-            task = asyncio.create_task(_serve(server, started))
-            self._tasks.append(task)
-            await started
-            self._servers.append(server)
+            self._servers.append(await self.serve(handler))
         self._tasks.append(asyncio.create_task(self._run_heartbeats()))
 
+    async def serve(self, handler: http_server.Handler) -> http_server.Server:
+        """Serve calls on a port of their own until the platform stops."""
+        server = http_server.Server(handler, "127.0.0.1", 0)
+        started = asyncio.get_running_loop().create_future()
+        self._tasks.append(asyncio.create_task(_serve(server, started)))
+        await started
+        return server
+
+    @property
+    def duties_port(self) -> int:
+        """Return the port of the duty calls."""
+        return self._servers[1].port
+
     async def stop(self) -> None:
         """Stop every part."""
         for task in self._tasks:
@@ -89,7 +97,7 @@
         self._updates += 1
         for group in self.groups.values():
             for target in group.targets.values():
-                if target.is_up and not target.is_dark:
+                if target.is_up and not target.is_dark and target.is_listed:
                     spec = self._make_entry(group, target)
                     self.store.put("servers", target.id, spec)
 
--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -17,6 +17,8 @@
         is_down: whether every call is answered with 503.
         is_deaf: whether watches hear of nothing, dropped history included,
             before their wait ends.
+        delay_s: time that each answer takes longer.
+        is_losing: whether writes are done and not answered.
         history_from: oldest revision that a watch may start from.
         calls: number of calls.
     """
@@ -25,6 +27,8 @@
         """Start empty."""
         self.is_down = False
         self.is_deaf = False
+        self.delay_s = 0.0
+        self.is_losing = False
         self.history_from = 0
         self.calls = 0
         self._cuts = 0
@@ -83,13 +87,17 @@
         self.calls += 1
         if self.is_down:
             return http.Response(503)
+        await asyncio.sleep(self.delay_s)
         kind, name = [*request.segments[1:], "", ""][:2]
         if request.method == "GET":
             return await self._read(request, kind, name)
         if request.method == "DELETE":
             self.remove(kind, name)
             return http.make_json_response(200, {})
-        return self._write(request, kind, name)
+        response = self._write(request, kind, name)
+        if self.is_losing:
+            raise http.ExchangeDropped("the answer is lost")
+        return response
 
     async def _read(
         self, request: http.Request, kind: str, name: str
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -31,6 +31,8 @@
         applied: number of entries that reads see.
         lag_s: time after which a replica shows what it received.
         is_dark: whether it takes connections and answers nothing.
+        is_apart: whether it is cut off from the other targets.
+        is_listed: whether it writes its entry.
         lose_answers: number of answers that are left out.
         statements: texts of the statements that it ran, with their ids.
         orders: the same for what hosts issued themselves.
@@ -48,6 +50,8 @@
         self.applied = 0
         self.lag_s = 0.0
         self.is_dark = False
+        self.is_apart = False
+        self.is_listed = True
         self.lose_answers = 0
         self.connections: set[Connection] = set()
         self.statements: list[tuple[str, str]] = []
@@ -61,6 +65,15 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def rejoin(self) -> None:
+        """Reach the other targets again, after a cut or a crash."""
+        self.is_apart = False
+        leader = self.group.find_primary()
+        if leader is None or leader is self:
+            return
+        if leader.term > self.term or not self.is_primary:
+            self.take_over(leader.log, leader.term)
+
     async def stop(self) -> None:
         """Crash: connections end, the log stays."""
         if self._server is not None:
@@ -98,13 +111,23 @@
                     return data
         return "-"
 
-    def receive(self, commit: Commit) -> bool:
-        """Take a log entry from the primary, and show it after the lag."""
+    def read_all(self, prefix: str) -> list[str]:
+        """Return all values of the items with a prefix, oldest first."""
+        limit = len(self.log) if self.is_primary else self.applied
+        return [
+            data
+            for commit in self.log[:limit]
+            for name, data in commit.writes
+            if name.startswith(prefix)
+        ]
+
+    def receive(self, commit: Commit, log: list[Commit]) -> bool:
+        """Take the primary's log up to an entry, and show it after the lag."""
         if not self.is_up or self.paused_for or self.is_primary:
             return False
-        if commit.term < self.term:
+        if commit.term < self.term or self.is_apart:
             return False
-        self.log.append(commit)
+        self.log = log[: commit.number]
         self.term = commit.term
         loop = asyncio.get_running_loop()
         loop.call_later(self.lag_s, self._apply, len(self.log))
@@ -152,12 +175,16 @@
         name: name of the group.
         targets: targets by id.
         max_connections: connections that one target takes.
+        learn_s: time until the others learn of a promotion.
+        openings: time, term and target of each promotion.
     """
 
     def __init__(self, name: str, count: int, max_connections: int) -> None:
         """Make a group whose first target leads."""
         self.name = name
         self.max_connections = max_connections
+        self.learn_s = 0.0
+        self.openings: list[tuple[float, int, str]] = []
         # Ids appear nowhere else, as on the platform: runs beside each other
         # may be given each other's ports.
         run = secrets.token_hex(3)
@@ -181,12 +208,24 @@
             raise LookupError(f"no target of {self.name} leads")
         return primary
 
-    def commit(self, primary: Target, writes: list[tuple[str, str]]) -> bool:
-        """Append to the log and tell whether a replica received it."""
+    def append(self, primary: Target, writes: list[tuple[str, str]]) -> Commit:
+        """Append to the primary's log."""
         commit = Commit(primary.term, len(primary.log) + 1, writes)
         primary.log.append(commit)
+        return commit
+
+    def ship(self, primary: Target, commit: Commit) -> bool:
+        """Send a log entry to the others and tell whether one holds it."""
         others = [t for t in self.targets.values() if t is not primary]
-        return any([other.receive(commit) for other in others])
+        if not primary.is_apart:
+            for other in others:
+                if commit not in other.log[commit.number - 1 :]:
+                    other.receive(commit, primary.log)
+        return any(
+            commit in other.log[commit.number - 1 : commit.number]
+            for other in others
+            if other.is_up and not other.is_apart and not primary.is_apart
+        )
 
     def promote(self, id_: str) -> bool:
         """Let a target lead the next term; the others follow it."""
@@ -198,11 +237,24 @@
         term = 1 + max(t.term for t in self.targets.values())
         target.take_over(target.log, term)
         target.is_primary = True
+        loop = asyncio.get_running_loop()
+        self.openings.append((loop.time(), term, id_))
         for other in self.targets.values():
-            if other is not target and other.is_up:
+            if other is target or not other.is_up or other.is_apart:
+                continue
+            other.paused_for = 0
+            if self.learn_s:
+                loop.call_later(self.learn_s, self._tell, other, target)
+            else:
                 other.take_over(target.log, term)
         return True
 
+    def _tell(self, other: Target, leader: Target) -> None:
+        """Let a target follow a new primary if it does not yet."""
+        is_reached = other.is_up and not other.is_apart and leader.is_up
+        if is_reached and leader.is_primary and leader.term > other.term:
+            other.take_over(leader.log, leader.term)
+
 
 class Connection:
     """Serve one connection to a target."""
@@ -320,11 +372,19 @@
     async def _run_read(self, id_: str, rest: str) -> str:
         if self._is_lost():
             return self._fail_read_only()
+        if rest.endswith("*"):
+            return self._read_all(id_, rest[:-1])
         for name, data in reversed(self._writes):
             if name == rest and self._state == "T":
                 return f"ROW {data}\r\n{self._done(id_)}"
         return f"ROW {self._target.read(rest)}\r\n{self._done(id_)}"
 
+    def _read_all(self, id_: str, prefix: str) -> str:
+        """Return a row for each value; the signature tells their number."""
+        rows = self._target.read_all(prefix)
+        lines = "".join(f"ROW {data}\r\n" for data in rows)
+        return f"{lines}DONE {self._target.id}.{id_}.{len(rows)}\r\n"
+
     async def _run_write(self, id_: str, rest: str) -> str:
         if not self._target.is_primary or self._is_read_only:
             return self._fail_read_only()
@@ -336,17 +396,17 @@
         return self._done(id_)
 
     async def _commit(self, writes: list[tuple[str, str]]) -> None:
-        """Commit, and wait until a replica has received it."""
+        """Commit, and wait until a replica has received it.
+
+        Raises:
+            ConnectionAbortedError: another target leads now.
+        """
         target = self._target
-        if target.group.commit(target, list(writes)):
-            return
-        number = len(target.log)
-        while not any(
-            other.is_up and len(other.log) >= number
-            for other in target.group.targets.values()
-            if other is not target
-        ):
+        commit = target.group.append(target, list(writes))
+        while not target.group.ship(target, commit):
             await asyncio.sleep(0.01)
+            if not target.is_primary or target.term != commit.term:
+                raise ConnectionAbortedError("another target leads")
 
     async def _run_set(self, id_: str, rest: str) -> str:
         name, _, value = rest.partition(" ")
@@ -389,6 +449,7 @@
         return await self._run_status(id_, "")
 
     async def _run_stepdown(self, id_: str, rest: str) -> str:
-        if self._target.term < int(rest):
+        if self._target.term < int(rest) and self._target.is_primary:
             self._target.is_primary = False
+            self._target.applied = len(self._target.log)
         return await self._run_status(id_, "")
--- /dev/null
+++ b/tests/entry/test_changes.py
@@ -0,0 +1,59 @@
+"""An entry host while a group's primary changes."""
+
+import testtools
+
+from knapweedtally.entry import clock
+from standins.line_platform import platform as platform_module
+from tests.entry import harness
+from tests.entry import test_serving
+
+StartsWith = testtools.matchers.StartsWith
+
+
+class ChangeTest(testtools.TestCase):
+    """What callers are told, and when the group is served again."""
+
+    def test_late_acknowledgement_of_a_replaced_primary(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            group = platform.groups["g"]
+            group.learn_s = 5.0
+            old = group.get_primary()
+            others = [t for t in group.targets.values() if t is not old]
+            caller = harness.Caller(entries[0].port)
+            await caller.start("g-primary")
+            await caller.run("WRITE item 1")
+            # Another host stops the replicas and promotes one of them; the
+            # other receives from the old primary until it learns of that.
+            for other in others:
+                other.paused_for = 2
+            await caller.send("WRITE item 2")
+            leadership = entries[0].host.routers["g"].leadership
+            await harness.wait_for(
+                lambda: leadership.valid_until_s < clock.get_time_s()
+            )
+            group.promote(others[0].id)
+            answer = await caller.receive()
+            self.assertThat(answer[0], StartsWith("ERROR INDOUBT"))
+
+        test_serving.play(scenario)
+
+    def test_lost_evidence_comes_back_while_a_member_is_silent(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, entries: list[harness.Entry]
+        ) -> None:
+            group = platform.groups["g"]
+            primary = group.get_primary()
+            silent = next(t for t in group.targets.values() if t is not primary)
+            await silent.stop()
+            entries[0].host.routers["g"].leadership.member_seen_s = 0.0
+            served = False
+            while not served:
+                caller = harness.Caller(entries[0].port)
+                await caller.start("g-primary")
+                answer = await caller.run("WRITE item 1")
+                served = answer[0].startswith("DONE g-")
+                caller.close()
+
+        test_serving.play(scenario)
--- a/tests/groups/test_evidence.py
+++ b/tests/groups/test_evidence.py
@@ -113,6 +113,31 @@
         self.assertIsNone(leadership.target)
 
 
+class CommitTest(testtools.TestCase):
+    """What a primary acknowledged before any later promotion."""
+
+    def test_is_kept_while_evidence_covers_its_answer(self) -> None:
+        leadership = make_leadership(10.0)
+        self.assertIs(evidence.judge_commit(leadership, 3, 10.5), True)
+
+    def test_is_open_after_evidence_has_expired(self) -> None:
+        leadership = make_leadership(10.0)
+        self.assertIsNone(evidence.judge_commit(leadership, 3, 10.9))
+        for member in "bc":
+            note_member(leadership, member, 11.0)
+        self.assertIs(evidence.judge_commit(leadership, 3, 10.9), True)
+
+    def test_is_in_doubt_once_a_later_term_is_known(self) -> None:
+        leadership = make_leadership(10.0)
+        evidence.note_primary(leadership, "b", 4, 10.7)
+        self.assertIs(evidence.judge_commit(leadership, 3, 10.5), False)
+
+    def test_of_a_group_without_members_is_kept(self) -> None:
+        leadership = make_leadership(10.0)
+        leadership.needs_member = False
+        self.assertIs(evidence.judge_commit(leadership, 3, 20.0), True)
+
+
 class PositionTest(testtools.TestCase):
     """Which position covers the commits before a time."""
 
