Survive a reload signal during the start

A SIGHUP that arrives while modules are imported ends a process by default.

Test: a process whose settings come through a pipe is signalled while it waits for them; it failed before.

--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -47,6 +47,18 @@
                 await asyncio.sleep(0.02)
 
 
+async def start_process(path: pathlib.Path) -> asyncio.subprocess.Process:
+    """Start ``knapweedtally entry`` with a settings file."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "knapweedtally",
+        "entry",
+        env={**os.environ, settings.SETTINGS_VARIABLE: str(path)},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+
+
 @contextlib.asynccontextmanager
 async def run_process(
     platform: platform_module.Platform,
@@ -57,14 +69,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder, "settings.json")
         path.write_text(json.dumps(content), encoding="utf-8")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "knapweedtally",
-            "entry",
-            env={**os.environ, settings.SETTINGS_VARIABLE: str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        process = await start_process(path)
         try:
             started = Process(process, ports)
             await started.wait_ready()
@@ -167,3 +172,33 @@
                 await platform.stop()
 
         asyncio.run(run())
+
+    def test_settings_that_change_during_the_start_do_not_end_it(self) -> None:
+        async def scenario(
+            platform: platform_module.Platform, path: pathlib.Path
+        ) -> None:
+            ports = harness.find_ports(4)
+            os.mkfifo(path)
+            process = await start_process(path)
+            try:
+                # Opens once the process reads its settings.
+                with await asyncio.to_thread(path.open, "w") as pipe:
+                    process.send_signal(signal.SIGHUP)
+                    content = platform.make_settings("host-0", ports)
+                    json.dump(content, pipe)
+                await Process(process, ports).wait_ready()
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
+
+        async def run() -> None:
+            platform = platform_module.Platform()
+            await platform.start()
+            try:
+                with tempfile.TemporaryDirectory() as folder:
+                    await scenario(platform, pathlib.Path(folder, "settings"))
+            finally:
+                await platform.stop()
+
+        asyncio.run(run())
