Soak entry hosts as processes under faults

Real processes of the entry host before the line-protocol stand-ins: links that delay, hold one way or both, and reset; signals that kill, stop, pause and reload; targets that crash, leave or are cut off; a store that refuses, delays, loses answers, goes deaf or drops its history. Callers' histories are judged by the checker that judges the PostgreSQL side, and the promotions' fences by one of their own. Faults overlap and come from a seed.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: install demo test lint bench soak binary
+.PHONY: install demo test lint bench soak soak-processes binary
 
 # SKIP_INSTALL=1 uses an environment that is already complete.
 install: $(if $(SKIP_INSTALL),,$(VENV)/.installed)
@@ -34,5 +34,10 @@
 soak: install
 	$(PYTHON) -m tests.driver --seeds $(SEEDS)
 
+# Entry hosts as processes under faults; SEEDS=50 takes about five minutes.
+soak-processes: SEEDS = 50
+soak-processes: install
+	$(PYTHON) -m tests.soak --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST))
+
 binary: install
 	$(PYTHON) -m bench.binary
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,71 @@
+"""Play seeds by hand: ``python -m tests.soak --seeds N``."""
+
+import argparse
+import multiprocessing
+import pathlib
+import shutil
+import sys
+import tempfile
+import time
+
+from tests.soak import run
+
+# Seeds of a run without --first: new ones each time.
+FRESH_SEEDS = 1_000_000
+
+
+def parse_options() -> argparse.Namespace:
+    """Return the options of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument(
+        "--first", type=int, help="default: drawn from the time"
+    )
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--hosts", type=int, default=run.HOSTS)
+    parser.add_argument("--processes", type=int, default=3)
+    return parser.parse_args()
+
+
+def play(options: tuple[int, float, int]) -> tuple[int, run.Result, str]:
+    """Play a seed; logs stay where something was wrong."""
+    seed, seconds, hosts = options
+    folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    result = run.run_seed(seed, seconds, hosts, pathlib.Path(folder))
+    if result.problems:
+        plan = "\n".join(str(fault) for fault in result.plan)
+        problems = "\n".join(result.problems)
+        report = pathlib.Path(folder, "report.txt")
+        report.write_text(f"{problems}\n{plan}\n", encoding="utf-8")
+    else:
+        shutil.rmtree(folder)
+    return seed, result, folder
+
+
+def main() -> int:
+    """Play the seeds and print each failure; return the exit status."""
+    options = parse_options()
+    first = options.first
+    if first is None:
+        first = time.time_ns() // 1000 % FRESH_SEEDS
+    seeds = range(first, first + options.seeds)
+    work = [(seed, options.seconds, options.hosts) for seed in seeds]
+    failed = requests = done = promotions = 0
+    with multiprocessing.Pool(options.processes) as pool:
+        for seed, result, folder in pool.imap_unordered(play, work):
+            requests += result.requests
+            done += result.done
+            promotions += result.promotions
+            if result.problems:
+                failed += 1
+                print(f"seed {seed}: {result.problems[:5]}, see {folder}")
+                sys.stdout.flush()
+    print(
+        f"seeds {first} to {first + options.seeds - 1}: {failed} failed; "
+        f"{requests} requests, {done} done, {promotions} promotion calls"
+    )
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/hosts.py
@@ -0,0 +1,170 @@
+"""Entry hosts as processes, each with links of its own to the platform."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+from typing import Any
+
+from knapweedtally.platform import settings
+from knapweedtally.utils import http
+from standins.line_platform import platform as platform_module
+from tests.soak import links
+
+# Ports of a host: callers, readiness, datagrams of others, measures.
+PORTS = 4
+
+
+def find_ports(address: str) -> list[int]:
+    """Return free ports of a loopback address that only one run uses."""
+    sockets = [socket.socket() for _ in range(PORTS)]
+    try:
+        for sock in sockets:
+            sock.bind((address, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+class Host:
+    """Hold one entry host, its links and its process.
+
+    Attributes:
+        name: its name.
+        address: its loopback address.
+        callers_port: port that callers connect to.
+        target_links: links to targets by their id.
+        store_link: link to the store.
+        duty_link: link to the calls that are one host's duty.
+        process: the process; None between two.
+        lives: number of processes that were started.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        platform: platform_module.Platform,
+        folder: pathlib.Path,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.target_links: dict[str, links.Link] = {}
+        self.process: asyncio.subprocess.Process | None = None
+        self.lives = 0
+        self.is_paused = False
+        self._platform = platform
+        self._folder = folder
+        self._ports = find_ports(address)
+        self.callers_port = self._ports[0]
+
+    async def start_links(self) -> None:
+        """Open a link to each target, to the store and to the duty."""
+        for group in self._platform.groups.values():
+            for target in group.targets.values():
+                link = links.Link(target.port)
+                await link.start()
+                self.target_links[target.id] = link
+        view = await self._platform.serve(self._answer_store)
+        self.store_link = links.Link(view.port)
+        self.duty_link = links.Link(self._platform.duties_port)
+        await self.store_link.start()
+        await self.duty_link.start()
+
+    async def _answer_store(self, request: http.Request) -> http.Response:
+        """Show targets at this host's links."""
+        response = await self._platform.store.answer(request)
+        body = response.body
+        for group in self._platform.groups.values():
+            for target in group.targets.values():
+                link = self.target_links[target.id]
+                body = body.replace(
+                    b'"127.0.0.1:%d"' % target.port,
+                    b'"127.0.0.1:%d"' % link.port,
+                )
+        return response._replace(body=body)
+
+    def _make_settings(self) -> dict[str, Any]:
+        content = self._platform.make_settings(self.name, self._ports)
+        content["ip"] = self.address
+        content["listen"] = {
+            "front": f"{self.address}:{self._ports[0]}",
+            "ready": f"{self.address}:{self._ports[1]}",
+        }
+        content["platform"] = {"addr": f"127.0.0.1:{self.store_link.port}"}
+        content["cloudApi"] = {"addr": f"127.0.0.1:{self.duty_link.port}"}
+        return content
+
+    async def start(self) -> None:
+        """Start the process; its log goes on in the same file."""
+        path = self._folder / f"{self.name}.json"
+        path.write_text(json.dumps(self._make_settings()), encoding="utf-8")
+        self.lives += 1
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "knapweedtally",
+                "entry",
+                env={**os.environ, settings.SETTINGS_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        process = self.process
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
+    async def stop(self, number: signal.Signals) -> int | None:
+        """End the process and return its status."""
+        process, self.process = self.process, None
+        if process is None:
+            return None
+        if process.returncode is None:
+            process.send_signal(number)
+        return await process.wait()
+
+    async def is_ready(self) -> bool:
+        """Ask whether the host wants callers."""
+        try:
+            reader, writer = await asyncio.open_connection(
+                self.address, self._ports[1]
+            )
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+            line = await reader.readline()
+            return line.split(b" ")[1:2] == [b"200"]
+        except OSError:
+            return False
+        finally:
+            writer.transport.abort()
+
+    def describe(self) -> str:
+        """Tell the state of the process, for a report."""
+        if self.process is None:
+            return "no process"
+        if self.process.returncode is not None:
+            return f"ended with {self.process.returncode}"
+        stat = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text()
+        state, *fields = stat.rsplit(")", 1)[1].split()
+        ticks = sum(map(int, fields[10:12]))
+        return f"life {self.lives}, state {state}, {ticks} ticks"
+
+    async def close(self) -> None:
+        """Kill the process and close the links."""
+        self.send_signal(signal.SIGCONT)
+        await self.stop(signal.SIGKILL)
+        for link in [
+            *self.target_links.values(),
+            self.store_link,
+            self.duty_link,
+        ]:
+            link.close()
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,217 @@
+"""Play one seed: start the system, disturb it, and judge what was seen."""
+
+import asyncio
+import pathlib
+import random
+from typing import NamedTuple
+
+from standins.line_platform import platform as platform_module
+from tests.history import checker
+from tests.history import model
+from tests.soak import callers
+from tests.soak import faults
+from tests.soak import hosts as hosts_module
+
+GROUPS = ("g", "h")
+HOSTS = 3
+CALLERS = 8
+MAX_CONNECTIONS = 24
+
+# Time until the others learn of a promotion, in seconds.
+LEARN_S = 0.3
+
+# All groups have to be served again within this after the last fault, in
+# seconds: the platform's bound for recovery.
+RECOVER_S = 15.0
+
+# Longest wait for the processes to start, in seconds.
+START_S = 60.0
+
+
+class Result(NamedTuple):
+    """Hold what a run showed.
+
+    Attributes:
+        problems: what was wrong, one line each.
+        plan: the faults that were played.
+        requests: number of requests.
+        done: number of requests that succeeded.
+        promotions: number of promotions.
+    """
+
+    problems: list[str]
+    plan: list[faults.Fault]
+    requests: int
+    done: int
+    promotions: int
+
+
+class Soak:
+    """Run one seed."""
+
+    def __init__(
+        self, seed: int, host_count: int, folder: pathlib.Path
+    ) -> None:
+        self.seed = seed
+        self.platform = platform_module.Platform(GROUPS)
+        self.hosts: list[hosts_module.Host] = []
+        self.record = callers.Record()
+        self.problems: list[str] = []
+        self._host_count = host_count
+        self._folder = folder
+        # Runs beside one another have ports of their own.
+        self._address = f"127.{1 + seed % 250}.{1 + seed // 250 % 250}.1"
+
+    async def run(self, duration_s: float) -> Result:
+        """Play the seed's faults and return what was seen."""
+        for group in self.platform.groups.values():
+            group.max_connections = MAX_CONNECTIONS
+            group.learn_s = LEARN_S
+        await self.platform.start()
+        plan = faults.draw_plan(self.seed, duration_s)
+        try:
+            await self._start_hosts()
+            tasks = self._start_callers()
+            await self._disturb(plan)
+            await self._recover()
+            await self._end_callers(tasks)
+            self._judge()
+        finally:
+            await asyncio.gather(*(host.close() for host in self.hosts))
+            await self.platform.stop()
+        done = checker.Index(self._make_history()).done
+        invoked = [
+            e for e in self.record.events if isinstance(e, model.Invoked)
+        ]
+        return Result(
+            self.problems,
+            plan,
+            len(invoked),
+            len(done),
+            len(self.platform.promotions),
+        )
+
+    async def _start_hosts(self) -> None:
+        for number in range(self._host_count):
+            host = hosts_module.Host(
+                f"host-{number}", self._address, self.platform, self._folder
+            )
+            self.hosts.append(host)
+            await host.start_links()
+        await asyncio.gather(*(host.start() for host in self.hosts))
+        async with asyncio.timeout(START_S):
+            for host in self.hosts:
+                while not await host.is_ready():
+                    await asyncio.sleep(0.05)
+
+    def _start_callers(self) -> list[asyncio.Task[None]]:
+        def choose_endpoint(chance: random.Random) -> callers.Endpoint:
+            host = chance.choice(self.hosts)
+            return host.name, host.address, host.callers_port
+
+        count = max(CALLERS, self._host_count)
+        return [
+            asyncio.create_task(
+                callers.run_caller(
+                    f"c{number}",
+                    self.record,
+                    random.Random(f"{self.seed}/{number}"),
+                    list(GROUPS),
+                    choose_endpoint,
+                )
+            )
+            for number in range(count)
+        ]
+
+    async def _disturb(self, plan: list[faults.Fault]) -> None:
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        tasks = []
+        for fault in plan:
+            await asyncio.sleep(max(0.0, start_s + fault.at_s - loop.time()))
+            play = faults.KINDS[fault.kind]
+            chance = random.Random(fault.draw)
+            tasks.append(asyncio.create_task(play(self, chance, fault.for_s)))
+        await asyncio.gather(*tasks)
+
+    async def _recover(self) -> None:
+        """Wait until each host serves a write to each group again."""
+        for group in GROUPS:
+            for host in self.hosts:
+                try:
+                    async with asyncio.timeout(RECOVER_S):
+                        while not await self._probe(host, group):
+                            await asyncio.sleep(0.1)
+                except TimeoutError:
+                    self.problems.append(
+                        f"recovery: {host.name} ({host.describe()}) doesn't "
+                        f"serve {group} {RECOVER_S} s after the last fault"
+                    )
+
+    async def _probe(self, host: hosts_module.Host, group: str) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(
+                host.address, host.callers_port
+            )
+        except OSError:
+            return False
+        try:
+            writer.write(f"START {group}-primary probe\r\n".encode())
+            writer.write(b"QUERY probe WRITE probe 1\r\n")
+            await reader.readline()
+            return (await reader.readline()).startswith(b"DONE ")
+        except OSError:
+            return False
+        finally:
+            writer.transport.abort()
+
+    async def _end_callers(self, tasks: list[asyncio.Task[None]]) -> None:
+        """Let requests under way end, then stop the callers."""
+        self.record.is_over = True
+        await asyncio.gather(*tasks)
+
+    def _make_history(self) -> model.History:
+        events: list[model.Event] = list(self.record.events)
+        tables = {}
+        for name, group in self.platform.groups.items():
+            events += [
+                model.TermOpened(at_s, name, term, target)
+                for at_s, term, target in group.openings
+            ]
+            log = group.get_primary().log
+            tables[name] = tuple(
+                model.Row(commit.number, commit.term, "", value)
+                for commit in log
+                for item, value in commit.writes
+                if item != "probe"
+            )
+        return model.History(
+            tuple(sorted(events, key=lambda event: event.at)), tables
+        )
+
+    def _judge(self) -> None:
+        for found in checker.check_history(self._make_history()):
+            self.problems.append(
+                f"{found.check}: request {found.request}: {found.detail}"
+            )
+        self._judge_fences()
+
+    def _judge_fences(self) -> None:
+        """Find promotions under an older turn, or two holders in one."""
+        highest = (0, "")
+        for fence, holder, target in self.platform.promotions:
+            is_shared = fence == highest[0] and holder != highest[1]
+            if fence < highest[0] or is_shared:
+                self.problems.append(
+                    f"one_promoter: {holder} promotes {target} under {fence} "
+                    f"after {highest[1]} under {highest[0]}"
+                )
+            highest = max(highest, (fence, holder))
+
+
+def run_seed(
+    seed: int, duration_s: float, host_count: int, folder: pathlib.Path
+) -> Result:
+    """Play a seed in an event loop of its own."""
+    soak = Soak(seed, host_count, folder)
+    return asyncio.run(soak.run(duration_s))
