Keep a pace between attempts to reach a target by detours

Cause: found by the soak, whose driver had ended before its hosts: each used 55 to 60% of a core. Each failed attempt began a detour anew and so at once the next attempt; with a target that is down and hosts on the way that say so, a pool tried as fast as refusals came.

Ruled out: the store's and the peers' retries, which kept their pace in the same logs.

Change: only the first failure is followed by a detour at once; further ways are tried after the usual pause.

--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -254,11 +254,14 @@
         now_s = clock.get_time_s()
         if self.ways or not self.detours or self._is_closed:
             return
-        if now_s >= self._detour_until_s:
-            self._next_direct_s = now_s + DIRECT_PAUSE_S
+        is_new = now_s >= self._detour_until_s
         self._detour_until_s = now_s + DETOUR_S
         self._way_turn += 1
-        self._retry_at_s = 0.0
+        if not is_new:
+            # Further ways are tried at the usual pace: while the target is
+            # down, every way refuses at once.
+            return
+        self._next_direct_s = now_s + DIRECT_PAUSE_S
         if self._opening < 2:
             self.open()
 
--- /dev/null
+++ b/tests/entry/test_pools.py
@@ -0,0 +1,57 @@
+"""Tests of the connections to one target."""
+
+import asyncio
+from unittest import mock
+
+import testtools
+
+from knapweedtally.core.groups import model
+from knapweedtally.entry import clock
+from knapweedtally.entry import logs
+from knapweedtally.entry import pools
+from tests.entry import harness
+
+
+def make_pool(port: int) -> pools.Pool:
+    """Return a pool of a target that refuses, with two ways that do too."""
+    entry = mock.Mock(spec=model.TargetEntry)
+    entry.group, entry.target, entry.data_centre = "g", "i-1", "dc"
+    entry.address, entry.port = "127.0.0.1", port
+    pool = pools.Pool(entry, 16, "tests", logs.Log("h", -1), lambda: None)
+    pool.detours = (
+        pools.Way("h2", "127.0.0.1", port),
+        pools.Way("h3", "127.0.0.1", port),
+    )
+    return pool
+
+
+class RetryTest(testtools.TestCase):
+    """How often a target that can't be reached is tried."""
+
+    def test_attempts_wait_for_the_clock(self) -> None:
+        async def run() -> None:
+            (port,) = harness.find_ports(1)
+            pool = make_pool(port)
+            now_s = 100.0
+            tries: list[float] = []
+            loop = asyncio.get_running_loop()
+
+            async def refuse(*_: object) -> None:
+                tries.append(now_s)
+                raise ConnectionRefusedError
+
+            with (
+                mock.patch.object(clock, "get_time_s", lambda: now_s),
+                mock.patch.object(loop, "create_connection", refuse),
+            ):
+                for _ in range(100):
+                    pool.tick(now_s)
+                    for _ in range(20):
+                        await asyncio.sleep(0)
+                    now_s += 0.05
+                pool.close()
+            # Two at the start, since a detour is tried at once.
+            self.assertLessEqual(len(tries), 2 + 5.0 / pools.RETRY_S)
+            self.assertGreater(len(tries), 10)
+
+        asyncio.run(run())
