Let hosts that are told ask seldom; tell of a new primary at once

Cause: when a primary fails, evidence runs out on every host at once, and each asked a member every 50 ms, or all of them every 100 ms: over a thousand questions a second with 58 hosts, each in a slot of the target. Others learned of a new primary from the two hosts that ask, not from the one that made it.

Change: what is asked, and when, is a pure choice of its own. Hosts that ask for others keep their pace; the rest ask every 0.4 s, then all members. The host that changes a primary tells of it, and a new term is told at once.

Only evidence that holds is told now, and ages are bounded before they are rounded (test in peer_messages).

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -86,7 +86,7 @@
         self.relays: set[relays.RelaySession] = set()
         self._way_keys: dict[str, tuple[int, int]] = {}
         self._ranked: tuple[int, dict[str, list[str]]] = (0, {})
-        self._shared_s: dict[str, float] = {}
+        self._shared: dict[str, tuple[int, float]] = {}
         self._settings = configured
         self._promoter: promoter.Promoter | None = None
         if configured.duties is not None:
@@ -378,12 +378,16 @@
                 router.leadership.primary_seen_s,
                 router.leadership.member_seen_s,
             )
-            shared_s = self._shared_s.get(name, 0.0)
-            if not router.is_asker or seen_s < shared_s + SHARE_AFTER_S:
+            term, shared_s = self._shared.get(name, (0, 0.0))
+            is_new_term = router.leadership.term > term
+            # Who changes a primary is the first to know the new one.
+            tells = router.is_asker or name in self._changing
+            is_newer = is_new_term or seen_s >= shared_s + SHARE_AFTER_S
+            if not tells or not is_newer or not router.is_served(now_s):
                 continue
             shared = sharing.make_shared(name, router.leadership, now_s)
             if shared is not None:
-                self._shared_s[name] = seen_s
+                self._shared[name] = (router.leadership.term, seen_s)
                 news.append(shared)
         if news:
             self.peers.share(tuple(news), now_s)
--- a/knapweedtally/entry/peer_messages.py
+++ b/knapweedtally/entry/peer_messages.py
@@ -11,6 +11,10 @@
 # Version of the form; others are dropped, as during an update of the hosts.
 FORM = 4
 
+# Ages are sent up to this, in seconds; evidence has expired long before, and
+# what was never seen has an infinite age.
+MAX_AGE_S = 1000.0
+
 
 class PeerMessage(NamedTuple):
     """Hold one message from host to host.
@@ -50,9 +54,9 @@
             item.group,
             item.target,
             item.term,
-            min(_to_us(item.primary_age_s), 10**9),
-            min(_to_us(item.member_age_s), 10**9),
-            min(_to_us(item.position_age_s), 10**9),
+            _to_us(min(item.primary_age_s, MAX_AGE_S)),
+            _to_us(min(item.member_age_s, MAX_AGE_S)),
+            _to_us(min(item.position_age_s, MAX_AGE_S)),
             *item.position,
             item.is_fenced,
         ]
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -6,6 +6,7 @@
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import questions
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import acknowledgements
@@ -23,17 +24,6 @@
 SECOND_TRY_S = 0.15
 SECOND_TRY_FACTOR = 5.0
 
-# The hosts that ask for a group renew evidence that is older than this, in
-# seconds, and tell the others.
-ASK_AFTER_S = evidence.EVIDENCE_SPAN_S * 0.45
-
-# The other hosts ask themselves when they heard nothing for this long, in
-# seconds.
-ASK_ALONE_AFTER_S = evidence.EVIDENCE_SPAN_S * 0.8
-
-# Members are asked this often while no primary is known, in seconds.
-SEARCH_S = 0.1
-
 # What a host calls itself towards targets.
 USER = "knapweedtally"
 
@@ -95,8 +85,7 @@
         self._queue: list[requests.Request] = []
         self._hedged: set[requests.Request] = set()
         self._asking: set[str] = set()
-        self._next_search_s = 0.0
-        self._turn = 0
+        self._questions = questions.Questions()
         self._is_dispatching = False
 
     def add_pool(
@@ -318,22 +307,14 @@
 
     def _ask(self, now_s: float) -> None:
         leadership = self.leadership
-        if leadership.target not in self.pools:
-            if leadership.target is not None:
-                self.lose_primary(leadership.target, now_s, "it is gone")
-            if now_s >= self._next_search_s:
-                self._next_search_s = now_s + SEARCH_S
-                for target in tuple(self.pools):
-                    self.ask_status(target)
-            return
-        limit_s = ASK_AFTER_S if self.is_asker else ASK_ALONE_AFTER_S
-        if now_s - leadership.primary_seen_s > limit_s:
-            self.ask_status(leadership.target)
-        others = [t for t in self.pools if t != leadership.target]
-        leadership.needs_member = bool(others)
-        if others and now_s - leadership.member_seen_s > limit_s:
-            self._turn += 1
-            self.ask_status(others[self._turn % len(others)])
+        if leadership.target not in self.pools and leadership.target:
+            self.lose_primary(leadership.target, now_s, "it is gone")
+        leadership.needs_member = len(self.pools) > 1
+        due = questions.list_due(
+            self._questions, leadership, self.pools, self.is_asker, now_s
+        )
+        for target in due:
+            self.ask_status(target)
 
     def ask_status(self, target: str) -> None:
         """Ask a target for its status unless an answer is awaited."""
@@ -423,7 +404,7 @@
         self.leadership.target = None
         self.leadership.primary_seen_s = float("-inf")
         self._note_unled(target, reason)
-        self._next_search_s = now_s
+        self._questions.next_s = now_s
 
     def _note_unled(self, target: str, reason: str) -> None:
         self.unled_since_s = clock.get_time_s()
--- a/tests/entry/test_peer_messages.py
+++ b/tests/entry/test_peer_messages.py
@@ -35,6 +35,12 @@
         data = peer_messages.encode_message(message)
         self.assertEqual(peer_messages.decode_message(data), message)
 
+    def test_what_was_never_seen_is_older_than_all_evidence(self) -> None:
+        never = MESSAGE.shared[0]._replace(member_age_s=float("inf"))
+        data = peer_messages.encode_message(MESSAGE._replace(shared=(never,)))
+        shared = peer_messages.decode_message(data).shared[0]
+        self.assertEqual(shared.member_age_s, peer_messages.MAX_AGE_S)
+
     @hypothesis.given(strategies.binary(max_size=120))
     def test_any_bytes_are_read_or_refused(self, data: bytes) -> None:
         try:
