Confirm stopped members by their status

Change: the confirmation asks for the status. A member that is still stopped and has received nothing has not restarted, whichever way the answer came.

Tests: a member that receives again, or has received, is fenced anew; members that stayed stopped are enough.

--- a/knapweedtally/core/groups/succession.py
+++ b/knapweedtally/core/groups/succession.py
@@ -78,12 +78,10 @@
 
     Attributes:
         status: its status afterwards.
-        life: changes when the target may have restarted in between.
         answered_s: when the answer came.
     """
 
     status: model.TargetStatus
-    life: int
     answered_s: float
 
 
@@ -311,7 +309,8 @@
         assert attempt.old_primary is not None
         targets = {attempt.candidate, attempt.old_primary}
         return Ask(Order.STATUS, tuple(targets), ROUND_S)
-    return Ask(Order.PAUSE, tuple(attempt.fenced), ROUND_S)
+    # Not stopped again: only a restart lets a member receive, and it shows.
+    return Ask(Order.STATUS, tuple(attempt.fenced), ROUND_S)
 
 
 def _promote(attempt: Attempt, now_s: float) -> Step:
@@ -427,8 +426,7 @@
         _note_confirm_step_down(attempt, reports, now_s)
         return
     for target, known in list(attempt.fenced.items()):
-        report = reports.get(target)
-        if report is None or report.life != known.life:
+        if not _is_still_fenced(attempt, known, reports.get(target)):
             del attempt.fenced[target]
     if has_fenced_enough(attempt):
         _move(attempt, Phase.PROMOTE, now_s)
@@ -437,6 +435,15 @@
         _move(attempt, Phase.FENCE, now_s)
 
 
+def _is_still_fenced(
+    attempt: Attempt, known: Report, report: Report | None
+) -> bool:
+    """Tell whether a member has received nothing since it was stopped."""
+    if report is None or report.status.paused_for < attempt.term:
+        return False
+    return report.status.received == known.status.received
+
+
 def _note_confirm_step_down(
     attempt: Attempt, reports: dict[str, Report], now_s: float
 ) -> None:
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -368,7 +368,6 @@
         pool = router.pools.get(target)
         if pool is None:
             return None
-        life = pool.life
         ended: asyncio.Future[connections.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -397,7 +396,7 @@
             # It restarted without what it had received before, so its log
             # proves nothing about commits that it acknowledged.
             return None
-        return succession.Report(status, life, clock.get_time_s())
+        return succession.Report(status, clock.get_time_s())
 
     async def _promote(self, group: str, target: str) -> int:
         """Ask the platform for the promotion and return the HTTP status."""
--- a/tests/groups/simulation.py
+++ b/tests/groups/simulation.py
@@ -22,7 +22,6 @@
     is_primary: bool = False
     is_up: bool = True
     paused_for: int = 0
-    life: int = 0
     is_reachable: bool = True
 
     def get_status(self) -> model.TargetStatus:
@@ -82,7 +81,6 @@
             member.is_up = False
         elif kind == "start" and not member.is_up:
             member.is_up = True
-            member.life += 1
             member.paused_for = 0
             is_led = any(
                 other.is_primary and other.term > member.term
@@ -109,9 +107,7 @@
             is_step_down = step.order is succession.Order.STEP_DOWN
             if is_step_down and member.term < term:
                 member.is_primary = False
-            reports[name] = succession.Report(
-                member.get_status(), member.life, self.now_s
-            )
+            reports[name] = succession.Report(member.get_status(), self.now_s)
         return reports
 
     def promote(self, name: str) -> int:
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -27,12 +27,12 @@
 
 
 def make_report(
-    number: int, *, life: int = 0, paused_for: int = 2, is_primary: bool = False
+    number: int, *, paused_for: int = 2, is_primary: bool = False
 ) -> succession.Report:
     status = model.TargetStatus(
         is_primary, 1, model.Position(1, number), paused_for, 0.0, 0, 1
     )
-    return succession.Report(status, life, 100.0)
+    return succession.Report(status, 100.0)
 
 
 class FenceTest(testtools.TestCase):
@@ -73,11 +73,31 @@
         succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
         late_s = 100.0 + evidence.EVIDENCE_SPAN_S
         step = succession.next_step(attempt, late_s)
-        self.assertEqual(step, succession.Ask(_Order.PAUSE, ("a", "b"), 0.05))
-        again = {"a": make_report(5), "b": make_report(5, life=1)}
-        succession.note_reports(attempt, _Order.PAUSE, again, late_s)
+        # Stopping it again would hide that it received in between.
+        self.assertEqual(step, succession.Ask(_Order.STATUS, ("a", "b"), 0.05))
+        again = {"a": make_report(5), "b": make_report(5, paused_for=0)}
+        succession.note_reports(attempt, _Order.STATUS, again, late_s)
+        self.assertEqual(attempt.phase, _Phase.FENCE)
+
+    def test_member_that_received_meanwhile_is_fenced_again(self) -> None:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
+        late_s = 100.0 + evidence.EVIDENCE_SPAN_S
+        succession.next_step(attempt, late_s)
+        again = {"a": make_report(5), "b": make_report(6)}
+        succession.note_reports(attempt, _Order.STATUS, again, late_s)
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
+    def test_members_that_stayed_stopped_are_enough(self) -> None:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
+        late_s = 100.0 + evidence.EVIDENCE_SPAN_S
+        succession.next_step(attempt, late_s)
+        succession.note_reports(attempt, _Order.STATUS, reports, late_s)
+        self.assertEqual(attempt.phase, _Phase.PROMOTE)
+
     def test_successor_takes_the_place_of_a_member(self) -> None:
         attempt = make_attempt()
         succession.put_members(attempt, ("p", "a"))
@@ -98,7 +118,7 @@
     def test_gives_up_where_another_leads_already(self) -> None:
         attempt = make_attempt()
         status = model.TargetStatus(True, 2, model.Position(2, 9), 0, 0.0, 0, 1)
-        report = succession.Report(status, 0, 100.0)
+        report = succession.Report(status, 100.0)
         succession.note_reports(attempt, _Order.PAUSE, {"a": report}, 100.0)
         step = succession.next_step(attempt, 100.0)
         assert isinstance(step, succession.Finish)
@@ -183,7 +203,7 @@
         attempt = self.make_fenced()
         attempt.phase = _Phase.EFFECT
         status = model.TargetStatus(True, 2, model.Position(2, 7), 0, 0.0, 0, 1)
-        reports = {"b": succession.Report(status, 0, 101.0)}
+        reports = {"b": succession.Report(status, 101.0)}
         succession.note_reports(attempt, _Order.STATUS, reports, 101.0)
         step = succession.next_step(attempt, 101.0)
         self.assertEqual(step, succession.Finish(True, ""))
