--- a/knapweedtally/entry/acknowledgements.py
+++ b/knapweedtally/entry/acknowledgements.py
@@ -5,6 +5,9 @@
 
 from knapweedtally.core.groups import evidence
 
+# What the caller and the log are told of a commit that stays uncertain.
+UNPROVEN = "acknowledged, but the primary may have been replaced before"
+
 
 class Pending(NamedTuple):
     """Hold an acknowledged commit that no evidence covers yet.
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -5,6 +5,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
+from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import pools
@@ -74,7 +75,9 @@
             if is_kept:
                 self._finish(answer, None)
             else:
-                self._finish(None, _Code.UNKNOWN_OUTCOME)
+                self._finish(
+                    None, _Code.UNKNOWN_OUTCOME, acknowledgements.UNPROVEN
+                )
 
         router.note_commit(
             self._pool.entry.target,
@@ -85,7 +88,10 @@
         )
 
     def _finish(
-        self, answer: statements.Answer | None, code: statements.Code | None
+        self,
+        answer: statements.Answer | None,
+        code: statements.Code | None,
+        detail: str = "",
     ) -> None:
         request = self._request
         held = self._connection if request.begins and answer else None
@@ -94,6 +100,7 @@
             requests.Result(
                 answer,
                 code,
+                detail,
                 target=self._pool.entry.target,
                 way=self._connection.way,
                 connection=held,
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -8,6 +8,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
+from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import requests
@@ -500,6 +501,7 @@
                 self._note_own_commit(answer)
             else:
                 result.answer, result.code = None, _Code.UNKNOWN_OUTCOME
+                result.detail = acknowledgements.UNPROVEN
             self._tell(statement, route, arrived_s, result)
 
         if router is None or answer.code or not transaction.has_written:
--- a/tests/entry/test_changes.py
+++ b/tests/entry/test_changes.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
 from standins.line_platform import platform as platform_module
 from tests.entry import harness
@@ -36,6 +37,8 @@
             group.promote(others[0].id)
             answer = await caller.receive()
             self.assertThat(answer[0], StartsWith("ERROR INDOUBT"))
+            ended = entries[0].find_lines("statement_ended")[-1]
+            self.assertEqual(ended["reason"], acknowledgements.UNPROVEN)
 
         test_serving.play(scenario)
 
