Relate clocks only by echoes of this process

The host's machine lost power at 0.6 s and its clock began anew. Others still echoed the time of its last message from before, so their clocks seemed further ahead than they were, and the best offset is the one that is kept: shared evidence and positions then looked younger than they were by the former uptime, from then on. With news arriving nothing showed; behind a cut, reads went on without limit.

Ruled out: evidence by members and the fence (reads at a replica failed alike, with one term throughout); a promotion under way (none near the first reads).

Change: an echo of a time that this process has not seen relates nothing.

--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -85,6 +85,7 @@
         self._log = log
         self._on_shared = on_shared
         self._incarnation = random.getrandbits(32)
+        self._started_s = clock.get_time_s()
         self._peers: dict[str, Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._live: dict[str, str] = {}
@@ -179,6 +180,10 @@
         peer.echoed_s = message.sent_s
         if message.echoed_s is None:
             return
+        # A clock starts anew with the machine: an echo of what was sent before
+        # would make evidence look younger than it is.
+        if not self._started_s <= message.echoed_s <= now_s:
+            return
         sharing.note_echo(
             peer.clock,
             message.incarnation,
