Cut a watch only once it has arrived at the store

A host is ready as soon as it has listed; the cut could come before its watch had reached the store, and ended nothing.

Change: the stand-in counts the watches that wait, and the test waits for one.

--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -1,6 +1,7 @@
 """The store's objects API, in memory."""
 
 import asyncio
+import collections
 import json
 from typing import Any
 
@@ -21,6 +22,7 @@
         is_losing: whether writes are done and not answered.
         history_from: oldest revision that a watch may start from.
         calls: number of calls.
+        waiting: number of watches that wait, by kind.
     """
 
     def __init__(self) -> None:
@@ -31,6 +33,7 @@
         self.is_losing = False
         self.history_from = 0
         self.calls = 0
+        self.waiting: collections.Counter[str] = collections.Counter()
         self._cuts = 0
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -104,7 +107,11 @@
     ) -> http.Response:
         query = request.query
         if "watch" in query:
-            return await self._watch(kind, query)
+            self.waiting[kind] += 1
+            try:
+                return await self._watch(kind, query)
+            finally:
+                self.waiting[kind] -= 1
         objects = self._objects.get(kind, {})
         if name:
             if name not in objects:
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -386,6 +386,8 @@
         async def scenario(
             platform: platform_module.Platform, entries: list[harness.Entry]
         ) -> None:
+            # A cut ends only a watch that has arrived at the store.
+            await harness.wait_for(lambda: platform.store.waiting["config"] > 0)
             platform.store.is_deaf = True
             platform.routes.append(
                 {**platform.routes[0], "host": "added", "name": "r-added"}
