--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 import testtools
 from testtools import content
@@ -166,11 +169,18 @@
     return ports
 
 
+class System(NamedTuple):
+    """Hold the stand-ins and the entry hosts of one test."""
+
+    platform: platform_module.Platform
+    entries: list[Entry]
+
+
 @contextlib.asynccontextmanager
 async def run_system(
     hosts: int = 1,
     max_connections: int = 16,
-) -> AsyncIterator[tuple[platform_module.Platform, list[Entry]]]:
+) -> AsyncIterator[System]:
     """Run the stand-ins and entry hosts that serve their group."""
     platform = platform_module.Platform()
     for group in platform.groups.values():
@@ -185,8 +195,44 @@
             await entry.start()
         for entry in entries:
             await wait_for(entry.host.is_ready)
-        yield platform, entries
+        yield System(platform, entries)
     finally:
         for entry in entries:
             await entry.stop()
         await platform.stop()
+
+
+async def _be_ready(system: System) -> None:
+    """Prepare nothing: hosts are ready when a system runs."""
+
+
+def with_system(
+    hosts: int = 1,
+    max_connections: int = 16,
+    prepare: Callable[[System], Awaitable[None]] = _be_ready,
+) -> Callable[
+    [Callable[[Any, System], Awaitable[None]]], Callable[[Any], None]
+]:
+    """Run a test with a system of its own.
+
+    Args:
+        hosts: number of entry hosts.
+        max_connections: connections that one target takes.
+        prepare: called before the test.
+    """
+
+    def decorate(
+        test: Callable[[Any, System], Awaitable[None]],
+    ) -> Callable[[Any], None]:
+        @functools.wraps(test)
+        def run_test(case: Any) -> None:
+            async def run() -> None:
+                async with run_system(hosts, max_connections) as system:
+                    await prepare(system)
+                    await test(case, system)
+
+            asyncio.run(run())
+
+        return run_test
+
+    return decorate
--- a/tests/entry/test_changes.py
+++ b/tests/entry/test_changes.py
@@ -4,9 +4,7 @@
 
 from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
-from standins.line_platform import platform as platform_module
 from tests.entry import harness
-from tests.entry import test_serving
 
 StartsWith = testtools.matchers.StartsWith
 
@@ -14,49 +12,45 @@
 class ChangeTest(testtools.TestCase):
     """What callers are told, and when the group is served again."""
 
-    def test_late_acknowledgement_of_a_replaced_primary(self) -> None:
-        async def scenario(
-            platform: platform_module.Platform, entries: list[harness.Entry]
-        ) -> None:
-            group = platform.groups["g"]
-            group.learn_s = 5.0
-            old = group.get_primary()
-            others = [t for t in group.targets.values() if t is not old]
-            caller = harness.Caller(entries[0].port)
+    @harness.with_system()
+    async def test_late_acknowledgement_of_a_replaced_primary(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        group.learn_s = 5.0
+        old = group.get_primary()
+        others = [t for t in group.targets.values() if t is not old]
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        # Another host stops the replicas and promotes one of them; the
+        # other receives from the old primary until it learns of that.
+        for other in others:
+            other.paused_for = 2
+        await caller.send("WRITE item 2")
+        leadership = system.entries[0].host.routers["g"].leadership
+        await harness.wait_for(
+            lambda: leadership.valid_until_s < clock.get_time_s()
+        )
+        group.promote(others[0].id)
+        answer = await caller.receive()
+        self.assertThat(answer[0], StartsWith("ERROR INDOUBT"))
+        ended = system.entries[0].find_lines("statement_ended")[-1]
+        self.assertEqual(ended["reason"], acknowledgements.UNPROVEN)
+
+    @harness.with_system()
+    async def test_lost_evidence_comes_back_while_a_member_is_silent(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        silent = next(t for t in group.targets.values() if t is not primary)
+        await silent.stop()
+        system.entries[0].host.routers["g"].leadership.member_seen_s = 0.0
+        served = False
+        while not served:
+            caller = harness.Caller(system.entries[0].port)
             await caller.start("g-primary")
-            await caller.run("WRITE item 1")
-            # Another host stops the replicas and promotes one of them; the
-            # other receives from the old primary until it learns of that.
-            for other in others:
-                other.paused_for = 2
-            await caller.send("WRITE item 2")
-            leadership = entries[0].host.routers["g"].leadership
-            await harness.wait_for(
-                lambda: leadership.valid_until_s < clock.get_time_s()
-            )
-            group.promote(others[0].id)
-            answer = await caller.receive()
-            self.assertThat(answer[0], StartsWith("ERROR INDOUBT"))
-            ended = entries[0].find_lines("statement_ended")[-1]
-            self.assertEqual(ended["reason"], acknowledgements.UNPROVEN)
-
-        test_serving.play(scenario)
-
-    def test_lost_evidence_comes_back_while_a_member_is_silent(self) -> None:
-        async def scenario(
-            platform: platform_module.Platform, entries: list[harness.Entry]
-        ) -> None:
-            group = platform.groups["g"]
-            primary = group.get_primary()
-            silent = next(t for t in group.targets.values() if t is not primary)
-            await silent.stop()
-            entries[0].host.routers["g"].leadership.member_seen_s = 0.0
-            served = False
-            while not served:
-                caller = harness.Caller(entries[0].port)
-                await caller.start("g-primary")
-                answer = await caller.run("WRITE item 1")
-                served = answer[0].startswith("DONE g-")
-                caller.close()
-
-        test_serving.play(scenario)
+            answer = await caller.run("WRITE item 1")
+            served = answer[0].startswith("DONE g-")
+            caller.close()
