Drop clients of the target stand-in that are cut off for 3 s

A caller had a transaction open through the cut-off host at the moment of the cut. The stand-in has one write lock and kept the cut-off connection for ever; writes of all others waited for the lock, each on a connection of its own, until the limit of 15 refused the test's own status question too.

Change: the stand-in drops a client that it can't reach for 3 s, as the platform's targets do, and its transaction with it; the client sees nothing of it before the cut ends. The test waits until a write of the other side is served before it probes each kind of request there, since the lock is rightly held for those 3 s; its assertions stay. A new test holds a transaction open across the cut and waits for the other side's writes: it fails without the change. The tests' status questions don't count as callers' connections.

--- a/standins/target/faults.py
+++ b/standins/target/faults.py
@@ -10,6 +10,9 @@
 CONTROL_HOST = "127.0.0.1"
 # A held connection looks again after this time, in seconds.
 RECHECK_S = 1.0
+# A server with TCP_USER_TIMEOUT drops a client that it can't reach; the time
+# is that of the platform's targets.
+UNREACHABLE_LIMIT_S = 3.0
 
 
 class Settings(TypedDict, total=False):
@@ -79,6 +82,16 @@
         while self.is_cut(host):
             await self._changed.wait(RECHECK_S)
 
+    async def wait_unreachable(self, host: str) -> None:
+        """Wait until an address has been cut off for the limit."""
+        while True:
+            while not self.is_cut(host):
+                await self._changed.wait()
+            with anyio.move_on_after(UNREACHABLE_LIMIT_S) as limit:
+                await self.wait_reachable(host)
+            if limit.cancelled_caught:
+                return
+
     async def sleep_lag(self, milliseconds: float) -> None:
         """Sleep for a lag in milliseconds."""
         if milliseconds > 0:
--- a/standins/target/session.py
+++ b/standins/target/session.py
@@ -101,17 +101,16 @@
     async def serve(self) -> None:
         """Serve the client until either side ends the connection."""
         try:
-            await self._serve_messages()
-        except (
-            ConnectionClosedError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
-            return
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._drop_unreachable, tasks.cancel_scope)
+                await self._serve_until_closed()
+                tasks.cancel_scope.cancel()
         finally:
             self._queries.executor.transaction.rollback()
             if self._is_counted:
                 self._target.connections -= 1
+        # A client that is cut off must not see the connection close either.
+        await self._target.faults.wait_reachable(self.peer)
 
     def cancel(self) -> None:
         """End the statement that runs, if one does."""
@@ -123,6 +122,21 @@
         if self._receiving is not None and self._is_idle():
             self._receiving.cancel()
 
+    async def _serve_until_closed(self) -> None:
+        try:
+            await self._serve_messages()
+        except (
+            ConnectionClosedError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return
+
+    async def _drop_unreachable(self, serving: anyio.CancelScope) -> None:
+        """End the session, also in a statement that waits for a lock."""
+        await self._target.faults.wait_unreachable(self.peer)
+        serving.cancel()
+
     async def _serve_messages(self) -> None:
         while self._wire.is_active:
             if self._is_stopping and self._is_idle():
--- a/tests/processes/scenario.py
+++ b/tests/processes/scenario.py
@@ -17,9 +17,11 @@
 
 from bench import cluster
 from bench import readings
+from knapweedtally.core import errors
 from knapweedtally.core.sessions import token as token_module
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
+from standins.target import session as sessions
 from tests.history import checker
 from tests.history import model
 from tests.processes import clients
@@ -103,6 +105,14 @@
 
         await wait_until(has_progressed, "further writes of every caller")
 
+    async def wait_served(self, caller: "Caller") -> None:
+        """Wait until a write of a caller is acknowledged."""
+
+        async def is_served() -> bool:
+            return await caller.write() is errors.Outcome.DONE
+
+        await wait_until(is_served, f"a write of {caller.name}")
+
     async def wait_primary(self, unlike: str = "", term: int = 0) -> str:
         """Wait until a target serves as primary; return its id.
 
@@ -157,6 +167,8 @@
                 user="test",
                 dbname=GROUP,
                 autocommit=True,
+                # Only callers' connections count against the limit.
+                application_name=sessions.CONTROL_APPLICATION,
             ) as connection:
                 cursor = await connection.execute(text)
                 row = await cursor.fetchone()
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from knapweedtally.core import errors
+from tests.history import model
 from tests.processes import recorder
 from tests.processes import scenario as scenarios
 from tests.processes import separable_host
@@ -73,6 +74,9 @@
         async def disturb(scenario: Scenario) -> None:
             callers = await make_probes(scenario)
             await self.cut_off(scenario, 2)
+            # A transaction that the cut-off side left open holds the write
+            # lock until the primary drops its connection.
+            await scenario.wait_served(callers[scenario.hosts[0]])
             await self.probe(scenario, 2, callers)
             status = await scenario.fetch_status(scenario.targets[0])
             assert status and status["is_primary"], status
@@ -86,6 +90,26 @@
         self.assertNotEqual(SERVED, self.sides["cut off"].current_read)
         self.assertEqual(SERVED, self.sides["cut off"].own_read)
 
+    def test_transaction_of_the_cut_off_side_frees_its_lock(self):
+        async def disturb(scenario: Scenario) -> None:
+            callers = await make_probes(scenario)
+            cut_off, other = scenario.hosts[2], callers[scenario.hosts[0]]
+            caller = scenario.make_caller("blocking", host=cut_off)
+            request, client = await caller.open_transaction(cut_off)
+            await self.cut_off(scenario, 2)
+            await scenario.wait_served(other)
+            status = await scenario.fetch_status(scenario.targets[0])
+            assert status and status["is_primary"], status
+            await self.heal(scenario)
+            # Its COMMIT is never sent.
+            await client.close()
+            answer = model.Answered(0, 0, "", errors.Outcome.NOT_RUN)
+            scenario.recorder.answer(request, answer)
+            for probe in callers.values():
+                await probe.close()
+
+        self.run_scenario(disturb, self.layout)
+
     async def cut_off(self, scenario: Scenario, number: int) -> None:
         """Cut a data centre off from the others and from the platform."""
         prefix = PREFIXES[number]
