Wait for a host's last port before tests ask its administration

Cause: test_hosts_link_with_tls_only failed once with refused connections at the administration port. A host opens its callers' port before that of the administration API, and test systems waited for the first only.

Ruled out before: equal ports.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -114,6 +114,8 @@
             self.start_proxy(name)
         for member in self.proxies.values():
             wait_for_port(member.host, member.port)
+            # The port that a host opens last.
+            wait_for_port(member.host, member.admin_port)
 
     def start_platform(self) -> None:
         """Start the platform stand-in and wait for its port."""
