Send a commit again that found no room at its target

Other statements of a transaction were sent again after 20 ms; the commit was not.

Ruled out: a promotion left half done (no change of primary after the start); members left stopped (their status showed none); a lag that the hosts only believed in (replicas did refuse the positions).

Change: one rule for each statement of an open transaction, the commit included. Refused for lack of room, it is sent again while its transaction stands and its caller waits. A caller that left meanwhile ends the retries; the callback met a connection that was gone before.

--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -426,7 +426,9 @@
     ) -> None:
         """Run a statement on the connection that the transaction owns."""
         connection = transaction.connection
-        assert connection is not None
+        if connection is None:
+            # The caller left while the statement waited to be sent again.
+            return
         if connection.is_closed:
             self._note_transaction_lost(transaction, statement, arrived_s)
             return
@@ -440,6 +442,14 @@
                 self._note_transaction_lost(
                     transaction, statement, arrived_s, outcome
                 )
+            elif self._may_run_again(transaction, arrived_s, outcome.answer):
+                asyncio.get_running_loop().call_later(
+                    RETRY_IN_TRANSACTION_S,
+                    self._run_held,
+                    transaction,
+                    statement,
+                    arrived_s,
+                )
             elif is_commit:
                 self._note_committed(transaction, statement, arrived_s, outcome)
             else:
@@ -452,6 +462,24 @@
             router.commits[transaction] = now_s
         connection.run(self, statement, None, note_end, max(0.05, limit_s))
 
+    def _may_run_again(
+        self,
+        transaction: transactions.Transaction,
+        arrived_s: float,
+        answer: statements.Answer,
+    ) -> bool:
+        """Tell whether a statement found no room and its transaction stands.
+
+        A transaction has slots behind it already, its commit most of all, so
+        it is tried for as long as the caller waits.
+        """
+        if answer.code is not _Code.BUSY or self._is_closed:
+            return False
+        if answer.state is not _State.IN_TRANSACTION:
+            return False
+        limit_s = transaction.route.statement_timeout_s - RETRY_IN_TRANSACTION_S
+        return clock.get_time_s() - arrived_s < limit_s
+
     def _note_held_answer(
         self,
         transaction: transactions.Transaction,
@@ -459,21 +487,8 @@
         arrived_s: float,
         answer: statements.Answer,
     ) -> None:
-        now_s = clock.get_time_s()
-        transaction.rest_since_s = now_s
-        is_open = answer.state is _State.IN_TRANSACTION
-        limit_s = transaction.route.statement_timeout_s
-        is_busy = answer.code is _Code.BUSY and is_open and not self._is_closed
-        if is_busy and now_s - arrived_s < limit_s - RETRY_IN_TRANSACTION_S:
-            asyncio.get_running_loop().call_later(
-                RETRY_IN_TRANSACTION_S,
-                self._run_held,
-                transaction,
-                statement,
-                arrived_s,
-            )
-            return
-        if not is_open:
+        transaction.rest_since_s = clock.get_time_s()
+        if answer.state is not _State.IN_TRANSACTION:
             transaction.is_failed = True
             self._release(transaction)
         result = requests.Result(answer, answer.code, target=transaction.target)
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -1,6 +1,7 @@
 """A group of targets that speak the line protocol."""
 
 import asyncio
+import collections
 import dataclasses
 import secrets
 from typing import Any
@@ -34,6 +35,7 @@
         is_apart: whether it is cut off from the other targets.
         is_listed: whether it writes its entry.
         lose_answers: number of answers that are left out.
+        refusals: number of statements to refuse for lack of room, by word.
         statements: texts of the statements that it ran, with their ids.
         orders: the same for what hosts issued themselves.
     """
@@ -53,6 +55,7 @@
         self.is_apart = False
         self.is_listed = True
         self.lose_answers = 0
+        self.refusals: collections.Counter[str] = collections.Counter()
         self.connections: set[Connection] = set()
         self.statements: list[tuple[str, str]] = []
         self.orders: list[tuple[str, str]] = []
@@ -326,6 +329,9 @@
         handler: Any = getattr(self, f"_run_{word.lower()}", None)
         if handler is None:
             return "ERROR MALFORMED statement\r\n"
+        if self._target.refusals[word] > 0:
+            self._target.refusals[word] -= 1
+            return "ERROR BUSY full\r\n"
         ran = self._target.orders if id_ == "-" else self._target.statements
         ran.append((id_, text))
         return str(await handler(id_, rest))
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -1,9 +1,12 @@
 """An entry host serves callers before the platform's stand-ins."""
 
 import asyncio
+from typing import Any
 
 import testtools
 
+from knapweedtally.entry import connections
+from knapweedtally.entry import sessions
 from knapweedtally.entry import store
 from standins.line_platform import targets
 from tests.entry import harness
@@ -56,6 +59,25 @@
         self.assertEqual(caller.state, "I")
         self.assertEqual((await other.run("READ item"))[0], "ROW 7")
 
+    @harness.with_system()
+    async def test_targets_are_asked_beside_a_long_transaction(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 7")
+        primary = system.platform.groups["g"].get_primary()
+        pool = system.entries[0].host.routers["g"].pools[primary.id]
+        for connection in tuple(pool._connections):
+            if connection.is_idle:
+                connection.close()
+        answered: list[connections.Outcome] = []
+        # Less than the limit of a transaction that rests.
+        pool.ask(b"STATUS", answered.append, 2.0)
+        await harness.wait_for(lambda: bool(answered))
+        self.assertIsNotNone(answered[0].answer)
+
     @harness.with_system()
     async def test_rolled_back_writes_are_gone(
         self, system: harness.System
@@ -202,6 +224,60 @@
         self.assertEqual(await caller.run("ROLLBACK"), ["DONE -"])
         self.assertEqual((await caller.run("READ item"))[0], "ROW -")
 
+    @harness.with_system()
+    async def test_commit_that_found_no_room_is_sent_again(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.refusals["COMMIT"] = 3
+        answer = await caller.run("COMMIT")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
+        self.assertEqual(caller.state, "I")
+        self.assertEqual((await caller.run("READ item"))[0], "ROW 1")
+        committed = [t for _, t in primary.statements if t == "COMMIT"]
+        self.assertEqual(len(committed), 1)
+
+    @harness.with_system()
+    async def test_commit_that_finds_no_room_in_time_is_rolled_back(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.refusals["COMMIT"] = 10_000
+        answer = await caller.run("COMMIT")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("ERROR BUSY"))
+        self.assertEqual(caller.state, "I")
+        primary.refusals.clear()
+        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
+
+    @harness.with_system()
+    async def test_caller_that_leaves_while_its_commit_finds_no_room(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.refusals["COMMIT"] = 10_000
+        errors: list[dict[str, Any]] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        await caller.send("COMMIT")
+        await harness.wait_for(lambda: primary.refusals["COMMIT"] < 10_000)
+        caller.close()
+        await harness.wait_for(lambda: not system.entries[0].host.sessions)
+        await asyncio.sleep(2 * sessions.RETRY_IN_TRANSACTION_S)
+        self.assertEqual(errors, [])
+        self.assertNotIn("COMMIT", [t for _, t in primary.statements])
+
     @harness.with_system()
     async def test_crashed_primary_is_replaced(
         self, system: harness.System
