Open a connection for questions while transactions hold all

Cause: found by the test of a commit that finds no room for 4 s. The host's one connection to the primary was held by the transaction; questions waited for it, the evidence expired and the host refused everything at that primary. Only callers' requests asked for another connection, and without evidence none did.

Change: a question that finds no idle connection asks for one more, within the same limits. The test of a question beside a long transaction fails without it.

--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -200,6 +200,8 @@
             self.count_idle()
             return
         self._asks.append(_Ask(text, on_end, now_s + limit_s))
+        # Open transactions may hold every connection for long.
+        self.want_connection()
 
     def want_connection(self) -> None:
         """Open another connection if the limits allow one."""
