Refuse a share of new requests while a group's primary is crowded

Ruled out, in a model of 71 hosts before one target (``python -m bench placing``): queueing at the hosts with doubled pauses between attempts, in the order of deadlines or with a limit of 0.2 to 0.8 of the objective.

Change: hosts refuse a share of the new requests for the primary at once, with when to come back, and keep its queue short for the others. The share follows from the waiting time of the questions that the group's askers send anyhow, by the controller of RFC 8033; they tell it with the evidence. Urgent requests are refused less, open transactions never, and reads that a fresh replica can serve go there.

--- a/bench/commands.py
+++ b/bench/commands.py
@@ -17,6 +17,8 @@
 from bench import runs
 from bench import systems
 from bench import workload
+from bench.placing import comparison
+from bench.placing import scenarios
 
 OUTPUT = "out"
 
@@ -191,6 +193,33 @@
         return 0
 
 
+class PlacingCommand(command.Command):
+    """Compare decisions about a crowded target in a model."""
+
+    name = "placing"
+    description = "Compare policies on a model of a crowded target."
+    options = [
+        _option("seeds", 5, "runs of each policy, with the same arrivals"),
+        _option("duration-s", 12, "virtual time of arrivals"),
+        _option("loads", ",".join(map(str, comparison.LOADS)), "on the rates"),
+    ]
+
+    def handle(self) -> int:
+        """Print a table and write out/placing.html."""
+        seeds = range(int(self.option("seeds")))
+        rows = []
+        for scenario in scenarios.SCENARIOS:
+            mine = []
+            for factor in map(float, self.option("loads").split(",")):
+                duration_s = float(self.option("duration-s"))
+                mine += comparison.compare(scenario, factor, seeds, duration_s)
+            self.line(f"\n{scenario.name}")
+            self.line(comparison.format_rows(mine))
+            rows += mine
+        self.line(comparison.write_plot(rows, OUTPUT))
+        return 0
+
+
 def make_application() -> application.Application:
     """Return the command line of the load tool."""
     made = application.Application("bench")
@@ -199,6 +228,7 @@
         LoadCommand(),
         IdleCommand(),
         ProfileCommand(),
+        PlacingCommand(),
     ):
         made.add(made_command)
     return made
--- /dev/null
+++ b/bench/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Compare ways to share a crowded target, without sockets."""
--- a/knapweedtally/core/groups/placement.py
+++ b/knapweedtally/core/groups/placement.py
@@ -126,6 +126,7 @@
     NO_POSITION = "no position of the primary is recent enough"
     NO_CONNECTION = "no idle connection"
     NO_TARGET = "no target may serve it"
+    CROWDED = "more requests for the primary than it can run"
 
 
 def note_run(load: TargetLoad, run_s: float) -> None:
--- a/knapweedtally/core/groups/sharing.py
+++ b/knapweedtally/core/groups/sharing.py
@@ -84,6 +84,7 @@
         position: position that the primary answered.
         is_fenced: whether the position is that of a promoter which has
             stopped the group; the rest then says nothing.
+        refused_share: share of new requests for the primary to refuse.
     """
 
     group: str
@@ -94,10 +95,14 @@
     position_age_s: float
     position: model.Position
     is_fenced: bool = False
+    refused_share: float = 0.0
 
 
 def make_shared(
-    group: str, leadership: evidence.Leadership, now_s: float
+    group: str,
+    leadership: evidence.Leadership,
+    refused_share: float,
+    now_s: float,
 ) -> SharedEvidence | None:
     """Return what this host can tell the others about a group."""
     if leadership.target is None or not leadership.positions:
@@ -111,6 +116,7 @@
         now_s - leadership.member_seen_s,
         now_s - position_s,
         position,
+        refused_share=refused_share,
     )
 
 
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import crowding
 from knapweedtally.core.groups import detection
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import holders
@@ -385,7 +386,12 @@
             is_newer = is_new_term or seen_s >= shared_s + SHARE_AFTER_S
             if not tells or not is_newer or not router.is_served(now_s):
                 continue
-            shared = sharing.make_shared(name, router.leadership, now_s)
+            shared = sharing.make_shared(
+                name,
+                router.leadership,
+                crowding.get_share(router.crowding, now_s),
+                now_s,
+            )
             if shared is not None:
                 self._shared[name] = (router.leadership.term, seen_s)
                 news.append(shared)
--- a/knapweedtally/entry/peer_messages.py
+++ b/knapweedtally/entry/peer_messages.py
@@ -9,7 +9,7 @@
 from knapweedtally.core.groups import sharing
 
 # Version of the form; others are dropped, as during an update of the hosts.
-FORM = 4
+FORM = 5
 
 # Ages are sent up to this, in seconds; evidence has expired long before, and
 # what was never seen has an infinite age.
@@ -59,6 +59,7 @@
             _to_us(min(item.position_age_s, MAX_AGE_S)),
             *item.position,
             item.is_fenced,
+            item.refused_share,
         ]
         for item in message.shared
     ]
@@ -102,7 +103,7 @@
 
 def _decode_shared(item: Any) -> sharing.SharedEvidence:
     group, target, term, primary_us, member_us, age_us, *rest = item
-    log_term, number, is_fenced = rest
+    log_term, number, is_fenced, refused_share = rest
     if not isinstance(group, str) or not isinstance(target, str):
         raise BrokenMessage("names are no texts")
     return sharing.SharedEvidence(
@@ -114,4 +115,5 @@
         age_us / 1e6,
         model.Position(int(log_term), int(number)),
         bool(is_fenced),
+        float(refused_share),
     )
--- a/knapweedtally/entry/requests.py
+++ b/knapweedtally/entry/requests.py
@@ -28,6 +28,7 @@
         second_try_s: when a second try may be made.
         excluded: targets tried in vain.
         is_done: whether the result was told.
+        is_admitted: whether it passed the check for a crowded primary.
         reason: why it waits.
     """
 
@@ -45,6 +46,7 @@
     second_try_s: float = 0.0
     excluded: frozenset[str] = frozenset()
     is_done: bool = False
+    is_admitted: bool = False
     reason: placement.Reason = placement.Reason.CHOSEN
 
 
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -1,8 +1,10 @@
 """The requests of one group: queue, placement, attempts and evidence."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
+from knapweedtally.core.groups import crowding
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -36,6 +38,9 @@
 # change of primary, and of an outage that is longer.
 RETRY_HINT_MS = 500
 OUTAGE_HINT_MS = 1500
+# The same for a crowded primary, in milliseconds: the time in which the share
+# that is refused is found anew.
+CROWDED_HINT_MS = 400
 
 _Reason = placement.Reason
 _Code = statements.Code
@@ -56,6 +61,7 @@
         acknowledgements: commits that wait for evidence.
         last_commit_s: when the newest acknowledged commit was sent.
         is_asker: whether this host asks for the others.
+        crowding: how crowded the primary is.
     """
 
     def __init__(
@@ -78,6 +84,7 @@
         )
         self.last_commit_s = 0.0
         self.is_asker = True
+        self.crowding = crowding.Crowding()
         self._made_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
@@ -125,6 +132,7 @@
 
     def submit(self, request: requests.Request) -> None:
         """Queue a request and serve what can be served."""
+        crowding.note_request(self.crowding, request.priority)
         self._queue.append(request)
         self._queue.sort(key=_order)
         self.dispatch()
@@ -148,15 +156,11 @@
             self._is_dispatching = False
 
     def _place(self, request: requests.Request, now_s: float) -> None:
-        choice = placement.choose_target(
-            request.need,
-            [pool.load for pool in self.pools.values()],
-            self.leadership,
-            self._data_centre,
-            now_s,
-            request.excluded,
-        )
+        choice = self._choose(request, now_s)
         request.reason = choice.reason
+        if choice.reason is _Reason.CROWDED:
+            self._give_up(request, now_s, CROWDED_HINT_MS)
+            return
         if choice.target is None:
             if choice.reason is _Reason.NO_CONNECTION:
                 self._want_connections(request, now_s)
@@ -173,6 +177,46 @@
         self._queue.remove(request)
         self._start(request, pool, connection, choice.position, now_s)
 
+    def _choose(
+        self, request: requests.Request, now_s: float
+    ) -> placement.Choice:
+        """Choose a target; a new request may find the primary crowded."""
+        choice = self._choose_among(request, request.excluded, now_s)
+        primary = self.leadership.target
+        needs_primary = choice.target == primary or (
+            choice.reason is _Reason.NO_CONNECTION
+            and request.need.is_primary_only
+        )
+        if primary is None or not needs_primary or request.is_admitted:
+            return choice
+        is_refused = crowding.should_refuse(
+            self.crowding, request.priority, random.random(), now_s
+        )
+        if not is_refused:
+            request.is_admitted = True
+            return choice
+        elsewhere = self._choose_among(
+            request, request.excluded | {primary}, now_s
+        )
+        if elsewhere.target is not None:
+            return elsewhere
+        return placement.Choice(None, None, _Reason.CROWDED)
+
+    def _choose_among(
+        self,
+        request: requests.Request,
+        excluded: frozenset[str],
+        now_s: float,
+    ) -> placement.Choice:
+        return placement.choose_target(
+            request.need,
+            [pool.load for pool in self.pools.values()],
+            self.leadership,
+            self._data_centre,
+            now_s,
+            excluded,
+        )
+
     def _is_out_of_order(self, choice: placement.Choice, now_s: float) -> bool:
         """Tell whether waiting for a target makes no sense."""
         if choice.reason is _Reason.NO_CONNECTION:
@@ -284,6 +328,9 @@
     ) -> None:
         self._counters.count("refused", request.reason.name)
         detail = f"{request.reason.value}; retry after {hint_ms} ms"
+        if request.reason is _Reason.CROWDED:
+            share = crowding.get_share(self.crowding, now_s)
+            detail = f"{detail}; {share:.0%} are refused for now"
         waited_s = now_s - request.arrived_s
         self.finish(
             request,
@@ -330,12 +377,22 @@
                 return
             if outcome.answer is None:
                 return
+            if self.is_asker and target == self.leadership.target:
+                self._note_wait(outcome.answer.code, outcome.asked_s)
             status = lines.parse_status(outcome.answer)
             if status is not None and pool.life == life:
                 self.note_status(target, status, outcome.asked_s)
 
         pool.ask(lines.STATUS, note_end, pools.ASK_TIMEOUT_S)
 
+    def _note_wait(self, code: statements.Code | None, asked_s: float) -> None:
+        """Measure how long a question waited in the primary's queue."""
+        now_s = clock.get_time_s()
+        wait_s = now_s - asked_s
+        if code is _Code.BUSY:
+            wait_s = max(wait_s, crowding.FULL_WAIT_S)
+        crowding.note_wait(self.crowding, wait_s, now_s)
+
     def note_status(
         self, target: str, status: model.TargetStatus, asked_s: float
     ) -> None:
@@ -380,6 +437,10 @@
         self.known_term = max(self.known_term, shared.term)
         if sharing.merge_shared(self.leadership, shared, sent_here_s):
             self._note_new_primary(shared.target, shared.term)
+        if not self.is_asker and shared.target == self.leadership.target:
+            crowding.note_share(
+                self.crowding, shared.refused_share, clock.get_time_s()
+            )
         self.acknowledgements.settle(clock.get_time_s())
         self.dispatch()
 
@@ -387,6 +448,7 @@
         self.unled_since_s = None
         self.known_since_s = clock.get_time_s()
         self.commits.clear()
+        crowding.note_new_primary(self.crowding)
         self._log.write(
             "primary_known",
             group=self.settings.name,
--- /dev/null
+++ b/tests/entry/test_crowding.py
@@ -0,0 +1,93 @@
+"""Early refusals of an entry host before a crowded primary."""
+
+from unittest import mock
+
+import testtools
+
+from knapweedtally.core.groups import crowding
+from knapweedtally.entry import clock
+from tests.entry import harness
+
+
+def refuse_all(system: harness.System) -> crowding.Crowding:
+    """Let the host refuse each new request for the primary."""
+    crowd = system.entries[0].host.routers["g"].crowding
+    patcher = mock.patch.object(crowding, "get_share", lambda *_: 1.0)
+    patcher.start()
+    system.entries[0].lines.clear()
+    return crowd
+
+
+class CrowdedTest(testtools.TestCase):
+    """What callers are told while the primary is crowded."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.addCleanup(mock.patch.stopall)
+
+    @harness.with_system()
+    async def test_new_request_is_refused_with_a_hint(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        refuse_all(system)
+        answer = await caller.run("WRITE item 2")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("ERROR BUSY"))
+        self.assertIn("retry after", answer[0])
+        (line,) = system.entries[0].find_lines("statement_ended")
+        self.assertIn("100% are refused", line["reason"])
+        primary = system.platform.groups["g"].get_primary()
+        self.assertEqual(primary.read("item"), "1")
+
+    @harness.with_system()
+    async def test_begin_is_refused_and_open_transaction_is_not(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        refuse_all(system)
+        other = harness.Caller(system.entries[0].port)
+        await other.start("g-primary")
+        await other.run("BEGIN")
+        answer = await other.run("WRITE item 2")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("ERROR BUSY"))
+        self.assertEqual(other.state, "E")
+        await caller.run("WRITE item 3")
+        answer = await caller.run("COMMIT")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
+
+    @harness.with_system()
+    async def test_read_goes_to_a_fresh_replica_instead(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-bounded_stale")
+        await caller.run("READ item")
+        refuse_all(system)
+        for _ in range(20):
+            answer = await caller.run("READ item")
+            self.assertEqual(answer[0], "ROW -")
+
+    @harness.with_system(hosts=3)
+    async def test_hosts_that_are_told_take_the_share(
+        self, system: harness.System
+    ) -> None:
+        routers = [entry.host.routers["g"] for entry in system.entries]
+        await harness.wait_for(
+            lambda: sum(router.is_asker for router in routers) == 2
+        )
+        told = next(router for router in routers if not router.is_asker)
+        with mock.patch.object(crowding, "WAIT_TARGET_S", -0.5):
+            await harness.wait_for(
+                lambda: (
+                    crowding.get_share(told.crowding, clock.get_time_s())
+                    == crowding.MAX_SHARE
+                )
+            )
+        await harness.wait_for(
+            lambda: crowding.get_share(told.crowding, clock.get_time_s()) == 0
+        )
--- a/tests/entry/test_peer_messages.py
+++ b/tests/entry/test_peer_messages.py
@@ -17,7 +17,14 @@
     0.125,
     (
         sharing.SharedEvidence(
-            "g", "i-1", 3, 0.5, 0.25, 0.5, model.Position(3, 12)
+            "g",
+            "i-1",
+            3,
+            0.5,
+            0.25,
+            0.5,
+            model.Position(3, 12),
+            refused_share=0.25,
         ),
     ),
 )
--- a/tests/groups/test_observers.py
+++ b/tests/groups/test_observers.py
@@ -151,7 +151,7 @@
         model.Position(teller.leadership.term, 1),
         teller.leadership.primary_seen_s,
     )
-    shared = sharing.make_shared("g", teller.leadership, now_s)
+    shared = sharing.make_shared("g", teller.leadership, 0.0, now_s)
     if shared is not None:
         sharing.merge_shared(listener.leadership, shared, now_s - 0.01)
 
--- a/tests/groups/test_sharing.py
+++ b/tests/groups/test_sharing.py
@@ -82,11 +82,11 @@
 
     def test_own_evidence_travels(self) -> None:
         leadership = evidence.Leadership()
-        self.assertIsNone(sharing.make_shared("g", leadership, 10.0))
+        self.assertIsNone(sharing.make_shared("g", leadership, 0.0, 10.0))
         evidence.note_primary(leadership, "a", 3, 9.9)
         evidence.note_member(leadership, "m", "m", 0, 9.8, 9.8)
         evidence.note_position(leadership, "a", model.Position(3, 9), 9.9)
-        shared = sharing.make_shared("g", leadership, 10.0)
+        shared = sharing.make_shared("g", leadership, 0.0, 10.0)
         assert shared is not None
         self.assertAlmostEqual(shared.member_age_s, 0.2)
 
