Say which replicas lag and that a caller left

Change: one line when a replica falls behind by more than 1 s, by its answers, and one when it has caught up, shown by the trace command with its group; the reason "the caller left". Tests fail without either.

--- a/knapweedtally/core/groups/placement.py
+++ b/knapweedtally/core/groups/placement.py
@@ -40,6 +40,11 @@
 # when its lag was last seen this long ago, in seconds.
 LAG_AGE_S = 0.15
 
+# A replica counts as lagging from the first of these on and no longer below the
+# second, in seconds: several times the lag of the users' replicas at rest.
+LAGGING_S = 1.0
+CAUGHT_UP_S = 0.5
+
 # A replica that lacked a position is not asked for a later one for this long,
 # in seconds.
 BEHIND_S = 0.02
@@ -80,6 +85,7 @@
         position: newest log position that its reads have shown.
         lag_s: moving average of how far its reads are behind the primary.
         lag_seen_s: when the last sample of it was taken.
+        is_lagging: whether it is far behind, as was last told.
         rests_until_s: gets no work before this time after failures.
         failures: failures in a row.
         behind_position: position that it lacked when last asked for one.
@@ -96,6 +102,7 @@
     position: model.Position = model.Position(0, 0)
     lag_s: float = 0.0
     lag_seen_s: float = 0.0
+    is_lagging: bool = False
     rests_until_s: float = 0.0
     failures: int = 0
     behind_position: model.Position | None = None
@@ -176,6 +183,15 @@
     load.lag_seen_s = now_s
 
 
+def update_lagging(load: TargetLoad, is_primary: bool) -> bool:
+    """Judge whether a target is far behind; return whether that changed."""
+    limit_s = CAUGHT_UP_S if load.is_lagging else LAGGING_S
+    is_lagging = not is_primary and load.lag_s > limit_s
+    has_changed = is_lagging is not load.is_lagging
+    load.is_lagging = is_lagging
+    return has_changed
+
+
 def may_use_primary(
     need: Need, leadership: evidence.Leadership, now_s: float
 ) -> bool:
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -319,10 +319,26 @@
                 self._give_up(request, now_s, RETRY_HINT_MS)
         for request in tuple(self._hedged):
             self._check_second_try(request, now_s)
+        self._tell_lagging(now_s)
         self._ask(now_s)
         self.acknowledgements.settle(now_s)
         self.dispatch()
 
+    def _tell_lagging(self, now_s: float) -> None:
+        """Write down which replicas fell far behind or caught up."""
+        for target, pool in self.pools.items():
+            load = pool.load
+            is_primary = target == self.leadership.target
+            if placement.update_lagging(load, is_primary):
+                self._log.write(
+                    "replica_lagging" if load.is_lagging else "replica_fresh",
+                    group=self.settings.name,
+                    target=target,
+                    lag_s=round(load.lag_s, 2),
+                    lag_age_s=round(now_s - load.lag_seen_s, 2),
+                    position=f"{load.position.term}.{load.position.number}",
+                )
+
     def _give_up(
         self, request: requests.Request, now_s: float, hint_ms: int
     ) -> None:
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -551,6 +551,8 @@
             self._transaction = None
         is_timeout = outcome is not None and outcome.is_timeout
         detail = "no answer in time" if is_timeout else "connection lost"
+        if self._is_closed:
+            detail = "the caller left"
         result = requests.Result(None, code, detail, target=transaction.target)
         self._tell(statement, transaction.route, arrived_s, result)
 
--- a/knapweedtally/management/traces.py
+++ b/knapweedtally/management/traces.py
@@ -11,7 +11,13 @@
 AFTER_S = 1.0
 
 # Events about a group that bear on its requests.
-_GROUP_EVENTS = ("primary_", "change_", "promotion_", "target_")
+_GROUP_EVENTS = (
+    "primary_",
+    "change_",
+    "promotion_",
+    "target_",
+    "replica_",
+)
 
 # Events about a host that bear on its requests.
 _HOST_EVENTS = (
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -257,6 +257,27 @@
         primary.refusals.clear()
         self.assertEqual((await caller.run("READ item"))[0], "ROW -")
 
+    @harness.with_system()
+    async def test_caller_that_leaves_in_a_statement_is_named_as_the_cause(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.is_dark = True
+        await caller.send("READ item")
+        await harness.wait_for(
+            lambda: any(t == "READ item" for _, t in primary.statements)
+        )
+        caller.close()
+        entry = system.entries[0]
+        await harness.wait_for(lambda: not entry.host.sessions)
+        line = entry.find_lines("statement_ended")[-1]
+        self.assertEqual(line["outcome"], "ABORTED")
+        self.assertEqual(line["reason"], "the caller left")
+
     @harness.with_system()
     async def test_caller_that_leaves_while_its_commit_finds_no_room(
         self, system: harness.System
--- a/tests/groups/test_placement.py
+++ b/tests/groups/test_placement.py
@@ -179,6 +179,21 @@
         loads[1].position = model.Position(1, 20)
         self.assertEqual(choose(make_need(max_age_s=1.0), loads).target, "r")
 
+    def test_lagging_is_told_once_and_ends_well_below(self) -> None:
+        load = placement.TargetLoad("r")
+        changes = []
+        for lag_s in (0.4, 0.9, 1.1, 0.9, 1.2, 0.6, 0.4, 0.9):
+            load.lag_s = lag_s
+            changes.append(placement.update_lagging(load, False))
+        expected = [False, False, True, False, False, False, True, False]
+        self.assertEqual(changes, expected)
+
+    def test_primary_is_never_lagging(self) -> None:
+        load = placement.TargetLoad("r", lag_s=5.0)
+        self.assertTrue(placement.update_lagging(load, False))
+        self.assertTrue(placement.update_lagging(load, True))
+        self.assertFalse(load.is_lagging)
+
     def test_lag_follows_what_replicas_show(self) -> None:
         leadership = make_leadership()
         load = placement.TargetLoad("r")
