Gather changes of the store, and wait longer in watches

Change: after a change the next watch begins 0.3 s later and brings all that came meanwhile; a watch waits for 25 s. Silent connections are found by probes, as before, and each failed call ends in a whole list, as before. The test of changes in quick succession fails without the pause.

--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -13,7 +13,12 @@
 
 # How long a watch waits for a change, in seconds. Each call is paid for; a
 # connection that went silent is found out by probes, not by the end of a wait.
-WATCH_WAIT_S = 10.0
+WATCH_WAIT_S = 25.0
+
+# Pause after a watch that brought a change, in seconds: changes come in groups,
+# and the next watch brings all of them in one call. It is a tenth of the
+# users' smallest bound for a change.
+GATHER_S = 0.3
 
 # Time without traffic after which the connection to the store is probed, in
 # seconds; three of them are within the bound for a configuration.
@@ -112,7 +117,10 @@
                 if revision is None:
                     revision = await self._list()
                 else:
-                    revision = await self._watch(revision)
+                    changes = await self._watch(revision)
+                    revision = changes.revision if changes else None
+                    if changes and changes.changes:
+                        await asyncio.sleep(GATHER_S)
                 pause.reset()
             except (StoreError, store_calls.BrokenAnswer) as error:
                 self._log.write(
@@ -140,7 +148,8 @@
         self._on_list(objects)
         return first_revision
 
-    async def _watch(self, revision: int) -> int | None:
+    async def _watch(self, revision: int) -> store_calls.Changes | None:
+        """Wait for changes; None where the store has forgotten them."""
         request = store_calls.make_watch_request(
             self._kind, revision, WATCH_WAIT_S
         )
@@ -155,4 +164,4 @@
         changes = store_calls.parse_changes(response)
         for change in changes.changes:
             self._on_change(change)
-        return changes.revision
+        return changes
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from typing import Any
+from unittest import mock
 
 import testtools
 
@@ -417,11 +418,33 @@
         system.platform.put_configuration()
         system.platform.store.cut_watches()
         catalog = system.entries[0].host.catalog
-        async with asyncio.timeout(store.WATCH_WAIT_S / 2):
+        async with asyncio.timeout(5.0):
             await harness.wait_for(
                 lambda: catalog.find_route("added") is not None
             )
 
+    @harness.with_system()
+    async def test_changes_in_quick_succession_come_in_one_call(
+        self, system: harness.System
+    ) -> None:
+        entry = system.entries[0]
+        shop = system.platform.store
+        await harness.wait_for(lambda: shop.waiting["servers"] > 0)
+        with mock.patch.object(store, "GATHER_S", harness.WAIT_S / 10):
+            shop.put("servers", "stranger-0", {"backend": "g"})
+            await harness.wait_for(
+                lambda: bool(entry.find_lines("entry_unreadable"))
+            )
+            calls = entry.host.store.calls
+            for number in range(1, 6):
+                shop.put("servers", f"stranger-{number}", {"backend": "g"})
+                await asyncio.sleep(0.01)
+            await harness.wait_for(
+                lambda: len(entry.find_lines("entry_unreadable")) == 6
+            )
+        # The watches for these and for what comes next.
+        self.assertLessEqual(entry.host.store.calls - calls, 2)
+
     @harness.with_system()
     async def test_foreign_entries_change_nothing(
         self, system: harness.System
