--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -54,7 +54,7 @@
         now_s = clock.get_time_s()
         request.running -= 1
         pool.load.running -= 1
-        router.commits.pop(request, None)
+        router.observer.commits.pop(request, None)
         answer = outcome.answer
         if answer is None:
             self._note_lost(outcome, now_s)
@@ -66,7 +66,7 @@
 
     def _note_success(self, answer: statements.Answer, asked_s: float) -> None:
         request, router = self._request, self._router
-        router.note_answer_position(self._pool, answer, asked_s)
+        router.observer.note_answer_position(self._pool, answer, asked_s)
         if not request.need.is_write or request.begins:
             self._finish(answer, None)
             return
@@ -79,11 +79,12 @@
                     None, _Code.UNKNOWN_OUTCOME, acknowledgements.UNPROVEN
                 )
 
-        router.note_commit(
+        router.observer.note_commit(
             self._pool.entry.target,
             answer,
             asked_s,
             request.deadline_s,
+            router.settings.acknowledging_replicas > 0,
             note_settled,
         )
 
@@ -121,11 +122,11 @@
         self._release()
         if code is _Code.BEHIND and self._position is not None:
             placement.note_behind(
-                pool.load, self._position, router.leadership, now_s
+                pool.load, self._position, router.observer.leadership, now_s
             )
             self._retry_or_finish(answer, None, now_s)
         elif code is _Code.READ_ONLY:
-            router.lose_primary(target, now_s, "it refused a write")
+            router.observer.lose_primary(target, now_s, "it refused a write")
             self._retry_or_finish(answer, None, now_s)
         elif code in statements.NOT_RUN:
             placement.note_failure(pool.load, now_s)
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -303,7 +303,7 @@
         target = member.entry.target
         if member.entry.is_draining:
             since_s = self._draining_since_s.setdefault(target, now_s)
-            is_primary = router.leadership.target == target
+            is_primary = router.observer.leadership.target == target
             limit_s = self._settings.drain_s - LEAVE_MARGIN_S
             pool.load.is_offered = is_primary and now_s - since_s < limit_s
         else:
@@ -342,7 +342,7 @@
     ) -> None:
         router = self.routers.get(shared.group)
         if router is not None:
-            router.note_shared(shared, sent_here_s)
+            router.observer.note_shared(shared, sent_here_s)
 
     def _share_fenced(
         self,
@@ -352,7 +352,9 @@
     ) -> None:
         """Tell every host which position covers all commits for now."""
         now_s = clock.get_time_s()
-        evidence.note_fenced_position(router.leadership, term, position, now_s)
+        evidence.note_fenced_position(
+            router.observer.leadership, term, position, now_s
+        )
         router.dispatch()
         shared = sharing.SharedEvidence(
             router.settings.name, "", term, 0.0, 0.0, 0.0, position, True
@@ -374,26 +376,30 @@
         news = []
         for name, router in self.routers.items():
             askers = self._rank_hosts(name)[: sharing.ASKERS]
-            router.is_asker = self._settings.host in askers
+            router.observer.is_asker = self._settings.host in askers
             seen_s = min(
-                router.leadership.primary_seen_s,
-                router.leadership.member_seen_s,
+                router.observer.leadership.primary_seen_s,
+                router.observer.leadership.member_seen_s,
             )
             term, shared_s = self._shared.get(name, (0, 0.0))
-            is_new_term = router.leadership.term > term
+            is_new_term = router.observer.leadership.term > term
             # Who changes a primary is the first to know the new one.
-            tells = router.is_asker or name in self._changing
+            tells = router.observer.is_asker or name in self._changing
             is_newer = is_new_term or seen_s >= shared_s + SHARE_AFTER_S
-            if not tells or not is_newer or not router.is_served(now_s):
+            if (
+                not tells
+                or not is_newer
+                or not router.observer.is_served(now_s)
+            ):
                 continue
             shared = sharing.make_shared(
                 name,
-                router.leadership,
-                crowding.get_share(router.crowding, now_s),
+                router.observer.leadership,
+                crowding.get_share(router.observer.crowding, now_s),
                 now_s,
             )
             if shared is not None:
-                self._shared[name] = (router.leadership.term, seen_s)
+                self._shared[name] = (router.observer.leadership.term, seen_s)
                 news.append(shared)
         if news:
             self.peers.share(tuple(news), now_s)
@@ -407,9 +413,9 @@
             for pool in router.pools.values():
                 pool.failing_since_s = None
                 pool.failures = 0
-            if router.unled_since_s is not None:
-                router.unled_since_s = now_s
-            router.commits.clear()
+            if router.observer.unled_since_s is not None:
+                router.observer.unled_since_s = now_s
+            router.observer.commits.clear()
 
     def _check_primary(
         self, router: router_module.Router, now_s: float
@@ -455,20 +461,20 @@
         self, router: router_module.Router
     ) -> succession.Cause | None:
         now_s = clock.get_time_s()
-        primary = router.leadership.target
+        primary = router.observer.leadership.target
         pool = router.pools.get(primary) if primary else None
         view = detection.View(
             has_primary=pool is not None,
-            known_since_s=router.known_since_s,
-            unled_since_s=router.unled_since_s,
+            known_since_s=router.observer.known_since_s,
+            unled_since_s=router.observer.unled_since_s,
             failing_since_s=pool.failing_since_s if pool else None,
             failures=pool.failures if pool else 0,
             is_refusing=pool.is_refusing if pool else False,
             is_leaving=bool(primary) and self._is_leaving(primary or "", now_s),
-            oldest_commit_s=min(router.commits.values(), default=None),
-            last_commit_s=router.last_commit_s,
-            primary_seen_s=router.leadership.primary_seen_s,
-            member_seen_s=router.leadership.member_seen_s,
+            oldest_commit_s=min(router.observer.commits.values(), default=None),
+            last_commit_s=router.observer.last_commit_s,
+            primary_seen_s=router.observer.leadership.primary_seen_s,
+            member_seen_s=router.observer.leadership.member_seen_s,
             answering_members=sum(
                 1
                 for target, other in router.pools.items()
@@ -481,10 +487,12 @@
     def _check_service(self, now_s: float) -> None:
         """Note since when most groups can't be served from here."""
         routers = self.routers.values()
-        served = sum(1 for router in routers if router.is_served(now_s))
+        served = sum(
+            1 for router in routers if router.observer.is_served(now_s)
+        )
         pools = [p for router in routers for p in router.pools.values()]
         failing = sum(1 for pool in pools if pool.failing_since_s is not None)
-        is_known = any(router.known_since_s for router in routers)
+        is_known = any(router.observer.known_since_s for router in routers)
         is_cut_off = not is_known or failing * 2 > len(pools)
         if is_cut_off and served * 2 <= len(self.routers):
             if self._unserved_since_s is None:
@@ -501,7 +509,7 @@
         if self._unserved_since_s is not None:
             unserved_s = now_s - self._unserved_since_s
         # A host that just started has told nobody that it is ready.
-        is_known = any(r.known_since_s for r in self.routers.values())
+        is_known = any(r.observer.known_since_s for r in self.routers.values())
         moves_away = is_known and unserved_s > CUT_OFF_S + MOVE_AWAY_S
         for session in tuple(self.sessions):
             session.tick(now_s, limit_s)
--- /dev/null
+++ b/knapweedtally/entry/observer.py
@@ -0,0 +1,243 @@
+"""What this host believes of one group's primary, and why."""
+
+from collections.abc import Callable
+
+from knapweedtally.core.groups import crowding
+from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import model
+from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import questions
+from knapweedtally.core.groups import sharing
+from knapweedtally.core.groups import statements
+from knapweedtally.entry import acknowledgements
+from knapweedtally.entry import clock
+from knapweedtally.entry import connections
+from knapweedtally.entry import logs
+from knapweedtally.entry import pools as pools_module
+from knapweedtally.platform import lines
+
+
+class Observer:
+    """Draw conclusions from targets' answers and from what hosts share.
+
+    Attributes:
+        leadership: evidence about the primary.
+        known_term: highest term that a member has shown.
+        unled_since_s: since when no primary is known, or None.
+        known_since_s: when the primary became known.
+        commits: when each commit under way was sent.
+        last_commit_s: when the newest acknowledged commit was sent.
+        is_asker: whether this host asks for the others.
+        crowding: how crowded the primary is.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        pools: dict[str, pools_module.Pool],
+        log: logs.Log,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Make an observer that knows of no primary.
+
+        Args:
+            group: name of the group.
+            pools: pools by id of the target, kept up to date by the router.
+            log: where conclusions are written.
+            on_change: called when requests may be served that could not.
+        """
+        self.leadership = evidence.Leadership()
+        self.known_term = 0
+        self.known_since_s = 0.0
+        self.unled_since_s: float | None = clock.get_time_s()
+        self.commits: dict[object, float] = {}
+        self.last_commit_s = 0.0
+        self.is_asker = True
+        self.crowding = crowding.Crowding()
+        self._group = group
+        self._pools = pools
+        self._log = log
+        self._on_change = on_change
+        self._acknowledgements = acknowledgements.Acknowledgements(
+            self.leadership
+        )
+        self._asking: set[str] = set()
+        self._questions = questions.Questions()
+
+    def tick(self, now_s: float) -> None:
+        """Ask for what is due, and settle the commits that wait."""
+        self._ask(now_s)
+        self._acknowledgements.settle(now_s)
+
+    def _ask(self, now_s: float) -> None:
+        leadership = self.leadership
+        if leadership.target not in self._pools and leadership.target:
+            self.lose_primary(leadership.target, now_s, "it is gone")
+        leadership.needs_member = len(self._pools) > 1
+        due = questions.list_due(
+            self._questions, leadership, self._pools, self.is_asker, now_s
+        )
+        for target in due:
+            self.ask_status(target)
+
+    def ask_status(self, target: str) -> None:
+        """Ask a target for its status unless an answer is awaited."""
+        if target in self._asking:
+            return
+        self._asking.add(target)
+        pool = self._pools[target]
+        life = pool.life
+
+        def note_end(outcome: connections.Outcome) -> None:
+            self._asking.discard(target)
+            if self._pools.get(target) is not pool:
+                return
+            if outcome.answer is None:
+                return
+            if self.is_asker and target == self.leadership.target:
+                self._note_wait(outcome.answer.code, outcome.asked_s)
+            status = lines.parse_status(outcome.answer)
+            if status is not None and pool.life == life:
+                self.note_status(target, status, outcome.asked_s)
+
+        pool.ask(lines.STATUS, note_end, pools_module.ASK_TIMEOUT_S)
+
+    def _note_wait(self, code: statements.Code | None, asked_s: float) -> None:
+        """Measure how long a question waited in the primary's queue."""
+        now_s = clock.get_time_s()
+        wait_s = now_s - asked_s
+        if code is statements.Code.BUSY:
+            wait_s = max(wait_s, crowding.FULL_WAIT_S)
+        crowding.note_wait(self.crowding, wait_s, now_s)
+
+    def note_status(
+        self, target: str, status: model.TargetStatus, asked_s: float
+    ) -> None:
+        """Draw the conclusions from a target's status."""
+        pool = self._pools.get(target)
+        if pool is None:
+            return
+        pool.known_connections = status.connections
+        pool.counted_s = asked_s
+        pool.received = max(pool.received, status.received)
+        self.known_term = max(self.known_term, status.term)
+        leadership = self.leadership
+        if status.is_primary:
+            is_new = evidence.note_primary(
+                leadership, target, status.term, asked_s
+            )
+            if is_new:
+                self._note_new_primary(target, status.term)
+            evidence.note_position(leadership, target, status.received, asked_s)
+        elif target == leadership.target or status.term > leadership.term:
+            if evidence.note_no_primary(leadership, target, status.term):
+                self._note_unled(target, "another term or role")
+        else:
+            evidence.note_member(
+                leadership,
+                target,
+                self._pools,
+                status.paused_for,
+                asked_s,
+                clock.get_time_s(),
+            )
+        evidence.note_term(leadership, target, status.term, asked_s)
+        self._acknowledgements.settle(clock.get_time_s())
+        self._on_change()
+
+    def note_shared(
+        self, shared: sharing.SharedEvidence, sent_here_s: float
+    ) -> None:
+        """Take another host's evidence."""
+        if not shared.is_fenced and shared.target not in self._pools:
+            return
+        self.known_term = max(self.known_term, shared.term)
+        if sharing.merge_shared(self.leadership, shared, sent_here_s):
+            self._note_new_primary(shared.target, shared.term)
+        if not self.is_asker and shared.target == self.leadership.target:
+            crowding.note_share(
+                self.crowding, shared.refused_share, clock.get_time_s()
+            )
+        self._acknowledgements.settle(clock.get_time_s())
+        self._on_change()
+
+    def _note_new_primary(self, target: str, term: int) -> None:
+        self.unled_since_s = None
+        self.known_since_s = clock.get_time_s()
+        self.commits.clear()
+        crowding.note_new_primary(self.crowding)
+        self._log.write(
+            "primary_known",
+            group=self._group,
+            target=target,
+            term=term,
+        )
+        for other in self._pools:
+            if other != target:
+                self.ask_status(other)
+
+    def lose_primary(self, target: str, now_s: float, reason: str) -> None:
+        """Give up a primary that said that it no longer leads."""
+        if self.leadership.target != target:
+            return
+        self.leadership.target = None
+        self.leadership.primary_seen_s = float("-inf")
+        self._note_unled(target, reason)
+        self._questions.next_s = now_s
+
+    def _note_unled(self, target: str, reason: str) -> None:
+        self.unled_since_s = clock.get_time_s()
+        self._log.write(
+            "primary_lost",
+            group=self._group,
+            target=target,
+            reason=reason,
+        )
+
+    def note_answer_position(
+        self, pool: pools_module.Pool, answer: statements.Answer, asked_s: float
+    ) -> model.Position | None:
+        """Record the log position that came with an answer."""
+        position = lines.parse_position(answer.position)
+        if position is None:
+            return None
+        pool.received = max(pool.received, position)
+        evidence.note_position(
+            self.leadership, pool.entry.target, position, asked_s
+        )
+        now_s = clock.get_time_s()
+        placement.note_position(pool.load, position, self.leadership, now_s)
+        return position
+
+    def note_commit(
+        self,
+        target: str,
+        answer: statements.Answer,
+        asked_s: float,
+        deadline_s: float,
+        is_replicated: bool,
+        on_settled: Callable[[bool], None],
+    ) -> None:
+        """Record a commit that a target acknowledged.
+
+        Args:
+            target: id of the target.
+            answer: its answer.
+            asked_s: when the commit was sent.
+            deadline_s: until when the caller waits.
+            is_replicated: whether a replica had to receive it first.
+            on_settled: told whether the commit is certain to be kept.
+        """
+        now_s = clock.get_time_s()
+        self.last_commit_s = max(self.last_commit_s, asked_s)
+        evidence.note_commit(
+            self.leadership, target, asked_s, now_s, is_replicated
+        )
+        position = lines.parse_position(answer.position)
+        term = position.term if position else self.leadership.term
+        pending = acknowledgements.Pending(term, now_s, deadline_s, on_settled)
+        self._acknowledgements.add(pending, now_s)
+
+    def is_served(self, now_s: float) -> bool:
+        """Tell whether the group's primary is known and confirmed."""
+        return self.leadership.valid_until_s >= now_s
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -250,7 +250,7 @@
         cause: succession.Cause,
         leaving: frozenset[str],
     ) -> bool:
-        old = router.leadership.target
+        old = router.observer.leadership.target
         if cause is succession.Cause.ABSENT:
             old = None
         attempt = succession.begin_attempt(
@@ -259,7 +259,7 @@
             old,
             tuple(target for target in router.pools if target != old),
             leaving,
-            max(router.known_term, router.leadership.term),
+            max(router.observer.known_term, router.observer.leadership.term),
             clock.get_time_s(),
         )
         self._log.write(
@@ -391,7 +391,7 @@
         )
         if status is None:
             return None
-        router.note_status(target, status, outcome.asked_s)
+        router.observer.note_status(target, status, outcome.asked_s)
         if status.received < pool.floor:
             # It restarted without what it had received before, so its log
             # proves nothing about commits that it acknowledged.
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -1,22 +1,19 @@
-"""The requests of one group: queue, placement, attempts and evidence."""
+"""The requests of one group: queue, placement and attempts."""
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from knapweedtally.core.groups import crowding
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
-from knapweedtally.core.groups import questions
-from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import attempts
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import measures
+from knapweedtally.entry import observer
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
 from knapweedtally.platform import lines
@@ -52,16 +49,8 @@
 
     Attributes:
         settings: the group's settings.
-        leadership: evidence about the primary.
         pools: pools by id of the target.
-        known_term: highest term that a member has shown.
-        unled_since_s: since when no primary is known, or None.
-        known_since_s: when the primary became known.
-        commits: when each commit under way was sent.
-        acknowledgements: commits that wait for evidence.
-        last_commit_s: when the newest acknowledged commit was sent.
-        is_asker: whether this host asks for the others.
-        crowding: how crowded the primary is.
+        observer: what is known of the primary.
     """
 
     def __init__(
@@ -73,26 +62,16 @@
     ) -> None:
         """Make a router without targets."""
         self.settings = settings
-        self.leadership = evidence.Leadership()
         self.pools: dict[str, pools.Pool] = {}
-        self.known_term = 0
-        self.known_since_s = 0.0
-        self.unled_since_s: float | None = clock.get_time_s()
-        self.commits: dict[object, float] = {}
-        self.acknowledgements = acknowledgements.Acknowledgements(
-            self.leadership
+        self.observer = observer.Observer(
+            settings.name, self.pools, log, self.dispatch
         )
-        self.last_commit_s = 0.0
-        self.is_asker = True
-        self.crowding = crowding.Crowding()
         self._made_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
         self._queue: list[requests.Request] = []
         self._hedged: set[requests.Request] = set()
-        self._asking: set[str] = set()
-        self._questions = questions.Questions()
         self._is_dispatching = False
 
     def add_pool(
@@ -122,7 +101,7 @@
         pool = self.pools.pop(target, None)
         if pool is not None:
             pool.close()
-            evidence.forget_member(self.leadership, target)
+            evidence.forget_member(self.observer.leadership, target)
         return pool
 
     @property
@@ -132,7 +111,7 @@
 
     def submit(self, request: requests.Request) -> None:
         """Queue a request and serve what can be served."""
-        crowding.note_request(self.crowding, request.priority)
+        crowding.note_request(self.observer.crowding, request.priority)
         self._queue.append(request)
         self._queue.sort(key=_order)
         self.dispatch()
@@ -182,7 +161,7 @@
     ) -> placement.Choice:
         """Choose a target; a new request may find the primary crowded."""
         choice = self._choose_among(request, request.excluded, now_s)
-        primary = self.leadership.target
+        primary = self.observer.leadership.target
         needs_primary = choice.target == primary or (
             choice.reason is _Reason.NO_CONNECTION
             and request.need.is_primary_only
@@ -190,7 +169,7 @@
         if primary is None or not needs_primary or request.is_admitted:
             return choice
         is_refused = crowding.should_refuse(
-            self.crowding, request.priority, random.random(), now_s
+            self.observer.crowding, request.priority, random.random(), now_s
         )
         if not is_refused:
             request.is_admitted = True
@@ -211,7 +190,7 @@
         return placement.choose_target(
             request.need,
             [pool.load for pool in self.pools.values()],
-            self.leadership,
+            self.observer.leadership,
             self._data_centre,
             now_s,
             excluded,
@@ -221,14 +200,14 @@
         """Tell whether waiting for a target makes no sense."""
         if choice.reason is _Reason.NO_CONNECTION:
             return False
-        since_s = max(self.leadership.valid_until_s, self._made_s)
+        since_s = max(self.observer.leadership.valid_until_s, self._made_s)
         return now_s - since_s > OUT_OF_ORDER_S
 
     def _want_connections(
         self, request: requests.Request, now_s: float
     ) -> None:
         for target, pool in self.pools.items():
-            is_primary = target == self.leadership.target
+            is_primary = target == self.observer.leadership.target
             if request.need.is_primary_only and not is_primary:
                 continue
             if pool.load.is_offered and pool.load.rests_until_s <= now_s:
@@ -279,7 +258,7 @@
             request.second_try_s = now_s + max(SECOND_TRY_S, usual_s)
             self._hedged.add(request)
         elif not request.begins:
-            self.commits[request] = now_s
+            self.observer.commits[request] = now_s
 
     def finish(
         self, request: requests.Request, result: requests.Result
@@ -295,7 +274,7 @@
             self._queue.remove(request)
         result.attempts = request.attempts
         now_s = clock.get_time_s()
-        seen_s = self.leadership.primary_seen_s
+        seen_s = self.observer.leadership.primary_seen_s
         result.evidence_age_s = min(9999.0, now_s - seen_s)
         request.on_end(result)
 
@@ -320,15 +299,14 @@
         for request in tuple(self._hedged):
             self._check_second_try(request, now_s)
         self._tell_lagging(now_s)
-        self._ask(now_s)
-        self.acknowledgements.settle(now_s)
+        self.observer.tick(now_s)
         self.dispatch()
 
     def _tell_lagging(self, now_s: float) -> None:
         """Write down which replicas fell far behind or caught up."""
         for target, pool in self.pools.items():
             load = pool.load
-            is_primary = target == self.leadership.target
+            is_primary = target == self.observer.leadership.target
             if placement.update_lagging(load, is_primary):
                 self._log.write(
                     "replica_lagging" if load.is_lagging else "replica_fresh",
@@ -345,7 +323,7 @@
         self._counters.count("refused", request.reason.name)
         detail = f"{request.reason.value}; retry after {hint_ms} ms"
         if request.reason is _Reason.CROWDED:
-            share = crowding.get_share(self.crowding, now_s)
+            share = crowding.get_share(self.observer.crowding, now_s)
             detail = f"{detail}; {share:.0%} are refused for now"
         waited_s = now_s - request.arrived_s
         self.finish(
@@ -366,180 +344,6 @@
             self._counters.count("second_tries", self.settings.name)
             self.retry(request, None)
 
-    # Evidence.
-
-    def _ask(self, now_s: float) -> None:
-        leadership = self.leadership
-        if leadership.target not in self.pools and leadership.target:
-            self.lose_primary(leadership.target, now_s, "it is gone")
-        leadership.needs_member = len(self.pools) > 1
-        due = questions.list_due(
-            self._questions, leadership, self.pools, self.is_asker, now_s
-        )
-        for target in due:
-            self.ask_status(target)
-
-    def ask_status(self, target: str) -> None:
-        """Ask a target for its status unless an answer is awaited."""
-        if target in self._asking:
-            return
-        self._asking.add(target)
-        pool = self.pools[target]
-        life = pool.life
-
-        def note_end(outcome: connections.Outcome) -> None:
-            self._asking.discard(target)
-            if self.pools.get(target) is not pool:
-                return
-            if outcome.answer is None:
-                return
-            if self.is_asker and target == self.leadership.target:
-                self._note_wait(outcome.answer.code, outcome.asked_s)
-            status = lines.parse_status(outcome.answer)
-            if status is not None and pool.life == life:
-                self.note_status(target, status, outcome.asked_s)
-
-        pool.ask(lines.STATUS, note_end, pools.ASK_TIMEOUT_S)
-
-    def _note_wait(self, code: statements.Code | None, asked_s: float) -> None:
-        """Measure how long a question waited in the primary's queue."""
-        now_s = clock.get_time_s()
-        wait_s = now_s - asked_s
-        if code is _Code.BUSY:
-            wait_s = max(wait_s, crowding.FULL_WAIT_S)
-        crowding.note_wait(self.crowding, wait_s, now_s)
-
-    def note_status(
-        self, target: str, status: model.TargetStatus, asked_s: float
-    ) -> None:
-        """Draw the conclusions from a target's status."""
-        pool = self.pools.get(target)
-        if pool is None:
-            return
-        pool.known_connections = status.connections
-        pool.counted_s = asked_s
-        pool.received = max(pool.received, status.received)
-        self.known_term = max(self.known_term, status.term)
-        leadership = self.leadership
-        if status.is_primary:
-            is_new = evidence.note_primary(
-                leadership, target, status.term, asked_s
-            )
-            if is_new:
-                self._note_new_primary(target, status.term)
-            evidence.note_position(leadership, target, status.received, asked_s)
-        elif target == leadership.target or status.term > leadership.term:
-            if evidence.note_no_primary(leadership, target, status.term):
-                self._note_unled(target, "another term or role")
-        else:
-            evidence.note_member(
-                leadership,
-                target,
-                self.pools,
-                status.paused_for,
-                asked_s,
-                clock.get_time_s(),
-            )
-        evidence.note_term(leadership, target, status.term, asked_s)
-        self.acknowledgements.settle(clock.get_time_s())
-        self.dispatch()
-
-    def note_shared(
-        self, shared: sharing.SharedEvidence, sent_here_s: float
-    ) -> None:
-        """Take another host's evidence."""
-        if not shared.is_fenced and shared.target not in self.pools:
-            return
-        self.known_term = max(self.known_term, shared.term)
-        if sharing.merge_shared(self.leadership, shared, sent_here_s):
-            self._note_new_primary(shared.target, shared.term)
-        if not self.is_asker and shared.target == self.leadership.target:
-            crowding.note_share(
-                self.crowding, shared.refused_share, clock.get_time_s()
-            )
-        self.acknowledgements.settle(clock.get_time_s())
-        self.dispatch()
-
-    def _note_new_primary(self, target: str, term: int) -> None:
-        self.unled_since_s = None
-        self.known_since_s = clock.get_time_s()
-        self.commits.clear()
-        crowding.note_new_primary(self.crowding)
-        self._log.write(
-            "primary_known",
-            group=self.settings.name,
-            target=target,
-            term=term,
-        )
-        for other in self.pools:
-            if other != target:
-                self.ask_status(other)
-
-    def lose_primary(self, target: str, now_s: float, reason: str) -> None:
-        """Give up a primary that said that it no longer leads."""
-        if self.leadership.target != target:
-            return
-        self.leadership.target = None
-        self.leadership.primary_seen_s = float("-inf")
-        self._note_unled(target, reason)
-        self._questions.next_s = now_s
-
-    def _note_unled(self, target: str, reason: str) -> None:
-        self.unled_since_s = clock.get_time_s()
-        self._log.write(
-            "primary_lost",
-            group=self.settings.name,
-            target=target,
-            reason=reason,
-        )
-
-    def note_answer_position(
-        self, pool: pools.Pool, answer: statements.Answer, asked_s: float
-    ) -> model.Position | None:
-        """Record the log position that came with an answer."""
-        position = lines.parse_position(answer.position)
-        if position is None:
-            return None
-        pool.received = max(pool.received, position)
-        evidence.note_position(
-            self.leadership, pool.entry.target, position, asked_s
-        )
-        now_s = clock.get_time_s()
-        placement.note_position(pool.load, position, self.leadership, now_s)
-        return position
-
-    def note_commit(
-        self,
-        target: str,
-        answer: statements.Answer,
-        asked_s: float,
-        deadline_s: float,
-        on_settled: Callable[[bool], None],
-    ) -> None:
-        """Record a commit that a target acknowledged.
-
-        Args:
-            target: id of the target.
-            answer: its answer.
-            asked_s: when the commit was sent.
-            deadline_s: until when the caller waits.
-            on_settled: told whether the commit is certain to be kept.
-        """
-        now_s = clock.get_time_s()
-        self.last_commit_s = max(self.last_commit_s, asked_s)
-        is_replicated = self.settings.acknowledging_replicas > 0
-        evidence.note_commit(
-            self.leadership, target, asked_s, now_s, is_replicated
-        )
-        position = lines.parse_position(answer.position)
-        term = position.term if position else self.leadership.term
-        pending = acknowledgements.Pending(term, now_s, deadline_s, on_settled)
-        self.acknowledgements.add(pending, now_s)
-
-    def is_served(self, now_s: float) -> bool:
-        """Tell whether the group's primary is known and confirmed."""
-        return self.leadership.valid_until_s >= now_s
-
 
 def _order(request: requests.Request) -> tuple[int, float]:
     return (request.priority, request.deadline_s)
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -459,7 +459,7 @@
 
         router = self._services.find_router(transaction.route.group)
         if is_commit and transaction.has_written and router is not None:
-            router.commits[transaction] = now_s
+            router.observer.commits[transaction] = now_s
         connection.run(self, statement, None, note_end, max(0.05, limit_s))
 
     def _may_run_again(
@@ -505,7 +505,7 @@
         assert answer is not None
         router = self._services.find_router(transaction.route.group)
         if router is not None:
-            router.commits.pop(transaction, None)
+            router.observer.commits.pop(transaction, None)
         self._release(transaction)
         self._transaction = None
         route = transaction.route
@@ -522,11 +522,12 @@
         if router is None or answer.code or not transaction.has_written:
             self._tell(statement, route, arrived_s, result)
             return
-        router.note_commit(
+        router.observer.note_commit(
             transaction.target,
             answer,
             outcome.asked_s,
             arrived_s + route.statement_timeout_s,
+            router.settings.acknowledging_replicas > 0,
             note_settled,
         )
 
@@ -540,7 +541,7 @@
         """Tell what is known after the transaction's connection is gone."""
         router = self._services.find_router(transaction.route.group)
         if router is not None:
-            router.commits.pop(transaction, None)
+            router.observer.commits.pop(transaction, None)
         was_sent = outcome is not None and statement.kind is _Kind.COMMIT
         code = _Code.ABORTED
         if was_sent and transaction.has_written:
--- a/tests/entry/test_changes.py
+++ b/tests/entry/test_changes.py
@@ -28,7 +28,7 @@
         for other in others:
             other.paused_for = 2
         await caller.send("WRITE item 2")
-        leadership = system.entries[0].host.routers["g"].leadership
+        leadership = system.entries[0].host.routers["g"].observer.leadership
         await harness.wait_for(
             lambda: leadership.valid_until_s < clock.get_time_s()
         )
@@ -46,7 +46,9 @@
         primary = group.get_primary()
         silent = next(t for t in group.targets.values() if t is not primary)
         await silent.stop()
-        system.entries[0].host.routers["g"].leadership.member_seen_s = 0.0
+        system.entries[0].host.routers[
+            "g"
+        ].observer.leadership.member_seen_s = 0.0
         served = False
         while not served:
             caller = harness.Caller(system.entries[0].port)
--- a/tests/entry/test_crowding.py
+++ b/tests/entry/test_crowding.py
@@ -11,7 +11,7 @@
 
 def refuse_all(system: harness.System) -> crowding.Crowding:
     """Let the host refuse each new request for the primary."""
-    crowd = system.entries[0].host.routers["g"].crowding
+    crowd = system.entries[0].host.routers["g"].observer.crowding
     patcher = mock.patch.object(crowding, "get_share", lambda *_: 1.0)
     patcher.start()
     system.entries[0].lines.clear()
@@ -78,16 +78,23 @@
     ) -> None:
         routers = [entry.host.routers["g"] for entry in system.entries]
         await harness.wait_for(
-            lambda: sum(router.is_asker for router in routers) == 2
+            lambda: sum(router.observer.is_asker for router in routers) == 2
+        )
+        told = next(
+            router for router in routers if not router.observer.is_asker
         )
-        told = next(router for router in routers if not router.is_asker)
         with mock.patch.object(crowding, "WAIT_TARGET_S", -0.5):
             await harness.wait_for(
                 lambda: (
-                    crowding.get_share(told.crowding, clock.get_time_s())
+                    crowding.get_share(
+                        told.observer.crowding, clock.get_time_s()
+                    )
                     == crowding.MAX_SHARE
                 )
             )
         await harness.wait_for(
-            lambda: crowding.get_share(told.crowding, clock.get_time_s()) == 0
+            lambda: (
+                crowding.get_share(told.observer.crowding, clock.get_time_s())
+                == 0
+            )
         )
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -368,7 +368,9 @@
         for entry in system.entries:
             router = entry.host.routers["g"]
             await harness.wait_for(
-                lambda router=router: router.leadership.target == new.id
+                lambda router=router: (
+                    router.observer.leadership.target == new.id
+                )
             )
         fences = [fence for fence, _, _ in system.platform.promotions]
         self.assertEqual(fences, sorted(fences))
