Split changes of primaries from the host, and ways from the pool

host.py and pools.py held several jobs each: when to change a primary is changes.py now, and which way a connection takes reach.py. No behaviour changes; the tests of entry pass as before.

--- /dev/null
+++ b/knapweedtally/entry/changes.py
@@ -0,0 +1,114 @@
+"""When this host changes a group's primary."""
+
+import asyncio
+from collections.abc import Callable
+
+from knapweedtally.core.groups import catalog as catalog_module
+from knapweedtally.core.groups import detection
+from knapweedtally.core.groups import succession
+from knapweedtally.entry import clock
+from knapweedtally.entry import promoter as promoter_module
+from knapweedtally.entry import router as router_module
+
+# Pause after a change of primary that did not come about, in seconds, and the
+# longer one of hosts further back in the group's order.
+CHANGE_RETRY_S = 0.4
+CHANGE_RETRY_STEP_S = 0.1
+
+
+class PrimaryChanges:
+    """Look for causes to change primaries, and run the changes."""
+
+    def __init__(
+        self,
+        host: str,
+        catalog: catalog_module.Catalog,
+        promoter: promoter_module.Promoter,
+        rank_hosts: Callable[[str], list[str]],
+    ) -> None:
+        """Make it without a change under way.
+
+        Args:
+            host: name of this host.
+            catalog: the known targets.
+            promoter: makes the changes.
+            rank_hosts: returns the live hosts in a group's order.
+        """
+        self._host = host
+        self._catalog = catalog
+        self._promoter = promoter
+        self._rank_hosts = rank_hosts
+        self._changing: set[str] = set()
+        self._after_s: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def is_changing(self, group: str) -> bool:
+        """Tell whether this host changes a group's primary now."""
+        return group in self._changing
+
+    def check(self, router: router_module.Router, now_s: float) -> None:
+        """Begin to change a group's primary where there is a cause."""
+        name = router.settings.name
+        if name in self._changing:
+            return
+        if now_s < self._after_s.get(name, 0.0):
+            return
+        if self._find_cause(router) is None:
+            return
+        self._changing.add(name)
+        task = asyncio.get_running_loop().create_task(self._change(router))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _change(self, router: router_module.Router) -> None:
+        name = router.settings.name
+        leaving = frozenset(
+            target
+            for target in router.pools
+            if self._is_leaving(target, clock.get_time_s())
+        )
+        ranked = self._rank_hosts(name)
+        rank = ranked.index(self._host) if ranked else 0
+        try:
+            await self._promoter.run(
+                router, lambda: self._find_cause(router), leaving, rank
+            )
+        finally:
+            self._changing.discard(name)
+            pause_s = CHANGE_RETRY_S + CHANGE_RETRY_STEP_S * rank
+            self._after_s[name] = clock.get_time_s() + pause_s
+
+    def _is_leaving(self, target: str, now_s: float) -> bool:
+        member = self._catalog.members.get(target)
+        if member is None:
+            return True
+        return member.entry.is_draining or not catalog_module.is_usable(
+            member, now_s
+        )
+
+    def _find_cause(
+        self, router: router_module.Router
+    ) -> succession.Cause | None:
+        now_s = clock.get_time_s()
+        primary = router.observer.leadership.target
+        pool = router.pools.get(primary) if primary else None
+        view = detection.View(
+            has_primary=pool is not None,
+            known_since_s=router.observer.known_since_s,
+            unled_since_s=router.observer.unled_since_s,
+            failing_since_s=pool.failing_since_s if pool else None,
+            failures=pool.failures if pool else 0,
+            is_refusing=pool.is_refusing if pool else False,
+            is_leaving=bool(primary) and self._is_leaving(primary or "", now_s),
+            oldest_commit_s=min(router.observer.commits.values(), default=None),
+            last_commit_s=router.observer.last_commit_s,
+            primary_seen_s=router.observer.leadership.primary_seen_s,
+            member_seen_s=router.observer.leadership.member_seen_s,
+            answering_members=sum(
+                1
+                for target, other in router.pools.items()
+                if target != primary and other.is_answering
+            ),
+            other_members=len(router.pools) - (1 if pool else 0),
+        )
+        return detection.find_cause(view, now_s)
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -5,18 +5,18 @@
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import crowding
-from knapweedtally.core.groups import detection
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import holders
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
-from knapweedtally.core.groups import succession
+from knapweedtally.entry import changes
 from knapweedtally.entry import clock
 from knapweedtally.entry import logs
 from knapweedtally.entry import measures
 from knapweedtally.entry import peers
 from knapweedtally.entry import pools
 from knapweedtally.entry import promoter
+from knapweedtally.entry import reach
 from knapweedtally.entry import relays
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
@@ -31,11 +31,6 @@
 # Interval of the checks on callers' sessions, in seconds.
 SESSION_CHECK_S = 0.5
 
-# Pause after a change of primary that did not come about, in seconds, and the
-# longer one of hosts further back in the group's order.
-CHANGE_RETRY_S = 0.4
-CHANGE_RETRY_STEP_S = 0.1
-
 # A leaving primary gets no more work this long before the limit, in seconds.
 LEAVE_MARGIN_S = 1.5
 
@@ -89,19 +84,19 @@
         self._ranked: tuple[int, dict[str, list[str]]] = (0, {})
         self._shared: dict[str, tuple[int, float]] = {}
         self._settings = configured
-        self._promoter: promoter.Promoter | None = None
+        self._changes: changes.PrimaryChanges | None = None
         if configured.duties is not None:
-            self._promoter = promoter.Promoter(
+            made = promoter.Promoter(
                 promoter.Duty(self.store, configured.host, log),
                 configured.duties,
                 configured.host,
                 log,
                 self._share_fenced,
             )
-        self._changing: set[str] = set()
-        self._change_after_s: dict[str, float] = {}
+            self._changes = changes.PrimaryChanges(
+                configured.host, self.catalog, made, self._rank_hosts
+            )
         self._draining_since_s: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         self._last_tick_s = clock.get_time_s()
         self._next_session_check_s = 0.0
         self._unserved_since_s: float | None = None
@@ -272,26 +267,26 @@
         held_by = holders.list_holders(target, live, free)
         names = holders.list_ways(target, self._settings.host, live, held_by)
         pool.sharers = max(1, len(held_by))
-        pool.set_ways(self._find_ways(names))
+        pool.reach.set_ways(self._find_ways(names))
         others = holders.list_ways(
             target, self._settings.host, live, held_by - {self._settings.host}
         )
-        pool.detours = self._find_ways(others)
+        pool.reach.detours = self._find_ways(others)
 
-    def _find_ways(self, names: list[str]) -> tuple[pools.Way, ...]:
+    def _find_ways(self, names: list[str]) -> tuple[reach.Way, ...]:
         addresses = [(name, self.peers.find_address(name)) for name in names]
         return tuple(
-            pools.Way(name, *address) for name, address in addresses if address
+            reach.Way(name, *address) for name, address in addresses if address
         )
 
     def find_held_pool(self, group: str, target: str) -> pools.Pool | None:
         """Return the pool of a target that this host holds connections to."""
         router = self.routers.get(group)
         pool = router.pools.get(target) if router else None
-        is_held = pool is not None and not pool.ways and not pool.is_detouring
-        if not is_held or self.is_draining:
+        if pool is None or pool.reach.ways or self.is_draining:
             return None
-        return pool
+        is_detouring = pool.reach.is_detouring(clock.get_time_s())
+        return None if is_detouring else pool
 
     def _sync_offer(
         self,
@@ -330,7 +325,8 @@
         self.peers.tick(now_s)
         for router in self.routers.values():
             router.tick(now_s)
-            self._check_primary(router, now_s)
+            if self._changes is not None and not self.is_draining:
+                self._changes.check(router, now_s)
         self._share_evidence(now_s)
         self._check_service(now_s)
         if now_s >= self._next_session_check_s:
@@ -384,7 +380,8 @@
             term, shared_s = self._shared.get(name, (0, 0.0))
             is_new_term = router.observer.leadership.term > term
             # Who changes a primary is the first to know the new one.
-            tells = router.observer.is_asker or name in self._changing
+            is_changing = self._changes and self._changes.is_changing(name)
+            tells = router.observer.is_asker or is_changing
             is_newer = is_new_term or seen_s >= shared_s + SHARE_AFTER_S
             if (
                 not tells
@@ -417,73 +414,6 @@
                 router.observer.unled_since_s = now_s
             router.observer.commits.clear()
 
-    def _check_primary(
-        self, router: router_module.Router, now_s: float
-    ) -> None:
-        name = router.settings.name
-        if self._promoter is None or name in self._changing:
-            return
-        if now_s < self._change_after_s.get(name, 0.0):
-            return
-        if self.is_draining or self._find_cause(router) is None:
-            return
-        self._changing.add(name)
-        task = asyncio.get_running_loop().create_task(self._change(router))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _change(self, router: router_module.Router) -> None:
-        name = router.settings.name
-        assert self._promoter is not None
-        leaving = frozenset(
-            target
-            for target in router.pools
-            if self._is_leaving(target, clock.get_time_s())
-        )
-        ranked = self._rank_hosts(name)
-        rank = ranked.index(self._settings.host) if ranked else 0
-        try:
-            await self._promoter.run(
-                router, lambda: self._find_cause(router), leaving, rank
-            )
-        finally:
-            self._changing.discard(name)
-            pause_s = CHANGE_RETRY_S + CHANGE_RETRY_STEP_S * rank
-            self._change_after_s[name] = clock.get_time_s() + pause_s
-
-    def _is_leaving(self, target: str, now_s: float) -> bool:
-        member = self.catalog.members.get(target)
-        if member is None:
-            return True
-        return member.entry.is_draining or not catalog.is_usable(member, now_s)
-
-    def _find_cause(
-        self, router: router_module.Router
-    ) -> succession.Cause | None:
-        now_s = clock.get_time_s()
-        primary = router.observer.leadership.target
-        pool = router.pools.get(primary) if primary else None
-        view = detection.View(
-            has_primary=pool is not None,
-            known_since_s=router.observer.known_since_s,
-            unled_since_s=router.observer.unled_since_s,
-            failing_since_s=pool.failing_since_s if pool else None,
-            failures=pool.failures if pool else 0,
-            is_refusing=pool.is_refusing if pool else False,
-            is_leaving=bool(primary) and self._is_leaving(primary or "", now_s),
-            oldest_commit_s=min(router.observer.commits.values(), default=None),
-            last_commit_s=router.observer.last_commit_s,
-            primary_seen_s=router.observer.leadership.primary_seen_s,
-            member_seen_s=router.observer.leadership.member_seen_s,
-            answering_members=sum(
-                1
-                for target, other in router.pools.items()
-                if target != primary and other.is_answering
-            ),
-            other_members=len(router.pools) - (1 if pool else 0),
-        )
-        return detection.find_cause(view, now_s)
-
     def _check_service(self, now_s: float) -> None:
         """Note since when most groups can't be served from here."""
         routers = self.routers.values()
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -11,6 +11,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
+from knapweedtally.entry import reach
 from knapweedtally.platform import lines
 
 # Time to make a connection, in seconds: a lost opening packet is sent again
@@ -34,11 +35,6 @@
 # A target's count of its connections is believed for this long, in seconds.
 COUNT_AGE_S = 1.0
 
-# A target that can't be reached directly is reached through other hosts for
-# this long, in seconds, and tried directly this often.
-DETOUR_S = 6.0
-DIRECT_PAUSE_S = 1.0
-
 # Connections to one target through other hosts. They cost the target nothing.
 RELAYED_CONNECTIONS = 4
 
@@ -57,20 +53,6 @@
     return max(1, max_connections - RESERVED_CONNECTIONS)
 
 
-class Way(NamedTuple):
-    """Name a host through which a target is reached.
-
-    Attributes:
-        host: name of the host.
-        address: its address.
-        port: its port for other hosts' statements.
-    """
-
-    host: str
-    address: str
-    port: int
-
-
 class _Waiter(NamedTuple):
     values: dict[bytes, bytes]
     on_idle: Callable[[connections.Connection | None], None]
@@ -87,9 +69,7 @@
         known_connections: connections that it counted when last asked.
         counted_s: when that was.
         sharers: hosts that hold connections to the target.
-        ways: hosts through which the target is reached; empty where this
-            host holds connections itself.
-        detours: hosts to try while the target can't be reached directly.
+        reach: ways to the target.
         failing_since_s: first failure since its last answer, or None.
         failures: failures since its last answer.
         is_refusing: whether the last failure was a refusal.
@@ -113,11 +93,7 @@
         self.known_connections = 0
         self.counted_s = 0.0
         self.sharers = 1
-        self.ways: tuple[Way, ...] = ()
-        self.detours: tuple[Way, ...] = ()
-        self._detour_until_s = 0.0
-        self._next_direct_s = 0.0
-        self._way_turn = 0
+        self.reach = reach.Reach()
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self._openers: list[Callable[[bool], None]] = []
         self._serves_waiter = False
@@ -213,7 +189,7 @@
 
     def _get_share(self) -> int:
         """Return the connections that this host may hold at any time."""
-        if self.ways:
+        if self.reach.ways:
             return RELAYED_CONNECTIONS
         return max(1, get_free(self.max_connections) // self.sharers)
 
@@ -223,7 +199,7 @@
         Several hosts may find so at the same time, so each leaves room for
         half of the others.
         """
-        if self.ways or now_s - self.counted_s > COUNT_AGE_S:
+        if self.reach.ways or now_s - self.counted_s > COUNT_AGE_S:
             return False
         free = get_free(self.max_connections)
         return self.known_connections + self.sharers // 2 < free
@@ -235,57 +211,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _choose_way(self) -> Way | None:
-        """Return the host that the next connection goes through, if any."""
-        ways = self.ways
-        now_s = clock.get_time_s()
-        if not ways and now_s < self._detour_until_s:
-            if now_s >= self._next_direct_s:
-                self._next_direct_s = now_s + DIRECT_PAUSE_S
-                return None
-            ways = self.detours
-        return ways[self._way_turn % len(ways)] if ways else None
-
-    @property
-    def is_detouring(self) -> bool:
-        """Tell whether the target is reached through others for a while."""
-        return clock.get_time_s() < self._detour_until_s
-
     def start_detour(self) -> None:
         """Try to reach a target through other hosts that doesn't answer."""
-        now_s = clock.get_time_s()
-        if self.ways or not self.detours or self._is_closed:
-            return
-        is_new = now_s >= self._detour_until_s
-        self._detour_until_s = now_s + DETOUR_S
-        self._way_turn += 1
-        if not is_new:
-            # Further ways are tried at the usual pace: while the target is
-            # down, every way refuses at once.
+        if self._is_closed:
             return
-        self._next_direct_s = now_s + DIRECT_PAUSE_S
-        if self._opening < 2:
+        if self.reach.start_detour(clock.get_time_s()) and self._opening < 2:
             self.open()
 
-    def end_detour(self) -> None:
-        """Go back to direct connections."""
-        self._detour_until_s = 0.0
-
-    def set_ways(self, ways: tuple[Way, ...]) -> None:
-        """Set the hosts through which the target is reached.
-
-        Connections of the other kind are closed once they rest.
-        """
-        if ways == self.ways:
-            return
-        self.ways = ways
-        self._way_turn = 0
-
     def _is_current(self, connection: connections.Connection) -> bool:
         """Tell whether a connection goes a way that is still to be used."""
-        if not self.ways:
-            return not connection.way or self.is_detouring
-        return connection.way in [way.host for way in self.ways]
+        return self.reach.is_current(connection.way, clock.get_time_s())
 
     def call_when_open(self, on_open: Callable[[bool], None]) -> None:
         """Call back once a direct connection is open, or none was made.
@@ -324,7 +259,7 @@
 
     async def _open(self) -> None:
         entry = self.entry
-        way = self._choose_way()
+        way = self.reach.choose(clock.get_time_s())
         connection = connections.Connection(
             self, entry.group, self._user, entry.target
         )
@@ -348,9 +283,9 @@
         if self._is_closed:
             connection.abort()
         if not connection.is_open:
-            self._way_turn += 1
+            self.reach.note_failure()
         elif not connection.way:
-            self.end_detour()
+            self.reach.end_detour()
         openers, self._openers = self._openers, []
         for on_open in openers:
             on_open(connection.is_open and not connection.way)
@@ -444,7 +379,7 @@
                 connection.close()
         if not self.size:
             self.want_connection()
-        elif self.is_detouring and now_s >= self._next_direct_s:
+        elif self.reach.is_direct_due(now_s):
             self.open()
         self._close_resting(now_s)
         self.count_idle()
@@ -468,7 +403,7 @@
         self._next_probe_s = now_s + PROBE_PAUSE_S
         self.note_failure(asked_s, False)
         if connection.way:
-            self._way_turn += 1
+            self.reach.note_failure()
             for other in tuple(self._connections):
                 if other.way == connection.way and other.is_idle:
                     other.abort()
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -9,6 +9,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import logs
 from knapweedtally.entry import pools
+from knapweedtally.entry import reach
 from tests.entry import harness
 
 
@@ -18,9 +19,9 @@
     entry.group, entry.target, entry.data_centre = "g", "i-1", "dc"
     entry.address, entry.port = "127.0.0.1", port
     pool = pools.Pool(entry, 16, "tests", logs.Log("h", -1), lambda: None)
-    pool.detours = (
-        pools.Way("h2", "127.0.0.1", port),
-        pools.Way("h3", "127.0.0.1", port),
+    pool.reach.detours = (
+        reach.Way("h2", "127.0.0.1", port),
+        reach.Way("h3", "127.0.0.1", port),
     )
     return pool
 
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -39,7 +39,7 @@
 def find_relaying(entries: list[harness.Entry], target: str) -> harness.Entry:
     """Return a host that reaches a target through others."""
     for entry in entries:
-        if entry.host.routers["g"].pools[target].ways:
+        if entry.host.routers["g"].pools[target].reach.ways:
             return entry
     raise LookupError("every host holds connections")
 
@@ -139,10 +139,10 @@
     ) -> None:
         primary = system.platform.groups["g"].get_primary()
         pool = system.entries[0].host.routers["g"].pools[primary.id]
-        await harness.wait_for(lambda: bool(pool.detours))
+        await harness.wait_for(lambda: bool(pool.reach.detours))
         pool.start_detour()
         await harness.wait_for(lambda: bool(system.entries[1].host.relays))
-        pool.end_detour()
+        pool.reach.end_detour()
         await primary.stop()
         await harness.wait_for(lambda: not pool.has_direct)
         opened: list[bool] = []
