--- a/bench/placing/model.py
+++ b/bench/placing/model.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from knapweedtally.entry import sessions
+from knapweedtally.entry import transactions
 
 
 class RequestClass(NamedTuple):
@@ -294,7 +294,7 @@
             if has_run:
                 self._follow(request, number + 1)
             elif self._now_s < request.first_s + request.kind.deadline_s:
-                self._at(self._now_s + sessions.RETRY_IN_TRANSACTION_S, send)
+                self._at(self._now_s + transactions.RETRY_S, send)
             else:
                 self._refuse(request)
 
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -8,9 +8,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
-from knapweedtally.entry import connections
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import services as services_module
@@ -29,13 +27,6 @@
 # Requests of one group that wait at this host; beyond it they are refused.
 MAX_QUEUED = 400
 
-# A statement that a target had no room for inside a transaction is sent again
-# after this, in seconds.
-RETRY_IN_TRANSACTION_S = 0.02
-
-# Time for a target to roll back a transaction, in seconds.
-ROLLBACK_TIMEOUT_S = 1.0
-
 _Kind = statements.Kind
 _Code = statements.Code
 _State = statements.SessionState
@@ -66,6 +57,7 @@
         self._request: requests.Request | None = None
         self._router: router_module.Router | None = None
         self._own_position: model.Position | None = None
+        self._runner = transactions.Runner(self, services, self._note_held_end)
         self._is_busy = False
         self._is_closed = False
         self._partial_since_s: float | None = self.idle_since_s
@@ -149,7 +141,8 @@
         self._waiting.clear()
         if self._request is not None and self._router is not None:
             self._router.cancel(self._request)
-        self._release(self._transaction)
+        self._runner.is_closed = True
+        self._runner.release(self._transaction, self._is_busy)
         self._transaction = None
         self._services.drop_session(self)
 
@@ -297,7 +290,7 @@
         if self._transaction is None:
             self._answer_error(statement, _Code.MALFORMED, "no transaction")
             return
-        self._release(self._transaction, statement.id)
+        self._runner.release(self._transaction, self._is_busy, statement.id)
         self._transaction = None
         self._answer_done(_State.IDLE)
 
@@ -424,137 +417,21 @@
         statement: statements.Statement,
         arrived_s: float,
     ) -> None:
-        """Run a statement on the connection that the transaction owns."""
-        connection = transaction.connection
-        if connection is None:
-            # The caller left while the statement waited to be sent again.
-            return
-        if connection.is_closed:
-            self._note_transaction_lost(transaction, statement, arrived_s)
-            return
-        now_s = clock.get_time_s()
-        limit_s = arrived_s + transaction.route.statement_timeout_s - now_s
-        is_commit = statement.kind is _Kind.COMMIT
-        transaction.has_written |= self._is_write(statement)
-
-        def note_end(outcome: connections.Outcome) -> None:
-            if outcome.answer is None:
-                self._note_transaction_lost(
-                    transaction, statement, arrived_s, outcome
-                )
-            elif self._may_run_again(transaction, arrived_s, outcome.answer):
-                asyncio.get_running_loop().call_later(
-                    RETRY_IN_TRANSACTION_S,
-                    self._run_held,
-                    transaction,
-                    statement,
-                    arrived_s,
-                )
-            elif is_commit:
-                self._note_committed(transaction, statement, arrived_s, outcome)
-            else:
-                self._note_held_answer(
-                    transaction, statement, arrived_s, outcome.answer
-                )
-
-        router = self._services.find_router(transaction.route.group)
-        if is_commit and transaction.has_written and router is not None:
-            router.observer.commits[transaction] = now_s
-        connection.run(self, statement, None, note_end, max(0.05, limit_s))
-
-    def _may_run_again(
-        self,
-        transaction: transactions.Transaction,
-        arrived_s: float,
-        answer: statements.Answer,
-    ) -> bool:
-        """Tell whether a statement found no room and its transaction stands.
-
-        A transaction has slots behind it already, its commit most of all, so
-        it is tried for as long as the caller waits.
-        """
-        if answer.code is not _Code.BUSY or self._is_closed:
-            return False
-        if answer.state is not _State.IN_TRANSACTION:
-            return False
-        limit_s = transaction.route.statement_timeout_s - RETRY_IN_TRANSACTION_S
-        return clock.get_time_s() - arrived_s < limit_s
-
-    def _note_held_answer(
-        self,
-        transaction: transactions.Transaction,
-        statement: statements.Statement,
-        arrived_s: float,
-        answer: statements.Answer,
-    ) -> None:
-        transaction.rest_since_s = clock.get_time_s()
-        if answer.state is not _State.IN_TRANSACTION:
-            transaction.is_failed = True
-            self._release(transaction)
-        result = requests.Result(answer, answer.code, target=transaction.target)
-        self._tell(statement, transaction.route, arrived_s, result)
-
-    def _note_committed(
-        self,
-        transaction: transactions.Transaction,
-        statement: statements.Statement,
-        arrived_s: float,
-        outcome: connections.Outcome,
-    ) -> None:
-        answer = outcome.answer
-        assert answer is not None
-        router = self._services.find_router(transaction.route.group)
-        if router is not None:
-            router.observer.commits.pop(transaction, None)
-        self._release(transaction)
-        self._transaction = None
-        route = transaction.route
-        result = requests.Result(answer, answer.code, target=transaction.target)
-
-        def note_settled(is_kept: bool) -> None:
-            if is_kept:
-                self._note_own_commit(answer)
-            else:
-                result.answer, result.code = None, _Code.UNKNOWN_OUTCOME
-                result.detail = acknowledgements.UNPROVEN
-            self._tell(statement, route, arrived_s, result)
-
-        if router is None or answer.code or not transaction.has_written:
-            self._tell(statement, route, arrived_s, result)
-            return
-        router.observer.note_commit(
-            transaction.target,
-            answer,
-            outcome.asked_s,
-            arrived_s + route.statement_timeout_s,
-            router.settings.acknowledging_replicas > 0,
-            note_settled,
-        )
+        is_write = self._is_write(statement)
+        self._runner.run(transaction, statement, arrived_s, is_write)
 
-    def _note_transaction_lost(
+    def _note_held_end(
         self,
         transaction: transactions.Transaction,
         statement: statements.Statement,
         arrived_s: float,
-        outcome: connections.Outcome | None = None,
+        result: requests.Result,
     ) -> None:
-        """Tell what is known after the transaction's connection is gone."""
-        router = self._services.find_router(transaction.route.group)
-        if router is not None:
-            router.observer.commits.pop(transaction, None)
-        was_sent = outcome is not None and statement.kind is _Kind.COMMIT
-        code = _Code.ABORTED
-        if was_sent and transaction.has_written:
-            code = _Code.UNKNOWN_OUTCOME
-        transaction.connection = None
-        transaction.is_failed = True
+        """Tell how a statement of a transaction ended."""
         if statement.kind is _Kind.COMMIT:
             self._transaction = None
-        is_timeout = outcome is not None and outcome.is_timeout
-        detail = "no answer in time" if is_timeout else "connection lost"
-        if self._is_closed:
-            detail = "the caller left"
-        result = requests.Result(None, code, detail, target=transaction.target)
+            if result.answer and not result.code and transaction.has_written:
+                self._note_own_commit(result.answer)
         self._tell(statement, transaction.route, arrived_s, result)
 
     def _note_own_commit(self, answer: statements.Answer) -> None:
@@ -563,29 +440,6 @@
             known = self._own_position
             self._own_position = max(known, position) if known else position
 
-    def _release(
-        self,
-        transaction: transactions.Transaction | None,
-        id_: bytes = lines.OWN_ID,
-    ) -> None:
-        """Give a transaction's connection back.
-
-        Args:
-            transaction: the transaction, or None.
-            id_: id of the caller's statement that ends it, if there is one.
-        """
-        if transaction is None or transaction.connection is None:
-            return
-        connection = transaction.connection
-        transaction.connection = None
-        if connection.is_closed:
-            return
-        if self._is_busy and connection.get_oldest_s() is not None:
-            # A statement is under way; closing rolls it back.
-            connection.abort()
-            return
-        connection.release(id_, ROLLBACK_TIMEOUT_S)
-
     def _abort_transaction(self, reason: str) -> None:
         transaction = self._transaction
         assert transaction is not None
@@ -593,7 +447,7 @@
             "transaction_aborted", database=self._database, reason=reason
         )
         self._services.counters.count("transactions_aborted", "idle")
-        self._release(transaction)
+        self._runner.release(transaction, self._is_busy)
         transaction.abort_reason = reason
 
     # Answers.
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -7,8 +7,8 @@
 import testtools
 
 from knapweedtally.entry import connections
-from knapweedtally.entry import sessions
 from knapweedtally.entry import store
+from knapweedtally.entry import transactions
 from standins.line_platform import targets
 from tests.entry import harness
 
@@ -296,7 +296,7 @@
         await harness.wait_for(lambda: primary.refusals["COMMIT"] < 10_000)
         caller.close()
         await harness.wait_for(lambda: not system.entries[0].host.sessions)
-        await asyncio.sleep(2 * sessions.RETRY_IN_TRANSACTION_S)
+        await asyncio.sleep(2 * transactions.RETRY_S)
         self.assertEqual(errors, [])
         self.assertNotIn("COMMIT", [t for _, t in primary.statements])
 
