--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -8,6 +8,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
+from knapweedtally.entry import answers
 from knapweedtally.entry import clock
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
@@ -463,11 +464,6 @@
             )
         return route
 
-    def _get_version(self) -> int:
-        """Return the version of the configuration in force; 0 for none."""
-        configuration = self._services.catalog.configuration
-        return configuration.version if configuration is not None else 0
-
     def _get_state(self) -> statements.SessionState:
         if self._transaction is None:
             return _State.IDLE
@@ -484,17 +480,11 @@
         code: statements.Code,
         detail: str,
     ) -> None:
-        self._services.log.write(
-            "statement_refused",
-            id=statement.id.decode("ascii", "replace"),
-            configuration=self._get_version(),
-            database=self._database,
-            code=code.name,
-            reason=detail,
+        answers.log_refusal(
+            self._services, self._database, statement, code, detail
         )
         self._write(
-            lines.encode_error(code, detail.encode())
-            + lines.encode_ready(self._get_state())
+            answers.encode_refusal(code, detail.encode(), self._get_state())
         )
 
     def _tell(
@@ -509,40 +499,17 @@
         now_s = clock.get_time_s()
         if self._transaction is not None:
             self._transaction.rest_since_s = now_s
-        answer = result.answer
-        outcome = result.code.name if result.code else "DONE"
-        services = self._services
-        services.counters.observe(outcome, now_s - arrived_s)
-        position = result.position
-        services.log.write(
-            "statement_ended",
-            id=statement.id.decode("ascii", "replace"),
-            kind=statement.kind.name,
-            database=self._database,
-            group=route.group,
-            target=result.target,
-            outcome=outcome,
-            reason=result.detail,
-            position=f"{position.term}.{position.number}" if position else "",
-            way=result.way,
-            configuration=self._get_version(),
-            evidence_age_ms=round(result.evidence_age_s * 1000),
-            waited_ms=round(result.waited_s * 1000, 1),
-            total_ms=round((now_s - arrived_s) * 1000, 1),
-            attempts=result.attempts,
+        answers.log_result(
+            self._services,
+            self._database,
+            statement,
+            route,
+            result,
+            now_s - arrived_s,
         )
-        if self._is_closed:
-            return
-        if answer is not None and answer.code is None:
-            data = answer.rows + lines.encode_done(answer.signature or b"-")
-            position_text = answer.position
-        else:
-            code = result.code or _Code.BUSY
-            detail = answer.detail if answer else result.detail.encode()
-            data = lines.encode_error(code, detail)
-            position_text = lines.NO_POSITION
-        self._write(data + lines.encode_ready(self._get_state(), position_text))
-        self._serve_next()
+        if not self._is_closed:
+            self._write(answers.encode_result(result, self._get_state()))
+            self._serve_next()
 
     def _write(self, data: bytes) -> None:
         self.idle_since_s = clock.get_time_s()
