--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from knapweedtally.core.groups import succession
+from knapweedtally.core.groups import steps
 
 # A primary whose machine refuses connections is given up after this, in
 # seconds: two attempts, so that a restart in between is seen.
@@ -67,7 +67,7 @@
     other_members: int
 
 
-def find_cause(view: View, now_s: float) -> succession.Cause | None:
+def find_cause(view: View, now_s: float) -> steps.Cause | None:
     """Return why the primary has to be replaced, or None."""
     if not view.other_members:
         return None
@@ -75,17 +75,17 @@
         since_s = view.unled_since_s
         is_late = since_s is not None and now_s - since_s > ABSENT_S
         can_fence = view.answering_members >= view.other_members - 1
-        return succession.Cause.ABSENT if is_late and can_fence else None
+        return steps.Cause.ABSENT if is_late and can_fence else None
     if _is_unreachable(view, now_s):
         # A host that doesn't reach the others leaves the change to one that
         # does.
         can_fence = view.answering_members >= view.other_members
-        return succession.Cause.UNREACHABLE if can_fence else None
+        return steps.Cause.UNREACHABLE if can_fence else None
     if view.is_leaving:
-        return succession.Cause.LEAVING
+        return steps.Cause.LEAVING
     if now_s - view.known_since_s < SETTLE_S:
         return None
-    return succession.Cause.STALLED if _is_stalled(view, now_s) else None
+    return steps.Cause.STALLED if _is_stalled(view, now_s) else None
 
 
 def _is_unreachable(view: View, now_s: float) -> bool:
--- a/knapweedtally/core/groups/succession.py
+++ b/knapweedtally/core/groups/succession.py
@@ -12,13 +12,11 @@
 by which hosts read at the old primary has expired.
 """
 
-import dataclasses
-import enum
 from collections.abc import Collection
-from typing import NamedTuple
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import steps
 
 # Limits of the orders to targets, in seconds: several round trips, and the
 # queue of a busy target.
@@ -41,134 +39,15 @@
 ATTEMPT_LIMIT_S = 8.0
 
 
-class Cause(enum.Enum):
-    """Say why a primary is replaced."""
-
-    UNREACHABLE = "the primary does not answer"
-    LEAVING = "the primary is leaving"
-    STALLED = "the primary's commits reach no replica"
-    ABSENT = "no target leads the group"
-
-
-class Phase(enum.Enum):
-    """Name the steps of an attempt."""
-
-    STEP_DOWN = "step down"
-    CATCH_UP = "catch up"
-    FENCE = "fence"
-    WAIT = "wait"
-    CONFIRM = "confirm"
-    PROMOTE = "promote"
-    EFFECT = "effect"
-    DONE = "done"
-    GIVEN_UP = "given up"
-
-
-class Order(enum.Enum):
-    """Name the control statements."""
-
-    STATUS = "status"
-    PAUSE = "pause"
-    RESUME = "resume"
-    STEP_DOWN = "step down"
-
-
-class Report(NamedTuple):
-    """Hold a target's answer to an order.
-
-    Attributes:
-        status: its status afterwards.
-        answered_s: when the answer came.
-    """
-
-    status: model.TargetStatus
-    answered_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """Hold one attempt to change a group's primary.
-
-    Attributes:
-        group: name of the group.
-        cause: why.
-        old_primary: id of the primary to be replaced, or None.
-        others: ids of the group's other members.
-        leaving: ids of the members that are leaving.
-        term: term that the new primary is to lead.
-        started_s: when the attempt began.
-        phase: the step that it has reached.
-        phase_since_s: when it reached this step.
-        final_position: last position of the old primary, once it stepped down.
-        stepped_down_s: when its answer came.
-        fenced: reports of the members that stopped receiving.
-        candidate: id of the chosen target.
-        is_asked: whether the platform was asked for the promotion.
-        reason: why it was given up.
-    """
-
-    group: str
-    cause: Cause
-    old_primary: str | None
-    others: tuple[str, ...]
-    leaving: frozenset[str]
-    term: int
-    started_s: float
-    phase: Phase = Phase.STEP_DOWN
-    phase_since_s: float = 0.0
-    final_position: model.Position | None = None
-    stepped_down_s: float = 0.0
-    fenced: dict[str, Report] = dataclasses.field(default_factory=dict)
-    candidate: str | None = None
-    is_asked: bool = False
-    reason: str = ""
-
-
-class Ask(NamedTuple):
-    """Send an order to targets and record the answers.
-
-    Attributes:
-        order: the order.
-        targets: ids of the targets.
-        pause_s: time to wait before the next step.
-    """
-
-    order: Order
-    targets: tuple[str, ...]
-    pause_s: float = 0.0
-
-
-class Wait(NamedTuple):
-    """Do nothing for a while."""
-
-    delay_s: float
-
-
-class Promote(NamedTuple):
-    """Ask the platform to promote a target."""
-
-    target: str
-
-
-class Finish(NamedTuple):
-    """End the attempt."""
-
-    is_done: bool
-    reason: str
-
-
-Step = Ask | Wait | Promote | Finish
-
-
 def begin_attempt(
     group: str,
-    cause: Cause,
+    cause: steps.Cause,
     old_primary: str | None,
     others: tuple[str, ...],
     leaving: frozenset[str],
     known_term: int,
     now_s: float,
-) -> Attempt:
+) -> steps.Attempt:
     """Return a new attempt.
 
     Args:
@@ -180,29 +59,31 @@
         known_term: highest term that any member has shown.
         now_s: the time.
     """
-    attempt = Attempt(
+    attempt = steps.Attempt(
         group, cause, old_primary, others, leaving, known_term + 1, now_s
     )
     attempt.phase_since_s = now_s
-    if cause in (Cause.UNREACHABLE, Cause.ABSENT):
-        attempt.phase = Phase.FENCE
+    if cause in (steps.Cause.UNREACHABLE, steps.Cause.ABSENT):
+        attempt.phase = steps.Phase.FENCE
     return attempt
 
 
-def put_members(attempt: Attempt, members: Collection[str]) -> None:
+def put_members(attempt: steps.Attempt, members: Collection[str]) -> None:
     """Take the group's members as they are known now.
 
     A target that started again under another id takes the place of the old
     one. The number of members can't fall: what is missing may hold commits.
     """
     others = tuple(t for t in members if t != attempt.old_primary)
-    if attempt.phase is Phase.FENCE and len(others) >= len(attempt.others):
+    if attempt.phase is steps.Phase.FENCE and len(others) >= len(
+        attempt.others
+    ):
         attempt.others = others
         for target in [t for t in attempt.fenced if t not in members]:
             del attempt.fenced[target]
 
 
-def count_fences_needed(attempt: Attempt) -> int:
+def count_fences_needed(attempt: steps.Attempt) -> int:
     """Return how many of the other members have to be fenced.
 
     Each acknowledged commit is on two members at least. All but one of the
@@ -213,54 +94,58 @@
     return len(attempt.others) - (0 if is_known else 1)
 
 
-def has_fenced_enough(attempt: Attempt) -> bool:
+def has_fenced_enough(attempt: steps.Attempt) -> bool:
     """Tell whether the fenced members hold every acknowledged commit."""
     needed = max(1, count_fences_needed(attempt))
     return len(attempt.fenced) >= needed
 
 
-def next_step(attempt: Attempt, now_s: float) -> Step:
+def next_step(attempt: steps.Attempt, now_s: float) -> steps.Step:
     """Return what is to be done next, and move on to its phase."""
-    if attempt.phase is Phase.DONE:
-        return Finish(True, "")
+    if attempt.phase is steps.Phase.DONE:
+        return steps.Finish(True, "")
     is_late = now_s - attempt.started_s > ATTEMPT_LIMIT_S
-    if is_late and attempt.phase is not Phase.EFFECT:
-        _move(attempt, Phase.GIVEN_UP, now_s)
+    if is_late and attempt.phase is not steps.Phase.EFFECT:
+        _move(attempt, steps.Phase.GIVEN_UP, now_s)
         attempt.reason = attempt.reason or "no proof in time"
-    if attempt.phase is Phase.GIVEN_UP:
-        return Finish(False, attempt.reason)
+    if attempt.phase is steps.Phase.GIVEN_UP:
+        return steps.Finish(False, attempt.reason)
     return _STEPS[attempt.phase](attempt, now_s)
 
 
-def _move(attempt: Attempt, phase: Phase, now_s: float) -> None:
+def _move(attempt: steps.Attempt, phase: steps.Phase, now_s: float) -> None:
     attempt.phase = phase
     attempt.phase_since_s = now_s
 
 
-def _step_down(attempt: Attempt, now_s: float) -> Step:
+def _step_down(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.old_primary is not None
-    return Ask(Order.STEP_DOWN, (attempt.old_primary,))
+    return steps.Ask(steps.Order.STEP_DOWN, (attempt.old_primary,))
 
 
-def _catch_up(attempt: Attempt, now_s: float) -> Step:
-    return Ask(Order.STATUS, attempt.others, ROUND_S)
+def _catch_up(attempt: steps.Attempt, now_s: float) -> steps.Step:
+    return steps.Ask(steps.Order.STATUS, attempt.others, ROUND_S)
 
 
-def _fence(attempt: Attempt, now_s: float) -> Step:
+def _fence(attempt: steps.Attempt, now_s: float) -> steps.Step:
     if now_s - attempt.phase_since_s > FENCE_LIMIT_S:
-        _move(attempt, Phase.GIVEN_UP, now_s)
+        _move(attempt, steps.Phase.GIVEN_UP, now_s)
         attempt.reason = "too few members could be stopped"
-        return Finish(False, attempt.reason)
+        return steps.Finish(False, attempt.reason)
     missing = tuple(t for t in attempt.others if t not in attempt.fenced)
-    return Ask(Order.PAUSE, missing, ROUND_S)
+    return steps.Ask(steps.Order.PAUSE, missing, ROUND_S)
 
 
-def find_safe_position(attempt: Attempt) -> model.Position | None:
+def find_safe_position(attempt: steps.Attempt) -> model.Position | None:
     """Return a position that covers every acknowledged commit for now.
 
     Holds from the fence, or the step down, until the promotion is asked for.
     """
-    is_stopped = attempt.phase in (Phase.WAIT, Phase.CONFIRM, Phase.PROMOTE)
+    is_stopped = attempt.phase in (
+        steps.Phase.WAIT,
+        steps.Phase.CONFIRM,
+        steps.Phase.PROMOTE,
+    )
     if not is_stopped or attempt.is_asked:
         return None
     if attempt.stepped_down_s:
@@ -271,7 +156,7 @@
     )
 
 
-def list_to_resume(attempt: Attempt) -> tuple[str, ...]:
+def list_to_resume(attempt: steps.Attempt) -> tuple[str, ...]:
     """Return the members that may receive again after a given up attempt.
 
     Once the promotion was asked for, it may take effect at any time, also
@@ -284,7 +169,7 @@
     return tuple(attempt.fenced)
 
 
-def get_wait_end_s(attempt: Attempt) -> float:
+def get_wait_end_s(attempt: steps.Attempt) -> float:
     """Return when all evidence about the old primary has expired."""
     since_s = attempt.stepped_down_s
     if not since_s:
@@ -295,53 +180,53 @@
     return since_s + evidence.EVIDENCE_SPAN_S
 
 
-def _wait(attempt: Attempt, now_s: float) -> Step:
+def _wait(attempt: steps.Attempt, now_s: float) -> steps.Step:
     left_s = get_wait_end_s(attempt) - now_s
     if left_s > 0:
-        return Wait(left_s)
-    _move(attempt, Phase.CONFIRM, now_s)
+        return steps.Wait(left_s)
+    _move(attempt, steps.Phase.CONFIRM, now_s)
     return _confirm(attempt, now_s)
 
 
-def _confirm(attempt: Attempt, now_s: float) -> Step:
+def _confirm(attempt: steps.Attempt, now_s: float) -> steps.Step:
     if attempt.stepped_down_s:
         assert attempt.candidate is not None
         assert attempt.old_primary is not None
         targets = {attempt.candidate, attempt.old_primary}
-        return Ask(Order.STATUS, tuple(targets), ROUND_S)
+        return steps.Ask(steps.Order.STATUS, tuple(targets), ROUND_S)
     # Not stopped again: only a restart lets a member receive, and it shows.
-    return Ask(Order.STATUS, tuple(attempt.fenced), ROUND_S)
+    return steps.Ask(steps.Order.STATUS, tuple(attempt.fenced), ROUND_S)
 
 
-def _promote(attempt: Attempt, now_s: float) -> Step:
+def _promote(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.candidate is not None
     attempt.is_asked = True
-    return Promote(attempt.candidate)
+    return steps.Promote(attempt.candidate)
 
 
-def _effect(attempt: Attempt, now_s: float) -> Step:
+def _effect(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.candidate is not None
     if now_s - attempt.phase_since_s > EFFECT_TIMEOUT_S:
-        _move(attempt, Phase.PROMOTE, now_s)
-        return Promote(attempt.candidate)
-    return Ask(Order.STATUS, (attempt.candidate,), ROUND_S)
+        _move(attempt, steps.Phase.PROMOTE, now_s)
+        return steps.Promote(attempt.candidate)
+    return steps.Ask(steps.Order.STATUS, (attempt.candidate,), ROUND_S)
 
 
 _STEPS = {
-    Phase.STEP_DOWN: _step_down,
-    Phase.CATCH_UP: _catch_up,
-    Phase.FENCE: _fence,
-    Phase.WAIT: _wait,
-    Phase.CONFIRM: _confirm,
-    Phase.PROMOTE: _promote,
-    Phase.EFFECT: _effect,
+    steps.Phase.STEP_DOWN: _step_down,
+    steps.Phase.CATCH_UP: _catch_up,
+    steps.Phase.FENCE: _fence,
+    steps.Phase.WAIT: _wait,
+    steps.Phase.CONFIRM: _confirm,
+    steps.Phase.PROMOTE: _promote,
+    steps.Phase.EFFECT: _effect,
 }
 
 
 def note_reports(
-    attempt: Attempt,
-    order: Order,
-    reports: dict[str, Report],
+    attempt: steps.Attempt,
+    order: steps.Order,
+    reports: dict[str, steps.Report],
     now_s: float,
 ) -> None:
     """Record the answers to an order and move on where they allow it."""
@@ -349,33 +234,33 @@
         report.status.is_primary and report.status.term >= attempt.term
         for report in reports.values()
     )
-    if is_led and attempt.phase not in (Phase.EFFECT, Phase.DONE):
-        _move(attempt, Phase.GIVEN_UP, now_s)
+    if is_led and attempt.phase not in (steps.Phase.EFFECT, steps.Phase.DONE):
+        _move(attempt, steps.Phase.GIVEN_UP, now_s)
         attempt.reason = "a target leads a later term already"
         return
     _NOTES.get(attempt.phase, _note_nothing)(attempt, reports, now_s)
 
 
 def _note_nothing(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     """Ignore answers that the phase doesn't need."""
 
 
 def _note_step_down(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     report = reports.get(attempt.old_primary or "")
     if report is None or report.status.is_primary:
-        _move(attempt, Phase.FENCE, now_s)
+        _move(attempt, steps.Phase.FENCE, now_s)
         return
     attempt.final_position = report.status.received
     attempt.stepped_down_s = report.answered_s
-    _move(attempt, Phase.CATCH_UP, now_s)
+    _move(attempt, steps.Phase.CATCH_UP, now_s)
 
 
 def _note_catch_up(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     assert attempt.final_position is not None
     complete = [
@@ -386,13 +271,13 @@
     chosen = choose_candidate(attempt, {t: reports[t] for t in complete})
     if chosen is not None and chosen not in attempt.leaving:
         attempt.candidate = chosen
-        _move(attempt, Phase.WAIT, now_s)
+        _move(attempt, steps.Phase.WAIT, now_s)
     elif now_s - attempt.phase_since_s > CATCH_UP_S:
-        _move(attempt, Phase.FENCE, now_s)
+        _move(attempt, steps.Phase.FENCE, now_s)
 
 
 def _note_fence(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     for target, report in reports.items():
         if report.status.paused_for >= attempt.term:
@@ -400,12 +285,12 @@
     if has_fenced_enough(attempt):
         attempt.candidate = choose_candidate(attempt, attempt.fenced)
         attempt.stepped_down_s = 0.0
-        _move(attempt, Phase.WAIT, now_s)
+        _move(attempt, steps.Phase.WAIT, now_s)
     elif attempt.stepped_down_s and now_s - attempt.phase_since_s > 1.0:
         _choose_with_old_primary(attempt, now_s)
 
 
-def _choose_with_old_primary(attempt: Attempt, now_s: float) -> None:
+def _choose_with_old_primary(attempt: steps.Attempt, now_s: float) -> None:
     """Choose by the old primary's last position while a member is missing."""
     assert attempt.final_position is not None
     complete = {
@@ -416,11 +301,11 @@
     attempt.candidate = (
         choose_candidate(attempt, complete) or attempt.old_primary
     )
-    _move(attempt, Phase.WAIT, now_s)
+    _move(attempt, steps.Phase.WAIT, now_s)
 
 
 def _note_confirm(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     if attempt.stepped_down_s:
         _note_confirm_step_down(attempt, reports, now_s)
@@ -429,14 +314,14 @@
         if not _is_still_fenced(attempt, known, reports.get(target)):
             del attempt.fenced[target]
     if has_fenced_enough(attempt):
-        _move(attempt, Phase.PROMOTE, now_s)
+        _move(attempt, steps.Phase.PROMOTE, now_s)
     else:
         attempt.fenced.clear()
-        _move(attempt, Phase.FENCE, now_s)
+        _move(attempt, steps.Phase.FENCE, now_s)
 
 
 def _is_still_fenced(
-    attempt: Attempt, known: Report, report: Report | None
+    attempt: steps.Attempt, known: steps.Report, report: steps.Report | None
 ) -> bool:
     """Tell whether a member has received nothing since it was stopped."""
     if report is None or report.status.paused_for < attempt.term:
@@ -445,7 +330,7 @@
 
 
 def _note_confirm_step_down(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     """Promote if the old primary is still no primary.
 
@@ -454,33 +339,33 @@
     old = reports.get(attempt.old_primary or "")
     is_down = old is not None and not old.status.is_primary
     if is_down and attempt.candidate in reports:
-        _move(attempt, Phase.PROMOTE, now_s)
+        _move(attempt, steps.Phase.PROMOTE, now_s)
     else:
         attempt.stepped_down_s = 0.0
-        _move(attempt, Phase.FENCE, now_s)
+        _move(attempt, steps.Phase.FENCE, now_s)
 
 
 def _note_effect(
-    attempt: Attempt, reports: dict[str, Report], now_s: float
+    attempt: steps.Attempt, reports: dict[str, steps.Report], now_s: float
 ) -> None:
     report = reports.get(attempt.candidate or "")
     if report is None or not report.status.is_primary:
         return
     if report.status.term >= attempt.term:
         # The promotion lets the others receive again, from the new primary.
-        _move(attempt, Phase.DONE, now_s)
+        _move(attempt, steps.Phase.DONE, now_s)
 
 
 _NOTES = {
-    Phase.STEP_DOWN: _note_step_down,
-    Phase.CATCH_UP: _note_catch_up,
-    Phase.FENCE: _note_fence,
-    Phase.CONFIRM: _note_confirm,
-    Phase.EFFECT: _note_effect,
+    steps.Phase.STEP_DOWN: _note_step_down,
+    steps.Phase.CATCH_UP: _note_catch_up,
+    steps.Phase.FENCE: _note_fence,
+    steps.Phase.CONFIRM: _note_confirm,
+    steps.Phase.EFFECT: _note_effect,
 }
 
 
-def note_promoted(attempt: Attempt, status: int, now_s: float) -> None:
+def note_promoted(attempt: steps.Attempt, status: int, now_s: float) -> None:
     """Record the platform's answer to a promotion.
 
     Args:
@@ -489,15 +374,15 @@
         now_s: the time.
     """
     if status == 200:
-        _move(attempt, Phase.EFFECT, now_s)
+        _move(attempt, steps.Phase.EFFECT, now_s)
     elif status == 409:
         attempt.fenced.clear()
         attempt.stepped_down_s = 0.0
-        _move(attempt, Phase.FENCE, now_s)
+        _move(attempt, steps.Phase.FENCE, now_s)
 
 
 def choose_candidate(
-    attempt: Attempt, reports: dict[str, Report]
+    attempt: steps.Attempt, reports: dict[str, steps.Report]
 ) -> str | None:
     """Return the most advanced target, one that stays among equals."""
     if not reports:
--- a/knapweedtally/entry/changes.py
+++ b/knapweedtally/entry/changes.py
@@ -5,7 +5,7 @@
 
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import detection
-from knapweedtally.core.groups import succession
+from knapweedtally.core.groups import steps
 from knapweedtally.entry import clock
 from knapweedtally.entry import promoter as promoter_module
 from knapweedtally.entry import router as router_module
@@ -86,9 +86,7 @@
             member, now_s
         )
 
-    def _find_cause(
-        self, router: router_module.Router
-    ) -> succession.Cause | None:
+    def _find_cause(self, router: router_module.Router) -> steps.Cause | None:
         now_s = clock.get_time_s()
         primary = router.observer.leadership.target
         pool = router.pools.get(primary) if primary else None
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -6,6 +6,7 @@
 
 from knapweedtally.core.groups import duty
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import steps
 from knapweedtally.core.groups import succession
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
@@ -181,7 +182,7 @@
     async def run(
         self,
         router: router_module.Router,
-        find_cause: Callable[[], succession.Cause | None],
+        find_cause: Callable[[], steps.Cause | None],
         leaving: frozenset[str],
         rank: int,
     ) -> bool:
@@ -239,7 +240,7 @@
         )
         await asyncio.gather(
             *(
-                self._ask_one(target, succession.Order.STATUS, 0, router)
+                self._ask_one(target, steps.Order.STATUS, 0, router)
                 for target in targets
             )
         )
@@ -247,11 +248,11 @@
     async def _change(
         self,
         router: router_module.Router,
-        cause: succession.Cause,
+        cause: steps.Cause,
         leaving: frozenset[str],
     ) -> bool:
         old = router.observer.leadership.target
-        if cause is succession.Cause.ABSENT:
+        if cause is steps.Cause.ABSENT:
             old = None
         attempt = succession.begin_attempt(
             router.settings.name,
@@ -284,8 +285,8 @@
         return finish.is_done
 
     async def _follow(
-        self, attempt: succession.Attempt, router: router_module.Router
-    ) -> succession.Finish:
+        self, attempt: steps.Attempt, router: router_module.Router
+    ) -> steps.Finish:
         phase = None
         while True:
             step = succession.next_step(attempt, clock.get_time_s())
@@ -294,7 +295,7 @@
                 self._log.write(
                     "change_step", group=attempt.group, phase=phase.value
                 )
-            if isinstance(step, succession.Finish):
+            if isinstance(step, steps.Finish):
                 if not step.is_done:
                     await self._resume(attempt, router)
                 return step
@@ -307,22 +308,22 @@
                 await self._duty.renew()
             except DutyLost as error:
                 # Members stay stopped: the next holder may rely on it.
-                return succession.Finish(False, str(error))
+                return steps.Finish(False, str(error))
 
     async def _do(
         self,
-        step: succession.Step,
-        attempt: succession.Attempt,
+        step: steps.Step,
+        attempt: steps.Attempt,
         router: router_module.Router,
     ) -> None:
-        if isinstance(step, succession.Wait):
+        if isinstance(step, steps.Wait):
             await asyncio.sleep(min(step.delay_s, RENEW_AFTER_S))
-        elif isinstance(step, succession.Promote):
+        elif isinstance(step, steps.Promote):
             status = await self._promote(attempt.group, step.target)
             succession.note_promoted(attempt, status, clock.get_time_s())
             if status != 200:
                 await asyncio.sleep(succession.ROUND_S)
-        elif isinstance(step, succession.Ask):
+        elif isinstance(step, steps.Ask):
             reports = await self._ask(step, attempt, router)
             succession.note_reports(
                 attempt, step.order, reports, clock.get_time_s()
@@ -330,22 +331,22 @@
             await asyncio.sleep(step.pause_s)
 
     async def _resume(
-        self, attempt: succession.Attempt, router: router_module.Router
+        self, attempt: steps.Attempt, router: router_module.Router
     ) -> None:
         """Let stopped members receive again where the old primary leads on."""
         targets = succession.list_to_resume(attempt)
         if not targets:
             return
         if duty.may_act(self._duty.claimed_s, clock.get_time_s()):
-            step = succession.Ask(succession.Order.RESUME, targets)
+            step = steps.Ask(steps.Order.RESUME, targets)
             await self._ask(step, attempt, router)
 
     async def _ask(
         self,
-        step: succession.Ask,
-        attempt: succession.Attempt,
+        step: steps.Ask,
+        attempt: steps.Attempt,
         router: router_module.Router,
-    ) -> dict[str, succession.Report]:
+    ) -> dict[str, steps.Report]:
         reports = await asyncio.gather(
             *(
                 self._ask_one(target, step.order, attempt.term, router)
@@ -361,10 +362,10 @@
     async def _ask_one(
         self,
         target: str,
-        order: succession.Order,
+        order: steps.Order,
         term: int,
         router: router_module.Router,
-    ) -> succession.Report | None:
+    ) -> steps.Report | None:
         pool = router.pools.get(target)
         if pool is None:
             return None
@@ -396,7 +397,7 @@
             # It restarted without what it had received before, so its log
             # proves nothing about commits that it acknowledged.
             return None
-        return succession.Report(status, clock.get_time_s())
+        return steps.Report(status, clock.get_time_s())
 
     async def _promote(self, group: str, target: str) -> int:
         """Ask the platform for the promotion and return the HTTP status."""
@@ -438,8 +439,8 @@
 
 
 _TEXTS = {
-    succession.Order.STATUS: _encode_status,
-    succession.Order.RESUME: _encode_resume,
-    succession.Order.PAUSE: lines.encode_pause,
-    succession.Order.STEP_DOWN: lines.encode_step_down,
+    steps.Order.STATUS: _encode_status,
+    steps.Order.RESUME: _encode_resume,
+    steps.Order.PAUSE: lines.encode_pause,
+    steps.Order.STEP_DOWN: lines.encode_step_down,
 }
--- a/tests/groups/simulation.py
+++ b/tests/groups/simulation.py
@@ -9,6 +9,7 @@
 import random
 
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import steps
 from knapweedtally.core.groups import succession
 
 
@@ -92,22 +93,20 @@
         else:
             member.is_reachable = True
 
-    def take_order(
-        self, step: succession.Ask, term: int
-    ) -> dict[str, succession.Report]:
+    def take_order(self, step: steps.Ask, term: int) -> dict[str, steps.Report]:
         reports = {}
         for name in step.targets:
             member = self.members[name]
             if not member.is_up or not member.is_reachable:
                 continue
-            if step.order is succession.Order.PAUSE and not member.is_primary:
+            if step.order is steps.Order.PAUSE and not member.is_primary:
                 member.paused_for = max(member.paused_for, term)
-            if step.order is succession.Order.RESUME:
+            if step.order is steps.Order.RESUME:
                 member.paused_for = 0
-            is_step_down = step.order is succession.Order.STEP_DOWN
+            is_step_down = step.order is steps.Order.STEP_DOWN
             if is_step_down and member.term < term:
                 member.is_primary = False
-            reports[name] = succession.Report(member.get_status(), self.now_s)
+            reports[name] = steps.Report(member.get_status(), self.now_s)
         return reports
 
     def promote(self, name: str) -> int:
@@ -129,13 +128,13 @@
         return 200
 
 
-def play(seed: int, cause: succession.Cause) -> tuple[Group, bool]:
+def play(seed: int, cause: steps.Cause) -> tuple[Group, bool]:
     """Play one attempt and return the group and whether it was done."""
     group = Group(seed)
     for _ in range(20):
         group.commit()
-    old = None if cause is succession.Cause.ABSENT else "p"
-    if cause is not succession.Cause.LEAVING:
+    old = None if cause is steps.Cause.ABSENT else "p"
+    if cause is not steps.Cause.LEAVING:
         group.members["p"].is_reachable = group.random.random() < 0.5
         group.members["p"].is_up = group.random.random() < 0.5
     others = tuple(name for name in group.members if name != old)
@@ -144,11 +143,11 @@
     )
     for _ in range(400):
         step = succession.next_step(attempt, group.now_s)
-        if isinstance(step, succession.Finish):
+        if isinstance(step, steps.Finish):
             return group, step.is_done
-        if isinstance(step, succession.Wait):
+        if isinstance(step, steps.Wait):
             group.now_s += step.delay_s
-        elif isinstance(step, succession.Promote):
+        elif isinstance(step, steps.Promote):
             status = group.promote(step.target)
             succession.note_promoted(attempt, status, group.now_s)
         else:
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -3,7 +3,7 @@
 import testtools
 
 from knapweedtally.core.groups import detection
-from knapweedtally.core.groups import succession
+from knapweedtally.core.groups import steps
 
 NOW_S = 100.0
 HEALTHY = detection.View(
@@ -21,13 +21,13 @@
     answering_members=2,
     other_members=2,
 )
-_Cause = succession.Cause
+_Cause = steps.Cause
 
 
 class DetectionTest(testtools.TestCase):
     """What leads to a change of primary, and what doesn't."""
 
-    def find(self, **changes: object) -> succession.Cause | None:
+    def find(self, **changes: object) -> steps.Cause | None:
         view = HEALTHY._replace(**changes)  # type: ignore[arg-type]
         return detection.find_cause(view, NOW_S)
 
--- a/tests/groups/test_succession.py
+++ b/tests/groups/test_succession.py
@@ -6,19 +6,20 @@
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import steps
 from knapweedtally.core.groups import succession
 from tests.groups import simulation
 
-_Cause = succession.Cause
-_Order = succession.Order
-_Phase = succession.Phase
+_Cause = steps.Cause
+_Order = steps.Order
+_Phase = steps.Phase
 
 SEEDS = 400
 
 
 def make_attempt(
-    cause: succession.Cause = _Cause.UNREACHABLE,
-) -> succession.Attempt:
+    cause: steps.Cause = _Cause.UNREACHABLE,
+) -> steps.Attempt:
     old = None if cause is _Cause.ABSENT else "p"
     others = ("p", "a", "b") if old is None else ("a", "b")
     return succession.begin_attempt(
@@ -28,11 +29,11 @@
 
 def make_report(
     number: int, *, paused_for: int = 2, is_primary: bool = False
-) -> succession.Report:
+) -> steps.Report:
     status = model.TargetStatus(
         is_primary, 1, model.Position(1, number), paused_for, 0.0, 0, 1
     )
-    return succession.Report(status, 100.0)
+    return steps.Report(status, 100.0)
 
 
 class FenceTest(testtools.TestCase):
@@ -74,7 +75,7 @@
         late_s = 100.0 + evidence.EVIDENCE_SPAN_S
         step = succession.next_step(attempt, late_s)
         # Stopping it again would hide that it received in between.
-        self.assertEqual(step, succession.Ask(_Order.STATUS, ("a", "b"), 0.05))
+        self.assertEqual(step, steps.Ask(_Order.STATUS, ("a", "b"), 0.05))
         again = {"a": make_report(5), "b": make_report(5, paused_for=0)}
         succession.note_reports(attempt, _Order.STATUS, again, late_s)
         self.assertEqual(attempt.phase, _Phase.FENCE)
@@ -110,7 +111,7 @@
         reports = {"a": make_report(5), "b": make_report(5)}
         succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
         step = succession.next_step(attempt, 100.1)
-        assert isinstance(step, succession.Wait)
+        assert isinstance(step, steps.Wait)
         self.assertAlmostEqual(
             step.delay_s, evidence.EVIDENCE_SPAN_S - 0.1, places=6
         )
@@ -118,10 +119,10 @@
     def test_gives_up_where_another_leads_already(self) -> None:
         attempt = make_attempt()
         status = model.TargetStatus(True, 2, model.Position(2, 9), 0, 0.0, 0, 1)
-        report = succession.Report(status, 100.0)
+        report = steps.Report(status, 100.0)
         succession.note_reports(attempt, _Order.PAUSE, {"a": report}, 100.0)
         step = succession.next_step(attempt, 100.0)
-        assert isinstance(step, succession.Finish)
+        assert isinstance(step, steps.Finish)
         self.assertFalse(step.is_done)
 
 
@@ -131,7 +132,7 @@
     def test_candidate_has_the_last_position(self) -> None:
         attempt = make_attempt(_Cause.LEAVING)
         step = succession.next_step(attempt, 100.0)
-        self.assertEqual(step, succession.Ask(_Order.STEP_DOWN, ("p",)))
+        self.assertEqual(step, steps.Ask(_Order.STEP_DOWN, ("p",)))
         succession.note_reports(
             attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
         )
@@ -178,7 +179,7 @@
 class ResumeTest(testtools.TestCase):
     """Members that stopped are let go only where the old primary leads on."""
 
-    def make_fenced(self) -> succession.Attempt:
+    def make_fenced(self) -> steps.Attempt:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(7)}
         succession.note_reports(attempt, _Order.PAUSE, reports, 100.0)
@@ -195,7 +196,7 @@
         reports = {"a": make_report(5), "b": make_report(7)}
         succession.note_reports(attempt, _Order.PAUSE, reports, late_s)
         step = succession.next_step(attempt, late_s)
-        self.assertEqual(step, succession.Promote("b"))
+        self.assertEqual(step, steps.Promote("b"))
         succession.note_promoted(attempt, 0, late_s)
         self.assertEqual(succession.list_to_resume(attempt), ())
 
@@ -203,10 +204,10 @@
         attempt = self.make_fenced()
         attempt.phase = _Phase.EFFECT
         status = model.TargetStatus(True, 2, model.Position(2, 7), 0, 0.0, 0, 1)
-        reports = {"b": succession.Report(status, 101.0)}
+        reports = {"b": steps.Report(status, 101.0)}
         succession.note_reports(attempt, _Order.STATUS, reports, 101.0)
         step = succession.next_step(attempt, 101.0)
-        self.assertEqual(step, succession.Finish(True, ""))
+        self.assertEqual(step, steps.Finish(True, ""))
 
 
 class SafePositionTest(testtools.TestCase):
@@ -242,7 +243,7 @@
 class SimulationTest(testtools.TestCase):
     """No acknowledged commit is missing in the promoted target's log."""
 
-    def count(self, cause: succession.Cause) -> tuple[int, list[str]]:
+    def count(self, cause: steps.Cause) -> tuple[int, list[str]]:
         done = 0
         lost = []
         for seed in range(SEEDS):
@@ -258,7 +259,7 @@
             self.assertGreater(done, SEEDS // 4, cause)
 
     def test_one_fence_too_few_loses_commits(self) -> None:
-        def count(attempt: succession.Attempt) -> int:
+        def count(attempt: steps.Attempt) -> int:
             return 1
 
         with mock.patch.object(succession, "count_fences_needed", count):
