--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -4,11 +4,8 @@
 from collections.abc import Callable
 
 from knapweedtally.core.groups import catalog
-from knapweedtally.core.groups import crowding
-from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import holders
 from knapweedtally.core.groups import model
-from knapweedtally.core.groups import sharing
 from knapweedtally.entry import changes
 from knapweedtally.entry import clock
 from knapweedtally.entry import logs
@@ -21,6 +18,7 @@
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
 from knapweedtally.entry import store
+from knapweedtally.entry import teller
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -34,10 +32,6 @@
 # A leaving primary gets no more work this long before the limit, in seconds.
 LEAVE_MARGIN_S = 1.5
 
-# Evidence is told to the other hosts when it is newer than what they were told
-# by this much, in seconds.
-SHARE_AFTER_S = evidence.EVIDENCE_SPAN_S * 0.3
-
 # A step of the clock between two ticks beyond this, in seconds, means that the
 # machine stood still and that failures seen before it prove nothing.
 STANDSTILL_S = 0.5
@@ -77,12 +71,16 @@
         self.routers: dict[str, router_module.Router] = {}
         self.sessions: set[sessions.CallerSession] = set()
         self.store = store.StoreClient(configured.store, log)
-        self.peers = peers.Peers(configured, self.store, log, self._note_shared)
+        self.peers = peers.Peers(
+            configured,
+            self.store,
+            log,
+            lambda shared, sent_s: self._teller.take(shared, sent_s),
+        )
+        self._teller = teller.Teller(configured.host, self.peers, self.routers)
         self._when_configured: list[Callable[[], None]] = []
         self.relays: set[relays.RelaySession] = set()
         self._way_keys: dict[str, tuple[int, int]] = {}
-        self._ranked: tuple[int, dict[str, list[str]]] = (0, {})
-        self._shared: dict[str, tuple[int, float]] = {}
         self._settings = configured
         self._changes: changes.PrimaryChanges | None = None
         if configured.duties is not None:
@@ -91,10 +89,10 @@
                 configured.duties,
                 configured.host,
                 log,
-                self._share_fenced,
+                self._teller.tell_fenced,
             )
             self._changes = changes.PrimaryChanges(
-                configured.host, self.catalog, made, self._rank_hosts
+                configured.host, self.catalog, made, self._teller.rank_hosts
             )
         self._draining_since_s: dict[str, float] = {}
         self._last_tick_s = clock.get_time_s()
@@ -327,79 +325,15 @@
             router.tick(now_s)
             if self._changes is not None and not self.is_draining:
                 self._changes.check(router, now_s)
-        self._share_evidence(now_s)
+        self._teller.tell(now_s, self._is_changing)
         self._check_service(now_s)
         if now_s >= self._next_session_check_s:
             self._next_session_check_s = now_s + SESSION_CHECK_S
             self._check_sessions(now_s)
 
-    def _note_shared(
-        self, shared: sharing.SharedEvidence, sent_here_s: float
-    ) -> None:
-        router = self.routers.get(shared.group)
-        if router is not None:
-            router.observer.note_shared(shared, sent_here_s)
-
-    def _share_fenced(
-        self,
-        router: router_module.Router,
-        term: int,
-        position: model.Position,
-    ) -> None:
-        """Tell every host which position covers all commits for now."""
-        now_s = clock.get_time_s()
-        evidence.note_fenced_position(
-            router.observer.leadership, term, position, now_s
-        )
-        router.dispatch()
-        shared = sharing.SharedEvidence(
-            router.settings.name, "", term, 0.0, 0.0, 0.0, position, True
-        )
-        self.peers.share((shared,), now_s)
-
-    def _rank_hosts(self, group: str) -> list[str]:
-        """Return the live hosts in a group's order."""
-        live = self.peers.get_live()
-        if self._ranked[0] != self.peers.live_version:
-            self._ranked = (self.peers.live_version, {})
-        ranked = self._ranked[1]
-        if group not in ranked:
-            ranked[group] = sharing.rank_hosts(group, live)
-        return ranked[group]
-
-    def _share_evidence(self, now_s: float) -> None:
-        """Tell the other hosts what this host asked for, when it is new."""
-        news = []
-        for name, router in self.routers.items():
-            askers = self._rank_hosts(name)[: sharing.ASKERS]
-            router.observer.is_asker = self._settings.host in askers
-            seen_s = min(
-                router.observer.leadership.primary_seen_s,
-                router.observer.leadership.member_seen_s,
-            )
-            term, shared_s = self._shared.get(name, (0, 0.0))
-            is_new_term = router.observer.leadership.term > term
-            # Who changes a primary is the first to know the new one.
-            is_changing = self._changes and self._changes.is_changing(name)
-            tells = router.observer.is_asker or is_changing
-            is_newer = is_new_term or seen_s >= shared_s + SHARE_AFTER_S
-            if (
-                not tells
-                or not is_newer
-                or not router.observer.is_served(now_s)
-            ):
-                continue
-            shared = sharing.make_shared(
-                name,
-                router.observer.leadership,
-                crowding.get_share(router.observer.crowding, now_s),
-                now_s,
-            )
-            if shared is not None:
-                self._shared[name] = (router.observer.leadership.term, seen_s)
-                news.append(shared)
-        if news:
-            self.peers.share(tuple(news), now_s)
+    def _is_changing(self, group: str) -> bool:
+        """Tell whether this host changes a group's primary now."""
+        return self._changes is not None and self._changes.is_changing(group)
 
     def _note_standstill(self, now_s: float) -> None:
         """Start the waits for answers anew after a standstill."""
