--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -1,9 +1,7 @@
 """The connections of this host to one target."""
 
 import asyncio
-import collections
 from collections.abc import Callable
-from typing import NamedTuple
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -12,6 +10,7 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import reach
+from knapweedtally.entry import waiting
 from knapweedtally.platform import lines
 
 # Time to make a connection, in seconds: a lost opening packet is sent again
@@ -42,23 +41,11 @@
 IDLE_CLOSE_S = 10.0
 
 
-class _Ask(NamedTuple):
-    text: bytes
-    on_end: connections.Listener
-    deadline_s: float
-
-
 def get_free(max_connections: int) -> int:
     """Return the connections that the hosts may hold together."""
     return max(1, max_connections - RESERVED_CONNECTIONS)
 
 
-class _Waiter(NamedTuple):
-    values: dict[bytes, bytes]
-    on_idle: Callable[[connections.Connection | None], None]
-    deadline_s: float
-
-
 class Pool:
     """Hold the connections to one target and judge whether it answers.
 
@@ -94,9 +81,9 @@
         self.counted_s = 0.0
         self.sharers = 1
         self.reach = reach.Reach()
-        self._waiters: collections.deque[_Waiter] = collections.deque()
+        self._waiting = waiting.Waiting(self.take)
         self._openers: list[Callable[[bool], None]] = []
-        self._serves_waiter = False
+        self._serves_borrower = False
         self.failing_since_s: float | None = None
         self.failures = 0
         self.is_refusing = False
@@ -111,7 +98,6 @@
         self._retry_at_s = 0.0
         self._next_probe_s = 0.0
         self._answered_s = 0.0
-        self._asks: collections.deque[_Ask] = collections.deque()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
 
@@ -175,7 +161,7 @@
             connection.send(lines.OWN_ID, text, on_end, limit_s)
             self.count_idle()
             return
-        self._asks.append(_Ask(text, on_end, now_s + limit_s))
+        self._waiting.add_question(text, on_end, now_s + limit_s)
         # Open transactions may hold every connection for long.
         self.want_connection()
 
@@ -248,10 +234,10 @@
             deadline_s: when waiting ends.
         """
         connection = None
-        if not self._waiters:
+        if not self._waiting.has_borrowers:
             connection = self.take(values, is_direct=True)
         if connection is None:
-            self._waiters.append(_Waiter(values, on_idle, deadline_s))
+            self._waiting.add_borrower(values, on_idle, deadline_s)
             self.want_connection()
             return
         on_idle(connection)
@@ -329,24 +315,24 @@
         if connection.way and self.failing_since_s is not None:
             # Only the target's own answer shows that it is reached this way.
             connection.send(lines.OWN_ID, lines.STATUS, None, ASK_TIMEOUT_S)
-        self._serve_asks()
-        self._serve_waiters()
+        self._waiting.serve_questions(clock.get_time_s())
+        self._serve_borrowers()
         self.count_idle()
         self._on_change()
 
     def note_free(self, connection: connections.Connection) -> None:
         """Give a connection to a question, another host or the queue."""
-        self._serve_asks()
+        self._waiting.serve_questions(clock.get_time_s())
         if not self._is_current(connection) and connection.is_idle:
             connection.close()
             return
         # Other hosts' statements and this host's own take turns.
-        self._serves_waiter = not self._serves_waiter
-        if self._serves_waiter:
-            self._serve_waiters()
+        self._serves_borrower = not self._serves_borrower
+        if self._serves_borrower:
+            self._serve_borrowers()
         self.count_idle()
         self._on_change()
-        self._serve_waiters()
+        self._serve_borrowers()
 
     def note_answer(self) -> None:
         """Take note that the target answers."""
@@ -369,11 +355,7 @@
         self._check_silence(now_s)
         for connection in tuple(self._connections):
             connection.check_deadline(now_s)
-        while self._asks and self._asks[0].deadline_s < now_s:
-            ask = self._asks.popleft()
-            ask.on_end(connections.Outcome(None, now_s, True))
-        while self._waiters and self._waiters[0].deadline_s < now_s:
-            self._waiters.popleft().on_idle(None)
+        self._waiting.expire(now_s)
         for connection in tuple(self._connections):
             if connection.is_idle and not self._is_current(connection):
                 connection.close()
@@ -416,11 +398,7 @@
         self._is_closed = True
         for connection in tuple(self._connections):
             connection.abort()
-        while self._asks:
-            ask = self._asks.popleft()
-            ask.on_end(connections.Outcome(None, clock.get_time_s()))
-        while self._waiters:
-            self._waiters.popleft().on_idle(None)
+        self._waiting.close(clock.get_time_s())
 
     def get_floor(self) -> model.Position:
         """Return the newest position that its log is known to have held."""
@@ -438,22 +416,8 @@
         for connection in tuple(self._connections):
             connection.abort()
 
-    def _serve_asks(self) -> None:
-        now_s = clock.get_time_s()
-        while self._asks:
-            connection = self.take({})
-            if connection is None:
-                return
-            ask = self._asks.popleft()
-            limit_s = max(0.05, ask.deadline_s - now_s)
-            connection.send(lines.OWN_ID, ask.text, ask.on_end, limit_s)
-
-    def _serve_waiters(self) -> None:
-        while self._waiters:
-            connection = self.take(self._waiters[0].values, is_direct=True)
-            if connection is None:
-                return
-            self._waiters.popleft().on_idle(connection)
+    def _serve_borrowers(self) -> None:
+        self._waiting.serve_borrowers()
         self.count_idle()
 
     def _close_resting(self, now_s: float) -> None:
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -1,14 +1,9 @@
 """An entry host serves callers before the platform's stand-ins."""
 
 import asyncio
-from typing import Any
-from unittest import mock
 
 import testtools
 
-from knapweedtally.entry import connections
-from knapweedtally.entry import store
-from knapweedtally.entry import transactions
 from standins.line_platform import targets
 from tests.entry import harness
 
@@ -43,53 +38,6 @@
             answer = await caller.run("READ item")
             self.assertEqual(answer[0], f"ROW {number}")
 
-    @harness.with_system()
-    async def test_transaction_on_one_connection(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        self.assertEqual(await caller.run("BEGIN"), ["DONE -"])
-        self.assertEqual(caller.state, "T")
-        await caller.run("WRITE item 7")
-        self.assertEqual((await caller.run("READ item"))[0], "ROW 7")
-        other = harness.Caller(system.entries[0].port)
-        await other.start("g-primary")
-        self.assertEqual((await other.run("READ item"))[0], "ROW -")
-        await caller.run("COMMIT")
-        self.assertEqual(caller.state, "I")
-        self.assertEqual((await other.run("READ item"))[0], "ROW 7")
-
-    @harness.with_system()
-    async def test_targets_are_asked_beside_a_long_transaction(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 7")
-        primary = system.platform.groups["g"].get_primary()
-        pool = system.entries[0].host.routers["g"].pools[primary.id]
-        for connection in tuple(pool._connections):
-            if connection.is_idle:
-                connection.close()
-        answered: list[connections.Outcome] = []
-        # Less than the limit of a transaction that rests.
-        pool.ask(b"STATUS", answered.append, 2.0)
-        await harness.wait_for(lambda: bool(answered))
-        self.assertIsNotNone(answered[0].answer)
-
-    @harness.with_system()
-    async def test_rolled_back_writes_are_gone(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 7")
-        self.assertEqual(await caller.run("ROLLBACK"), ["DONE -"])
-        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
-
     @harness.with_system()
     async def test_values_and_prepared_names_of_many_sessions(
         self, system: harness.System
@@ -202,104 +150,6 @@
         answer = await caller.run("READ item")
         self.assertEqual(answer[0], "ROW -")
 
-    @harness.with_system()
-    async def test_connection_lost_in_a_transaction_is_a_promise(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 1")
-        primary = system.platform.groups["g"].get_primary()
-        for connection in tuple(primary.connections):
-            connection.abort()
-        answer = await caller.run("WRITE item 2")
-        self.assertThat(
-            answer[0], testtools.matchers.StartsWith("ERROR ABORTED")
-        )
-        self.assertEqual(caller.state, "E")
-        answer = await caller.run("READ item")
-        self.assertThat(
-            answer[0], testtools.matchers.StartsWith("ERROR MALFORMED")
-        )
-        self.assertEqual(await caller.run("ROLLBACK"), ["DONE -"])
-        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
-
-    @harness.with_system()
-    async def test_commit_that_found_no_room_is_sent_again(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 1")
-        primary = system.platform.groups["g"].get_primary()
-        primary.refusals["COMMIT"] = 3
-        answer = await caller.run("COMMIT")
-        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
-        self.assertEqual(caller.state, "I")
-        self.assertEqual((await caller.run("READ item"))[0], "ROW 1")
-        committed = [t for _, t in primary.statements if t == "COMMIT"]
-        self.assertEqual(len(committed), 1)
-
-    @harness.with_system()
-    async def test_commit_that_finds_no_room_in_time_is_rolled_back(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 1")
-        primary = system.platform.groups["g"].get_primary()
-        primary.refusals["COMMIT"] = 10_000
-        answer = await caller.run("COMMIT")
-        self.assertThat(answer[0], testtools.matchers.StartsWith("ERROR BUSY"))
-        self.assertEqual(caller.state, "I")
-        primary.refusals.clear()
-        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
-
-    @harness.with_system()
-    async def test_caller_that_leaves_in_a_statement_is_named_as_the_cause(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 1")
-        primary = system.platform.groups["g"].get_primary()
-        primary.is_dark = True
-        await caller.send("READ item")
-        await harness.wait_for(
-            lambda: any(t == "READ item" for _, t in primary.statements)
-        )
-        caller.close()
-        entry = system.entries[0]
-        await harness.wait_for(lambda: not entry.host.sessions)
-        line = entry.find_lines("statement_ended")[-1]
-        self.assertEqual(line["outcome"], "ABORTED")
-        self.assertEqual(line["reason"], "the caller left")
-
-    @harness.with_system()
-    async def test_caller_that_leaves_while_its_commit_finds_no_room(
-        self, system: harness.System
-    ) -> None:
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        await caller.run("BEGIN")
-        await caller.run("WRITE item 1")
-        primary = system.platform.groups["g"].get_primary()
-        primary.refusals["COMMIT"] = 10_000
-        errors: list[dict[str, Any]] = []
-        loop = asyncio.get_running_loop()
-        loop.set_exception_handler(lambda _, context: errors.append(context))
-        await caller.send("COMMIT")
-        await harness.wait_for(lambda: primary.refusals["COMMIT"] < 10_000)
-        caller.close()
-        await harness.wait_for(lambda: not system.entries[0].host.sessions)
-        await asyncio.sleep(2 * transactions.RETRY_S)
-        self.assertEqual(errors, [])
-        self.assertNotIn("COMMIT", [t for _, t in primary.statements])
-
     @harness.with_system()
     async def test_crashed_primary_is_replaced(
         self, system: harness.System
@@ -376,85 +226,3 @@
         self.assertEqual(fences, sorted(fences))
         holders = {(f, h) for f, h, _ in system.platform.promotions}
         self.assertEqual(len(holders), len({f for f, _ in holders}))
-
-
-class StoreTest(testtools.TestCase):
-    """A store that is down or forgets."""
-
-    @harness.with_system()
-    async def test_serves_on_while_the_store_is_down(
-        self, system: harness.System
-    ) -> None:
-        system.platform.store.is_down = True
-        caller = harness.Caller(system.entries[0].port)
-        await caller.start("g-primary")
-        lost = system.entries[0]
-        await harness.wait_for(lambda: bool(lost.find_lines("dependency_lost")))
-        answer = await caller.run("WRITE item 1")
-        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
-
-    @harness.with_system()
-    async def test_lists_again_after_the_history_is_gone(
-        self, system: harness.System
-    ) -> None:
-        system.platform.routes.append(
-            {**system.platform.routes[0], "host": "added", "name": "r-added"}
-        )
-        system.platform.put_configuration()
-        system.platform.store.drop_history()
-        catalog = system.entries[0].host.catalog
-        await harness.wait_for(lambda: catalog.find_route("added") is not None)
-
-    @harness.with_system()
-    async def test_lists_again_after_a_watch_was_cut(
-        self, system: harness.System
-    ) -> None:
-        # A cut ends only a watch that has arrived at the store.
-        await harness.wait_for(
-            lambda: system.platform.store.waiting["config"] > 0
-        )
-        system.platform.store.is_deaf = True
-        system.platform.routes.append(
-            {**system.platform.routes[0], "host": "added", "name": "r-added"}
-        )
-        system.platform.put_configuration()
-        system.platform.store.cut_watches()
-        catalog = system.entries[0].host.catalog
-        async with asyncio.timeout(5.0):
-            await harness.wait_for(
-                lambda: catalog.find_route("added") is not None
-            )
-
-    @harness.with_system()
-    async def test_changes_in_quick_succession_come_in_one_call(
-        self, system: harness.System
-    ) -> None:
-        entry = system.entries[0]
-        shop = system.platform.store
-        await harness.wait_for(lambda: shop.waiting["servers"] > 0)
-        with mock.patch.object(store, "GATHER_S", harness.WAIT_S / 10):
-            shop.put("servers", "stranger-0", {"backend": "g"})
-            await harness.wait_for(
-                lambda: bool(entry.find_lines("entry_unreadable"))
-            )
-            calls = entry.host.store.calls
-            for number in range(1, 6):
-                shop.put("servers", f"stranger-{number}", {"backend": "g"})
-                await asyncio.sleep(0.01)
-            await harness.wait_for(
-                lambda: len(entry.find_lines("entry_unreadable")) == 6
-            )
-        # The watches for these and for what comes next.
-        self.assertLessEqual(entry.host.store.calls - calls, 2)
-
-    @harness.with_system()
-    async def test_foreign_entries_change_nothing(
-        self, system: harness.System
-    ) -> None:
-        system.platform.store.put("servers", "stranger", {"backend": "g"})
-        system.platform.store.put("servers", "other", "bytes")
-        await harness.wait_for(
-            lambda: len(system.entries[0].find_lines("entry_unreadable")) >= 2
-        )
-        pools = system.entries[0].host.routers["g"].pools
-        self.assertEqual(set(pools), set(system.platform.groups["g"].targets))
--- /dev/null
+++ b/tests/entry/test_store.py
@@ -0,0 +1,91 @@
+"""An entry host before a store that is down, forgets or is slow to tell."""
+
+import asyncio
+from unittest import mock
+
+import testtools
+
+from knapweedtally.entry import store
+from tests.entry import harness
+
+
+class StoreTest(testtools.TestCase):
+    """A store that is down or forgets."""
+
+    @harness.with_system()
+    async def test_serves_on_while_the_store_is_down(
+        self, system: harness.System
+    ) -> None:
+        system.platform.store.is_down = True
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        lost = system.entries[0]
+        await harness.wait_for(lambda: bool(lost.find_lines("dependency_lost")))
+        answer = await caller.run("WRITE item 1")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
+
+    @harness.with_system()
+    async def test_lists_again_after_the_history_is_gone(
+        self, system: harness.System
+    ) -> None:
+        system.platform.routes.append(
+            {**system.platform.routes[0], "host": "added", "name": "r-added"}
+        )
+        system.platform.put_configuration()
+        system.platform.store.drop_history()
+        catalog = system.entries[0].host.catalog
+        await harness.wait_for(lambda: catalog.find_route("added") is not None)
+
+    @harness.with_system()
+    async def test_lists_again_after_a_watch_was_cut(
+        self, system: harness.System
+    ) -> None:
+        # A cut ends only a watch that has arrived at the store.
+        await harness.wait_for(
+            lambda: system.platform.store.waiting["config"] > 0
+        )
+        system.platform.store.is_deaf = True
+        system.platform.routes.append(
+            {**system.platform.routes[0], "host": "added", "name": "r-added"}
+        )
+        system.platform.put_configuration()
+        system.platform.store.cut_watches()
+        catalog = system.entries[0].host.catalog
+        async with asyncio.timeout(5.0):
+            await harness.wait_for(
+                lambda: catalog.find_route("added") is not None
+            )
+
+    @harness.with_system()
+    async def test_changes_in_quick_succession_come_in_one_call(
+        self, system: harness.System
+    ) -> None:
+        entry = system.entries[0]
+        shop = system.platform.store
+        await harness.wait_for(lambda: shop.waiting["servers"] > 0)
+        with mock.patch.object(store, "GATHER_S", harness.WAIT_S / 10):
+            shop.put("servers", "stranger-0", {"backend": "g"})
+            await harness.wait_for(
+                lambda: bool(entry.find_lines("entry_unreadable"))
+            )
+            calls = entry.host.store.calls
+            for number in range(1, 6):
+                shop.put("servers", f"stranger-{number}", {"backend": "g"})
+                await asyncio.sleep(0.01)
+            await harness.wait_for(
+                lambda: len(entry.find_lines("entry_unreadable")) == 6
+            )
+        # The watches for these and for what comes next.
+        self.assertLessEqual(entry.host.store.calls - calls, 2)
+
+    @harness.with_system()
+    async def test_foreign_entries_change_nothing(
+        self, system: harness.System
+    ) -> None:
+        system.platform.store.put("servers", "stranger", {"backend": "g"})
+        system.platform.store.put("servers", "other", "bytes")
+        await harness.wait_for(
+            lambda: len(system.entries[0].find_lines("entry_unreadable")) >= 2
+        )
+        pools = system.entries[0].host.routers["g"].pools
+        self.assertEqual(set(pools), set(system.platform.groups["g"].targets))
--- /dev/null
+++ b/tests/entry/test_transactions.py
@@ -0,0 +1,159 @@
+"""Transactions of callers at an entry host."""
+
+import asyncio
+from typing import Any
+
+import testtools
+
+from knapweedtally.entry import connections
+from knapweedtally.entry import transactions
+from tests.entry import harness
+
+
+class TransactionTest(testtools.TestCase):
+    """Statements of open transactions, their ends and their losses."""
+
+    @harness.with_system()
+    async def test_commit_that_found_no_room_is_sent_again(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.refusals["COMMIT"] = 3
+        answer = await caller.run("COMMIT")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
+        self.assertEqual(caller.state, "I")
+        self.assertEqual((await caller.run("READ item"))[0], "ROW 1")
+        committed = [t for _, t in primary.statements if t == "COMMIT"]
+        self.assertEqual(len(committed), 1)
+
+    @harness.with_system()
+    async def test_commit_that_finds_no_room_in_time_is_rolled_back(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.refusals["COMMIT"] = 10_000
+        answer = await caller.run("COMMIT")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("ERROR BUSY"))
+        self.assertEqual(caller.state, "I")
+        primary.refusals.clear()
+        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
+
+    @harness.with_system()
+    async def test_caller_that_leaves_in_a_statement_is_named_as_the_cause(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.is_dark = True
+        await caller.send("READ item")
+        await harness.wait_for(
+            lambda: any(t == "READ item" for _, t in primary.statements)
+        )
+        caller.close()
+        entry = system.entries[0]
+        await harness.wait_for(lambda: not entry.host.sessions)
+        line = entry.find_lines("statement_ended")[-1]
+        self.assertEqual(line["outcome"], "ABORTED")
+        self.assertEqual(line["reason"], "the caller left")
+
+    @harness.with_system()
+    async def test_caller_that_leaves_while_its_commit_finds_no_room(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        primary.refusals["COMMIT"] = 10_000
+        errors: list[dict[str, Any]] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        await caller.send("COMMIT")
+        await harness.wait_for(lambda: primary.refusals["COMMIT"] < 10_000)
+        caller.close()
+        await harness.wait_for(lambda: not system.entries[0].host.sessions)
+        await asyncio.sleep(2 * transactions.RETRY_S)
+        self.assertEqual(errors, [])
+        self.assertNotIn("COMMIT", [t for _, t in primary.statements])
+
+    @harness.with_system()
+    async def test_connection_lost_in_a_transaction_is_a_promise(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 1")
+        primary = system.platform.groups["g"].get_primary()
+        for connection in tuple(primary.connections):
+            connection.abort()
+        answer = await caller.run("WRITE item 2")
+        self.assertThat(
+            answer[0], testtools.matchers.StartsWith("ERROR ABORTED")
+        )
+        self.assertEqual(caller.state, "E")
+        answer = await caller.run("READ item")
+        self.assertThat(
+            answer[0], testtools.matchers.StartsWith("ERROR MALFORMED")
+        )
+        self.assertEqual(await caller.run("ROLLBACK"), ["DONE -"])
+        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
+
+    @harness.with_system()
+    async def test_transaction_on_one_connection(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        self.assertEqual(await caller.run("BEGIN"), ["DONE -"])
+        self.assertEqual(caller.state, "T")
+        await caller.run("WRITE item 7")
+        self.assertEqual((await caller.run("READ item"))[0], "ROW 7")
+        other = harness.Caller(system.entries[0].port)
+        await other.start("g-primary")
+        self.assertEqual((await other.run("READ item"))[0], "ROW -")
+        await caller.run("COMMIT")
+        self.assertEqual(caller.state, "I")
+        self.assertEqual((await other.run("READ item"))[0], "ROW 7")
+
+    @harness.with_system()
+    async def test_rolled_back_writes_are_gone(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 7")
+        self.assertEqual(await caller.run("ROLLBACK"), ["DONE -"])
+        self.assertEqual((await caller.run("READ item"))[0], "ROW -")
+
+    @harness.with_system()
+    async def test_targets_are_asked_beside_a_long_transaction(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-primary")
+        await caller.run("BEGIN")
+        await caller.run("WRITE item 7")
+        primary = system.platform.groups["g"].get_primary()
+        pool = system.entries[0].host.routers["g"].pools[primary.id]
+        for connection in tuple(pool._connections):
+            if connection.is_idle:
+                connection.close()
+        answered: list[connections.Outcome] = []
+        # Less than the limit of a transaction that rests.
+        pool.ask(b"STATUS", answered.append, 2.0)
+        await harness.wait_for(lambda: bool(answered))
+        self.assertIsNotNone(answered[0].answer)
