Refuse callers at once while the store keeps the configuration back

Change: once a call to the store has failed, a host without a configuration refuses callers with when to come back, those that wait already too, so that they try another host. While nothing has failed it holds them as before: after a loss of power everywhere all hosts start at the same time.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -133,6 +133,10 @@
         """Forget a session."""
         self.sessions.discard(session)
 
+    def may_be_configured_soon(self) -> bool:
+        """Tell whether waiting for the first configuration makes sense."""
+        return not self.store.is_lost
+
     def call_when_configured(self, callback: Callable[[], None]) -> None:
         """Call back once a configuration is in force."""
         self._when_configured.append(callback)
@@ -158,9 +162,13 @@
                     routes=len(configuration.routes),
                 )
                 self._sync_routers()
-                waiting, self._when_configured = self._when_configured, []
-                for callback in waiting:
-                    callback()
+                self._resume_waiting()
+
+    def _resume_waiting(self) -> None:
+        """Let sessions that wait for the configuration look again."""
+        waiting, self._when_configured = self._when_configured, []
+        for callback in waiting:
+            callback()
 
     def _put_entries(self, objects: list[store_calls.StoredObject]) -> None:
         entries = [entry for entry in map(self._parse_entry, objects) if entry]
@@ -316,6 +324,8 @@
         if now_s - self._last_tick_s > STANDSTILL_S:
             self._note_standstill(now_s)
         self._last_tick_s = now_s
+        if self._when_configured and not self.may_be_configured_soon():
+            self._resume_waiting()
         gone = catalog.forget_gone(self.catalog, now_s)
         if gone:
             self.log.write("targets_gone", targets=gone)
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/services.py
@@ -25,6 +25,9 @@
     counters: measures.Measures
     is_draining: bool
 
+    def may_be_configured_soon(self) -> bool:
+        """Tell whether waiting for the first configuration makes sense."""
+
     def find_router(self, group: str) -> router_module.Router | None:
         """Return the router of a group."""
 
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -25,6 +25,10 @@
 # Time for a started message, and for the first one, to arrive whole.
 MESSAGE_TIMEOUT_S = 10.0
 
+# Told to callers of a host that can't learn of any database for now. Other
+# hosts may have their configuration, so the hint is short.
+NOT_CONFIGURED = "no configuration from the store yet; retry after 300 ms"
+
 # Requests of one group that wait at this host; beyond it they are refused.
 MAX_QUEUED = 400
 
@@ -183,6 +187,10 @@
         if self._services.catalog.configuration is None:
             # The process has just started. Nothing is known of databases yet,
             # so the caller waits rather than being told that there is none.
+            if not self._services.may_be_configured_soon():
+                self._services.counters.count("refused", "NOT_CONFIGURED")
+                self._end_broken(_Code.BUSY, NOT_CONFIGURED)
+                return
             self._is_busy = True
             self._services.call_when_configured(lambda: self._resume(message))
             return
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -38,7 +38,12 @@
 
 
 class StoreClient:
-    """Make calls to the store and note whether it answers."""
+    """Make calls to the store and note whether it answers.
+
+    Attributes:
+        is_lost: whether its last call had no usable answer.
+        calls: number of calls made.
+    """
 
     def __init__(self, address: settings.Address, log: logs.Log) -> None:
         """Make a client without connecting."""
@@ -49,7 +54,7 @@
             keep_alive_s=KEEP_ALIVE_S,
         )
         self._log = log
-        self._is_lost = False
+        self.is_lost = False
         self.calls = 0
 
     async def send(
@@ -69,14 +74,14 @@
         if response.status in (429, 503):
             self._note_lost(f"status {response.status}")
             raise StoreError(f"status {response.status}")
-        if self._is_lost:
-            self._is_lost = False
+        if self.is_lost:
+            self.is_lost = False
             self._log.write("dependency_regained", dependency="store")
         return response
 
     def _note_lost(self, reason: str) -> None:
-        if not self._is_lost:
-            self._is_lost = True
+        if not self.is_lost:
+            self.is_lost = True
             self._log.write(
                 "dependency_lost", dependency="store", reason=reason
             )
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -24,6 +24,28 @@
         answer = await caller.run("WRITE item 1")
         self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
 
+    @harness.with_system()
+    async def test_host_without_configuration_refuses_at_once(
+        self, system: harness.System
+    ) -> None:
+        entry = system.entries[0]
+        entry.host.catalog.configuration = None
+        held = harness.Caller(entry.port)
+        starting = asyncio.create_task(held.start("g-primary"))
+        await harness.wait_for(lambda: bool(entry.host.sessions))
+        self.assertFalse(starting.done())
+        system.platform.store.is_down = True
+        system.platform.store.cut_watches()
+        for started in (
+            await starting,
+            await harness.Caller(entry.port).start("g-primary"),
+        ):
+            self.assertThat(
+                started, testtools.matchers.StartsWith("ERROR BUSY")
+            )
+            self.assertIn("retry after", started)
+        self.assertTrue(await held.is_ended())
+
     @harness.with_system()
     async def test_lists_again_after_the_history_is_gone(
         self, system: harness.System
