Count a wait only where the primary's own status confirms it

Cause, by reading: the hosts that ask measure the wait by the time to an answer, and one of them may be slow itself (a machine that runs five times slower, a choked link). Its share would have all hosts refuse requests for a primary that has room.

Change: an answer whose own count of statements there is within the target's slots is no wait. The test fails without the change.

--- a/knapweedtally/core/groups/model.py
+++ b/knapweedtally/core/groups/model.py
@@ -91,6 +91,7 @@
         update: counts its updates, anew in each life.
         is_draining: whether it is about to leave.
         is_primary: whether it takes itself for the primary.
+        slots: statements that it runs at once.
     """
 
     target: str
@@ -103,6 +104,7 @@
     update: int
     is_draining: bool
     is_primary: bool
+    slots: int
 
 
 class TargetStatus(NamedTuple):
@@ -114,7 +116,7 @@
         received: last log position that it has received.
         paused_for: term for which it stopped receiving; 0 while it receives.
         lag_s: how far reads are behind what was received.
-        busy: slots in use.
+        busy: statements that run or wait there, this one included.
         connections: open connections from all hosts.
     """
 
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -94,20 +94,31 @@
                 return
             if outcome.answer is None:
                 return
-            if self.is_asker and target == self.leadership.target:
-                self._note_wait(outcome.answer.code, outcome.asked_s)
             status = lines.parse_status(outcome.answer)
+            if self.is_asker and target == self.leadership.target:
+                is_full = outcome.answer.code is statements.Code.BUSY
+                busy = status.busy if status is not None else 0
+                self._note_wait(outcome.asked_s, is_full, busy, pool)
             if status is not None and pool.life == life:
                 self.note_status(target, status, outcome.asked_s)
 
         pool.ask(lines.STATUS, note_end, pools_module.ASK_TIMEOUT_S)
 
-    def _note_wait(self, code: statements.Code | None, asked_s: float) -> None:
+    def _note_wait(
+        self,
+        asked_s: float,
+        is_full: bool,
+        busy: int,
+        pool: pools_module.Pool,
+    ) -> None:
         """Measure how long a question waited in the primary's queue."""
         now_s = clock.get_time_s()
         wait_s = now_s - asked_s
-        if code is statements.Code.BUSY:
+        if is_full:
             wait_s = max(wait_s, crowding.FULL_WAIT_S)
+        elif busy <= pool.entry.slots:
+            # The primary has room: this host or the way to it is slow.
+            wait_s = 0.0
         crowding.note_wait(self.crowding, wait_s, now_s)
 
     def note_status(
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -114,6 +114,7 @@
             update=update,
             is_draining=state == "draining",
             is_primary=role == "primary",
+            slots=spec["slots"],
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise UnreadableRecord(f"entry {name!r}: {error!r}") from error
--- a/tests/entry/test_crowding.py
+++ b/tests/entry/test_crowding.py
@@ -72,6 +72,28 @@
             answer = await caller.run("READ item")
             self.assertEqual(answer[0], "ROW -")
 
+    @harness.with_system()
+    async def test_slow_host_doesnt_take_the_primary_for_crowded(
+        self, system: harness.System
+    ) -> None:
+        router = system.entries[0].host.routers["g"]
+        observer = router.observer
+        primary = system.platform.groups["g"].get_primary()
+        pool = router.pools[primary.id]
+        asked_s = clock.get_time_s() - 0.2
+        shares = []
+        for is_full, busy in (
+            (False, pool.entry.slots),
+            (False, pool.entry.slots + 1),
+            (True, 0),
+        ):
+            observer.crowding = crowding.Crowding()
+            observer._note_wait(asked_s, is_full, busy, pool)
+            shares.append(observer.crowding.share)
+        self.assertEqual(shares[0], 0.0)
+        self.assertGreater(shares[1], 0.2)
+        self.assertGreater(shares[2], 0.2)
+
     @harness.with_system(hosts=3)
     async def test_hosts_that_are_told_take_the_share(
         self, system: harness.System
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -8,7 +8,7 @@
 
 def make_entry(target: str = "i-1", **changes: object) -> model.TargetEntry:
     entry = model.TargetEntry(
-        target, 5, "g", "10.0.0.1", 80, "dc", 0, 1, False, False
+        target, 5, "g", "10.0.0.1", 80, "dc", 0, 1, False, False, 2
     )
     return entry._replace(**changes)  # type: ignore[arg-type]
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -70,6 +70,7 @@
             4,
             False,
             False,
+            2,
         )
         self.assertEqual(entry, expected)
 
