Refuse only requests before a crowded primary that nothing serves yet

Cause, by reading: the check for a crowded primary also met the second try of a read whose first attempt was under way, and ended it; and a read whose fresh replicas had no idle connection for the moment was refused rather than waiting for one.

Change: only requests without an attempt are checked, and a read that a replica can serve waits for it. Both tests fail without the change.

--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -166,7 +166,8 @@
             choice.reason is _Reason.NO_CONNECTION
             and request.need.is_primary_only
         )
-        if primary is None or not needs_primary or request.is_admitted:
+        is_new = not (request.is_admitted or request.attempts)
+        if primary is None or not needs_primary or not is_new:
             return choice
         is_refused = crowding.should_refuse(
             self.observer.crowding, request.priority, random.random(), now_s
@@ -177,7 +178,7 @@
         elsewhere = self._choose_among(
             request, request.excluded | {primary}, now_s
         )
-        if elsewhere.target is not None:
+        if elsewhere.target or elsewhere.reason is _Reason.NO_CONNECTION:
             return elsewhere
         return placement.Choice(None, None, _Reason.CROWDED)
 
--- a/tests/entry/test_crowding.py
+++ b/tests/entry/test_crowding.py
@@ -5,6 +5,8 @@
 import testtools
 
 from knapweedtally.core.groups import crowding
+from knapweedtally.core.groups import model
+from knapweedtally.core.groups import placement
 from knapweedtally.entry import clock
 from tests.entry import harness
 
@@ -72,6 +74,47 @@
             answer = await caller.run("READ item")
             self.assertEqual(answer[0], "ROW -")
 
+    @harness.with_system()
+    async def test_second_try_of_a_read_is_not_refused(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entries[0].port)
+        await caller.start("g-bounded_stale")
+        await caller.run("READ item")
+        group = system.platform.groups["g"]
+        for target in group.targets.values():
+            target.is_dark = target is not group.get_primary()
+        refuse_all(system)
+        answer = await caller.run("READ item")
+        self.assertEqual(answer[0], "ROW -")
+
+    @harness.with_system()
+    async def test_read_waits_for_a_connection_to_a_fresh_replica(
+        self, system: harness.System
+    ) -> None:
+        router = system.entries[0].host.routers["g"]
+        primary = system.platform.groups["g"].get_primary().id
+        now_s = clock.get_time_s()
+        need = placement.Need(
+            False, False, model.Consistency.BOUNDED, 1.0, now_s, None
+        )
+        request = mock.Mock(
+            need=need,
+            excluded=frozenset(),
+            is_admitted=False,
+            attempts=0,
+            priority=1,
+        )
+        leadership = router.observer.leadership
+        await harness.wait_for(
+            lambda: placement.find_needed_position(need, leadership) is not None
+        )
+        refuse_all(system)
+        for target, pool in router.pools.items():
+            pool.load.idle = int(target == primary)
+        choice = router._choose(request, now_s)
+        self.assertIs(choice.reason, placement.Reason.NO_CONNECTION)
+
     @harness.with_system()
     async def test_slow_host_doesnt_take_the_primary_for_crowded(
         self, system: harness.System
