--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -113,9 +113,11 @@
         for name in self.proxies:
             self.start_proxy(name)
         for member in self.proxies.values():
-            wait_for_port(member.host, member.port)
-            # The port that a host opens last.
-            wait_for_port(member.host, member.admin_port)
+            wait_for_port(member.host, self.get_last_port(member))
+
+    def get_last_port(self, member: Member) -> int:
+        """Return the port that an entry host opens last."""
+        return member.admin_port
 
     def start_platform(self) -> None:
         """Start the platform stand-in and wait for its port."""
--- a/bench/systems.py
+++ b/bench/systems.py
@@ -37,6 +37,10 @@
 class NaiveCluster(cluster.Cluster):
     """Run naive proxies where the proxies would run."""
 
+    def get_last_port(self, member: cluster.Member) -> int:
+        """Return the one port of a naive proxy."""
+        return member.port
+
     def start_proxy(self, name: str) -> None:
         """Start a naive proxy."""
         member = self.proxies[name]
