Log what a promotion and an acknowledged commit were based on

change_started names the leaving and the failing members; promotion_asked the fenced members with their positions, the old primary's last one and how long the call took; statement_ended the position of the log after the statement and the age of the evidence from the other members, for commits too, which had no age at all.

--- a/knapweedtally/entry/answers.py
+++ b/knapweedtally/entry/answers.py
@@ -68,12 +68,19 @@
         way=result.relay_host,
         configuration=_get_configuration_version(services),
         evidence_age_ms=round(result.evidence_age_s * 1000),
+        member_age_ms=round(result.member_age_s * 1000),
+        log_position=_decode_log_position(result.answer),
         waited_ms=round(result.waited_s * 1000, 1),
         total_ms=round(elapsed_s * 1000, 1),
         attempts=result.attempts,
     )
 
 
+def _decode_log_position(answer: statements.Answer | None) -> str:
+    """Return the position of the target's log after the statement."""
+    return answer.position.decode("ascii", "replace") if answer else ""
+
+
 def log_refusal(
     services: services_module.Services,
     database: str | None,
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -14,8 +14,13 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import pools as pools_module
+from knapweedtally.entry import requests
 from knapweedtally.platform import line_protocol
 
+# Age that is logged for evidence that is older, or that never existed, in
+# seconds.
+MAX_LOGGED_AGE_S = 9999.0
+
 
 class Observer:
     """Update the evidence from targets' answers and from other hosts.
@@ -281,6 +286,17 @@
         )
         self._acknowledgements.add(pending, now_s)
 
+    def record_evidence_ages(self, result: requests.Result) -> None:
+        """Record the ages of the current evidence in a statement's result."""
+        now_s = clock.get_time_s()
+        leadership = self.leadership
+        result.evidence_age_s = min(
+            MAX_LOGGED_AGE_S, now_s - leadership.primary_seen_s
+        )
+        result.member_age_s = min(
+            MAX_LOGGED_AGE_S, now_s - leadership.member_seen_s
+        )
+
     def is_primary_confirmed(self, now_s: float) -> bool:
         """Return whether the evidence about the primary is still valid."""
         return self.leadership.valid_until_s >= now_s
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -300,6 +300,12 @@
             cause=cause.value,
             old_primary=old_primary,
             others=list(attempt.others),
+            leaving=sorted(leaving),
+            failing=[
+                target
+                for target, pool in router.pools.items()
+                if pool.failing_since_s is not None
+            ],
             term=attempt.term,
             fence=self._lease_manager.fence,
         )
@@ -350,7 +356,7 @@
         if isinstance(step, steps.Wait):
             await asyncio.sleep(min(step.delay_s, RENEW_AFTER_S))
         elif isinstance(step, steps.Promote):
-            status = await self._promote(attempt.group, step.target)
+            status = await self._promote(attempt, step.target)
             primary_change.record_promotion_response(
                 attempt, status, clock.get_time_s()
             )
@@ -439,7 +445,7 @@
             return None
         return steps.OrderReport(status, clock.get_time_s())
 
-    async def _promote(self, group: str, target: str) -> int:
+    async def _promote(self, attempt: steps.Attempt, target: str) -> int:
         """Request the promotion from the platform.
 
         Returns:
@@ -447,8 +453,9 @@
         """
         client = http_client.Client(self._address.host, self._address.port)
         request = promotion_call.make_request(
-            group, target, self._host, self._lease_manager.fence
+            attempt.group, target, self._host, self._lease_manager.fence
         )
+        started_s = clock.get_time_s()
         status = 0
         reason = ""
         try:
@@ -469,9 +476,15 @@
             await client.close()
         self._log.write(
             "promotion_asked",
-            group=group,
+            group=attempt.group,
             target=target,
             fence=self._lease_manager.fence,
+            fenced={
+                member: report.status.received
+                for member, report in attempt.fenced.items()
+            },
+            final_position=attempt.final_position,
+            took_s=round(clock.get_time_s() - started_s, 3),
             status=status,
             reason=reason,
         )
--- a/knapweedtally/entry/requests.py
+++ b/knapweedtally/entry/requests.py
@@ -66,6 +66,7 @@
         waited_s: time in the queue.
         attempts: number of attempts made.
         evidence_age_s: age of the evidence about the primary.
+        member_age_s: age of the evidence from the group's other members.
     """
 
     answer: statements.Answer | None
@@ -78,6 +79,7 @@
     waited_s: float = 0.0
     attempts: int = 0
     evidence_age_s: float = 0.0
+    member_age_s: float = 0.0
 
 
 Listener = Callable[[Result], None]
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -299,9 +299,7 @@
         if request in self._queue:
             self._queue.remove(request)
         result.attempts = request.attempts
-        now_s = clock.get_time_s()
-        seen_s = self.observer.leadership.primary_seen_s
-        result.evidence_age_s = min(9999.0, now_s - seen_s)
+        self.observer.record_evidence_ages(result)
         request.on_end(result)
 
     def retry(self, request: requests.Request, excluded: str | None) -> None:
--- a/knapweedtally/entry/transactions.py
+++ b/knapweedtally/entry/transactions.py
@@ -228,6 +228,7 @@
             if not is_confirmed:
                 result.answer, result.code = None, _Code.UNKNOWN_OUTCOME
                 result.detail = acknowledgements.UNCONFIRMED_DETAIL
+            router.observer.record_evidence_ages(result)
             self._on_end(transaction, statement, arrived_s, result)
 
         router.observer.record_commit(
