Promote no target of a group without a primary on its word alone

Cause: without a known primary, all members but one have to be fenced, and of a group of which one member is known that was none or itself. Each acknowledged commit is on two members, and the two may both be unlisted.

Change: at least two members have to be fenced where no primary is known, and a host that reaches fewer finds no cause for a change. A group whose known members are reduced to one waits for another.

A line of test_host_that_reaches_too_few_members_finds_no_cause allowed one answering member of two. It is replaced by both cases for groups of one to four members.

Evidence: test_only_listed_target_is_not_promoted lost the acknowledged writes before, the list having settled, and loses none now.

--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import steps
 
 # A primary whose machine refuses connections counts as failed after this time,
@@ -79,7 +80,8 @@
     if not view.has_primary:
         since_s = view.no_primary_since_s
         is_late = since_s is not None and now_s - since_s > NO_PRIMARY_TIMEOUT_S
-        can_fence = view.answering_members >= view.other_members - 1
+        needed = primary_change.count_fences_without_primary(view.other_members)
+        can_fence = view.answering_members >= needed
         can_change = is_late and can_fence and view.is_settled
         return steps.Cause.ABSENT if can_change else None
     if _is_unreachable(view, now_s):
--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -39,6 +39,10 @@
 # another host that may reach more members can start its own attempt.
 FENCE_TIMEOUT_S = 1.5
 
+# Without a known primary, at least this many members have to be fenced. A
+# commit is on two members, and one of them may not be listed.
+MIN_FENCES_WITHOUT_PRIMARY = 2
+
 # An attempt is given up after this time unless the platform has accepted its
 # promotion.
 ATTEMPT_TIMEOUT_S = 8.0
@@ -96,8 +100,14 @@
     together therefore have every acknowledged commit, and the remaining member
     can't get another commit acknowledged on its own.
     """
-    has_old_primary = attempt.old_primary is not None
-    return len(attempt.others) - (0 if has_old_primary else 1)
+    if attempt.old_primary is not None:
+        return len(attempt.others)
+    return count_fences_without_primary(len(attempt.others))
+
+
+def count_fences_without_primary(members: int) -> int:
+    """Return how many members to fence if none is known to be the primary."""
+    return max(MIN_FENCES_WITHOUT_PRIMARY, members - 1)
 
 
 def has_fenced_enough(attempt: steps.Attempt) -> bool:
--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from knapweedtally.core.groups import catalog
 from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
 from tests.entry import harness
@@ -89,3 +90,21 @@
         self.assertEqual(
             writer.list_lost(group), [], host.find_lines("change_started")
         )
+
+    # Guards against the loss of commits that only unlisted targets have.
+    @harness.with_system()
+    async def test_only_listed_target_is_not_promoted(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        writer = harness.Writer(system.entry_hosts[0].port, "g-primary")
+        for target in (primary, list(group.targets.values())[-1]):
+            target.has_platform_entry = False
+            system.platform.store.remove("servers", target.id)
+        host = await harness.add_host(system)
+        await writer.run_for(catalog.SETTLING_TIME_S + PROMOTION_TIME_S)
+        self.assertNotEqual(writer.acknowledged, [])
+        self.assertEqual(
+            writer.list_lost(group), [], host.find_lines("change_started")
+        )
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -75,9 +75,20 @@
         changes = {"failing_since_s": since_s, "failures": 5}
         self.assertIsNone(self.find_cause_for(**changes, answering_members=1))
         absent = {"has_primary": False, "no_primary_since_s": NOW_S - 9.0}
-        self.assertIsNone(self.find_cause_for(**absent, answering_members=0))
-        found = self.find_cause_for(**absent, answering_members=1)
-        self.assertEqual(found, _Cause.ABSENT)
+        for other_members, answering in ((1, 1), (2, 1), (3, 1), (4, 2)):
+            found = self.find_cause_for(
+                **absent,
+                other_members=other_members,
+                answering_members=answering,
+            )
+            self.assertIsNone(found)
+        for other_members, answering in ((2, 2), (3, 2), (4, 3)):
+            found = self.find_cause_for(
+                **absent,
+                other_members=other_members,
+                answering_members=answering,
+            )
+            self.assertEqual(found, _Cause.ABSENT)
 
     def test_only_a_primary_that_steps_down_is_replaced_on_a_new_list(
         self,
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -69,6 +69,14 @@
         primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
+    def test_unknown_primary_needs_two_members(self) -> None:
+        for others, needed in ((("a",), 2), (("a", "b"), 2), ("abcd", 3)):
+            attempt = primary_change.begin_attempt(
+                "g", _Cause.ABSENT, None, tuple(others), frozenset(), 1, 100.0
+            )
+            found = primary_change.count_fences_needed(attempt)
+            self.assertEqual(found, needed)
+
     def test_member_that_still_receives_is_not_fenced(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5, paused_for=0), "b": make_report(5)}
