Count a member until another one is known to have its log

Cause: a member without an entry was dropped after six seconds, and the others were then judged by the smaller group. The dropped target may still run and receive, and even if it has ended, it may have held the only other copy of a commit until then.

Change: a member without an entry stays one as long as it answers; hosts ask for the status of a group with such a member once a second. A member that is gone is counted on, and can't be fenced, until another replica has received what the primary had reached after the member was last known to run: the log has an order, so this replica has all that the member had. A step down needs no such proof, since the candidate reaches the primary's last position.

A group whose primary and one replica end for good at the same moment therefore waits for one of them; what only they had may have been acknowledged.

Evidence: both tests of MissingMemberTest fail before and pass now.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
 
 from knapweedtally.core.groups import model
 
@@ -9,8 +11,8 @@
 # expire while the store is unavailable and are back within about two seconds.
 MISSING_ENTRY_GRACE_S = 4.0
 
-# How long a target without an entry still counts as a member of its group, so
-# that a promotion has to take its log into account.
+# How long a target without an entry that answers no host statement still counts
+# as a member of its group.
 MEMBERSHIP_GRACE_S = 6.0
 
 
@@ -33,6 +35,20 @@
     missing_since_s: float | None = None
 
 
+class DepartedMember(NamedTuple):
+    """A target that is gone and may have held the only copy of a commit.
+
+    Attributes:
+        target: id of the target.
+        group: name of its group.
+        silent_since_s: when it was last known to run.
+    """
+
+    target: str
+    group: str
+    silent_since_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Catalog:
     """The current configuration and the known targets.
@@ -40,11 +56,16 @@
     Attributes:
         configuration: newest configuration, or None before the first one.
         members: known targets by id.
+        departed: targets that are gone, by id, until another member is known
+            to have their log.
         listed_s: when all targets were first listed, or None.
     """
 
     configuration: model.Configuration | None = None
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    departed: dict[str, DepartedMember] = dataclasses.field(
+        default_factory=dict
+    )
     listed_s: float | None = None
 
     def find_route(self, database: str) -> model.Route | None:
@@ -82,6 +103,7 @@
     """
     member = catalog.members.get(entry.target)
     if member is None:
+        catalog.departed.pop(entry.target, None)
         catalog.members[entry.target] = Member(entry)
         return True
     known = member.entry
@@ -148,17 +170,44 @@
     return new_or_restarted
 
 
-def remove_expired(catalog: Catalog, now_s: float) -> list[str]:
-    """Remove targets that were missing for too long and return their ids."""
-    expired = [
-        target
-        for target, member in catalog.members.items()
-        if member.missing_since_s is not None
-        and now_s - member.missing_since_s > MEMBERSHIP_GRACE_S
-    ]
-    for target in expired:
+def remove_expired(
+    catalog: Catalog, answered_s: Mapping[str, float], now_s: float
+) -> list[str]:
+    """Remove targets that are gone.
+
+    A target that answers runs and may receive the log, whether or not it has an
+    entry.
+
+    Args:
+        catalog: the known targets.
+        answered_s: when targets last answered, by id.
+        now_s: the current time.
+
+    Returns:
+        Ids of the removed targets.
+    """
+    removed = []
+    for target, member in list(catalog.members.items()):
+        if member.missing_since_s is None:
+            continue
+        silent_since_s = max(
+            member.missing_since_s, answered_s.get(target, float("-inf"))
+        )
+        if now_s - silent_since_s <= MEMBERSHIP_GRACE_S:
+            continue
         del catalog.members[target]
-    return expired
+        catalog.departed[target] = DepartedMember(
+            target, member.entry.group, silent_since_s
+        )
+        removed.append(target)
+    return removed
+
+
+def list_departed(catalog: Catalog, group: str) -> list[DepartedMember]:
+    """Return the departed members of a group whose log may be missing."""
+    return [
+        member for member in catalog.departed.values() if member.group == group
+    ]
 
 
 def is_usable(member: Member, now_s: float) -> bool:
--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -21,6 +21,7 @@
 import collections
 import dataclasses
 from collections.abc import Collection
+from collections.abc import Iterable
 
 from knapweedtally.core.groups import model
 
@@ -293,6 +294,22 @@
     return None
 
 
+def is_log_kept(
+    leadership: Leadership,
+    received: Iterable[model.Position],
+    since_s: float,
+) -> bool:
+    """Return whether a member has every commit acknowledged before a time.
+
+    Args:
+        leadership: the evidence about the group's primary.
+        received: last positions that members other than the primary received.
+        since_s: the time.
+    """
+    position = find_position(leadership, since_s)
+    return position is not None and any(known >= position for known in received)
+
+
 def find_time_reached(
     leadership: Leadership, position: model.Position
 ) -> float | None:
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -263,6 +263,7 @@
                 self.routers[name] = router
             router.settings = group
             self._sync_pools(router, now_s)
+            self._sync_departed(router, now_s)
 
     def _sync_pools(self, router: router_module.Router, now_s: float) -> None:
         members = catalog.list_members(self.catalog, router.settings.name)
@@ -279,6 +280,31 @@
             self._sync_paths(target, pool)
             self._sync_accepts_new_work(router, pool, member, now_s)
 
+    def _sync_departed(
+        self, router: router_module.Router, now_s: float
+    ) -> None:
+        """Forget departed members once another member has their log."""
+        departed = catalog.list_departed(self.catalog, router.settings.name)
+        kept = [
+            member.target
+            for member in departed
+            if router.observer.is_log_kept(member.silent_since_s)
+        ]
+        for target in kept:
+            del self.catalog.departed[target]
+        router.departed = tuple(
+            member.target for member in departed if member.target not in kept
+        )
+        has_missing = any(
+            not self._is_listed(target) for target in router.members
+        )
+        if has_missing:
+            router.observer.check_members(now_s)
+
+    def _is_listed(self, target: str) -> bool:
+        member = self.catalog.members.get(target)
+        return member is not None and member.missing_since_s is None
+
     def _sync_paths(self, target: str, pool: pools.Pool) -> None:
         """Set whether a pool connects directly or through relay hosts."""
         live = self.peers.get_live_hosts()
@@ -363,9 +389,7 @@
             and not self.is_configuration_expected()
         ):
             self._call_configuration_callbacks()
-        removed = catalog.remove_expired(self.catalog, now_s)
-        if removed:
-            self.log.write("targets_gone", targets=removed)
+        self._remove_gone_targets(now_s)
         self._sync_routers()
         self.peers.tick(now_s)
         for router in self.routers.values():
@@ -378,6 +402,16 @@
             self._next_session_check_s = now_s + SESSION_CHECK_INTERVAL_S
             self._check_sessions(now_s)
 
+    def _remove_gone_targets(self, now_s: float) -> None:
+        answered_s = {
+            target: pool.answered_s
+            for router in self.routers.values()
+            for target, pool in router.pools.items()
+        }
+        removed = catalog.remove_expired(self.catalog, answered_s, now_s)
+        if removed:
+            self.log.write("targets_gone", targets=removed)
+
     def _is_changing(self, group: str) -> bool:
         """Return whether this host is changing a group's primary."""
         return self._changes is not None and self._changes.is_changing(group)
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -17,6 +17,10 @@
 from knapweedtally.entry import requests
 from knapweedtally.platform import line_protocol
 
+# Interval at which all members are polled while one has no entry in the store,
+# in seconds; several times within the time after which it counts as gone.
+MEMBER_CHECK_INTERVAL_S = 1.0
+
 # Age that is logged for evidence that is older, or that never existed, in
 # seconds.
 MAX_LOGGED_AGE_S = 9999.0
@@ -70,6 +74,7 @@
         )
         self._status_requests: set[str] = set()
         self._polling = status_polling.PollingState()
+        self._next_check_s = 0.0
 
     def tick(self, now_s: float) -> None:
         """Poll the members that are due, and settle pending commits."""
@@ -297,6 +302,28 @@
             MAX_LOGGED_AGE_S, now_s - leadership.member_seen_s
         )
 
+    def is_log_kept(self, since_s: float) -> bool:
+        """Return whether a replica has all commits acknowledged before then."""
+        primary = self.leadership.target
+        received = [
+            pool.received
+            for target, pool in self._pools.items()
+            if target != primary
+        ]
+        return evidence.is_log_kept(self.leadership, received, since_s)
+
+    def check_members(self, now_s: float) -> None:
+        """Request the status of all members, if the last time is long ago.
+
+        Shows which members without an entry still run, and which have the log
+        of those that don't.
+        """
+        if now_s < self._next_check_s:
+            return
+        self._next_check_s = now_s + MEMBER_CHECK_INTERVAL_S
+        for target in self._pools:
+            self.request_status(target)
+
     def is_primary_confirmed(self, now_s: float) -> bool:
         """Return whether the evidence about the primary is still valid."""
         return self.leadership.valid_until_s >= now_s
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -63,6 +63,7 @@
             answer, or None.
         failures: number of failures since the target's last answer.
         is_refusing: whether the last failure was a refused connection.
+        answered_s: when the target last answered.
         generation: changes when the target may have restarted.
         received: newest log position seen since the target's last restart.
         position_before_restart: newest log position that the target held before
@@ -101,7 +102,7 @@
         self._opening = 0
         self._retry_at_s = 0.0
         self._next_probe_at_s = 0.0
-        self._answered_s = 0.0
+        self.answered_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
 
@@ -381,7 +382,7 @@
 
     def handle_answer(self) -> None:
         """Clear the target's failures, since it has answered."""
-        self._answered_s = clock.get_time_s()
+        self.answered_s = clock.get_time_s()
         if self.failing_since_s is not None:
             self.failing_since_s = None
             self.failures = 0
@@ -426,7 +427,7 @@
         if not overdue or now_s < self._next_probe_at_s:
             return
         asked_s, connection = min(overdue, key=lambda pair: pair[0])
-        if self._answered_s > asked_s:
+        if self.answered_s > asked_s:
             return
         self._next_probe_at_s = now_s + PROBE_INTERVAL_S
         self.record_failure(asked_s, False)
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -120,7 +120,7 @@
                 for target, other in router.pools.items()
                 if target != primary and other.is_answering
             ),
-            other_members=len(router.pools) - (1 if pool else 0),
+            other_members=len(router.members) - (1 if pool else 0),
             is_settled=self._catalog.is_settled(now_s),
         )
         return detection.find_cause(view, now_s)
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -292,7 +292,7 @@
             router.settings.name,
             cause,
             old_primary,
-            tuple(target for target in router.pools if target != old_primary),
+            tuple(target for target in router.members if target != old_primary),
             leaving,
             max(router.observer.known_term, router.observer.leadership.term),
             clock.get_time_s(),
@@ -340,7 +340,7 @@
                 if not step.is_done:
                     await self._resume_members(attempt, router)
                 return step
-            primary_change.update_members(attempt, router.pools)
+            primary_change.update_members(attempt, router.members)
             try:
                 await self._execute_step(step, attempt, router)
                 position = primary_change.find_safe_position(attempt)
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -50,6 +50,8 @@
     Attributes:
         settings: the group's settings.
         pools: connection pools by id of the target.
+        departed: ids of former members whose log may hold commits that no
+            other member has.
         observer: the evidence about the primary.
     """
 
@@ -70,6 +72,7 @@
         """
         self.settings = settings
         self.pools: dict[str, pools.Pool] = {}
+        self.departed: tuple[str, ...] = ()
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
         )
@@ -115,6 +118,11 @@
             evidence.remove_member(self.observer.leadership, target)
         return pool
 
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Return the ids of all targets that a promotion has to consider."""
+        return (*self.pools, *self.departed)
+
     @property
     def queue_length(self) -> int:
         """Return the number of queued requests."""
--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -1,10 +1,14 @@
 """Tests of an entry host while a group's primary changes."""
 
+import asyncio
+from unittest import mock
+
 import testtools
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
+from standins.line_platform import targets
 from tests.entry import harness
 
 StartsWith = testtools.matchers.StartsWith
@@ -13,6 +17,10 @@
 # in seconds.
 ENTRY_RETURN_DELAY_S = 1.9
 
+# Time after which a silent target without an entry counts as gone in the tests
+# of missing members, in seconds.
+SHORT_MEMBERSHIP_GRACE_S = 2.0
+
 # Time in which a change of primary ends, in seconds.
 PROMOTION_TIME_S = 2.5
 
@@ -66,6 +74,69 @@
             caller.close()
 
 
+class MissingMemberTest(testtools.TestCase):
+    """Changes of primary while a replica has no entry in the store.
+
+    Another replica lags, so the one without an entry alone has commits.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        patch = mock.patch.object(
+            catalog, "MEMBERSHIP_GRACE_S", SHORT_MEMBERSHIP_GRACE_S
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def write_to_unlisted_replica(
+        self, system: harness.System
+    ) -> tuple[harness.Writer, targets.Target, targets.Target]:
+        """Return the writer, the replica without an entry, and the other."""
+        group = system.platform.groups["g"]
+        lagging, unlisted = list(group.targets.values())[1:]
+        writer = harness.Writer(system.entry_hosts[0].port, "g-primary")
+        await writer.run_for(0.2)
+        unlisted.has_platform_entry = False
+        system.platform.store.remove("servers", unlisted.id)
+        with mock.patch.object(lagging, "receive", return_value=False):
+            await writer.run_for(0.3)
+        return writer, unlisted, lagging
+
+    # Guards against the loss of commits that a running replica without an
+    # entry received.
+    @harness.with_system()
+    async def test_running_replica_without_an_entry_is_fenced(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        writer, unlisted, lagging = await self.write_to_unlisted_replica(system)
+        with mock.patch.object(lagging, "receive", return_value=False):
+            await writer.run_for(SHORT_MEMBERSHIP_GRACE_S + 0.5)
+            await primary.stop()
+        await harness.wait_for(lambda: group.find_primary() is not primary)
+        self.assertEqual(group.get_primary(), unlisted)
+        self.assertEqual(writer.list_lost(group), [])
+
+    # Guards against the loss of commits that only targets that are down have.
+    @harness.with_system()
+    async def test_replica_behind_a_gone_one_is_not_promoted(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        writer, unlisted, _ = await self.write_to_unlisted_replica(system)
+        await asyncio.gather(unlisted.stop(), primary.stop())
+        host = system.entry_hosts[0]
+        await harness.wait_for(lambda: bool(host.find_lines("targets_gone")))
+        await asyncio.sleep(PROMOTION_TIME_S)
+        self.assertEqual(host.find_lines("promotion_asked"), [])
+        await primary.start()
+        primary.reconnect()
+        await writer.run_for(0.5)
+        self.assertEqual(writer.list_lost(group), [])
+
+
 class IncompleteListTest(testtools.TestCase):
     """Changes of primary by a host that doesn't know all targets."""
 
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -97,9 +97,33 @@
         known = catalog.Catalog()
         catalog.update_entries(known, [make_entry()], 10.0)
         catalog.mark_missing(known, "i-1", 20.0)
-        self.assertEqual(catalog.remove_expired(known, 21.0), [])
+        self.assertEqual(catalog.remove_expired(known, {}, 21.0), [])
         late_s = 20.1 + catalog.MEMBERSHIP_GRACE_S
-        self.assertEqual(catalog.remove_expired(known, late_s), ["i-1"])
+        self.assertEqual(catalog.remove_expired(known, {}, late_s), ["i-1"])
+
+    def test_missing_target_that_answers_stays_a_member(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entries(known, [make_entry()], 10.0)
+        catalog.mark_missing(known, "i-1", 20.0)
+        late_s = 30.0 + catalog.MEMBERSHIP_GRACE_S
+        answered_s = {"i-1": 30.0}
+        self.assertEqual(catalog.remove_expired(known, answered_s, late_s), [])
+        late_s += 0.1
+        removed = catalog.remove_expired(known, answered_s, late_s)
+        self.assertEqual(removed, ["i-1"])
+
+    def test_removed_target_is_departed_until_it_returns(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entries(known, [make_entry()], 10.0)
+        catalog.mark_missing(known, "i-1", 20.0)
+        catalog.remove_expired(known, {"i-1": 21.0}, 40.0)
+        departed = catalog.list_departed(known, make_entry().group)
+        self.assertEqual(
+            departed,
+            [catalog.DepartedMember("i-1", make_entry().group, 21.0)],
+        )
+        catalog.update_entry(known, make_entry(revision=9))
+        self.assertEqual(catalog.list_departed(known, make_entry().group), [])
 
 
 class PredecessorTest(testtools.TestCase):
--- a/tests/groups/test_evidence.py
+++ b/tests/groups/test_evidence.py
@@ -158,6 +158,22 @@
         self.assertEqual(found, model.Position(3, 6))
         self.assertIsNone(evidence.find_position(leadership, 10.5))
 
+    def test_log_is_kept_if_a_member_is_past_a_later_position(self) -> None:
+        leadership = make_leadership()
+        for sent_s, number in ((10.1, 5), (10.2, 6), (10.3, 7)):
+            evidence.record_position(
+                leadership, "a", model.Position(3, number), sent_s
+            )
+        for number, since_s, is_kept in (
+            (5, 10.05, True),
+            (5, 10.15, False),
+            (6, 10.15, True),
+            (9, 10.35, False),
+        ):
+            received = [model.Position(3, 1), model.Position(3, number)]
+            found = evidence.is_log_kept(leadership, received, since_s)
+            self.assertEqual(found, is_kept, (number, since_s))
+
     def test_position_is_valid_from_when_the_request_was_sent(self) -> None:
         leadership = make_leadership(10.0)
         evidence.record_position(leadership, "a", model.Position(3, 5), 9.0)
