Fence a member that joins while a change of primary waits

Writes that were acknowledged between the fencing and the promotion are gone.

Cause: the members to fence were updated in the fencing phase only. A target that was listed later, while the attempt waited for evidence to expire, received the old primary's log unfenced; the confirmation asked only the members that had been fenced. The other hosts' evidence was renewed through the new member.

Change: until the promotion is requested, a member that joins takes the attempt back to fencing, and the wait begins again. After a step down nothing is fenced anew, since the candidate has the primary's last position. The members are updated before a step is planned, so that no promotion is planned on the former ones.

--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -47,6 +47,16 @@
 # promotion.
 ATTEMPT_TIMEOUT_S = 8.0
 
+# Phases in which members are fenced, or have to stay fenced.
+_FENCING_PHASES = frozenset(
+    (
+        steps.Phase.FENCE,
+        steps.Phase.WAIT,
+        steps.Phase.CONFIRM,
+        steps.Phase.PROMOTE,
+    )
+)
+
 
 def begin_attempt(
     group: str,
@@ -77,20 +87,28 @@
     return attempt
 
 
-def update_members(attempt: steps.Attempt, members: Collection[str]) -> None:
-    """Update the group's other members while they are being fenced.
+def update_members(
+    attempt: steps.Attempt, members: Collection[str], now_s: float
+) -> None:
+    """Update the group's other members until the promotion is requested.
 
     A target that restarted with another id replaces its former id. The number
     of members never decreases, since a missing member may have commits that
-    the others lack.
+    the others lack. A member that joins has to be fenced too, since the old
+    primary may commit through it.
     """
+    if attempt.is_promotion_requested or attempt.phase not in _FENCING_PHASES:
+        return
     others = tuple(t for t in members if t != attempt.old_primary)
-    if attempt.phase is steps.Phase.FENCE and len(others) >= len(
-        attempt.others
-    ):
-        attempt.others = others
-        for target in [t for t in attempt.fenced if t not in members]:
-            del attempt.fenced[target]
+    if len(others) < len(attempt.others):
+        return
+    has_joined = not set(others) <= set(attempt.others)
+    attempt.others = others
+    for target in [t for t in attempt.fenced if t not in members]:
+        del attempt.fenced[target]
+    is_proof_by_fences = not attempt.stepped_down_s
+    if has_joined and is_proof_by_fences:
+        _enter_phase(attempt, steps.Phase.FENCE, now_s)
 
 
 def count_fences_needed(attempt: steps.Attempt) -> int:
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -330,7 +330,9 @@
     ) -> steps.Finish:
         phase = None
         while True:
-            step = primary_change.next_step(attempt, clock.get_time_s())
+            now_s = clock.get_time_s()
+            primary_change.update_members(attempt, router.members, now_s)
+            step = primary_change.next_step(attempt, now_s)
             if attempt.phase is not phase:
                 phase = attempt.phase
                 self._log.write(
@@ -340,7 +342,6 @@
                 if not step.is_done:
                     await self._resume_members(attempt, router)
                 return step
-            primary_change.update_members(attempt, router.members)
             try:
                 await self._execute_step(step, attempt, router)
                 position = primary_change.find_safe_position(attempt)
--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -25,6 +25,13 @@
 PROMOTION_TIME_S = 2.5
 
 
+def has_step(host: harness.EntryHost, phase: str) -> bool:
+    """Return whether a change of primary on a host reached a phase."""
+    return any(
+        line["phase"] == phase for line in host.find_lines("change_step")
+    )
+
+
 class ChangeTest(testtools.TestCase):
     """Answers to callers, and the return of service, in a primary change."""
 
@@ -179,3 +186,28 @@
         self.assertEqual(
             writer.list_lost(group), [], host.find_lines("change_started")
         )
+
+    # Guards against the loss of commits that a target received which is listed
+    # only after the others were fenced.
+    @harness.with_system()
+    async def test_target_that_is_listed_during_a_change_is_fenced(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        joining = targets.Target(group, "joining")
+        await joining.start()
+        group.targets[joining.id] = joining
+        writer = harness.Writer(system.entry_hosts[0].port, "g-primary")
+        await writer.run_for(0.5)
+        for target in (primary, joining):
+            target.has_platform_entry = False
+            system.platform.store.remove("servers", target.id)
+        host = await harness.add_host(system)
+        while not has_step(host, "wait"):
+            await writer.run_for(0.05)
+        for target in (primary, joining):
+            target.has_platform_entry = True
+        await writer.run_for(PROMOTION_TIME_S)
+        self.assertNotEqual(writer.acknowledged, [])
+        self.assertEqual(writer.list_lost(group), [])
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -122,11 +122,31 @@
 
     def test_restarted_member_replaces_its_former_id(self) -> None:
         attempt = make_attempt()
-        primary_change.update_members(attempt, ("p", "a"))
+        primary_change.update_members(attempt, ("p", "a"), 100.0)
         self.assertEqual(attempt.others, ("a", "b"))
-        primary_change.update_members(attempt, ("p", "a", "c"))
+        primary_change.update_members(attempt, ("p", "a", "c"), 100.0)
         self.assertEqual(attempt.others, ("a", "c"))
 
+    def test_member_that_joins_is_fenced_before_the_promotion(self) -> None:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        self.assertEqual(attempt.phase, _Phase.WAIT)
+        primary_change.update_members(attempt, ("p", "a", "b", "c"), 100.2)
+        step = primary_change.next_step(attempt, 100.2)
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("c",), 0.05))
+
+    def test_member_that_joins_a_step_down_is_not_fenced(self) -> None:
+        attempt = make_attempt(_Cause.LEAVING)
+        primary_change.record_reports(
+            attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
+        )
+        primary_change.record_reports(
+            attempt, _Order.STATUS, {"a": make_report(9)}, 100.1
+        )
+        primary_change.update_members(attempt, ("p", "a", "b", "c"), 100.2)
+        self.assertEqual(attempt.phase, _Phase.WAIT)
+
     def test_promotion_waits_until_evidence_has_expired(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
