List the targets anew before a promotion relies on fenced members

Seen by callers: as before (rule LOST): writes that were acknowledged between the fencing and the promotion are gone.

Cause: the promoter's members come from a watch, which the platform may leave without events for seconds or cut. Other hosts may know, and renew evidence through, a target that the promoter has not heard of and doesn't fence.

Change: after the wait, the promoter lists the targets in the store, which answers linearizably, and adds those that it doesn't know; a member that joins is fenced first. Known targets are left to the watch, which may be ahead of the list. It costs one call per change; a promoter can't hold the lease without the store anyway.

The test of a restarted member expects the listing before the status requests; the simulation of changes records it.

Evidence: test_target_that_the_watch_withholds_is_fenced lost acknowledged writes before and loses none now.

--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -233,6 +233,8 @@
         return steps.SendOrder(
             steps.Order.STATUS, tuple(targets), ORDER_INTERVAL_S
         )
+    if attempt.listed_s < attempt.phase_since_s:
+        return steps.ListTargets()
     # The members aren't paused again: if one has restarted, it receives the log
     # again, and its status has to show that.
     return steps.SendOrder(
@@ -267,6 +269,11 @@
 }
 
 
+def record_listing(attempt: steps.Attempt, now_s: float) -> None:
+    """Record that all targets were listed."""
+    attempt.listed_s = now_s
+
+
 def record_reports(
     attempt: steps.Attempt,
     order: steps.Order,
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -69,6 +69,7 @@
             stepped down.
         stepped_down_s: when the old primary answered that it has stepped down,
             or 0.
+        listed_s: when all targets were last listed for the attempt.
         fenced: reports of the fenced members, which have paused replication.
         is_settled: whether all members are known, so that fenced members may
             be enough.
@@ -89,6 +90,7 @@
     phase_since_s: float = 0.0
     final_position: model.Position | None = None
     stepped_down_s: float = 0.0
+    listed_s: float = 0.0
     fenced: dict[str, OrderReport] = dataclasses.field(default_factory=dict)
     is_settled: bool = True
     candidate: str | None = None
@@ -110,6 +112,10 @@
     pause_s: float = 0.0
 
 
+class ListTargets(NamedTuple):
+    """Step: list the targets, so that each member is known."""
+
+
 class Wait(NamedTuple):
     """Step: wait before the next step."""
 
@@ -129,4 +135,4 @@
     reason: str
 
 
-Step = SendOrder | Wait | Promote | Finish
+Step = SendOrder | ListTargets | Wait | Promote | Finish
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -99,6 +99,7 @@
                 host_settings.host,
                 log,
                 self._sharer.share_fenced_position,
+                self.refresh_targets,
             )
             self._changes = primary_changes.PrimaryChanges(
                 host_settings.host,
@@ -131,6 +132,20 @@
             ),
         )
 
+    async def refresh_targets(self) -> None:
+        """List the targets in the store and add those that aren't known yet.
+
+        Known targets are left to the watch, which may be ahead of the list.
+
+        Raises:
+            store.StoreError: a call failed or was refused.
+            store_calls.MalformedResponse: a response can't be parsed.
+        """
+        listing = await store.list_objects(self.store, records.TARGETS_KIND)
+        for stored in listing.objects:
+            if stored.name not in self.catalog.members:
+                self._apply_entry_change(store_calls.Change(stored, False))
+
     # Services for sessions.
 
     def find_router(self, group: str) -> router_module.Router | None:
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from knapweedtally.core.groups import model
@@ -184,6 +185,7 @@
         host: str,
         log: logs.Log,
         on_fenced: FenceListener,
+        refresh_targets: Callable[[], Awaitable[None]],
     ) -> None:
         """Create a promoter without an attempt.
 
@@ -195,7 +197,10 @@
             on_fenced: called with a group's router, a term and the position
                 that covers every commit of that term, while an attempt has
                 fenced the term.
+            refresh_targets: lists the targets in the store and adds those that
+                this host doesn't know yet.
         """
+        self._refresh_targets = refresh_targets
         self._on_fenced = on_fenced
         self._lease_manager = lease_manager
         self._address = address
@@ -360,6 +365,8 @@
     ) -> None:
         if isinstance(step, steps.Wait):
             await asyncio.sleep(min(step.delay_s, RENEW_AFTER_S))
+        elif isinstance(step, steps.ListTargets):
+            await self._list_targets(attempt)
         elif isinstance(step, steps.Promote):
             status = await self._promote(attempt, step.target)
             primary_change.record_promotion_response(
@@ -374,6 +381,17 @@
             )
             await asyncio.sleep(step.pause_s)
 
+    async def _list_targets(self, attempt: steps.Attempt) -> None:
+        try:
+            await self._refresh_targets()
+        except (store.StoreError, store_calls.MalformedResponse) as error:
+            self._log.write(
+                "store_call_failed", kind="targets", reason=str(error)
+            )
+            await asyncio.sleep(primary_change.ORDER_INTERVAL_S)
+            return
+        primary_change.record_listing(attempt, clock.get_time_s())
+
     async def _resume_members(
         self, attempt: steps.Attempt, router: router_module.Router
     ) -> None:
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from knapweedtally.entry import logs
 from knapweedtally.platform import settings
@@ -93,6 +94,41 @@
             )
 
 
+class Listing(NamedTuple):
+    """All objects of one kind.
+
+    Attributes:
+        objects: the objects.
+        revision: the store's revision before the listing.
+    """
+
+    objects: list[store_calls.StoredObject]
+    revision: int
+
+
+async def list_objects(client: StoreClient, kind: str) -> Listing:
+    """List all objects of a kind.
+
+    Raises:
+        StoreError: a call failed or was refused.
+        store_calls.MalformedResponse: a response can't be parsed.
+    """
+    objects: list[store_calls.StoredObject] = []
+    after = None
+    first_revision = None
+    while True:
+        request = store_calls.make_list_request(kind, after)
+        page = store_calls.parse_page(await client.send(request))
+        objects += page.objects
+        # A watch from the first page's revision returns the changes made during
+        # the listing again.
+        if first_revision is None:
+            first_revision = page.revision
+        if not page.has_more or not page.objects:
+            return Listing(objects, first_revision)
+        after = page.objects[-1].name
+
+
 class Watcher:
     """Keep track of the objects of one kind by list and watch calls."""
 
@@ -146,22 +182,9 @@
                 await asyncio.sleep(retry_backoff.compute_next_delay_s())
 
     async def _list_objects(self) -> int:
-        objects: list[store_calls.StoredObject] = []
-        after = None
-        first_revision = None
-        while True:
-            request = store_calls.make_list_request(self._kind, after)
-            page = store_calls.parse_page(await self._client.send(request))
-            objects += page.objects
-            # The watch starts at the first page's revision, so it returns the
-            # changes made during the listing again.
-            if first_revision is None:
-                first_revision = page.revision
-            if not page.has_more or not page.objects:
-                break
-            after = page.objects[-1].name
-        self._on_list(objects)
-        return first_revision
+        listing = await list_objects(self._client, self._kind)
+        self._on_list(listing.objects)
+        return listing.revision
 
     async def _watch_changes(
         self, revision: int
--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -211,3 +211,30 @@
         await writer.run_for(PROMOTION_TIME_S)
         self.assertNotEqual(writer.acknowledged, [])
         self.assertEqual(writer.list_lost(group), [])
+
+    # Guards against the loss of commits that a target received of which the
+    # watch hasn't told the promoter.
+    @harness.with_system()
+    async def test_target_that_the_watch_withholds_is_fenced(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        joining = targets.Target(group, "joining")
+        await joining.start()
+        group.targets[joining.id] = joining
+        writer = harness.Writer(system.entry_hosts[0].port, "g-primary")
+        await writer.run_for(0.5)
+        for target in (primary, joining):
+            target.has_platform_entry = False
+            system.platform.store.remove("servers", target.id)
+        host = await harness.add_host(system)
+        while not has_step(host, "fence"):
+            await writer.run_for(0.05)
+        system.platform.store.is_withholding_events = True
+        for target in (primary, joining):
+            target.has_platform_entry = True
+        await writer.run_for(PROMOTION_TIME_S)
+        await harness.wait_for(lambda: group.find_primary() is not None)
+        self.assertNotEqual(writer.acknowledged, [])
+        self.assertEqual(writer.list_lost(group), [])
--- a/tests/groups/simulation.py
+++ b/tests/groups/simulation.py
@@ -151,6 +151,8 @@
             return group, step.is_done
         if isinstance(step, steps.Wait):
             group.now_s += step.delay_s
+        elif isinstance(step, steps.ListTargets):
+            primary_change.record_listing(attempt, group.now_s)
         elif isinstance(step, steps.Promote):
             status = group.promote(step.target)
             primary_change.record_promotion_response(
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -89,6 +89,9 @@
         primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
         step = primary_change.next_step(attempt, wait_end_s)
+        self.assertEqual(step, steps.ListTargets())
+        primary_change.record_listing(attempt, wait_end_s)
+        step = primary_change.next_step(attempt, wait_end_s)
         # Pausing it again would hide that it received the log in between.
         self.assertEqual(step, steps.SendOrder(_Order.STATUS, ("a", "b"), 0.05))
         new_reports = {"a": make_report(5), "b": make_report(5, paused_for=0)}
