Keep a primary that another host sees and this one doesn't list

Cause: a host dropped the evidence that others shared about a target that it didn't know. The rule that a primary which others see isn't replaced covered known primaries only, so the host found the group without a primary, fenced the two members that it knew and promoted one, beside a primary that committed through the fourth.

Change: shared evidence about an unknown target shows that a primary leads, and no change begins while it is fresh.

--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -77,14 +77,16 @@
     """Return the cause for replacing the primary, or None without a cause."""
     if not view.other_members:
         return None
+    # If other hosts still see the primary, only this host is disconnected.
+    is_unseen = now_s - view.primary_seen_s > PRIMARY_UNSEEN_TIMEOUT_S
     if not view.has_primary:
         since_s = view.no_primary_since_s
         is_late = since_s is not None and now_s - since_s > NO_PRIMARY_TIMEOUT_S
         needed = primary_change.count_fences_without_primary(view.other_members)
         can_fence = view.answering_members >= needed
-        can_change = is_late and can_fence and view.is_settled
+        can_change = is_late and is_unseen and can_fence and view.is_settled
         return steps.Cause.ABSENT if can_change else None
-    if _is_unreachable(view, now_s):
+    if is_unseen and _is_unreachable(view, now_s):
         # A host that doesn't reach all other members leaves the change to a
         # host that does.
         can_fence = view.answering_members >= view.other_members
@@ -101,9 +103,7 @@
     if view.failing_since_s is None or view.failures < 2:
         return False
     limit_s = REFUSED_TIMEOUT_S if view.is_refusing else NO_ANSWER_TIMEOUT_S
-    # If other hosts still see the primary, only this host is disconnected.
-    is_unseen = now_s - view.primary_seen_s > PRIMARY_UNSEEN_TIMEOUT_S
-    return is_unseen and now_s - view.failing_since_s > limit_s
+    return now_s - view.failing_since_s > limit_s
 
 
 def _is_stalled(view: PrimaryView, now_s: float) -> bool:
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -34,6 +34,8 @@
         known_term: highest term that a member has reported.
         no_primary_since_s: since when no primary is known, or None.
         known_since_s: when the primary became known.
+        unlisted_primary_seen_s: when another host last knew that a target
+            that this host doesn't know was the primary.
         commits_in_flight: when each commit in flight was sent.
         last_commit_s: when the newest acknowledged commit was sent.
         is_poller: whether this host polls the members for all hosts.
@@ -60,6 +62,7 @@
         self.leadership = evidence.Leadership()
         self.known_term = 0
         self.known_since_s = 0.0
+        self.unlisted_primary_seen_s = float("-inf")
         self.no_primary_since_s: float | None = clock.get_time_s()
         self.commits_in_flight: dict[object, float] = {}
         self.last_commit_s = 0.0
@@ -200,6 +203,10 @@
                 the evidence was sent.
         """
         if not shared.is_fenced and shared.target not in self._pools:
+            # The list of targets may lack the primary.
+            self.unlisted_primary_seen_s = max(
+                self.unlisted_primary_seen_s, sent_here_s - shared.primary_age_s
+            )
             return
         self.known_term = max(self.known_term, shared.term)
         if sharing.merge_shared_evidence(self.leadership, shared, sent_here_s):
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -113,7 +113,10 @@
                 router.observer.commits_in_flight.values(), default=None
             ),
             last_commit_s=router.observer.last_commit_s,
-            primary_seen_s=router.observer.leadership.primary_seen_s,
+            primary_seen_s=max(
+                router.observer.leadership.primary_seen_s,
+                router.observer.unlisted_primary_seen_s,
+            ),
             member_seen_s=router.observer.leadership.member_seen_s,
             answering_members=sum(
                 1
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -184,6 +184,12 @@
                 self.acknowledged.append(str(self._count))
             await asyncio.sleep(0.02)
 
+    async def run_until(self, condition: Callable[[], bool]) -> None:
+        """Write until a condition holds."""
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not condition():
+                await self.run_for(0.05)
+
     def list_lost(self, group: targets.Group) -> list[str]:
         """Return the acknowledged values that the primary's log lacks."""
         kept = set(group.get_primary().read_all("item"))
