Decide in one place which entries of a list are one member

A list with two targets at one address ended the entry process with a KeyError: the catalog named both as new, and the host deleted one of them while it walked the names. All sessions of the host were cut. Where it didn't end, the other life was left as a member of its own: a second pool to one process, and a member that can't be fenced.

catalog.compute_update now decides it as a pure function of the list and what was known: lives at one address in one group are one member, and the one with the highest revision counts. The others are remembered while they are in the store, so that none of them comes back with the next list, and one of them counts again if the member expires. The host only follows the members: it adds, restarts and closes pools by comparing them with the catalog, so an update that was interrupted is completed by the next one. A floor is taken from the newest former life that has a pool.

What a host remembered for a pool by id (path, drain) went on when the id returned; it is removed with the pool.

Changed tests: test_catalog compares the update's fields where it compared a truth value or a list. find_predecessor is gone; its two tests check the succession itself. test_relays replaces a member, which is immutable now.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -1,7 +1,10 @@
 """The current configuration and the known targets."""
 
 import dataclasses
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
 
 from knapweedtally.core.groups import model
 
@@ -13,18 +16,24 @@
 # that a promotion has to take its log into account.
 MEMBERSHIP_GRACE_S = 6.0
 
+# Number of former lives that are remembered for a member.
+MAX_FORMER_LIVES = 8
 
-@dataclasses.dataclass(slots=True)
-class Member:
-    """A target in the catalogue.
+
+class Member(NamedTuple):
+    """A member of a group: the newest life of a target.
 
     Attributes:
         entry: newest entry of the target.
         missing_since_s: when its entry was first found missing, or None.
+        restart_count: how many restarts under the same id were seen.
+        former: ids of its former lives at the same address, newest first.
     """
 
     entry: model.TargetEntry
     missing_since_s: float | None = None
+    restart_count: int = 0
+    former: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,12 +42,17 @@
 
     Attributes:
         configuration: newest configuration, or None before the first one.
-        members: known targets by id.
+        members: known members by id.
+        hidden: entries in the store that don't count, by id, because another
+            life at the same address does.
         is_listed: whether all targets were listed at least once.
     """
 
     configuration: model.Configuration | None = None
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    hidden: dict[str, model.TargetEntry] = dataclasses.field(
+        default_factory=dict
+    )
     is_listed: bool = False
 
     def find_route(self, database: str) -> model.Route | None:
@@ -48,6 +62,49 @@
         return self.configuration.routes.get(database)
 
 
+class Succession(NamedTuple):
+    """A member that goes on as another target at the same address.
+
+    A draining predecessor was replaced as planned, and the successor has its
+    log. After a crash the successor may have any part of that log. Only the
+    predecessor's last entry tells the two apart, and it may be older than the
+    report of the drain. So in both cases the predecessor's position is no more
+    than a floor: a log that ends before it proves nothing about acknowledged
+    commits, and one that reaches it does by its own report. The position is
+    never used for reads.
+
+    Attributes:
+        old: id of the predecessor.
+        new: id of the successor.
+    """
+
+    old: str
+    new: str
+
+
+class Update(NamedTuple):
+    """The members after an update, and what has changed.
+
+    Attributes:
+        members: members by id.
+        hidden: entries in the store that don't count, by id.
+        added: ids of the new members.
+        restarted: ids of the members that restarted, or moved, under their id.
+        succeeded: members that go on under another id.
+        gone: ids of the members that are no longer known.
+    """
+
+    members: dict[str, Member]
+    hidden: dict[str, model.TargetEntry]
+    added: tuple[str, ...] = ()
+    restarted: tuple[str, ...] = ()
+    succeeded: tuple[Succession, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+_Address = tuple[str, str, int]
+
+
 def apply_configuration(
     catalog: Catalog, configuration: model.Configuration
 ) -> bool:
@@ -63,25 +120,6 @@
     return True
 
 
-def update_entry(catalog: Catalog, entry: model.TargetEntry) -> bool:
-    """Update a target's entry unless a newer one is known.
-
-    Returns:
-        Whether the target is new, has restarted or has another address.
-    """
-    member = catalog.members.get(entry.target)
-    if member is None:
-        catalog.members[entry.target] = Member(entry)
-        return True
-    known = member.entry
-    if entry.revision < known.revision:
-        return False
-    member.missing_since_s = None
-    member.entry = entry
-    has_moved = (entry.address, entry.port) != (known.address, known.port)
-    return has_moved or has_restarted(known, entry)
-
-
 def has_restarted(known: model.TargetEntry, entry: model.TargetEntry) -> bool:
     """Return whether a newer entry comes from a restarted target."""
     if entry.started_ms and known.started_ms:
@@ -89,64 +127,178 @@
     return entry.update_count < known.update_count
 
 
-def find_predecessor(catalog: Catalog, entry: model.TargetEntry) -> str | None:
-    """Return the target of the group that had a new target's address before.
+def compute_update(
+    catalog: Catalog,
+    entries: Iterable[model.TargetEntry],
+    listed: Collection[str] | None = None,
+    expired: Collection[str] = (),
+    now_s: float = 0.0,
+) -> Update:
+    """Return the members after an update, without changing the catalog.
+
+    Entries with the same group and address are lives of one member, since only
+    one process can listen there. The life with the highest revision counts: a
+    process that has ended writes no more. The others are hidden, and one of
+    them counts again only if the member is no longer known otherwise. A known
+    target that moves to another member's address replaces nobody, so that no
+    group gets smaller. The order of the entries doesn't matter.
+
+    Args:
+        catalog: what is known.
+        entries: new entries; an older one than that known is ignored.
+        listed: ids of all targets in the store, whether their entries can be
+            read or not, or None if the entries are not a complete list.
+        expired: ids of members that were missing for too long.
+        now_s: the current time.
+    """
+    members = dict(catalog.members)
+    lives = dict(catalog.hidden)
+    restarted = []
+    for target, entry in _find_newest_entries(entries).items():
+        known = members.get(target)
+        if known is not None:
+            members[target] = _update_member(known, entry)
+            if members[target].restart_count > known.restart_count:
+                restarted.append(target)
+        elif target not in lives or lives[target].revision <= entry.revision:
+            lives[target] = entry
+    if listed is not None:
+        lives = {t: entry for t, entry in lives.items() if t in listed}
+        for target, member in members.items():
+            if target not in listed and member.missing_since_s is None:
+                members[target] = member._replace(missing_since_s=now_s)
+    newest_lives = _find_newest_lives(lives.values())
+    succeeded = _replace_members(members, lives, newest_lives, expired)
+    gone = tuple(target for target in expired if members.pop(target, None))
+    occupied = _find_newest_lives(m.entry for m in members.values())
+    added = tuple(
+        entry.target
+        for address, entry in newest_lives.items()
+        if address not in occupied
+    )
+    members.update((target, Member(lives[target])) for target in added)
+    return Update(
+        members,
+        {t: entry for t, entry in lives.items() if t not in members},
+        added,
+        tuple(target for target in restarted if target in members),
+        succeeded,
+        gone,
+    )
+
+
+def _find_newest_entries(
+    entries: Iterable[model.TargetEntry],
+) -> dict[str, model.TargetEntry]:
+    """Return the newest entry of each target by id."""
+    newest: dict[str, model.TargetEntry] = {}
+    for entry in entries:
+        known = newest.get(entry.target, entry)
+        newest[entry.target] = max(known, entry, key=_get_age_key)
+    return newest
+
+
+def _find_newest_lives(
+    entries: Iterable[model.TargetEntry],
+) -> dict[_Address, model.TargetEntry]:
+    """Return the entry with the highest revision at each address."""
+    newest: dict[_Address, model.TargetEntry] = {}
+    for entry in entries:
+        address = (entry.group, entry.address, entry.port)
+        known = newest.get(address, entry)
+        newest[address] = max(known, entry, key=_get_age_key)
+    return newest
+
+
+def _get_age_key(
+    entry: model.TargetEntry,
+) -> tuple[int, model.TargetEntry]:
+    """Return a key that is higher for newer entries, and never equal."""
+    return entry.revision, entry
+
+
+def _update_member(member: Member, entry: model.TargetEntry) -> Member:
+    """Return a member with an entry of its id, unless that is older."""
+    known = member.entry
+    if entry.revision < known.revision:
+        return member
+    has_moved = (entry.address, entry.port) != (known.address, known.port)
+    is_restart = has_moved or has_restarted(known, entry)
+    return member._replace(
+        entry=entry,
+        missing_since_s=None,
+        restart_count=member.restart_count + is_restart,
+    )
+
 
-    A target that restarted with another id, or that took over another target's
-    log, has the same address; the other target's process has ended.
+def _replace_members(
+    members: dict[str, Member],
+    lives: dict[str, model.TargetEntry],
+    newest_lives: Mapping[_Address, model.TargetEntry],
+    expired: Collection[str],
+) -> tuple[Succession, ...]:
+    """Replace the members whose address a newer life has.
+
+    The entry of the former life stays in the store for a while, unless it is
+    missing already.
     """
-    for target, member in catalog.members.items():
-        known = member.entry
-        if target == entry.target or known.group != entry.group:
+    succeeded = []
+    occupied = _find_newest_lives(m.entry for m in members.values())
+    for address, entry in newest_lives.items():
+        old = occupied.get(address)
+        if old is None:
+            continue
+        if old.revision >= entry.revision and old.target not in expired:
             continue
-        has_same_address = (known.address, known.port) == (
-            entry.address,
-            entry.port,
-        )
-        if has_same_address and known.revision < entry.revision:
-            return target
-    return None
+        member = members.pop(old.target)
+        former = (old.target, *member.former)[:MAX_FORMER_LIVES]
+        members[entry.target] = Member(entry, former=former)
+        if member.missing_since_s is None:
+            lives[old.target] = old
+        succeeded.append(Succession(old.target, entry.target))
+    return tuple(succeeded)
 
 
-def mark_missing(catalog: Catalog, target: str, now_s: float) -> None:
-    """Record that the store has no entry of a target."""
-    member = catalog.members.get(target)
-    if member is not None and member.missing_since_s is None:
-        member.missing_since_s = now_s
+def _apply_update(catalog: Catalog, update: Update) -> Update:
+    catalog.members = update.members
+    catalog.hidden = update.hidden
+    return update
 
 
-def update_entries(
-    catalog: Catalog, entries: Iterable[model.TargetEntry], now_s: float
-) -> list[str]:
-    """Update all entries from a complete list.
+def update_entry(catalog: Catalog, entry: model.TargetEntry) -> Update:
+    """Update a target's entry unless a newer one is known."""
+    return _apply_update(catalog, compute_update(catalog, [entry]))
 
-    Returns:
-        Ids of the targets that are new, have restarted or have another address.
-    """
-    listed = {entry.target: entry for entry in entries}
-    new_or_restarted = [
-        target
-        for target, entry in listed.items()
-        if update_entry(catalog, entry)
-    ]
-    for target in catalog.members:
-        if target not in listed:
-            mark_missing(catalog, target, now_s)
+
+def update_entries(
+    catalog: Catalog, entries: Collection[model.TargetEntry], now_s: float
+) -> Update:
+    """Update all entries from a complete list."""
+    listed = {entry.target for entry in entries}
+    update = compute_update(catalog, entries, listed, now_s=now_s)
     catalog.is_listed = True
-    return new_or_restarted
+    return _apply_update(catalog, update)
+
+
+def mark_missing(catalog: Catalog, target: str, now_s: float) -> None:
+    """Record that the store has no entry of a target."""
+    catalog.hidden.pop(target, None)
+    member = catalog.members.get(target)
+    if member is not None and member.missing_since_s is None:
+        catalog.members[target] = member._replace(missing_since_s=now_s)
 
 
-def remove_expired(catalog: Catalog, now_s: float) -> list[str]:
-    """Remove targets that were missing for too long and return their ids."""
+def remove_expired(catalog: Catalog, now_s: float) -> Update:
+    """Remove the members that were missing for too long."""
     expired = [
         target
         for target, member in catalog.members.items()
         if member.missing_since_s is not None
         and now_s - member.missing_since_s > MEMBERSHIP_GRACE_S
     ]
-    for target in expired:
-        del catalog.members[target]
-    return expired
+    if not expired:
+        return Update(catalog.members, catalog.hidden)
+    return _apply_update(catalog, compute_update(catalog, (), expired=expired))
 
 
 def is_usable(member: Member, now_s: float) -> bool:
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -187,10 +187,8 @@
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
         entries = [entry for entry in map(self._parse_entry, objects) if entry]
-        restarted = catalog.update_entries(
-            self.catalog, entries, clock.get_time_s()
-        )
-        self._restart_targets(restarted)
+        now_s = clock.get_time_s()
+        self._log_listed(catalog.update_entries(self.catalog, entries, now_s))
         self._sync_routers()
 
     def _apply_entry_change(self, change: store_calls.Change) -> None:
@@ -202,8 +200,7 @@
             entry = self._parse_entry(stored)
             if entry is None:
                 return
-            if catalog.update_entry(self.catalog, entry):
-                self._restart_targets([entry.target])
+            self._log_listed(catalog.update_entry(self.catalog, entry))
         self._sync_routers()
 
     def _parse_entry(
@@ -217,36 +214,19 @@
             self.log.write("entry_unreadable", reason=str(error))
             return None
 
-    def _restart_targets(self, targets: list[str]) -> None:
-        for target in targets:
-            entry = self.catalog.members[target].entry
+    def _log_listed(self, update: catalog.Update) -> None:
+        """Log the members that are new, have restarted or have moved."""
+        successors = tuple(succession.new for succession in update.succeeded)
+        for target in (*update.added, *successors, *update.restarted):
+            entry = update.members[target].entry
             router = self.routers.get(entry.group)
-            pool = router.pools.get(target) if router else None
             self.log.write(
                 "target_listed",
                 target=target,
                 group=entry.group,
                 started_ms=entry.started_ms,
-                is_known=pool is not None,
+                is_known=router is not None and target in router.pools,
             )
-            if pool is not None:
-                pool.restart(entry)
-            elif router is not None:
-                self._replace_predecessor(router, entry)
-
-    def _replace_predecessor(
-        self, router: router_module.Router, entry: model.TargetEntry
-    ) -> None:
-        """Replace the target that had the same address as a new one."""
-        old = catalog.find_predecessor(self.catalog, entry)
-        if old is None:
-            return
-        del self.catalog.members[old]
-        pool = router.remove_pool(old)
-        if pool is None:
-            return
-        router.add_pool(entry, pool.get_newest_position())
-        self.log.write("target_succeeded", target=entry.target, old=old)
 
     def _sync_routers(self) -> None:
         """Update the routers to the configuration and the known targets."""
@@ -265,19 +245,43 @@
             self._sync_pools(router, now_s)
 
     def _sync_pools(self, router: router_module.Router, now_s: float) -> None:
+        """Give each member of a group one pool, and no other target one.
+
+        Only the catalog's state counts, not its last change, so that whatever
+        an error left undone is done the next time.
+        """
         members = catalog.list_members(self.catalog, router.settings.name)
-        known = {member.entry.target for member in members}
-        for target in [t for t in router.pools if t not in known]:
-            router.remove_pool(target)
         for member in members:
             target = member.entry.target
             pool = router.pools.get(target)
             if pool is None:
-                pool = router.add_pool(member.entry, model.Position(0, 0))
+                pool = self._add_pool(router, member)
+            elif pool.restart_count != member.restart_count:
+                pool.restart(member.entry)
+                pool.restart_count = member.restart_count
             pool.entry = member.entry
             pool.max_connections = router.settings.max_connections
             self._sync_paths(target, pool)
             self._sync_accepts_new_work(router, pool, member, now_s)
+        known = {member.entry.target for member in members}
+        for target in [t for t in router.pools if t not in known]:
+            router.remove_pool(target)
+            self._path_keys.pop(target, None)
+            self._draining_since_s.pop(target, None)
+
+    def _add_pool(
+        self, router: router_module.Router, member: catalog.Member
+    ) -> pools.Pool:
+        """Add a member's pool with the floor of its newest former life."""
+        target = member.entry.target
+        floor = model.Position(0, 0)
+        old = next((t for t in member.former if t in router.pools), None)
+        if old is not None:
+            floor = router.pools[old].get_newest_position()
+            self.log.write("target_succeeded", target=target, old=old)
+        pool = router.add_pool(member.entry, floor)
+        pool.restart_count = member.restart_count
+        return pool
 
     def _sync_paths(self, target: str, pool: pools.Pool) -> None:
         """Set whether a pool connects directly or through relay hosts."""
@@ -363,9 +367,10 @@
             and not self.is_configuration_expected()
         ):
             self._call_configuration_callbacks()
-        removed = catalog.remove_expired(self.catalog, now_s)
-        if removed:
-            self.log.write("targets_gone", targets=removed)
+        update = catalog.remove_expired(self.catalog, now_s)
+        self._log_listed(update)
+        if update.gone:
+            self.log.write("targets_gone", targets=update.gone)
         self._sync_routers()
         self.peers.tick(now_s)
         for router in self.routers.values():
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -67,6 +67,7 @@
         received: newest log position seen since the target's last restart.
         position_before_restart: newest log position that the target held before
             that restart.
+        restart_count: how many restarts of the member were handled.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         self.generation = 0
         self.received = model.Position(0, 0)
         self.position_before_restart = model.Position(0, 0)
+        self.restart_count = 0
         self._user = user
         self._log = log
         self._on_change = on_change
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -122,9 +122,11 @@
         router = system.entry_hosts[0].host.routers["g"]
         pool = router.pools[primary.id]
         (closed_port,) = harness.find_ports(1)
-        member = system.entry_hosts[0].host.catalog.members[primary.id]
-        unreachable = member.entry._replace(port=closed_port, revision=10**9)
-        member.entry = unreachable
+        members = system.entry_hosts[0].host.catalog.members
+        unreachable = members[primary.id].entry._replace(
+            port=closed_port, revision=10**9
+        )
+        members[primary.id] = members[primary.id]._replace(entry=unreachable)
         pool.restart(unreachable)
         caller = harness.Caller(system.entry_hosts[0].port)
         await caller.start("g-primary")
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -1,5 +1,7 @@
 """Tests of the current configuration and the known targets."""
 
+import itertools
+
 import testtools
 
 from knapweedtally.core.groups import catalog
@@ -45,20 +47,23 @@
         known = catalog.Catalog()
         catalog.update_entry(known, make_entry(started_ms=100, update_count=9))
         restarted = make_entry(revision=6, started_ms=200, update_count=1)
-        self.assertTrue(catalog.update_entry(known, restarted))
+        update = catalog.update_entry(known, restarted)
+        self.assertEqual(("i-1",), update.restarted)
 
     def test_decreasing_update_count_is_a_restart(self) -> None:
         known = catalog.Catalog()
         catalog.update_entry(known, make_entry(update_count=9))
         restarted = make_entry(revision=6, update_count=1)
-        self.assertTrue(catalog.update_entry(known, restarted))
+        update = catalog.update_entry(known, restarted)
+        self.assertEqual(("i-1",), update.restarted)
 
     def test_increasing_update_count_is_no_restart(self) -> None:
         known = catalog.Catalog()
         catalog.update_entry(known, make_entry(update_count=1))
-        self.assertFalse(
-            catalog.update_entry(known, make_entry(revision=6, update_count=2))
+        update = catalog.update_entry(
+            known, make_entry(revision=6, update_count=2)
         )
+        self.assertEqual(((), ()), (update.added, update.restarted))
 
 
 class MissingTest(testtools.TestCase):
@@ -84,23 +89,87 @@
         known = catalog.Catalog()
         catalog.update_entries(known, [make_entry()], 10.0)
         catalog.mark_missing(known, "i-1", 20.0)
-        self.assertEqual(catalog.remove_expired(known, 21.0), [])
+        self.assertEqual((), catalog.remove_expired(known, 21.0).gone)
+        self.assertEqual({"i-1"}, set(known.members))
         late_s = 20.1 + catalog.MEMBERSHIP_GRACE_S
-        self.assertEqual(catalog.remove_expired(known, late_s), ["i-1"])
+        self.assertEqual(("i-1",), catalog.remove_expired(known, late_s).gone)
+        self.assertEqual({}, known.members)
 
 
-class PredecessorTest(testtools.TestCase):
-    """Targets that restart with another id."""
+class SuccessionTest(testtools.TestCase):
+    """Targets that go on with another id at the same address."""
 
-    def test_predecessor_had_the_same_address(self) -> None:
+    def test_newest_life_at_an_address_succeeds_the_member(self) -> None:
         known = catalog.Catalog()
         catalog.update_entry(known, make_entry("i-1"))
         catalog.update_entry(known, make_entry("i-2", address="10.0.0.2"))
-        new = make_entry("i-3", revision=9)
-        self.assertEqual(catalog.find_predecessor(known, new), "i-1")
+        update = catalog.update_entry(known, make_entry("i-3", revision=9))
+        self.assertEqual((catalog.Succession("i-1", "i-3"),), update.succeeded)
+        self.assertEqual({"i-2", "i-3"}, set(known.members))
+        self.assertEqual(("i-1",), known.members["i-3"].former)
 
-    def test_same_address_in_another_group_is_ignored(self) -> None:
+    def test_same_address_in_another_group_is_another_member(self) -> None:
         known = catalog.Catalog()
         catalog.update_entry(known, make_entry("i-1", group="other"))
-        new = make_entry("i-3", revision=9)
-        self.assertIsNone(catalog.find_predecessor(known, new))
+        update = catalog.update_entry(known, make_entry("i-3", revision=9))
+        self.assertEqual((), update.succeeded)
+        self.assertEqual({"i-1", "i-3"}, set(known.members))
+
+    def test_order_of_a_list_does_not_matter(self) -> None:
+        entries = [
+            make_entry(target, revision=revision)
+            for target, revision in (("i-1", 5), ("i-2", 6), ("i-3", 7))
+        ]
+        for listed in itertools.permutations(entries):
+            known = catalog.Catalog()
+            catalog.update_entry(known, make_entry("i-1"))
+            update = catalog.update_entries(known, listed, 10.0)
+            self.assertEqual(
+                (catalog.Succession("i-1", "i-3"),), update.succeeded
+            )
+            self.assertEqual({"i-3"}, set(known.members))
+            self.assertEqual({"i-1", "i-2"}, set(known.hidden))
+
+    def test_former_life_in_a_later_list_does_not_count(self) -> None:
+        known = catalog.Catalog()
+        lives = [make_entry("i-1"), make_entry("i-2", revision=6)]
+        catalog.update_entries(known, lives, 10.0)
+        update = catalog.update_entries(known, lives, 11.0)
+        self.assertEqual(((), ()), (update.added, update.succeeded))
+        self.assertEqual({"i-2"}, set(known.members))
+
+    def test_hidden_life_counts_once_the_member_has_expired(self) -> None:
+        known = catalog.Catalog()
+        lives = [make_entry("i-1"), make_entry("i-2", revision=6)]
+        catalog.update_entries(known, lives, 10.0)
+        catalog.mark_missing(known, "i-2", 20.0)
+        late_s = 20.1 + catalog.MEMBERSHIP_GRACE_S
+        update = catalog.remove_expired(known, late_s)
+        self.assertEqual((catalog.Succession("i-2", "i-1"),), update.succeeded)
+        self.assertEqual((), update.gone)
+        self.assertEqual({"i-1"}, set(known.members))
+
+    def test_removed_life_does_not_return(self) -> None:
+        known = catalog.Catalog()
+        lives = [make_entry("i-1"), make_entry("i-2", revision=6)]
+        catalog.update_entries(known, lives, 10.0)
+        catalog.mark_missing(known, "i-1", 20.0)
+        catalog.mark_missing(known, "i-2", 20.0)
+        late_s = 20.1 + catalog.MEMBERSHIP_GRACE_S
+        self.assertEqual(("i-2",), catalog.remove_expired(known, late_s).gone)
+        self.assertEqual({}, known.members)
+
+    def test_member_that_moves_replaces_no_other_member(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entry(known, make_entry("i-1"))
+        catalog.update_entry(known, make_entry("i-2", address="10.0.0.2"))
+        update = catalog.update_entry(known, make_entry("i-2", revision=9))
+        self.assertEqual(("i-2",), update.restarted)
+        self.assertEqual({"i-1", "i-2"}, set(known.members))
+
+    def test_computing_an_update_changes_nothing(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entry(known, make_entry("i-1"))
+        catalog.compute_update(known, [make_entry("i-2", revision=9)], ())
+        self.assertEqual({"i-1"}, set(known.members))
+        self.assertIsNone(known.members["i-1"].missing_since_s)
