Contain errors of handlers, and stop gracefully without a task

An exception in one handler (a change of the store, a check, a session's statement) ended the process and all its sessions, or a task ended unnoticed and a statement was never answered.

What each unit costs now:

- an object of the store: that object; a list or a change: listed anew
- a pool's check: its connections, with the position kept as a floor
- evidence about a primary: all of it, so members are polled again
- a session, a relay session: its connection, since an outcome is unknown
- the placement or the answer of a request: that request, refused if nothing was sent and in doubt otherwise
- one of several callbacks (commits that wait, statements on a connection that closes, waits for a connection): that callback
- a message of another host, the start of the exchange: the message; a retry
- a change of primary: that change; its lease is released
- readiness, metrics, reload, an HTTP connection: that call

A process whose watchers, checks or HTTP servers end nevertheless must not go on: it logs exit_not_requested with the cause, fails its readiness check, drains as after SIGTERM, releases the lease and then ends with the error, which standard error shows as before. A failed start is logged likewise.

Pools and the waiting callers follow the host's state and not the event, so a handler that failed in the middle is completed by the next check.

--- a/knapweedtally/entry/acknowledgements.py
+++ b/knapweedtally/entry/acknowledgements.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from knapweedtally.core.groups import evidence
+from knapweedtally.entry import supervision
 
 # Error detail of a commit that is not confirmed before its deadline, or whose
 # primary was replaced.
@@ -55,12 +56,18 @@
         """Settle the commits that evidence decides or that are overdue."""
         if not self._pending:
             return
-        waiting, self._pending = self._pending, []
-        for pending in waiting:
+        settled = []
+        waiting = []
+        for pending in self._pending:
             is_confirmed = evidence.check_commit(
                 self._leadership, pending.term, pending.answered_s
             )
             if is_confirmed is None and now_s < pending.deadline_s:
-                self._pending.append(pending)
+                waiting.append(pending)
             else:
-                pending.on_settled(bool(is_confirmed))
+                settled.append((pending, bool(is_confirmed)))
+        self._pending = waiting
+        for pending, is_confirmed in settled:
+            supervision.contain(
+                "acknowledgement", pending.on_settled, is_confirmed
+            )
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -10,6 +10,7 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
+from knapweedtally.entry import supervision
 
 if typing.TYPE_CHECKING:
     from knapweedtally.entry import router as router_module
@@ -55,6 +56,10 @@
 
     def handle_outcome(self, outcome: connections.Outcome) -> None:
         """Finish the request, or retry it if that is safe."""
+        if not supervision.contain("attempt", self._handle_outcome, outcome):
+            self._router.fail(self._request)
+
+    def _handle_outcome(self, outcome: connections.Outcome) -> None:
         request, pool, router = self._request, self._pool, self._router
         now_s = clock.get_time_s()
         request.running_attempts -= 1
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -11,6 +11,7 @@
 
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import clock
+from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 from knapweedtally.utils import sockets
 
@@ -347,11 +348,12 @@
             return
         self.is_closed = True
         self._finish_handshake()
-        self._owner.handle_closed(self)
+        supervision.contain("connection", self._owner.handle_closed, self)
         while self._pending:
             pending = self._pending.popleft()
             if pending.on_end is not None:
-                pending.on_end(Outcome(None, pending.asked_s, is_timeout))
+                outcome = Outcome(None, pending.asked_s, is_timeout)
+                supervision.contain("connection", pending.on_end, outcome)
 
     def _finish_handshake(self) -> None:
         if not self.handshake_done.done():
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -19,6 +19,7 @@
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
 from knapweedtally.entry import store
+from knapweedtally.entry import supervision
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -111,6 +112,17 @@
         self._next_session_check_s = 0.0
         self._unserved_since_s: float | None = None
         self._was_ready = False
+        # Each check is contained by itself; the order matters.
+        self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
+            ("suspension", self._check_suspension),
+            ("configuration callback", self._check_configuration),
+            ("members", self._check_members),
+            ("peers", self.peers.tick),
+            ("group", self._check_groups),
+            ("sharing", self._share_evidence),
+            ("serving", self._check_serving),
+            ("session", self._check_sessions),
+        )
 
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
         """Return the watchers of the configuration and of the targets."""
@@ -166,6 +178,9 @@
             except records.InvalidRecord as error:
                 self.log.write("configuration_unreadable", reason=str(error))
                 continue
+            except Exception as error:
+                supervision.report("configuration", error)
+                continue
             if catalog.apply_configuration(self.catalog, configuration):
                 self.log.write(
                     "configuration_in_force",
@@ -183,7 +198,7 @@
             [],
         )
         for callback in callbacks:
-            callback()
+            supervision.contain("configuration callback", callback)
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
         entries = [entry for entry in map(self._parse_entry, objects) if entry]
@@ -213,6 +228,9 @@
         except records.InvalidRecord as error:
             self.log.write("entry_unreadable", reason=str(error))
             return None
+        except Exception as error:
+            supervision.report("entry", error)
+            return None
 
     def _log_listed(self, update: catalog.Update) -> None:
         """Log the members that are new, have restarted or have moved."""
@@ -242,7 +260,7 @@
                 )
                 self.routers[name] = router
             router.settings = group
-            self._sync_pools(router, now_s)
+            supervision.contain("members", self._sync_pools, router, now_s)
 
     def _sync_pools(self, router: router_module.Router, now_s: float) -> None:
         """Give each member of a group one pool, and no other target one.
@@ -359,42 +377,51 @@
 
     def tick(self, now_s: float) -> None:
         """Run the periodic checks once."""
-        if now_s - self._last_tick_s > SUSPENSION_S:
-            self._handle_suspension(now_s)
-        self._last_tick_s = now_s
-        if (
-            self._configuration_callbacks
-            and not self.is_configuration_expected()
+        for name, check in self._checks:
+            supervision.contain(name, check, now_s)
+
+    def _check_suspension(self, now_s: float) -> None:
+        last_tick_s, self._last_tick_s = self._last_tick_s, now_s
+        if now_s - last_tick_s > SUSPENSION_S:
+            self._handle_suspension(now_s, last_tick_s)
+
+    def _check_configuration(self, now_s: float) -> None:
+        """Call the sessions for which the wait has ended."""
+        if self._configuration_callbacks and (
+            self.catalog.configuration is not None
+            or not self.is_configuration_expected()
         ):
             self._call_configuration_callbacks()
+
+    def _check_members(self, now_s: float) -> None:
         update = catalog.remove_expired(self.catalog, now_s)
         self._log_listed(update)
         if update.gone:
             self.log.write("targets_gone", targets=update.gone)
         self._sync_routers()
-        self.peers.tick(now_s)
+
+    def _check_groups(self, now_s: float) -> None:
         for router in self.routers.values():
-            router.tick(now_s)
-            if self._changes is not None and not self.is_draining:
-                self._changes.start_if_needed(router, now_s)
+            supervision.contain("group", self._check_group, router, now_s)
+
+    def _check_group(self, router: router_module.Router, now_s: float) -> None:
+        router.tick(now_s)
+        if self._changes is not None and not self.is_draining:
+            self._changes.start_if_needed(router, now_s)
+
+    def _share_evidence(self, now_s: float) -> None:
         self._sharer.share_new_evidence(now_s, self._is_changing)
-        self._check_serving(now_s)
-        if now_s >= self._next_session_check_s:
-            self._next_session_check_s = now_s + SESSION_CHECK_INTERVAL_S
-            self._check_sessions(now_s)
 
     def _is_changing(self, group: str) -> bool:
         """Return whether this host is changing a group's primary."""
         return self._changes is not None and self._changes.is_changing(group)
 
-    def _handle_suspension(self, now_s: float) -> None:
+    def _handle_suspension(self, now_s: float, last_tick_s: float) -> None:
         """Reset failures and timers after a suspension.
 
         Answers may have arrived late only because nothing ran here.
         """
-        self.log.write(
-            "standstill", lasted_s=round(now_s - self._last_tick_s, 2)
-        )
+        self.log.write("standstill", lasted_s=round(now_s - last_tick_s, 2))
         for router in self.routers.values():
             for pool in router.pools.values():
                 pool.failing_since_s = None
@@ -428,6 +455,9 @@
             self.log.write("groups_served", served=served)
 
     def _check_sessions(self, now_s: float) -> None:
+        if now_s < self._next_session_check_s:
+            return
+        self._next_session_check_s = now_s + SESSION_CHECK_INTERVAL_S
         configuration = self.catalog.configuration
         limit_s = configuration.transaction_idle_s if configuration else 0.0
         unserved_s = 0.0
@@ -443,8 +473,9 @@
             and unserved_s > ISOLATION_S + IDLE_SESSION_CLOSE_DELAY_S
         )
         for session in tuple(self.sessions):
-            session.tick(now_s, limit_s)
-            if closes_idle_sessions and session.is_idle():
+            if not supervision.contain("session", session.tick, now_s, limit_s):
+                session.abort()
+            elif closes_idle_sessions and session.is_idle():
                 session.close()
 
     def is_ready(self) -> bool:
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -1,6 +1,9 @@
 """This host's evidence about the primary of one group."""
 
+import functools
 from collections.abc import Callable
+from typing import Concatenate
+from typing import ParamSpec
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
@@ -14,8 +17,29 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import pools as pools_module
+from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
+_Parameters = ParamSpec("_Parameters")
+
+
+def _discard_evidence_on_error(
+    method: Callable[Concatenate["Observer", _Parameters], None],
+) -> Callable[Concatenate["Observer", _Parameters], None]:
+    """Contain the errors of a method that changes evidence."""
+
+    @functools.wraps(method)
+    def call(
+        observer: "Observer",
+        *args: _Parameters.args,
+        **kwargs: _Parameters.kwargs,
+    ) -> None:
+        bound_method = functools.partial(method, observer)
+        if not supervision.contain("evidence", bound_method, *args, **kwargs):
+            observer.discard_evidence()
+
+    return call
+
 
 class Observer:
     """Update the evidence from targets' answers and from other hosts.
@@ -66,6 +90,7 @@
         self._status_requests: set[str] = set()
         self._polling = status_polling.PollingState()
 
+    @_discard_evidence_on_error
     def tick(self, now_s: float) -> None:
         """Poll the members that are due, and settle pending commits."""
         self._poll_members(now_s)
@@ -140,6 +165,7 @@
             wait_s = 0.0
         load_shedding.record_queueing_delay(self.load_shedding, wait_s, now_s)
 
+    @_discard_evidence_on_error
     def record_status(
         self, target: str, status: model.TargetStatus, asked_s: float
     ) -> None:
@@ -179,6 +205,7 @@
         self._acknowledgements.settle(clock.get_time_s())
         self._on_change()
 
+    @_discard_evidence_on_error
     def merge_evidence(
         self, shared: sharing.SharedEvidence, sent_here_s: float
     ) -> None:
@@ -225,6 +252,20 @@
         self._record_primary_loss(target, reason)
         self._polling.next_poll_s = now_s
 
+    def discard_evidence(self) -> None:
+        """Discard all evidence, which an error may have left half changed.
+
+        Terms are kept, because they only rise.
+        """
+        leadership = self.leadership
+        leadership.member_seen_s = float("-inf")
+        leadership.receiving_seen_s.clear()
+        leadership.seen_terms.clear()
+        leadership.positions.clear()
+        if leadership.target is not None:
+            now_s = clock.get_time_s()
+            self.discard_primary(leadership.target, now_s, "an error occurred")
+
     def _record_primary_loss(self, target: str, reason: str) -> None:
         self.no_primary_since_s = clock.get_time_s()
         self._log.write(
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -11,6 +11,7 @@
 from knapweedtally.entry import logs
 from knapweedtally.entry import peer_messages
 from knapweedtally.entry import store
+from knapweedtally.entry import supervision
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from knapweedtally.utils import backoff
@@ -95,19 +96,27 @@
         """Open the socket, register this host and list the other hosts."""
         if self._address is None:
             return
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._address.host, self._address.port)
-        )
         retry_backoff = backoff.Backoff(0.1, 2.0, random.Random())
         while True:
             try:
+                await self._open_socket()
                 await self._register_host()
                 await self._list_hosts()
                 return
             except (store.StoreError, store_calls.MalformedResponse) as error:
                 self._log.write("peers_not_listed", reason=str(error))
-                await asyncio.sleep(retry_backoff.compute_next_delay_s())
+            except Exception as error:
+                # Without the other hosts this one still serves its callers.
+                supervision.report("peer discovery", error)
+            await asyncio.sleep(retry_backoff.compute_next_delay_s())
+
+    async def _open_socket(self) -> None:
+        if self._transport is not None:
+            return
+        assert self._address is not None
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(self._address.host, self._address.port)
+        )
 
     async def _register_host(self) -> None:
         assert self._address is not None
@@ -163,7 +172,13 @@
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
-        """Handle another host's message."""
+        """Handle another host's message.
+
+        An error in here would close the socket.
+        """
+        supervision.contain("peer message", self._handle_message, data, addr)
+
+    def _handle_message(self, data: bytes, addr: typing.Any) -> None:
         try:
             message = peer_messages.decode_message(data)
         except peer_messages.MalformedMessage as error:
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -10,6 +10,7 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import path_selection
+from knapweedtally.entry import supervision
 from knapweedtally.entry import wait_queues
 from knapweedtally.platform import line_protocol
 
@@ -300,6 +301,11 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             self._handle_open_failure(started_s, is_refused, repr(error))
             connection.abort()
+        except Exception as error:
+            # An entry may name an address that can't be used at all.
+            supervision.report("connection", error)
+            self._handle_open_failure(started_s, False, repr(error))
+            connection.abort()
         finally:
             self._opening -= 1
         if connection.is_closed and connection.refusal is not None:
@@ -311,8 +317,9 @@
         elif not connection.relay_host:
             self.path_selector.end_fallback()
         callbacks, self._open_callbacks = self._open_callbacks, []
+        is_direct = connection.is_open and not connection.relay_host
         for on_open in callbacks:
-            on_open(connection.is_open and not connection.relay_host)
+            supervision.contain("relay request", on_open, is_direct)
         self._on_change()
 
     def _handle_refusal(self, code: statements.Code, started_s: float) -> None:
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -9,6 +9,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import promoter as promoter_module
 from knapweedtally.entry import router as router_module
+from knapweedtally.entry import supervision
 
 # Delay before another change of the same group's primary, in seconds, and the
 # part that is added for each rank of this host in the group's order.
@@ -59,12 +60,19 @@
         if self._find_cause(router) is None:
             return
         self._changing.add(name)
-        task = asyncio.get_running_loop().create_task(
-            self._change_primary(router)
-        )
+        task = asyncio.get_running_loop().create_task(self._run_change(router))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _run_change(self, router: router_module.Router) -> None:
+        """Run a change; the next one begins anew if it fails by an error."""
+        try:
+            await self._change_primary(router)
+        except Exception as error:
+            supervision.report("change of primary", error)
+        finally:
+            self._changing.discard(router.settings.name)
+
     async def _change_primary(self, router: router_module.Router) -> None:
         name = router.settings.name
         leaving = frozenset(
@@ -79,7 +87,6 @@
                 router, lambda: self._find_cause(router), leaving, rank
             )
         finally:
-            self._changing.discard(name)
             delay_s = (
                 CHANGE_RETRY_DELAY_S + CHANGE_RETRY_DELAY_PER_RANK_S * rank
             )
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -14,6 +14,7 @@
 from knapweedtally.entry import logs
 from knapweedtally.entry import relays
 from knapweedtally.entry import sessions
+from knapweedtally.entry import supervision
 from knapweedtally.platform import settings
 from knapweedtally.utils import http
 from knapweedtally.utils import http_server
@@ -38,6 +39,13 @@
 BACKLOG = 512
 
 
+CHECKS_TASK = "checks"
+
+
+class BackgroundTaskEnded(Exception):  # noqa: N818 - named after the cause
+    """The process shut down gracefully because a background task had ended."""
+
+
 class EntryProcess:
     """Run one entry host until it receives SIGTERM or SIGINT."""
 
@@ -47,9 +55,25 @@
         self._log = logs.Log(host_settings.host)
         self._host = host_module.Host(host_settings, self._log)
         self._stop_requested = asyncio.Event()
+        self._checks_task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+        Raises:
+            Exception: the process ended by itself; the cause is logged.
+        """
+        loop = asyncio.get_running_loop()
+        supervision.install(loop, self._log, self._host.counters)
+        try:
+            await self._serve()
+        except Exception as error:
+            self._log_unasked_exit("start", error)
+            raise
+        finally:
+            self._log.flush()
+
+    async def _serve(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
@@ -71,34 +95,75 @@
                 backlog=BACKLOG,
             )
         self._log.write("started", data_centre=self._settings.data_centre)
-        background_loops = [
-            *(watcher.run() for watcher in self._host.make_watchers()),
-            self._host.run_ticks(),
-            self._serve_http(self._settings.readiness, self._handle_readiness),
-        ]
-        if self._settings.metrics is not None:
-            background_loops.append(
-                self._serve_http(self._settings.metrics, self._handle_metrics)
-            )
         discovery_task = loop.create_task(self._host.peers.run())
-        tasks = [
-            loop.create_task(background_loop)
-            for background_loop in background_loops
-        ]
+        tasks = self._start_background_tasks()
         stop_task = loop.create_task(self._stop_requested.wait())
         done, _ = await asyncio.wait(
             [*tasks, stop_task], return_when=asyncio.FIRST_COMPLETED
         )
+        error = None
         if stop_task not in done:
-            for task in done:
-                task.result()
-            raise RuntimeError(
-                "a background task of the entry host ended unexpectedly"
-            )
+            error = self._find_cause(next(t for t in tasks if t.done()))
         discovery_task.cancel()
         await self._drain(server)
         self._log.write("stopped", left_sessions=len(self._host.sessions))
-        self._log.flush()
+        if error is not None:
+            raise BackgroundTaskEnded from error
+
+    def _start_background_tasks(self) -> list[asyncio.Task[None]]:
+        """Start the tasks without which the process must not go on.
+
+        They contain the errors of what they call. Without the watchers a host
+        would serve by what it knew of a configuration and of targets that have
+        changed since; without the checks no caller's limit would be kept; and
+        without the readiness endpoint no caller should be sent here.
+        """
+        configuration_watcher, target_watcher = self._host.make_watchers()
+        background_loops = {
+            "configuration watcher": configuration_watcher.run(),
+            "target watcher": target_watcher.run(),
+            CHECKS_TASK: self._host.run_ticks(),
+            "readiness server": self._serve_http(
+                self._settings.readiness, self._handle_readiness
+            ),
+        }
+        if self._settings.metrics is not None:
+            background_loops["metrics server"] = self._serve_http(
+                self._settings.metrics, self._handle_metrics
+            )
+        loop = asyncio.get_running_loop()
+        return [
+            loop.create_task(background_loop, name=name)
+            for name, background_loop in background_loops.items()
+        ]
+
+    def _find_cause(self, task: asyncio.Task[None]) -> Exception:
+        """Log and return why a background task ended.
+
+        The checks go on, since they end what overruns its limits during the
+        shutdown.
+        """
+        name = task.get_name()
+        cause = None if task.cancelled() else task.exception()
+        if not isinstance(cause, Exception):
+            cause = RuntimeError(f"the task {name!r} ended unexpectedly")
+        self._log_unasked_exit(name, cause)
+        if name == CHECKS_TASK:
+            self._checks_task = asyncio.get_running_loop().create_task(
+                self._host.run_ticks()
+            )
+        return cause
+
+    def _log_unasked_exit(self, task: str, error: Exception) -> None:
+        """Log the cause of an exit once."""
+        if isinstance(error, BackgroundTaskEnded):
+            return
+        self._log.write(
+            "exit_not_requested",
+            task=task,
+            reason=repr(error),
+            traceback=supervision.format_traceback(error),
+        )
 
     async def _serve_http(
         self,
@@ -111,11 +176,23 @@
     async def _handle_readiness(self, request: http.Request) -> http.Response:
         if request.path != READY_PATH:
             return http.Response(404)
-        return http.Response(200 if self._host.is_ready() else 503)
+        try:
+            return http.Response(200 if self._host.is_ready() else 503)
+        except Exception as error:
+            supervision.report("readiness", error)
+            return http.Response(503)
 
     async def _handle_metrics(self, request: http.Request) -> http.Response:
         if request.path != METRICS_PATH:
             return http.Response(404)
+        try:
+            text = self._format_metrics()
+        except Exception as error:
+            supervision.report("metrics", error)
+            return http.Response(500)
+        return http.Response(200, text.encode(), {"content-type": "text/plain"})
+
+    def _format_metrics(self) -> str:
         host = self._host
         gauges: dict[str, float] = {
             "sessions": len(host.sessions),
@@ -128,8 +205,7 @@
             for target, pool in router.pools.items():
                 key = f'connections{{target="{target}"}}'
                 gauges[key] = pool.size
-        text = host.counters.format_text(gauges)
-        return http.Response(200, text.encode(), {"content-type": "text/plain"})
+        return host.counters.format_text(gauges)
 
     def _handle_sighup(self) -> None:
         """Check the settings file on SIGHUP.
@@ -141,6 +217,9 @@
         except settings.SettingsError as error:
             self._log.write("reload_failed", reason=str(error))
             return
+        except Exception as error:
+            supervision.report("reload", error)
+            return
         self._log.write("reloaded")
 
     async def _drain(self, server: asyncio.AbstractServer) -> None:
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -7,14 +7,17 @@
 
 import asyncio
 import collections
+import functools
 import socket
 import typing
 from collections.abc import Callable
+from typing import ParamSpec
 
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import pools
+from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
 # Time that a statement may wait for a connection to the target, in seconds.
@@ -28,6 +31,8 @@
 _Kind = statements.Kind
 _State = statements.SessionState
 
+_Parameters = ParamSpec("_Parameters")
+
 FindPool = Callable[[str, str], pools.Pool | None]
 
 
@@ -78,6 +83,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Queue the complete messages and serve the first one."""
+        if not supervision.contain("relay session", self._receive, data):
+            self.abort()
+
+    def _guard(
+        self, function: Callable[_Parameters, object]
+    ) -> Callable[_Parameters, None]:
+        """Return a callback that closes this connection if it fails."""
+        return supervision.guard("relay session", function, self.abort)
+
+    def _receive(self, data: bytes) -> None:
         try:
             self._messages.extend(self._buffer.feed(data))
         except line_protocol.MalformedMessage:
@@ -98,7 +113,7 @@
         )
 
     def abort(self) -> None:
-        """Close the connection at once, since the outcome is unknown."""
+        """Close the connection at once, since an outcome is unknown."""
         if self._transport is not None:
             self._transport.abort()
         self._clean_up()
@@ -146,7 +161,7 @@
             return
         self._pool = pool
         self._is_busy = True
-        pool.call_when_open(self._handle_pool_opened)
+        pool.call_when_open(self._guard(self._handle_pool_opened))
 
     def _handle_pool_opened(self, is_open: bool) -> None:
         self._is_busy = False
@@ -206,7 +221,7 @@
             self._serve_next()
 
         self._pool.send_control_statement(
-            text, handle_outcome, pools.CONTROL_TIMEOUT_S
+            text, self._guard(handle_outcome), pools.CONTROL_TIMEOUT_S
         )
 
     def _forward_statement(
@@ -227,8 +242,10 @@
             return
         self._pool.call_when_idle(
             self.values,
-            lambda connection: self._run_or_reject(
-                connection, statement, position
+            self._guard(
+                lambda connection: self._run_or_reject(
+                    connection, statement, position
+                )
             ),
             clock.get_time_s() + CONNECTION_TIMEOUT_S,
         )
@@ -266,8 +283,9 @@
         def add_position(text: bytes) -> bytes:
             return position + text
 
-        def handle_outcome(outcome: connections.Outcome) -> None:
-            self._handle_outcome(connection, outcome)
+        handle_outcome = self._guard(
+            functools.partial(self._handle_outcome, connection)
+        )
 
         if statement.kind in (_Kind.BEGIN, _Kind.BEGIN_READ):
             connection.is_held = True
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -16,6 +16,7 @@
 from knapweedtally.entry import observer
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
+from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
 # A read without an answer is hedged with a second attempt after this delay, or
@@ -39,6 +40,9 @@
 # within this time.
 OVERLOAD_HINT_MS = 400
 
+# Detail of the answer to a request that an error in this host stopped.
+ERROR_DETAIL = "an error in the entry host stopped the request"
+
 _Reason = placement.Reason
 _Code = statements.Code
 _Kind = statements.Kind
@@ -143,7 +147,10 @@
         try:
             now_s = clock.get_time_s()
             for request in tuple(self._queue):
-                self._place_request(request, now_s)
+                if not supervision.contain(
+                    "placement", self._place_request, request, now_s
+                ):
+                    self.fail(request)
         finally:
             self._is_dispatching = False
 
@@ -169,7 +176,17 @@
             pool.load.idle = 0
             return
         self._queue.remove(request)
-        self._start_attempt(request, pool, connection, choice.position, now_s)
+        try:
+            self._start_attempt(
+                request, pool, connection, choice.position, now_s
+            )
+        except Exception:
+            if connection.get_oldest_sent_s() is None:
+                # Nothing was sent, so no outcome will be counted.
+                request.running_attempts -= 1
+                pool.load.running -= 1
+            connection.abort()
+            raise
 
     def _choose_target(
         self, request: requests.Request, now_s: float
@@ -304,6 +321,18 @@
         result.evidence_age_s = min(9999.0, now_s - seen_s)
         request.on_end(result)
 
+    def fail(self, request: requests.Request) -> None:
+        """Answer a request that an error stopped.
+
+        The answer says that it didn't run only if nothing was sent.
+        """
+        if request.attempts and request.need.is_write:
+            result = requests.Result(None, _Code.UNKNOWN_OUTCOME, ERROR_DETAIL)
+        else:
+            detail = f"{ERROR_DETAIL}; retry after {FAILOVER_HINT_MS} ms"
+            result = requests.Result(None, _Code.BUSY, detail)
+        self.finish(request, result)
+
     def retry(self, request: requests.Request, excluded: str | None) -> None:
         """Queue a request again that has not run or is only a read.
 
@@ -323,7 +352,8 @@
     def tick(self, now_s: float) -> None:
         """Refuse overdue requests, hedge slow reads and renew evidence."""
         for pool in tuple(self.pools.values()):
-            pool.tick(now_s)
+            if not supervision.contain("pool", pool.tick, now_s):
+                pool.restart(pool.entry)
         for request in [r for r in self._queue if r.deadline_s <= now_s]:
             if not request.running_attempts:
                 self._refuse_request(request, now_s, FAILOVER_HINT_MS)
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -4,6 +4,8 @@
 import collections
 import socket
 import typing
+from collections.abc import Callable
+from typing import ParamSpec
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -13,6 +15,7 @@
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import services as services_module
+from knapweedtally.entry import supervision
 from knapweedtally.entry import transactions
 from knapweedtally.platform import line_protocol
 
@@ -35,6 +38,8 @@
 # Queued requests of one group beyond which this host refuses new ones.
 MAX_QUEUED_REQUESTS = 400
 
+_Parameters = ParamSpec("_Parameters")
+
 _Kind = statements.Kind
 _Code = statements.Code
 _State = statements.SessionState
@@ -66,7 +71,7 @@
         self._router: router_module.Router | None = None
         self._own_position: model.Position | None = None
         self._runner = transactions.Runner(
-            self, services, self._handle_statement_end
+            self, services, self._handle_statement_end, self._guard
         )
         self._is_busy = False
         self._is_closed = False
@@ -85,6 +90,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Queue the complete messages and serve them unless one is running."""
+        if not supervision.contain("session", self._receive, data):
+            self.abort()
+
+    def _receive(self, data: bytes) -> None:
         now_s = clock.get_time_s()
         try:
             messages = self._buffer.feed(data)
@@ -150,6 +159,19 @@
             )
         self.close()
 
+    def abort(self) -> None:
+        """Close the session at once, since an outcome is unknown."""
+        if self._transport is not None:
+            self._transport.abort()
+        supervision.contain("session", self._clean_up)
+        self._services.remove_session(self)
+
+    def _guard(
+        self, function: Callable[_Parameters, object]
+    ) -> Callable[_Parameters, None]:
+        """Return a callback that ends this session if it fails."""
+        return supervision.guard("session", function, self.abort)
+
     def close(self) -> None:
         """Close the session gracefully; buffered answers are still sent."""
         if self._transport is not None and not self._is_closed:
@@ -214,7 +236,7 @@
                 return
             self._is_busy = True
             self._services.call_when_configured(
-                lambda: self._resume_start(message)
+                self._guard(lambda: self._resume_start(message))
             )
             return
         if self._services.catalog.find_route(database) is None:
@@ -443,7 +465,7 @@
             route.priority,
             arrived_s,
             arrived_s + route.statement_timeout_s,
-            on_end,
+            self._guard(on_end),
         )
         self._request = request
         self._router = router
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from knapweedtally.entry import logs
+from knapweedtally.entry import supervision
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from knapweedtally.utils import backoff
@@ -144,6 +145,12 @@
                 # never return.
                 revision = None
                 await asyncio.sleep(retry_backoff.compute_next_delay_s())
+            except Exception as error:
+                # The handler may have applied a part of what the store sent.
+                # A whole list brings the rest.
+                supervision.report("store watcher", error)
+                revision = None
+                await asyncio.sleep(retry_backoff.compute_next_delay_s())
 
     async def _list_objects(self) -> int:
         objects: list[store_calls.StoredObject] = []
--- a/knapweedtally/entry/transactions.py
+++ b/knapweedtally/entry/transactions.py
@@ -57,6 +57,7 @@
 
 # Called with a transaction, a statement of it, the time at which the statement
 # arrived, and its result.
+Guard = Callable[[Callable[..., object]], Callable[..., None]]
 Listener = Callable[
     [Transaction, statements.Statement, float, requests.Result], None
 ]
@@ -74,6 +75,7 @@
         session: connections.Session,
         services: services_module.Services,
         on_end: Listener,
+        guard: Guard,
     ) -> None:
         """Create a runner for a session.
 
@@ -81,11 +83,13 @@
             session: the caller's values and prepared statements.
             services: the services of the host.
             on_end: called when a statement has ended.
+            guard: returns a callback that ends the session if it fails.
         """
         self.is_closed = False
         self._session = session
         self._services = services
         self._on_end = on_end
+        self._guard = guard
 
     def run(
         self,
@@ -124,7 +128,7 @@
             elif self._may_retry(transaction, arrived_s, answer):
                 asyncio.get_running_loop().call_later(
                     RETRY_DELAY_S,
-                    self.run,
+                    self._guard(self.run),
                     transaction,
                     statement,
                     arrived_s,
@@ -142,7 +146,11 @@
         if is_commit and transaction.has_written and router is not None:
             router.observer.commits_in_flight[transaction] = now_s
         connection.run(
-            self._session, statement, None, handle_outcome, max(0.05, limit_s)
+            self._session,
+            statement,
+            None,
+            self._guard(handle_outcome),
+            max(0.05, limit_s),
         )
 
     def release(
@@ -236,7 +244,7 @@
             outcome.asked_s,
             arrived_s + route.statement_timeout_s,
             router.settings.acknowledging_replicas > 0,
-            finish_commit,
+            self._guard(finish_commit),
         )
 
     def _handle_connection_lost(
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/wait_queues.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from knapweedtally.entry import connections
+from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
 # Minimum time for the answer to a control statement that has waited.
@@ -111,7 +112,8 @@
             )
             if connection is None:
                 return
-            self._relay_requests.popleft().on_idle(connection)
+            request = self._relay_requests.popleft()
+            supervision.contain("relay request", request.on_idle, connection)
 
     def drop_overdue(self, now_s: float) -> None:
         """Drop overdue entries, calling them back without a connection."""
@@ -119,17 +121,24 @@
             self._control_statements
             and self._control_statements[0].deadline_s < now_s
         ):
-            statement = self._control_statements.popleft()
-            statement.on_end(connections.Outcome(None, now_s, True))
+            self._drop_control_statement(now_s, True)
         while (
             self._relay_requests and self._relay_requests[0].deadline_s < now_s
         ):
-            self._relay_requests.popleft().on_idle(None)
+            self._drop_relay_request()
 
     def close(self, now_s: float) -> None:
         """Drop all entries, calling them back without a connection."""
         while self._control_statements:
-            statement = self._control_statements.popleft()
-            statement.on_end(connections.Outcome(None, now_s))
+            self._drop_control_statement(now_s, False)
         while self._relay_requests:
-            self._relay_requests.popleft().on_idle(None)
+            self._drop_relay_request()
+
+    def _drop_control_statement(self, now_s: float, is_timeout: bool) -> None:
+        statement = self._control_statements.popleft()
+        outcome = connections.Outcome(None, now_s, is_timeout)
+        supervision.contain("control statement", statement.on_end, outcome)
+
+    def _drop_relay_request(self) -> None:
+        request = self._relay_requests.popleft()
+        supervision.contain("relay request", request.on_idle, None)
--- a/knapweedtally/utils/http_server.py
+++ b/knapweedtally/utils/http_server.py
@@ -91,6 +91,8 @@
             OSError,  # TimeoutError among them.
         ):
             pass  # The connection is closed, which the client notices.
+        except Exception:  # A failed connection must not end the server.
+            _logger.exception("http: a connection failed")
         finally:
             self._connections -= 1
 
--- a/tests/utils/test_http.py
+++ b/tests/utils/test_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from unittest import mock
 
 import anyio
 import hypothesis
@@ -121,6 +122,27 @@
 
         run_with_server(scenario)
 
+    def test_connection_that_fails_does_not_end_the_server(self) -> None:
+        serve_request = http_server._ConnectionHandler._serve_request
+        failures = [RuntimeError("a fault of the connection's code")]
+
+        async def fail_once(handler: http_server._ConnectionHandler) -> bool:
+            if failures:
+                raise failures.pop()
+            return await serve_request(handler)
+
+        async def scenario(port: int) -> None:
+            with mock.patch.object(
+                http_server._ConnectionHandler, "_serve_request", fail_once
+            ):
+                self.assertEqual(b"", await send_raw(port))
+                client = http_client.Client("127.0.0.1", port)
+                answer = await send(client, "PUT", "/", b"1")
+                self.assertEqual(b"1", answer.body)
+                await client.close()
+
+        run_with_server(scenario)
+
     def test_idle_connections_are_closed(self) -> None:
         async def scenario(port: int) -> None:
             for sent in (b"", b"PUT / HTTP/1.1\r\nhost: a\r\n"):
