--- a/knapweedtally/management/traces.py
+++ b/knapweedtally/management/traces.py
@@ -23,7 +23,9 @@
 _HOST_EVENT_PREFIXES = (
     "configuration_",
     "dependency_",
+    "exit_",
     "groups_",
+    "handler_",
     "ready_",
     "standstill",
     "started",
--- a/tests/management/test_traces.py
+++ b/tests/management/test_traces.py
@@ -52,6 +52,21 @@
         ]
         self.assertEqual(self.find_lines("5c0e"), expected)
 
+    def test_includes_errors_and_the_exit_of_the_host(self) -> None:
+        texts = [
+            make_line(98.0, "handler_failed", handler="session"),
+            make_line(98.0, "handler_failed", handler="pool", host="h3"),
+            make_line(99.0, "exit_not_requested", task="checks"),
+            make_line(100.0, "statement_ended", id="5c0e", group="g"),
+        ]
+        related = traces.find_related_lines(
+            traces.parse_log_lines(texts), "5c0e"
+        )
+        self.assertEqual(
+            ["handler_failed", "exit_not_requested", "statement_ended"],
+            [line["event"] for line in related],
+        )
+
     def test_unknown_request_has_no_lines(self) -> None:
         self.assertEqual(self.find_lines("nothing"), [])
 
