Keep a member whose listed entry can't be read

A malformed entry in a complete list was left out of the list, so its target counted as missing and, 6 s later, no longer as a member: a promotion would not have taken its log into account. The target is in the store, so what is known of it holds on, as it already did for a watch's event.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -271,10 +271,21 @@
 
 
 def update_entries(
-    catalog: Catalog, entries: Collection[model.TargetEntry], now_s: float
+    catalog: Catalog,
+    entries: Collection[model.TargetEntry],
+    now_s: float,
+    unreadable: Collection[str] = (),
 ) -> Update:
-    """Update all entries from a complete list."""
-    listed = {entry.target for entry in entries}
+    """Update all entries from a complete list.
+
+    Args:
+        catalog: what is known.
+        entries: the entries that could be read.
+        now_s: the current time.
+        unreadable: ids of the targets whose entries couldn't be read. They
+            are in the store, so what is known of them holds on.
+    """
+    listed = {entry.target for entry in entries}.union(unreadable)
     update = compute_update(catalog, entries, listed, now_s=now_s)
     catalog.is_listed = True
     return _apply_update(catalog, update)
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -201,9 +201,16 @@
             supervision.contain("configuration callback", callback)
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
-        entries = [entry for entry in map(self._parse_entry, objects) if entry]
-        now_s = clock.get_time_s()
-        self._log_listed(catalog.update_entries(self.catalog, entries, now_s))
+        parsed = [
+            (stored.name, self._parse_entry(stored)) for stored in objects
+        ]
+        update = catalog.update_entries(
+            self.catalog,
+            [entry for _, entry in parsed if entry],
+            clock.get_time_s(),
+            [name for name, entry in parsed if not entry],
+        )
+        self._log_listed(update)
         self._sync_routers()
 
     def _apply_entry_change(self, change: store_calls.Change) -> None:
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -95,6 +95,12 @@
         self.assertEqual(("i-1",), catalog.remove_expired(known, late_s).gone)
         self.assertEqual({}, known.members)
 
+    def test_unreadable_entry_in_a_list_is_not_missing(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entries(known, [make_entry()], 10.0)
+        catalog.update_entries(known, [], 20.0, ["i-1"])
+        self.assertIsNone(known.members["i-1"].missing_since_s)
+
 
 class SuccessionTest(testtools.TestCase):
     """Targets that go on with another id at the same address."""
