Ignore the removal of an entry older than the known one

A watch begins at the first page's revision of a list, so it may return the removal of an entry that a later page held anew. The target counted as missing, and after 6 s as gone, although its entry was there.

Before: the new test of test_catalog failed.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -291,10 +291,24 @@
     return _apply_update(catalog, update)
 
 
-def mark_missing(catalog: Catalog, target: str, now_s: float) -> None:
-    """Record that the store has no entry of a target."""
-    catalog.hidden.pop(target, None)
+def mark_missing(
+    catalog: Catalog, target: str, now_s: float, revision: int | None = None
+) -> None:
+    """Record that the store has no entry of a target.
+
+    Args:
+        catalog: what is known.
+        target: id of the target.
+        now_s: the current time.
+        revision: revision of the entry that was removed, or None if it isn't
+            known. The removal of an older entry than that known is past: the
+            target has written its entry again since.
+    """
     member = catalog.members.get(target)
+    known = member.entry if member else catalog.hidden.get(target)
+    if known is None or (revision is not None and revision < known.revision):
+        return
+    catalog.hidden.pop(target, None)
     if member is not None and member.missing_since_s is None:
         catalog.members[target] = member._replace(missing_since_s=now_s)
 
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -217,7 +217,9 @@
         stored = change.stored
         if change.is_removed:
             self.log.write("target_missing", target=stored.name)
-            catalog.mark_missing(self.catalog, stored.name, clock.get_time_s())
+            catalog.mark_missing(
+                self.catalog, stored.name, clock.get_time_s(), stored.revision
+            )
         else:
             entry = self._parse_entry(stored)
             if entry is None:
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -101,6 +101,14 @@
         catalog.update_entries(known, [], 20.0, ["i-1"])
         self.assertIsNone(known.members["i-1"].missing_since_s)
 
+    def test_removal_of_an_older_entry_is_past(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entry(known, make_entry(revision=9))
+        catalog.mark_missing(known, "i-1", 20.0, revision=8)
+        self.assertIsNone(known.members["i-1"].missing_since_s)
+        catalog.mark_missing(known, "i-1", 20.0, revision=9)
+        self.assertEqual(20.0, known.members["i-1"].missing_since_s)
+
 
 class SuccessionTest(testtools.TestCase):
     """Targets that go on with another id at the same address."""
