--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -160,7 +160,7 @@
             members[target] = _update_member(known, entry)
             if members[target].restart_count > known.restart_count:
                 restarted.append(target)
-        elif target not in lives or lives[target].revision <= entry.revision:
+        elif target not in lives or lives[target].revision < entry.revision:
             lives[target] = entry
     if listed is not None:
         lives = {t: entry for t, entry in lives.items() if t in listed}
@@ -222,6 +222,8 @@
     known = member.entry
     if entry.revision < known.revision:
         return member
+    if entry.revision == known.revision:
+        return member._replace(missing_since_s=None)
     has_moved = (entry.address, entry.port) != (known.address, known.port)
     is_restart = has_moved or has_restarted(known, entry)
     return member._replace(
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -109,6 +109,14 @@
         catalog.mark_missing(known, "i-1", 20.0, revision=9)
         self.assertEqual(20.0, known.members["i-1"].missing_since_s)
 
+    def test_entry_of_the_same_revision_is_no_restart(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entry(known, make_entry(update_count=2))
+        catalog.mark_missing(known, "i-1", 20.0)
+        update = catalog.update_entry(known, make_entry(update_count=1))
+        self.assertEqual((), update.restarted)
+        self.assertIsNone(known.members["i-1"].missing_since_s)
+
 
 class SuccessionTest(testtools.TestCase):
     """Targets that go on with another id at the same address."""
