Count an opening that fails before it connects

An error before the socket was opened left the pool with a connection that is being opened for ever. It never opened another one, and relayed sessions that waited for it were not answered.

The test that used an unusable port showed this only on asyncio's event loop; uvloop takes the port. It is replaced by one that fails at the creation of the connection, which failed before (pool.size stays 1) and passes on both.

--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -283,8 +283,29 @@
         self.count_idle()
 
     async def _open(self) -> None:
+        started_s = clock.get_time_s()
+        connection = None
+        try:
+            connection = await self._connect(started_s)
+        except Exception as error:
+            # An entry may name an address that can't be used at all.
+            supervision.report("connection", error)
+            self._handle_open_failure(started_s, False, repr(error))
+        finally:
+            self._opening -= 1
+        is_direct = False
+        if connection is not None:
+            self._handle_connected(connection, started_s)
+            is_direct = connection.is_open and not connection.relay_host
+        callbacks, self._open_callbacks = self._open_callbacks, []
+        for on_open in callbacks:
+            supervision.contain("relay request", on_open, is_direct)
+        self._on_change()
+
+    async def _connect(self, started_s: float) -> connections.Connection:
+        """Return a connection that was opened, refused or that failed."""
         entry = self.entry
-        relay_host = self.path_selector.choose_relay_host(clock.get_time_s())
+        relay_host = self.path_selector.choose_relay_host(started_s)
         connection = connections.Connection(
             self, entry.group, self._user, entry.target
         )
@@ -292,7 +313,6 @@
         address = (relay_host or entry).address
         port = (relay_host or entry).port
         loop = asyncio.get_running_loop()
-        started_s = clock.get_time_s()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: connection, address, port)
@@ -301,13 +321,14 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             self._handle_open_failure(started_s, is_refused, repr(error))
             connection.abort()
-        except Exception as error:
-            # An entry may name an address that can't be used at all.
-            supervision.report("connection", error)
-            self._handle_open_failure(started_s, False, repr(error))
+        except Exception:
             connection.abort()
-        finally:
-            self._opening -= 1
+            raise
+        return connection
+
+    def _handle_connected(
+        self, connection: connections.Connection, started_s: float
+    ) -> None:
         if connection.is_closed and connection.refusal is not None:
             self._handle_refusal(connection.refusal, started_s)
         if self._is_closed:
@@ -316,11 +337,6 @@
             self.path_selector.use_next_relay_host()
         elif not connection.relay_host:
             self.path_selector.end_fallback()
-        callbacks, self._open_callbacks = self._open_callbacks, []
-        is_direct = connection.is_open and not connection.relay_host
-        for on_open in callbacks:
-            supervision.contain("relay request", on_open, is_direct)
-        self._on_change()
 
     def _handle_refusal(self, code: statements.Code, started_s: float) -> None:
         now_s = clock.get_time_s()
--- a/tests/entry/test_supervision.py
+++ b/tests/entry/test_supervision.py
@@ -410,20 +410,24 @@
 
         asyncio.run(run())
 
-    def test_address_that_cannot_be_used_is_tried_at_intervals(self) -> None:
+    def test_target_that_cannot_be_connected_to_is_tried_at_intervals(
+        self,
+    ) -> None:
+        entry = model.TargetEntry(
+            "i-1", 1, "g", "10.0.0.1", 80, "dc", 0, 1, False, False, 2
+        )
+
         async def run() -> None:
             reports = Reports()
-            entry = model.TargetEntry(
-                "i-1", 1, "g", "10.0.0.1", 99999, "dc", 0, 1, False, False, 2
-            )
             pool = pools.Pool(
                 entry, 8, "user", logs.Log("host-0", -1), lambda: None
             )
             opened: list[bool] = []
-            pool.call_when_open(opened.append)
-            await harness.wait_for(lambda: bool(opened))
-            pool.open_if_allowed()
-            self.assertEqual(0, pool.size)
+            with mock.patch.object(connections, "Connection", raise_fault):
+                pool.call_when_open(opened.append)
+                await harness.wait_for(lambda: bool(opened))
+                pool.open_if_allowed()
+                self.assertEqual(0, pool.size)
             self.assertEqual([False], opened)
             self.assertEqual(1, pool.failures)
             self.assertEqual({"connection"}, reports.list_handlers())
