--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -19,6 +19,7 @@
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
 from knapweedtally.entry import store
+from knapweedtally.entry import supervision
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -112,6 +113,17 @@
         self._next_session_check_s = 0.0
         self._unserved_since_s: float | None = None
         self._was_ready = False
+        # Each check is contained by itself; the order matters.
+        self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
+            ("suspension", self._check_suspension),
+            ("configuration callback", self._check_configuration),
+            ("members", self._check_members),
+            ("peers", self.peers.tick),
+            ("group", self._check_groups),
+            ("sharing", self._share_evidence),
+            ("serving", self._check_serving),
+            ("session", self._check_sessions),
+        )
 
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
         """Return the watchers of the configuration and of the targets."""
@@ -181,6 +193,9 @@
             except records.InvalidRecord as error:
                 self.log.write("configuration_unreadable", reason=str(error))
                 continue
+            except Exception as error:
+                supervision.report("configuration", error)
+                continue
             if catalog.apply_configuration(self.catalog, configuration):
                 self.log.write(
                     "configuration_in_force",
@@ -198,27 +213,33 @@
             [],
         )
         for callback in callbacks:
-            callback()
+            supervision.contain("configuration callback", callback)
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
-        entries = [entry for entry in map(self._parse_entry, objects) if entry]
-        restarted = catalog.update_entries(
-            self.catalog, entries, clock.get_time_s()
+        parsed = [
+            (stored.name, self._parse_entry(stored)) for stored in objects
+        ]
+        update = catalog.update_entries(
+            self.catalog,
+            [entry for _, entry in parsed if entry],
+            clock.get_time_s(),
+            [name for name, entry in parsed if not entry],
         )
-        self._restart_targets(restarted)
+        self._log_listed(update)
         self._sync_routers()
 
     def _apply_entry_change(self, change: store_calls.Change) -> None:
         stored = change.stored
         if change.is_removed:
             self.log.write("target_missing", target=stored.name)
-            catalog.mark_missing(self.catalog, stored.name, clock.get_time_s())
+            catalog.mark_missing(
+                self.catalog, stored.name, clock.get_time_s(), stored.revision
+            )
         else:
             entry = self._parse_entry(stored)
             if entry is None:
                 return
-            if catalog.update_entry(self.catalog, entry):
-                self._restart_targets([entry.target])
+            self._log_listed(catalog.update_entry(self.catalog, entry))
         self._sync_routers()
 
     def _parse_entry(
@@ -231,37 +252,23 @@
         except records.InvalidRecord as error:
             self.log.write("entry_unreadable", reason=str(error))
             return None
+        except Exception as error:
+            supervision.report("entry", error)
+            return None
 
-    def _restart_targets(self, targets: list[str]) -> None:
-        for target in targets:
-            entry = self.catalog.members[target].entry
+    def _log_listed(self, update: catalog.Update) -> None:
+        """Log the members that are new, have restarted or have moved."""
+        successors = tuple(succession.new for succession in update.succeeded)
+        for target in (*update.added, *successors, *update.restarted):
+            entry = update.members[target].entry
             router = self.routers.get(entry.group)
-            pool = router.pools.get(target) if router else None
             self.log.write(
                 "target_listed",
                 target=target,
                 group=entry.group,
                 started_ms=entry.started_ms,
-                is_known=pool is not None,
+                is_known=router is not None and target in router.pools,
             )
-            if pool is not None:
-                pool.restart(entry)
-            elif router is not None:
-                self._replace_predecessor(router, entry)
-
-    def _replace_predecessor(
-        self, router: router_module.Router, entry: model.TargetEntry
-    ) -> None:
-        """Replace the target that had the same address as a new one."""
-        old = catalog.find_predecessor(self.catalog, entry)
-        if old is None:
-            return
-        del self.catalog.members[old]
-        pool = router.remove_pool(old)
-        if pool is None:
-            return
-        router.add_pool(entry, pool.get_newest_position())
-        self.log.write("target_succeeded", target=entry.target, old=old)
 
     def _sync_routers(self) -> None:
         """Update the routers to the configuration and the known targets."""
@@ -277,23 +284,49 @@
                 )
                 self.routers[name] = router
             router.settings = group
-            self._sync_pools(router, now_s)
-            self._sync_departed(router, now_s)
+            supervision.contain("members", self._sync_pools, router, now_s)
+            supervision.contain(
+                "departed members", self._sync_departed, router, now_s
+            )
 
     def _sync_pools(self, router: router_module.Router, now_s: float) -> None:
+        """Give each member of a group one pool, and no other target one.
+
+        Only the catalog's state counts, not its last change, so that whatever
+        an error left undone is done the next time.
+        """
         members = catalog.list_members(self.catalog, router.settings.name)
-        known = {member.entry.target for member in members}
-        for target in [t for t in router.pools if t not in known]:
-            router.remove_pool(target)
         for member in members:
             target = member.entry.target
             pool = router.pools.get(target)
             if pool is None:
-                pool = router.add_pool(member.entry, model.Position(0, 0))
+                pool = self._add_pool(router, member)
+            elif pool.restart_count != member.restart_count:
+                pool.restart(member.entry)
+                pool.restart_count = member.restart_count
             pool.entry = member.entry
             pool.max_connections = router.settings.max_connections
             self._sync_paths(target, pool)
             self._sync_accepts_new_work(router, pool, member, now_s)
+        known = {member.entry.target for member in members}
+        for target in [t for t in router.pools if t not in known]:
+            router.remove_pool(target)
+            self._path_keys.pop(target, None)
+            self._draining_since_s.pop(target, None)
+
+    def _add_pool(
+        self, router: router_module.Router, member: catalog.Member
+    ) -> pools.Pool:
+        """Add a member's pool with the floor of its newest former life."""
+        target = member.entry.target
+        floor = model.Position(0, 0)
+        old = next((t for t in member.former if t in router.pools), None)
+        if old is not None:
+            floor = router.pools[old].get_newest_position()
+            self.log.write("target_succeeded", target=target, old=old)
+        pool = router.add_pool(member.entry, floor)
+        pool.restart_count = member.restart_count
+        return pool
 
     def _sync_departed(
         self, router: router_module.Router, now_s: float
@@ -396,49 +429,56 @@
 
     def tick(self, now_s: float) -> None:
         """Run the periodic checks once."""
-        if now_s - self._last_tick_s > SUSPENSION_S:
-            self._handle_suspension(now_s)
-        self._last_tick_s = now_s
-        if (
-            self._configuration_callbacks
-            and not self.is_configuration_expected()
+        for name, check in self._checks:
+            supervision.contain(name, check, now_s)
+
+    def _check_suspension(self, now_s: float) -> None:
+        last_tick_s, self._last_tick_s = self._last_tick_s, now_s
+        if now_s - last_tick_s > SUSPENSION_S:
+            self._handle_suspension(now_s, last_tick_s)
+
+    def _check_configuration(self, now_s: float) -> None:
+        """Call the sessions for which the wait has ended."""
+        if self._configuration_callbacks and (
+            self.catalog.configuration is not None
+            or not self.is_configuration_expected()
         ):
             self._call_configuration_callbacks()
-        self._remove_gone_targets(now_s)
-        self._sync_routers()
-        self.peers.tick(now_s)
-        for router in self.routers.values():
-            router.tick(now_s)
-            if self._changes is not None and not self.is_draining:
-                self._changes.start_if_needed(router, now_s)
-        self._sharer.share_new_evidence(now_s, self._is_changing)
-        self._check_serving(now_s)
-        if now_s >= self._next_session_check_s:
-            self._next_session_check_s = now_s + SESSION_CHECK_INTERVAL_S
-            self._check_sessions(now_s)
 
-    def _remove_gone_targets(self, now_s: float) -> None:
+    def _check_members(self, now_s: float) -> None:
         answered_s = {
             target: pool.answered_s
             for router in self.routers.values()
             for target, pool in router.pools.items()
         }
-        removed = catalog.remove_expired(self.catalog, answered_s, now_s)
-        if removed:
-            self.log.write("targets_gone", targets=removed)
+        update = catalog.remove_expired(self.catalog, answered_s, now_s)
+        self._log_listed(update)
+        if update.gone:
+            self.log.write("targets_gone", targets=update.gone)
+        self._sync_routers()
+
+    def _check_groups(self, now_s: float) -> None:
+        for router in self.routers.values():
+            supervision.contain("group", self._check_group, router, now_s)
+
+    def _check_group(self, router: router_module.Router, now_s: float) -> None:
+        router.tick(now_s)
+        if self._changes is not None and not self.is_draining:
+            self._changes.start_if_needed(router, now_s)
+
+    def _share_evidence(self, now_s: float) -> None:
+        self._sharer.share_new_evidence(now_s, self._is_changing)
 
     def _is_changing(self, group: str) -> bool:
         """Return whether this host is changing a group's primary."""
         return self._changes is not None and self._changes.is_changing(group)
 
-    def _handle_suspension(self, now_s: float) -> None:
+    def _handle_suspension(self, now_s: float, last_tick_s: float) -> None:
         """Reset failures and timers after a suspension.
 
         Answers may have arrived late only because nothing ran here.
         """
-        self.log.write(
-            "standstill", lasted_s=round(now_s - self._last_tick_s, 2)
-        )
+        self.log.write("standstill", lasted_s=round(now_s - last_tick_s, 2))
         for router in self.routers.values():
             for pool in router.pools.values():
                 pool.failing_since_s = None
@@ -472,6 +512,9 @@
             self.log.write("groups_served", served=served)
 
     def _check_sessions(self, now_s: float) -> None:
+        if now_s < self._next_session_check_s:
+            return
+        self._next_session_check_s = now_s + SESSION_CHECK_INTERVAL_S
         configuration = self.catalog.configuration
         limit_s = configuration.transaction_idle_s if configuration else 0.0
         unserved_s = 0.0
@@ -487,8 +530,9 @@
             and unserved_s > ISOLATION_S + IDLE_SESSION_CLOSE_DELAY_S
         )
         for session in tuple(self.sessions):
-            session.tick(now_s, limit_s)
-            if closes_idle_sessions and session.is_idle():
+            if not supervision.contain("session", session.tick, now_s, limit_s):
+                session.abort()
+            elif closes_idle_sessions and session.is_idle():
                 session.close()
 
     def is_ready(self) -> bool:
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -1,6 +1,9 @@
 """This host's evidence about the primary of one group."""
 
+import functools
 from collections.abc import Callable
+from typing import Concatenate
+from typing import ParamSpec
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
@@ -15,6 +18,7 @@
 from knapweedtally.entry import logs
 from knapweedtally.entry import pools as pools_module
 from knapweedtally.entry import requests
+from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
 # Interval at which all members are polled while one has no entry in the store,
@@ -25,6 +29,26 @@
 # seconds.
 MAX_LOGGED_AGE_S = 9999.0
 
+_Parameters = ParamSpec("_Parameters")
+
+
+def _discard_evidence_on_error(
+    method: Callable[Concatenate["Observer", _Parameters], None],
+) -> Callable[Concatenate["Observer", _Parameters], None]:
+    """Contain the errors of a method that changes evidence."""
+
+    @functools.wraps(method)
+    def call(
+        observer: "Observer",
+        *args: _Parameters.args,
+        **kwargs: _Parameters.kwargs,
+    ) -> None:
+        bound_method = functools.partial(method, observer)
+        if not supervision.contain("evidence", bound_method, *args, **kwargs):
+            observer.discard_evidence()
+
+    return call
+
 
 class Observer:
     """Update the evidence from targets' answers and from other hosts.
@@ -79,6 +103,7 @@
         self._polling = status_polling.PollingState()
         self._next_check_s = 0.0
 
+    @_discard_evidence_on_error
     def tick(self, now_s: float) -> None:
         """Poll the members that are due, and settle pending commits."""
         self._poll_members(now_s)
@@ -153,6 +178,7 @@
             wait_s = 0.0
         load_shedding.record_queueing_delay(self.load_shedding, wait_s, now_s)
 
+    @_discard_evidence_on_error
     def record_status(
         self, target: str, status: model.TargetStatus, asked_s: float
     ) -> None:
@@ -192,6 +218,7 @@
         self._acknowledgements.settle(clock.get_time_s())
         self._on_change()
 
+    @_discard_evidence_on_error
     def merge_evidence(
         self, shared: sharing.SharedEvidence, sent_here_s: float
     ) -> None:
@@ -242,6 +269,20 @@
         self._record_primary_loss(target, reason)
         self._polling.next_poll_s = now_s
 
+    def discard_evidence(self) -> None:
+        """Discard all evidence, which an error may have left half changed.
+
+        Terms are kept, because they only rise.
+        """
+        leadership = self.leadership
+        leadership.member_seen_s = float("-inf")
+        leadership.receiving_seen_s.clear()
+        leadership.seen_terms.clear()
+        leadership.positions.clear()
+        if leadership.target is not None:
+            now_s = clock.get_time_s()
+            self.discard_primary(leadership.target, now_s, "an error occurred")
+
     def _record_primary_loss(self, target: str, reason: str) -> None:
         self.no_primary_since_s = clock.get_time_s()
         self._log.write(
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -10,6 +10,7 @@
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import path_selection
+from knapweedtally.entry import supervision
 from knapweedtally.entry import wait_queues
 from knapweedtally.platform import line_protocol
 
@@ -68,6 +69,7 @@
         received: newest log position seen since the target's last restart.
         position_before_restart: newest log position that the target held before
             that restart.
+        restart_count: how many restarts of the member were handled.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.generation = 0
         self.received = model.Position(0, 0)
         self.position_before_restart = model.Position(0, 0)
+        self.restart_count = 0
         self._user = user
         self._log = log
         self._on_change = on_change
@@ -281,8 +284,29 @@
         self.count_idle()
 
     async def _open(self) -> None:
+        started_s = clock.get_time_s()
+        connection = None
+        try:
+            connection = await self._connect(started_s)
+        except Exception as error:
+            # An entry may name an address that can't be used at all.
+            supervision.report("connection", error)
+            self._handle_open_failure(started_s, False, repr(error))
+        finally:
+            self._opening -= 1
+        is_direct = False
+        if connection is not None:
+            self._handle_connected(connection, started_s)
+            is_direct = connection.is_open and not connection.relay_host
+        callbacks, self._open_callbacks = self._open_callbacks, []
+        for on_open in callbacks:
+            supervision.contain("relay request", on_open, is_direct)
+        self._on_change()
+
+    async def _connect(self, started_s: float) -> connections.Connection:
+        """Return a connection that was opened, refused or that failed."""
         entry = self.entry
-        relay_host = self.path_selector.choose_relay_host(clock.get_time_s())
+        relay_host = self.path_selector.choose_relay_host(started_s)
         connection = connections.Connection(
             self, entry.group, self._user, entry.target
         )
@@ -290,7 +314,6 @@
         address = (relay_host or entry).address
         port = (relay_host or entry).port
         loop = asyncio.get_running_loop()
-        started_s = clock.get_time_s()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: connection, address, port)
@@ -299,8 +322,14 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             self._handle_open_failure(started_s, is_refused, repr(error))
             connection.abort()
-        finally:
-            self._opening -= 1
+        except Exception:
+            connection.abort()
+            raise
+        return connection
+
+    def _handle_connected(
+        self, connection: connections.Connection, started_s: float
+    ) -> None:
         if connection.is_closed and connection.refusal is not None:
             self._handle_refusal(connection.refusal, started_s)
         if self._is_closed:
@@ -309,10 +338,6 @@
             self.path_selector.use_next_relay_host()
         elif not connection.relay_host:
             self.path_selector.end_fallback()
-        callbacks, self._open_callbacks = self._open_callbacks, []
-        for on_open in callbacks:
-            on_open(connection.is_open and not connection.relay_host)
-        self._on_change()
 
     def _handle_refusal(self, code: statements.Code, started_s: float) -> None:
         now_s = clock.get_time_s()
