Ignore the last write of a target that was replaced

Cause: a target restarted under a new id, and the new id took the place of the old one. The old id's entry then got one more write, from before its end, which arrived late. Its revision was the highest at the address, so the ended target replaced the one that runs. No more events came for the latter, the former went missing and was dropped, and the group had a member fewer; a change of primary then judged the log of the only other replica, which lagged, complete.

Evidence: the unit test fails before.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -166,9 +166,10 @@
     """Return the members after an update, without changing the catalog.
 
     Entries with the same group and address are lives of one member, since only
-    one process can listen there. The life with the highest revision counts: a
-    process that has ended writes no more. The others are hidden, and one of
-    them counts again only if the member is no longer known otherwise. A known
+    one process can listen there. The life with the highest revision counts, but
+    none that was replaced before: its last write may arrive late. The others
+    are hidden, and one of them counts only if the member is no longer known
+    otherwise. A known
     target that moves to another member's address replaces nobody, so that no
     group gets smaller. The order of the entries doesn't matter.
 
@@ -196,7 +197,15 @@
         for target, member in members.items():
             if target not in listed and member.missing_since_s is None:
                 members[target] = member._replace(missing_since_s=now_s)
-    newest_lives = _find_newest_lives(lives.values())
+    former = {
+        life
+        for target, member in members.items()
+        if target not in expired
+        for life in member.former
+    }
+    newest_lives = _find_newest_lives(
+        entry for entry in lives.values() if entry.target not in former
+    )
     succeeded = _replace_members(members, lives, newest_lives, expired)
     gone = tuple(target for target in expired if members.pop(target, None))
     occupied = _find_newest_lives(m.entry for m in members.values())
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -200,6 +200,16 @@
         self.assertEqual(((), ()), (update.added, update.succeeded))
         self.assertEqual({"i-2"}, set(known.members))
 
+    def test_late_write_of_a_replaced_life_changes_nothing(self) -> None:
+        known = catalog.Catalog()
+        catalog.update_entry(known, make_entry("i-1"))
+        catalog.update_entry(known, make_entry("i-2", revision=6))
+        late = catalog.update_entry(known, make_entry("i-1", revision=7))
+        self.assertEqual((), late.succeeded)
+        self.assertEqual({"i-2"}, set(known.members))
+        catalog.mark_missing(known, "i-1", 20.0)
+        self.assertEqual({"i-2"}, set(known.members))
+
     def test_hidden_life_counts_once_the_member_has_expired(self) -> None:
         known = catalog.Catalog()
         lives = [make_entry("i-1"), make_entry("i-2", revision=6)]
