Count only present targets of a group as fenced

Callers lost acknowledged writes when a bundle removed a target while a failed primary was being replaced. A promotion collects the targets that installed its term, and compared only their number with the majority of the group. A target that had installed the term and was then removed by a bundle still counted, so the choice could rest on a majority of neither the old nor the new group, and the removed target itself could be chosen.

Only targets of the bundle in force count now and may be chosen. A promotion that waits to store its choice goes back to fencing when its majority is gone.

Evidence: tests/failover/test_membership.py. Four targets, one is removed; the primary and one replica hold the last writes, the replica freezes while the term is installed. All three tests fail without the change and pass with it. tests/failover: 49 passed.

Why this works: with one target added or removed at a time, any majority of present targets shares a member with any majority that acknowledged a write.

--- a/knapweedtally/core/failover/promotion.py
+++ b/knapweedtally/core/failover/promotion.py
@@ -151,7 +151,13 @@
     moment: model.Moment,
     promotion: Promotion,
 ) -> Effects:
-    """Run the current step and set the timer of its next attempt."""
+    """Run the current step and set the timer of its next attempt.
+
+    A choice needs a majority of the group as it is now, so a promotion whose
+    group has changed meanwhile installs the term on further instances first.
+    """
+    if promotion.step is Step.CHOOSING and not is_fenced(state, promotion):
+        return enter_step(state, moment, promotion, Step.FENCING)
     result = steps.RUNNERS[promotion.step](state, moment, promotion)
     delay_s = get_retry_delay(moment, promotion)
     return result + [make_step_timer(promotion, delay_s)]
--- a/knapweedtally/core/failover/rules.py
+++ b/knapweedtally/core/failover/rules.py
@@ -23,8 +23,12 @@
 
 
 def is_majority_fenced(group: model.Group, fenced: Collection[str]) -> bool:
-    """Return whether a majority of a group's instances installed the term."""
-    return len(fenced) >= count_majority(len(group.targets))
+    """Return whether a majority of a group's instances installed the term.
+
+    Instances that have left the group since don't count.
+    """
+    members = {target.id for target in group.targets}
+    return len(members.intersection(fenced)) >= count_majority(len(members))
 
 
 def choose_primary(
@@ -37,7 +41,8 @@
 
     The replaced primary is excluded if the others form a majority without it.
     Every acknowledged write is also on one of them; a write that only the
-    replaced primary holds was never acknowledged.
+    replaced primary holds was never acknowledged. Instances that have left
+    the group since are always excluded.
 
     Args:
         group: the group.
@@ -45,15 +50,20 @@
         preferred: target to choose if none is more advanced, or empty.
         replaced: primary that failed, or empty.
     """
-    others = {
+    centres = {target.id: target.data_centre for target in group.targets}
+    members = {
         target: position
         for target, position in fenced.items()
+        if target in centres
+    }
+    others = {
+        target: position
+        for target, position in members.items()
         if target != replaced
     }
     if not is_majority_fenced(group, others):
-        others = dict(fenced)
+        others = members
     newest = max(others.values())
-    centres = {target.id: target.data_centre for target in group.targets}
     return min(
         (target for target, position in others.items() if position == newest),
         key=lambda target: (
