Play crashes, late answers and replaced targets in failovers

The driver gets four kinds of faults: processes that crash when a command of a promotion or of a planned change is sent to or from them, answers to commands and probes that arrive late, also after a restart of the target that sent them, and an operator who adds a target to a group and removes another one once the group is whole.

--- a/tests/driver/faults.py
+++ b/tests/driver/faults.py
@@ -1,10 +1,14 @@
 """Fault injection: the kinds of faults, and their choice from a seed."""
 
+import functools
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from knapweedtally.core import effects
+from tests.driver import connection as connection_module
+from tests.driver import replacement
 from tests.driver import world as world_module
 
 World = world_module.World
@@ -15,6 +19,13 @@
 MAX_DURATIONS_S = (0.5, 2.0, 4.0, 8.0)
 MAX_GAPS_S = (0.2, 1.0, 3.0)
 
+# Commands of a promotion at which a process may crash.
+COMMANDS = ("hold", "install_term", "promote", "follow")
+MAX_CRASHES = 3
+MAX_CRASH_DELAY_S = 0.010
+MAX_DOWNTIME_S = 0.3
+MAX_ANSWER_DELAY_S = 0.35
+
 # Place of a fault at the first group's primary, found when the fault starts.
 PRIMARY = "primary"
 
@@ -257,6 +268,79 @@
     world.network.loss_probability = 0.0
 
 
+def _delay_answers(world: World, place: str) -> None:
+    """Delay answers to commands and probes, up to beyond a restart."""
+    world.network.max_answer_delay_s = MAX_ANSWER_DELAY_S
+
+
+def _end_answer_delay(world: World, place: str) -> None:
+    world.network.max_answer_delay_s = 0.0
+
+
+def _choose_crash(world: World, rng: random.Random) -> str:
+    """Choose a command, and which process crashes when it is sent."""
+    return f"{rng.choice(COMMANDS)},{rng.choice(('proxy', 'target'))}"
+
+
+def _crash_in_replacement(world: World, place: str) -> None:
+    """Kill the primary, and crash processes while it is replaced."""
+    _crash_at_command(world, place)
+    world.targets[world.get_primary_id(world.groups[0])].kill()
+
+
+def _crash_in_planned_change(world: World, place: str) -> None:
+    """Request a primary change, and crash processes while it runs."""
+    _crash_at_command(world, place)
+    group = world.groups[0]
+    names = [target.id for target in world.list_targets(group)]
+    names.remove(world.get_primary_id(group))
+    world.request_primary_change(world.schedule.random.choice(names))
+
+
+def _crash_at_command(world: World, place: str) -> None:
+    """Crash the sender or the receiver of the next commands of one kind.
+
+    The process starts again soon; it may end before or after the command has
+    arrived, and its answer may still be on the way.
+    """
+    command, victim = place.split(",")
+    draw = world.schedule.random.random
+    crashes = world.schedule.random.randint(1, MAX_CRASHES)
+
+    def crash(proxy: str, effect: effects.ControlTarget) -> None:
+        nonlocal crashes
+        if effect.command != command or not crashes:
+            return
+        crashes -= 1
+        process = world.proxies[proxy]
+        if victim == "target":
+            process = world.targets[effect.target]
+        delay_s = MAX_CRASH_DELAY_S * draw()
+        world.schedule.call_later(delay_s, process.kill)
+        delay_s += MAX_DOWNTIME_S * draw()
+        world.schedule.call_later(delay_s, process.restart)
+
+    for name, proxy in world.proxies.items():
+        proxy.on_command = functools.partial(crash, name)
+
+
+def _end_crashes(world: World, place: str) -> None:
+    for proxy in world.proxies.values():
+        proxy.on_command = connection_module.ignore
+    for target in world.targets.values():
+        target.restart()
+
+
+def _replace_target(world: World, place: str) -> None:
+    """Let an operator add a target, and then remove another one."""
+    group = place.rpartition("-")[0]
+    replacement.Replacement(world, group, place).start()
+
+
+def _choose_removed(world: World, rng: random.Random) -> str:
+    return rng.choice(sorted(world.targets))
+
+
 def _do_nothing(world: World, place: str) -> None:
     """Do nothing, as the fault ends by itself."""
 
@@ -321,6 +405,16 @@
     "bundles race": FaultKind(
         _roll_out_two_bundles, _do_nothing, _choose_target
     ),
+    "late answers": FaultKind(
+        _delay_answers, _end_answer_delay, _choose_nothing
+    ),
+    "crash in replacement": FaultKind(
+        _crash_in_replacement, _end_crashes, _choose_crash
+    ),
+    "crash in planned change": FaultKind(
+        _crash_in_planned_change, _end_crashes, _choose_crash
+    ),
+    "replace target": FaultKind(_replace_target, _do_nothing, _choose_removed),
     "lossy network": FaultKind(
         _lose_messages, _stop_message_loss, _choose_nothing
     ),
--- a/tests/driver/links.py
+++ b/tests/driver/links.py
@@ -290,7 +290,7 @@
 
         def serve() -> None:
             event = answer()
-            self._network.send(
+            self._network.send_answer(
                 target.process, self._process, lambda: finish(event)
             )
 
--- a/tests/driver/network.py
+++ b/tests/driver/network.py
@@ -24,11 +24,14 @@
     Attributes:
         loss_probability: share of messages that are lost once and
             retransmitted.
+        max_answer_delay_s: largest additional delay of an answer to a command
+            or a probe.
     """
 
     def __init__(self, schedule: schedule_module.Schedule) -> None:
         """Create a network that blocks and loses no messages."""
         self.loss_probability = 0.0
+        self.max_answer_delay_s = 0.0
         self._schedule = schedule
         # End of each block by source and target; infinite while it lasts.
         self._block_ends: dict[tuple[str, str], float] = {}
@@ -53,6 +56,7 @@
         for pair in self._block_ends:
             self.unblock(*pair)
         self.loss_probability = 0.0
+        self.max_answer_delay_s = 0.0
 
     def is_blocked(self, source: Process, target: Process) -> bool:
         """Return whether messages in this direction are blocked now."""
@@ -76,6 +80,7 @@
         target: Process,
         action: schedule_module.Action,
         max_retransmissions: float = MAX_RETRANSMISSIONS,
+        outlives_source: bool = False,
     ) -> None:
         """Run an action at the target after a delay, if the message arrives.
 
@@ -85,6 +90,8 @@
             action: effect of the message at the target.
             max_retransmissions: how often the message is sent again while
                 this direction is blocked.
+            outlives_source: whether it arrives even if the process that sent
+                it has ended meanwhile, as data on the way does.
         """
         draw = self._schedule.random.random
         is_local = source.data_centre == target.data_centre
@@ -100,7 +107,9 @@
         def arrive() -> None:
             nonlocal retransmissions
             # A restart of either process ends the connection.
-            if generations != (source.generation, target.generation):
+            if generations[1] != target.generation:
+                return
+            if generations[0] != source.generation and not outlives_source:
                 return
             if not self.is_blocked(source, target):
                 target.call_later(0.0, action)
@@ -109,3 +118,25 @@
                 self._schedule.call_later(RETRANSMIT_INTERVAL_S, arrive)
 
         self._schedule.call_later(delay_s, arrive)
+
+    def send_answer(
+        self, source: Process, target: Process, action: schedule_module.Action
+    ) -> None:
+        """Send an answer that may be late, even after a restart of its source.
+
+        Args:
+            source: process that answers.
+            target: process that asked.
+            action: effect of the answer at the target.
+        """
+        if not self.max_answer_delay_s:
+            self.send(source, target, action)
+            return
+        delay_s = self.max_answer_delay_s * self._schedule.random.random()
+        generation = target.generation
+
+        def send() -> None:
+            if target.generation == generation:
+                self.send(source, target, action, outlives_source=True)
+
+        self._schedule.call_later(delay_s, send)
--- a/tests/driver/proxy.py
+++ b/tests/driver/proxy.py
@@ -57,6 +57,7 @@
         is_accepting: whether it accepts new connections of callers.
         unfinished_requests: number of requests that were in flight when a
             planned stop ended the process.
+        on_command: called with each command to a target, before it is sent.
     """
 
     def __init__(
@@ -80,6 +81,9 @@
         """
         self.process = process
         self.unfinished_requests = 0
+        self.on_command: Callable[[effects.ControlTarget], None] = (
+            connection_module.ignore
+        )
         self._schedule = process.schedule
         self._configure = configure
         self._pending_requests: dict[int, PendingRequest] = {}
@@ -247,6 +251,7 @@
 
     def _control_target(self, effect: effects.ControlTarget) -> None:
         self._schedule.add_trace_line(f"{self.process.name} {effect}")
+        self.on_command(effect)
         self._links.control_target(effect)
 
     def _set_timer(self, effect: effects.SetTimer) -> None:
--- a/tests/driver/target.py
+++ b/tests/driver/target.py
@@ -1,6 +1,7 @@
 """A target: an instance of the stand-ins on the simulated network."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -86,6 +87,10 @@
             self.process.start()
             self._pull_entries()
 
+    def set_members(self, members: Collection[str]) -> None:
+        """Set the targets that form the group, as its configuration does."""
+        self.instance.members = frozenset(members)
+
     def accept(self) -> Connection | None:
         """Open a connection, or return None if the limit is reached."""
         if len(self._connections) >= self.connection_limit:
--- a/tests/driver/world.py
+++ b/tests/driver/world.py
@@ -29,6 +29,7 @@
 # Time for replicas to catch up with their primary before proxies start.
 INITIAL_CATCH_UP_S = 0.5
 GROUPS = ("records", "alarms")
+ADDED_TARGET = "added"
 
 
 class World:
@@ -43,6 +44,7 @@
         callers: callers, with one session each.
         events: events of the history so far.
         groups: names of the groups.
+        removed_targets: ids of targets that were removed from their group.
     """
 
     def __init__(self, seed: int) -> None:
@@ -57,6 +59,7 @@
         self.events: list[history_model.Event] = []
         self.groups = GROUPS[: 1 + (seed % 4 == 0)]
         self.targets: dict[str, target_module.Target] = {}
+        self.removed_targets: set[str] = set()
         for group in self.groups:
             self._start_targets(group)
         self.bundle = self._make_bundle()
@@ -136,13 +139,28 @@
         }
 
     def list_targets(self, group: str) -> list[target_module.Target]:
-        """Return the targets of a group."""
+        """Return the targets of a group that weren't removed."""
         return [
             target
             for target in self.targets.values()
             if group in target.id.rpartition("-")[0]
+            and target.id not in self.removed_targets
         ]
 
+    def add_target(self, group: str) -> None:
+        """Add a target with an empty log to a group that has none added."""
+        name = f"{group}-{ADDED_TARGET}"
+        if name in self.targets:
+            return
+        data_centre = self.schedule.random.choice(DATA_CENTRES)
+        process = schedule_module.Process(self.schedule, name, data_centre)
+        members = [target.id for target in self.list_targets(group)]
+        target = target_module.Target(process, self.network, members)
+        target.peers = self.list_targets(group)[0].peers
+        target.peers[name] = target
+        target.on_term_opened = self._make_term_recorder(group, name)
+        self.targets[name] = target
+
     def find_primary(self, group: str) -> target_module.Target | None:
         """Return the primary of the highest term, or None without a primary."""
         serving = [
@@ -212,6 +230,16 @@
             groups[name] = model.Group(name, targets)
         return model.Bundle(1, "", groups, SIGNER)
 
+    def is_bundle_stored(self) -> bool:
+        """Return whether the platform's bundle has the groups' targets."""
+        stored = self.platform.get_object("bundle", "current")
+        bundle = codec.parse_bundle(stored.value)
+        return all(
+            {target.id for target in bundle.groups[group].targets}
+            == {target.id for target in self.list_targets(group)}
+            for group in self.groups
+        )
+
     def roll_out(self, leaving: str) -> None:
         """Roll out a bundle as an operator's command does.
 
@@ -227,7 +255,7 @@
                     if target.id == leaving
                 )
             )
-            for name, group in self.bundle.groups.items()
+            for name, group in self._make_bundle().groups.items()
         }
         bundle = self.bundle._replace(
             version=current.version + 1, groups=groups
