Fetch the bundle before a majority is counted

Callers lost acknowledged writes when a host that had missed two bundles replaced a primary. The bundles had added a target and then removed another, one at a time and with the group whole in between. The host, cut off from its peers and the platform meanwhile, counted a majority of the targets that it knew; that majority shared no member with the present one, and the removed target, which still ran, helped to form it.

A promotion now asks the platform for changes of the bundle beside the update that reserves its term, or while it installs a term that another host reserved, and counts no majority before the answer. The watch's revision is sent along, so the answer is empty unless there is a newer bundle.

Why this works: the platform holds no newer bundle than the one that is counted by, except one that is stored while the term is reserved, and that one differs by one target. Majorities of two groups that differ by one target share a member.

--- a/knapweedtally/core/effects.py
+++ b/knapweedtally/core/effects.py
@@ -26,6 +26,17 @@
     name: str
 
 
+class FetchChanges(NamedTuple):
+    """Fetch the platform objects of a kind that the watch hasn't seen yet.
+
+    Answered by ``ObjectSeen`` for each of them, then ``ChangesFetched``; or by
+    ``PlatformFailed`` without a name.
+    """
+
+    operation: str
+    kind: str
+
+
 class UpdateObject(NamedTuple):
     """Update a platform object if it has the expected version.
 
@@ -238,6 +249,7 @@
 Effect = (
     SetTimer
     | ReadObject
+    | FetchChanges
     | UpdateObject
     | PublishRegister
     | RaiseEvent
--- a/knapweedtally/core/events.py
+++ b/knapweedtally/core/events.py
@@ -34,6 +34,18 @@
     value: dict[str, object]
 
 
+class ChangesFetched(NamedTuple):
+    """Report that all objects of a kind were seen as of the time of the call.
+
+    Attributes:
+        operation: id from the effect that made the call.
+        kind: kind of the objects.
+    """
+
+    operation: str
+    kind: str
+
+
 class ObjectUpdated(NamedTuple):
     """Report that a conditional update of a platform object succeeded."""
 
--- a/knapweedtally/core/failover/answers.py
+++ b/knapweedtally/core/failover/answers.py
@@ -111,12 +111,15 @@
 ) -> bool:
     """Return whether the answers suffice to choose without further ones.
 
-    A majority must have installed the term. If a target other than the
-    replaced primary is preferred, it has to be among them; otherwise they
-    have to be a majority without the replaced primary.
+    The platform's bundle must be in force, and a majority must have installed
+    the term. If a target other than the replaced primary is preferred, it has
+    to be among them; otherwise they have to be a majority without the replaced
+    primary.
     """
     group = state.directory.get_group(promotion.group)
-    if group is None or not promotions.is_fenced(state, promotion):
+    if group is None or not promotion.is_bundle_current:
+        return False
+    if not promotions.is_fenced(state, promotion):
         return False
     if promotion.preferred and promotion.preferred != promotion.replaced:
         return promotion.preferred in promotion.fenced
@@ -139,6 +142,15 @@
     promotion.fenced[event.target] = model.Position(
         event.last_term, event.received
     )
+    return choose_when_fenced(state, moment, promotion)
+
+
+def choose_when_fenced(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    promotion: Promotion,
+) -> Effects:
+    """Choose the primary if the answers suffice."""
     if promotion.step is not Step.FENCING:
         return []
     if not is_fencing_complete(state, promotion):
@@ -146,6 +158,19 @@
     return promotions.enter_step(state, moment, promotion, Step.CHOOSING)
 
 
+def handle_bundle_fetched(
+    state: state_module.ProxyState,
+    moment: model.Moment,
+    event: events.ChangesFetched,
+) -> Effects:
+    """Record that the platform's bundle is in force, unless it is refused."""
+    for promotion in state.failover.promotions.values():
+        if promotion.operation == event.operation:
+            promotion.is_bundle_current = True
+            return choose_when_fenced(state, moment, promotion)
+    return []
+
+
 def handle_promoted(
     state: state_module.ProxyState,
     moment: model.Moment,
--- a/knapweedtally/core/failover/decisions.py
+++ b/knapweedtally/core/failover/decisions.py
@@ -186,6 +186,7 @@
     events.Ticked: handle_tick,
     events.TimerFired: handle_timer,
     events.ObjectSeen: handle_object,
+    events.ChangesFetched: answers.handle_bundle_fetched,
     events.ObjectUpdated: handle_object,
     events.ObjectConflicted: handle_object,
     events.PlatformFailed: handle_platform_failure,
--- a/knapweedtally/core/failover/retries.py
+++ b/knapweedtally/core/failover/retries.py
@@ -68,6 +68,8 @@
 
     Until the timeout, a majority without the replaced primary is awaited.
     """
+    if not promotion.is_bundle_current:
+        return []
     if not promotions.is_fenced(state, promotion):
         return []
     return promotions.enter_step(state, moment, promotion, Step.CHOOSING)
--- a/knapweedtally/core/failover/state.py
+++ b/knapweedtally/core/failover/state.py
@@ -93,6 +93,8 @@
         is_uncertain: whether an update of the platform may have taken
             effect.
         is_platform_up: whether the platform answered since the start.
+        is_bundle_current: whether the platform's bundle is in force as of the
+            last attempt to reserve the term, or later.
         statuses: answers of the instances before the term is reserved.
         unresponsive: instances that gave no status before the term is reserved.
         fenced: last log entry of each instance that installed the term.
@@ -113,6 +115,7 @@
     attempt: int = 0
     is_uncertain: bool = False
     is_platform_up: bool = False
+    is_bundle_current: bool = False
     statuses: dict[str, events.ProbeAnswered] = dataclasses.field(
         default_factory=dict
     )
--- a/knapweedtally/core/failover/steps.py
+++ b/knapweedtally/core/failover/steps.py
@@ -9,6 +9,7 @@
 from knapweedtally.core import effects
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
+from knapweedtally.core.bundles import decisions as bundles
 from knapweedtally.core.failover import detection
 from knapweedtally.core.failover import limits
 from knapweedtally.core.failover import records
@@ -70,6 +71,14 @@
     return [effects.ReadObject(promotion.operation, "group", promotion.group)]
 
 
+def fetch_bundle(promotion: failover_state.Promotion) -> effects.Effect:
+    """Fetch a newer bundle, if there is one, to count the majority by.
+
+    The bundle in force may be older, if this host was cut off or paused.
+    """
+    return effects.FetchChanges(promotion.operation, bundles.KIND)
+
+
 def hold_writes(
     state: state_module.ProxyState,
     moment: model.Moment,
@@ -118,7 +127,9 @@
         promotion.operation,
         preferred,
     )
-    return update_object(state, promotion, new)
+    promotion.is_bundle_current = False
+    update = update_object(state, promotion, new)
+    return update + [fetch_bundle(promotion)]
 
 
 def choose_primary(
@@ -163,11 +174,18 @@
     promotion: failover_state.Promotion,
 ) -> Effects:
     """Install the term on the instances that have not answered yet."""
-    return [
+    commands = [
         make_command(promotion, target.id, "install_term")
         for target in list_targets(state, promotion.group)
         if target.id not in promotion.fenced
     ]
+    # The first attempt after a reservation awaits the answer to its own call.
+    is_awaited = (
+        promotion.attempt == 0 and Step.RESERVING.value in promotion.entered_ms
+    )
+    if promotion.is_bundle_current or is_awaited:
+        return commands
+    return [*commands, fetch_bundle(promotion)]
 
 
 def open_primary(
--- a/knapweedtally/store/adapter.py
+++ b/knapweedtally/store/adapter.py
@@ -26,7 +26,7 @@
 
 _logger = structlog.get_logger()
 
-_Call = effects.ReadObject | effects.UpdateObject
+_Call = effects.ReadObject | effects.FetchChanges | effects.UpdateObject
 
 
 class PlatformAdapter:
@@ -38,6 +38,7 @@
 
     effect_types: tuple[type, ...] = (
         effects.ReadObject,
+        effects.FetchChanges,
         effects.UpdateObject,
         effects.SetWatching,
     )
@@ -72,21 +73,22 @@
             self._directory = hosts.HostDirectory(
                 host, submit, self._client, rng, is_leaving
             )
-        self._watches = [
-            watches.Watch(kind, submit, self._client, rng)
+        self._watches = {
+            kind: watches.Watch(kind, submit, self._client, rng)
             for kind in WATCHED_KINDS
-        ]
+        }
         self._task_group: anyio.abc.TaskGroup | None = None
         self._call_semaphore = anyio.Semaphore(MAX_CALLS)
         self._pending_calls = 0
         self._handlers: dict[type, Callable[[Any], Awaitable[Any]]] = {
             effects.ReadObject: self._read_object,
+            effects.FetchChanges: self._fetch_changes,
             effects.UpdateObject: self._update_object,
         }
 
     def set_watching(self, is_watching: bool) -> None:
         """Choose between long polling and infrequent polling."""
-        for watch in self._watches:
+        for watch in self._watches.values():
             watch.set_watching(is_watching)
 
     async def serve(
@@ -98,7 +100,7 @@
         try:
             async with anyio.create_task_group() as task_group:
                 self._task_group = task_group
-                for watch in self._watches:
+                for watch in self._watches.values():
                     task_group.start_soon(watch.run)
                 if self._directory:
                     task_group.start_soon(self._directory.run_registration)
@@ -148,6 +150,13 @@
             return _make_failure(effect, may_have_run=False)
         return events.ObjectSeen(*found)
 
+    async def _fetch_changes(self, effect: effects.FetchChanges) -> Any:
+        try:
+            await self._watches[effect.kind].fetch_changes_now()
+        except platform_client.PlatformError:
+            return _make_failure(effect, may_have_run=False)
+        return events.ChangesFetched(effect.operation, effect.kind)
+
     async def _update_object(self, effect: effects.UpdateObject) -> Any:
         try:
             result = await self._client.update_object(
@@ -169,6 +178,7 @@
 def _make_failure(
     effect: _Call, *, may_have_run: bool
 ) -> events.PlatformFailed:
+    name = "" if isinstance(effect, effects.FetchChanges) else effect.name
     return events.PlatformFailed(
-        effect.operation, effect.kind, effect.name, may_have_run
+        effect.operation, effect.kind, name, may_have_run
     )
--- a/knapweedtally/store/watches.py
+++ b/knapweedtally/store/watches.py
@@ -67,12 +67,21 @@
                 self._record_success()
                 await self._wait_for_next_poll()
 
+    async def fetch_changes_now(self) -> None:
+        """Fetch the changes since the last poll without waiting for others.
+
+        Raises:
+            platform_client.PlatformError: the call failed.
+        """
+        await self._submit_changes(0)
+
     async def _fetch_changes(self) -> None:
         is_long_poll = self._is_watching and self._revision is not None
-        wait_ms = WATCH_WAIT_MS if is_long_poll else 0
-        listing = await self._client.list_objects(
-            self._kind, self._revision or 0, wait_ms
-        )
+        await self._submit_changes(WATCH_WAIT_MS if is_long_poll else 0)
+
+    async def _submit_changes(self, wait_ms: int) -> None:
+        since = self._revision or 0
+        listing = await self._client.list_objects(self._kind, since, wait_ms)
         for count, item in enumerate(listing.objects, 1):
             self._submit(events.ObjectSeen(*item))
             if count % BATCH_SIZE == 0:
--- a/tests/driver/proxy.py
+++ b/tests/driver/proxy.py
@@ -278,6 +278,9 @@
     effects.ReadObject: lambda proxy, effect: proxy.platform_client.read_object(
         effect
     ),
+    effects.FetchChanges: lambda proxy, effect: (
+        proxy.platform_client.fetch_changes(effect)
+    ),
     effects.UpdateObject: lambda proxy, effect: (
         proxy.platform_client.update_object(effect)
     ),
--- a/tests/failover/test_membership.py
+++ b/tests/failover/test_membership.py
@@ -6,10 +6,14 @@
 
 from knapweedtally.core import effects
 from knapweedtally.core import model
+from knapweedtally.core.bundles import codec
+from knapweedtally.core.bundles import signatures
 from knapweedtally.core.failover import state as failover_state
 from tests.failover import harness
 
 LIMIT_S = 5.0
+SIGNER = "operator"
+PRIVATE_KEY = bytes(32)
 
 
 class World(harness.World):
@@ -34,6 +38,17 @@
         for host in hosts or self.states:
             self.states[host].directory.set_bundle(bundle)
 
+    def roll_out(self, bundle: model.Bundle, *hosts: str) -> None:
+        """Store a bundle in the platform, and put it in force on some hosts."""
+        value = codec.dump_bundle(bundle._replace(signer=SIGNER))
+        value["signature"] = signatures.sign_bundle(value, PRIVATE_KEY)
+        self.bundle_object = (bundle.version, value)
+        for state in self.states.values():
+            state.bundles.keys = {
+                SIGNER: signatures.derive_public_key(PRIVATE_KEY)
+            }
+        self.put_in_force(bundle, *hosts)
+
     def lose_primary(
         self, frozen: set[str], is_platform_down: bool = False
     ) -> None:
@@ -111,6 +126,7 @@
             world.set_members(*names)
             world.lose_primary(frozen=set(), is_platform_down=True)
             self.assertTrue(world.run_until(world.is_choosing, LIMIT_S))
+            world.run(0.1)
             world.put_in_force(world.make_bundle(2, *names))
             world.is_platform_down = False
             self.check_recovery(world)
@@ -126,6 +142,7 @@
         world.run(0.5)
         world.lose_primary(frozen={holder}, is_platform_down=True)
         self.assertTrue(world.run_until(world.is_choosing, LIMIT_S))
+        world.run(0.1)
         world.put_in_force(world.make_bundle(2, old, holder, behind))
         world.is_platform_down = False
         world.run(1.0)
@@ -133,3 +150,59 @@
         world.unfreeze()
         self.check_recovery(world)
         self.assertEqual(holder, world.primary)
+
+
+class OutdatedBundleTest(testtools.TestCase):
+    """A host that missed the two bundles that replaced a target."""
+
+    def replace_target(self, world: World, missed: str) -> str:
+        """Replace a replica while one host is away.
+
+        Args:
+            world: world of four targets, the last of which has no log.
+            missed: host that learns of no bundle.
+
+        Returns:
+            The replica that stays.
+        """
+        world.put_in_force(world.make_bundle(1, "t0", "t1", "t2"))
+        world.set_members("t0", "t1", "t2")
+        world.start()
+        old = world.primary
+        behind, removed = sorted({"t0", "t1", "t2"} - {old})
+        others = set(world.states) - {missed}
+        world.partition(missed, others={*others, harness.PLATFORM, old})
+        world.set_members(*world.targets)
+        world.roll_out(world.make_bundle(2, *world.targets), *others)
+        self.assertTrue(
+            world.run_until(world.is_whole, LIMIT_S), world.choices()
+        )
+        world.set_members(*(set(world.targets) - {removed}))
+        world.roll_out(
+            world.make_bundle(3, *(set(world.targets) - {removed})), *others
+        )
+        world.run(1.0)
+        return behind
+
+    def test_host_that_missed_two_bundles(self) -> None:
+        for seed in range(4):
+            for missed in ("h1", "h5"):
+                world = World(seed, targets=4)
+                behind = self.replace_target(world, missed)
+                world.partition(behind, others={world.primary})
+                world.run(0.5)
+                world.partitions = {
+                    pair for pair in world.partitions if missed not in pair
+                }
+                world.dead.add(world.primary)
+                self.assertTrue(
+                    world.run_until(
+                        lambda world=world: (
+                            world.term > 1 and world.is_serving()
+                        ),
+                        LIMIT_S,
+                    ),
+                    world.choices(),
+                )
+                self.assertEqual([], world.faults, world.choices())
+                self.assertEqual("t3", world.primary)
--- a/tests/store/test_adapter.py
+++ b/tests/store/test_adapter.py
@@ -136,6 +136,33 @@
 
         run_with_harness(scenario)
 
+    def test_changes_are_fetched_before_the_next_poll(self) -> None:
+        async def scenario(harness: Harness) -> None:
+            await harness.run_effect(effects.FetchChanges("op 1", "bundle"))
+            answer = await harness.caller.call(
+                "PUT", "/objects/bundle/current", {"n": 1}, if_match="0"
+            )
+            self.assertEqual(200, answer.status)
+            seen = events.ObjectSeen("bundle", "current", 1, {"n": 1})
+            for operation, expected in (("op 2", [seen]), ("op 3", [])):
+                fetched = await harness.run_effect(
+                    effects.FetchChanges(operation, "bundle")
+                )
+                self.assertEqual(
+                    events.ChangesFetched(operation, "bundle"), fetched
+                )
+                found = [event for event in harness.events if event == seen]
+                self.assertEqual(expected, found)
+            await harness.set_faults(mode="down")
+            self.assertEqual(
+                events.PlatformFailed("op 4", "bundle", "", False),
+                await harness.run_effect(
+                    effects.FetchChanges("op 4", "bundle")
+                ),
+            )
+
+        run_with_harness(scenario)
+
     def test_watch_sees_changes_made_before_and_after_an_outage(self) -> None:
         async def scenario(harness: Harness) -> None:
             harness.adapter.run_effect(effects.SetWatching(True))
