Refuse to roll out two changes of a group's targets

A majority of the group after the bundle may share no member with a majority before it. `bundle roll-out` now refuses a bundle in which a group changes by more than one target, names the group and the targets, and says how to go on. Groups that are new or dropped are not compared.

The new test of tests/management/test_roll_outs.py fails without the change (the bundle is accepted) and passes with it; tests/management and tests/bundles pass.

Why this works: any two majorities of groups that differ by one target share a member, which has every acknowledged write.

--- a/knapweedtally/core/bundles/checks.py
+++ b/knapweedtally/core/bundles/checks.py
@@ -52,6 +52,39 @@
     return problems
 
 
+def find_unsafe_changes(
+    before: dict[str, Any], after: dict[str, Any]
+) -> list[Problem]:
+    """Return the groups that change by more than one target.
+
+    A majority of such a group may share no member with a majority of the group
+    as it was, so acknowledged writes could be lost at a failover.
+
+    Args:
+        before: plain form of the present bundle.
+        after: plain form of the bundle that is to follow it.
+    """
+    known = {
+        group["name"]: _list_ids(group) for group in before.get("groups", ())
+    }
+    problems = []
+    for index, group in enumerate(after["groups"]):
+        ids = _list_ids(group)
+        changed = ids ^ known.get(group["name"], ids)
+        if len(changed) > 1:
+            remedy = (
+                "add or remove one target of a group in each bundle, and wait"
+                " until the group is whole before the next"
+            )
+            path: Path = ("groups", index, "targets")
+            problems.append(Problem(path, sorted(changed), remedy))
+    return problems
+
+
+def _list_ids(group: dict[str, Any]) -> set[str]:
+    return {target["id"] for target in group["targets"]}
+
+
 def parse_address(text: str) -> tuple[str, int] | None:
     """Return the IP address and the port of ``IP:PORT``, or None."""
     host, _, port = text.rpartition(":")
--- a/knapweedtally/management/roll_outs.py
+++ b/knapweedtally/management/roll_outs.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from knapweedtally.core.bundles import checks
 from knapweedtally.core.bundles import codec
 from knapweedtally.store import client as platform_client
 from knapweedtally.utils import backoff
@@ -151,9 +152,15 @@
             )
         expected = _get_version(current) + 1
         is_next = self._bundle["version"] == expected
-        if current.version == 0 or is_next:
+        if current.version == 0:
             return None
-        return self._make_refused_result(current)
+        if not is_next:
+            return self._make_refused_result(current)
+        problems = checks.find_unsafe_changes(current.value, self._bundle)
+        if problems:
+            message = "; ".join(map(str, problems))
+            return self._make_result(Outcome.REFUSED, current.value, message)
+        return None
 
     def _check_own_operation(self, accepted: dict[str, Any]) -> Result:
         is_same = accepted.get("digest") == codec.compute_digest(self._bundle)
--- a/tests/management/test_roll_outs.py
+++ b/tests/management/test_roll_outs.py
@@ -155,6 +155,43 @@
 
         run_on_platform(body)
 
+    def test_second_change_of_a_group_is_refused(self) -> None:
+        async def body(
+            client: platform_client.PlatformClient, port: int
+        ) -> None:
+            first = test_decisions.make_signed(1)
+            targets = first["groups"][0]["targets"]
+            added = {**targets[0], "id": "new", "address": "127.0.3.9:5432"}
+            replaced = {
+                **test_decisions.make_signed(2),
+                "groups": [
+                    {**first["groups"][0], "targets": [*targets[1:], added]},
+                    *first["groups"][1:],
+                ],
+            }
+            extended = {
+                **replaced,
+                "groups": [
+                    {**first["groups"][0], "targets": [*targets, added]},
+                    *first["groups"][1:],
+                ],
+            }
+            removed = {**replaced, "version": 3}
+            for value, expected in (
+                (first, Outcome.ACCEPTED),
+                (replaced, Outcome.REFUSED),
+                (extended, Outcome.ACCEPTED),
+                (removed, Outcome.ACCEPTED),
+            ):
+                operation = f"{value['version']} {expected.value}"
+                result = await roll_out(client, value, operation)
+                self.assertEqual(expected, result.outcome, result.message)
+                if expected is Outcome.REFUSED:
+                    self.assertIn("groups.0.targets", result.message)
+                    self.assertIn("new", result.message)
+
+        run_on_platform(body)
+
     def test_outage_is_not_sent_and_lost_response_is_unknown(
         self,
     ) -> None:
