Keep stand-in targets from following a replaced primary

Cause: in the line platform's stand-in, a target that restarted or left a partition took over the log of the primary with the highest term among those that were left. Once the primary of term 2 had stepped down, that was the replaced primary of term 1, so members of term 2 went back to term 1 and dropped acknowledged commits. On the platform only a promotion rolls a log back. Besides, a replaced primary restarted as a primary, and the end of a partition ended a pause, brought the log of a stopped primary, and told no other target of a new primary that had been cut off.

Evidence: soak. h0 leads term 1 and is cut off from the hosts; h2 is promoted to term 2 and steps down 0.2 s later, before h0 has learned of it. Both members of term 2 restart and take over 214 entries of term 1 in place of their 225, and no_lost_write reports the 11 that are missing.

Change: the primary of a group is the primary of its newest term, or none. A replaced primary restarts as a replica, a pause outlasts a partition unless a promotion ended it, and a primary that comes back is announced. The soak's final data are the newest log, and a group that ends without a primary is a problem of its own; before, the lookup of the primary would have ended the run with an error.

--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -70,7 +70,12 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Start listening, on the former port after a restart."""
+        """Start listening, on the former port after a restart.
+
+        A replaced primary comes back as a replica.
+        """
+        if self.term < self.group.get_newest_term():
+            self.is_primary = False
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, limit=2 * 1024 * 1024
         )
@@ -80,11 +85,19 @@
         """Reconnect to the other targets after a partition or a crash."""
         self.is_partitioned = False
         primary = self.group.find_primary()
-        if primary is None or primary is self:
-            return
-        if primary.term > self.term or not self.is_primary:
+        if primary is self:
+            self.group.announce(self)
+        elif primary is not None and self._receives_from(primary):
             self.adopt_log(primary.log, primary.term)
 
+    def _receives_from(self, primary: "Target") -> bool:
+        """Return whether this target reaches a primary and isn't paused.
+
+        A promotion to the term for which it was paused, or to a later one,
+        ended the pause.
+        """
+        return primary.is_reachable and self.paused_for <= primary.term
+
     async def stop(self) -> None:
         """Simulate a crash: abort all connections and keep the log."""
         if self._server is not None:
@@ -99,6 +112,11 @@
         """Return whether the target is running."""
         return self._server is not None
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the other targets reach this one."""
+        return self.is_running and not self.is_partitioned
+
     def format_position(self) -> str:
         """Return the position of the end of the log as text."""
         return f"{self.term}.{len(self.log)}"
@@ -208,13 +226,24 @@
         self.targets = {id_: Target(self, id_) for id_ in ids}
         self.targets[ids[0]].is_primary = True
 
+    def get_newest_term(self) -> int:
+        """Return the term of the newest promotion that took effect."""
+        return max(target.term for target in self.targets.values())
+
     def find_primary(self) -> Target | None:
-        """Return the primary of the highest term, or None without a primary."""
-        primaries = [t for t in self.targets.values() if t.is_primary]
-        return max(primaries, key=lambda target: target.term, default=None)
+        """Return the primary of the newest term, or None without one.
+
+        A primary of an earlier term was replaced, whether it knows or not, and
+        no member of a later term follows it.
+        """
+        term = self.get_newest_term()
+        for target in self.targets.values():
+            if target.is_primary and target.term == term:
+                return target
+        return None
 
     def get_primary(self) -> Target:
-        """Return the primary of the highest term.
+        """Return the primary of the newest term.
 
         Raises:
             LookupError: the group has no primary.
@@ -224,6 +253,14 @@
             raise LookupError(f"group {self.name} has no primary")
         return primary
 
+    def get_newest_log(self) -> list[LogEntry]:
+        """Return the primary's log, or the one to promote without a primary."""
+        newest = self.find_primary() or max(
+            self.targets.values(),
+            key=lambda target: (target.term, len(target.log)),
+        )
+        return newest.log
+
     def append(
         self, primary: Target, writes: list[tuple[str, str]]
     ) -> LogEntry:
@@ -259,32 +296,37 @@
             return False
         if target.is_primary:
             return True
-        term = 1 + max(t.term for t in self.targets.values())
+        term = 1 + self.get_newest_term()
         target.adopt_log(target.log, term)
         target.is_primary = True
         loop = asyncio.get_running_loop()
         self.promotion_history.append((loop.time(), term, id_))
         for other in self.targets.values():
-            if other is target or not other.is_running or other.is_partitioned:
+            if other is not target and other.is_reachable:
+                other.paused_for = 0
+        self.announce(target)
+        return True
+
+    def announce(self, primary: Target) -> None:
+        """Let targets of earlier terms follow a primary that they reach."""
+        loop = asyncio.get_running_loop()
+        for other in self.targets.values():
+            if other is primary or not other.is_reachable:
                 continue
-            other.paused_for = 0
             if self.promotion_notice_delay_s:
                 loop.call_later(
                     self.promotion_notice_delay_s,
                     self._notify_of_promotion,
                     other,
-                    target,
+                    primary,
                 )
             else:
-                other.adopt_log(target.log, term)
-        return True
+                self._notify_of_promotion(other, primary)
 
     def _notify_of_promotion(self, other: Target, primary: Target) -> None:
         """Make a target follow the new primary unless it does already."""
-        is_reachable = (
-            other.is_running and not other.is_partitioned and primary.is_running
-        )
-        if is_reachable and primary.is_primary and primary.term > other.term:
+        is_reached = other.is_reachable and primary.is_reachable
+        if is_reached and primary.is_primary and primary.term > other.term:
             other.adopt_log(primary.log, primary.term)
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -185,7 +185,7 @@
                 model.TermOpened(at_s, name, term, target)
                 for at_s, term, target in group.promotion_history
             ]
-            log = group.get_primary().log
+            log = group.get_newest_log()
             tables[name] = tuple(
                 model.Row(commit.index, commit.term, "", value)
                 for commit in log
@@ -197,6 +197,9 @@
         )
 
     def _check_history(self) -> None:
+        for name, group in self.platform.groups.items():
+            if group.find_primary() is None:
+                self.problems.append(f"final_data: {name} has no primary")
         for violation in checker.check_history(self._make_history()):
             self.problems.append(
                 f"{violation.check}: request {violation.request}: "
