Don't name a primary of an earlier term than a member's

Cause: a host that hears nothing of a promotion, or started after it, named the replaced primary again each time that one answered, and dropped it each time a member of the later term answered. If the primary of the later term had stepped down, the group kept this state: no commit was certain, and the time without a primary started again every 0.1 s, so no host changed the primary.

Change: a primary's answer, and shared evidence, count only if no member has reported a later term.

--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -152,7 +152,9 @@
         pool.received = max(pool.received, status.received)
         self.known_term = max(self.known_term, status.term)
         leadership = self.leadership
-        if status.is_primary:
+        # A primary of an earlier term than a member's was replaced, even if
+        # the primary that replaced it doesn't lead any longer.
+        if status.is_primary and status.term == self.known_term:
             is_new = evidence.record_primary(
                 leadership, target, status.term, asked_s
             )
@@ -166,7 +168,7 @@
                 self._record_primary_loss(
                     target, "a member reported another term or role"
                 )
-        else:
+        elif not status.is_primary:
             evidence.record_member(
                 leadership,
                 target,
@@ -191,7 +193,9 @@
         """
         if not shared.is_fenced and shared.target not in self._pools:
             return
-        self.known_term = max(self.known_term, shared.term)
+        if shared.term < self.known_term:
+            return
+        self.known_term = shared.term
         if sharing.merge_shared_evidence(self.leadership, shared, sent_here_s):
             self._handle_new_primary(shared.target, shared.term)
         if not self.is_poller and shared.target == self.leadership.target:
--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -1,5 +1,7 @@
 """Tests of an entry host while a group's primary changes."""
 
+import asyncio
+
 import testtools
 
 from knapweedtally.entry import acknowledgements
@@ -56,3 +58,25 @@
             answer = await caller.run("WRITE item 1")
             is_served = answer[0].startswith("DONE g-")
             caller.close()
+
+    @harness.with_system()
+    async def test_commits_continue_beside_a_replaced_primary(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        group.promotion_notice_delay_s = 60.0
+        old = group.get_primary()
+        new, other = [t for t in group.targets.values() if t is not old]
+        caller = harness.Caller(system.entry_hosts[0].port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        # The host sees none of this, as if it started afterwards. The old
+        # primary doesn't learn of the new one before that steps down.
+        group.promote(new.id)
+        commit = group.append(new, [("item", "2")])
+        self.assertTrue(group.replicate(new, commit))
+        new.is_primary = False
+        async with asyncio.timeout(harness.WAIT_TIMEOUT_S):
+            while (await caller.run("WRITE other 3"))[0].startswith("ERROR"):
+                await asyncio.sleep(0.05)
+        self.assertEqual((await caller.run("READ item"))[0], "ROW 2")
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -20,6 +20,9 @@
     (7, 12.0),
     # A reload signal ended the process while it was starting.
     (9, 15.0),
+    # Hosts that restarted took turns between naming a replaced primary and
+    # none, and the group got no new one.
+    (724803, 15.0),
 )
 
 # Number of seeds that run in parallel.
