Keep a stopped stand-in target from sending its log

Cause: a commit that waited for a replica went on sending its entry after its target was stopped, so a crashed primary reached members that were resumed or restarted. A crashed process sends nothing.

Evidence: the new test fails before: replicate() succeeds for a stopped primary.

Change: only a reachable primary replicates, and its waiting commits end.

--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -272,16 +272,14 @@
     def replicate(self, primary: Target, entry: LogEntry) -> bool:
         """Replicate an entry; return whether a reachable replica has it."""
         others = [t for t in self.targets.values() if t is not primary]
-        if not primary.is_partitioned:
+        if primary.is_reachable:
             for other in others:
                 if entry not in other.log[entry.index - 1 :]:
                     other.receive(entry, primary.log)
         return any(
             entry in other.log[entry.index - 1 : entry.index]
             for other in others
-            if other.is_running
-            and not other.is_partitioned
-            and not primary.is_partitioned
+            if other.is_reachable and primary.is_reachable
         )
 
     def promote(self, id_: str) -> bool:
@@ -480,12 +478,15 @@
         """Commit the writes and wait until a replica has received them.
 
         Raises:
-            ConnectionAbortedError: another target became the primary.
+            ConnectionAbortedError: another target became the primary, or the
+                target was stopped.
         """
         target = self._target
         entry = target.group.append(target, list(writes))
         while not target.group.replicate(target, entry):
             await asyncio.sleep(0.01)
+            if not target.is_running:
+                raise ConnectionAbortedError("the target was stopped")
             if not target.is_primary or target.term != entry.term:
                 raise ConnectionAbortedError(
                     "another target is the primary now"
--- a/tests/standins/test_line_targets.py
+++ b/tests/standins/test_line_targets.py
@@ -136,3 +136,25 @@
         cut_off.reconnect()
         self.assertEqual([], get_values(cut_off))
         self.assertEqual(["1"], get_values(other))
+
+    @with_group
+    async def test_stopped_primary_sends_its_log_to_no_replica(
+        self, group: targets.Group
+    ) -> None:
+        primary, *replicas = group.targets.values()
+        for replica in replicas:
+            replica.paused_for = 2
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", primary.port
+        )
+        writer.write(b"START g test\r\nQUERY q WRITE item 1\r\n")
+        while not primary.log:
+            await asyncio.sleep(0.001)
+        await primary.stop()
+        for replica in replicas:
+            replica.paused_for = 0
+        self.assertFalse(group.replicate(primary, primary.log[0]))
+        # Longer than the interval at which the commit is sent again.
+        await asyncio.sleep(0.05)
+        self.assertEqual([[], []], [replica.log for replica in replicas])
+        writer.close()
