Let soak seeds keep their plans when kinds of faults are added

Cause: a plan is drawn from all kinds, so a new kind would change what the seeds that failed once play.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,25 +25,30 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--hosts", type=int, default=run.HOST_COUNT)
     parser.add_argument("--processes", type=int, default=3)
+    parser.add_argument(
+        "--kinds", type=int, help="draw only from the first kinds of faults"
+    )
     return parser.parse_args()
 
 
 def run_and_report(
-    options: tuple[int, float, int],
+    options: tuple[int, float, int, int | None],
 ) -> tuple[int, run.Result, str]:
     """Run a seed, and keep its logs and a report if it found a problem.
 
     Args:
-        options: the seed, the duration of the faults in seconds and the number
-            of hosts.
+        options: the seed, the duration of the faults in seconds, the number
+            of hosts and the number of the first kinds of faults to draw from.
 
     Returns:
         The seed, its result and the folder of its logs.
     """
-    seed, seconds, hosts = options
+    seed, seconds, hosts, kind_count = options
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     try:
-        result = run.run_seed(seed, seconds, hosts, pathlib.Path(folder))
+        result = run.run_seed(
+            seed, seconds, hosts, pathlib.Path(folder), kind_count
+        )
     except Exception:
         # An error in one seed must not stop the others, which still have to
         # end their processes.
@@ -66,7 +71,9 @@
     if first is None:
         first = time.time_ns() // 1000 % SEED_RANGE
     seeds = range(first, first + options.seeds)
-    arguments = [(seed, options.seconds, options.hosts) for seed in seeds]
+    arguments = [
+        (seed, options.seconds, options.hosts, options.kinds) for seed in seeds
+    ]
     failed = requests = done = promotions = 0
     with multiprocessing.Pool(options.processes) as pool:
         for seed, result, folder in pool.imap_unordered(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -333,13 +333,23 @@
 }
 
 
-def draw_plan(seed: int, duration_s: float) -> list[Fault]:
-    """Return the faults that a seed gives, in the order of their start."""
+def draw_plan(
+    seed: int, duration_s: float, kind_count: int | None = None
+) -> list[Fault]:
+    """Return the faults that a seed gives, in the order of their start.
+
+    Args:
+        seed: the seed.
+        duration_s: length of the plan, in seconds.
+        kind_count: number of the first kinds to draw from, or None for all.
+            New kinds go to the end, so that earlier plans can be drawn again.
+    """
+    kinds = tuple(FAULT_FUNCTIONS)[:kind_count]
     rng = random.Random(seed)
     at_s = 0.2
     plan = []
     while at_s < duration_s:
-        kind = rng.choice(tuple(FAULT_FUNCTIONS))
+        kind = rng.choice(kinds)
         for_s = round(rng.uniform(*DURATION_RANGE_S), 2)
         plan.append(Fault(round(at_s, 2), kind, for_s, rng.getrandbits(32)))
         at_s += rng.uniform(*INTERVAL_RANGE_S)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -50,7 +50,11 @@
     """Run of one seed."""
 
     def __init__(
-        self, seed: int, host_count: int, folder: pathlib.Path
+        self,
+        seed: int,
+        host_count: int,
+        folder: pathlib.Path,
+        kind_count: int | None,
     ) -> None:
         self.seed = seed
         self.platform = platform_module.Platform(GROUPS)
@@ -58,6 +62,7 @@
         self.record = callers.RunRecord()
         self.problems: list[str] = []
         self._host_count = host_count
+        self._kind_count = kind_count
         self._folder = folder
         # Concurrent runs and their hosts have addresses of their own, so that
         # their ports don't conflict.
@@ -69,7 +74,7 @@
             group.max_connections = MAX_CONNECTIONS
             group.promotion_notice_delay_s = LEARN_DELAY_S
         await self.platform.start()
-        plan = faults.draw_plan(self.seed, duration_s)
+        plan = faults.draw_plan(self.seed, duration_s, self._kind_count)
         try:
             await self._start_hosts()
             tasks = self._start_callers()
@@ -221,8 +226,12 @@
 
 
 def run_seed(
-    seed: int, duration_s: float, host_count: int, folder: pathlib.Path
+    seed: int,
+    duration_s: float,
+    host_count: int,
+    folder: pathlib.Path,
+    kind_count: int | None,
 ) -> Result:
     """Run a seed in an event loop of its own."""
-    soak_run = SoakRun(seed, host_count, folder)
+    soak_run = SoakRun(seed, host_count, folder, kind_count)
     return asyncio.run(soak_run.run(duration_s))
