Report host processes that end without being asked to in the soak

A process that ended by itself was restarted by the next fault that picked its host, and nothing reported it.

Change: a host compares the exit status of its process with the signals that it was sent. SIGKILL and SIGTERM explain an end by that signal, SIGTERM also a status of 0; anything else is a problem of the run. Tests: an end by another signal is noticed, the asked ends aren't.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -1,13 +1,19 @@
 """Short soak runs of fixed seeds, among them seeds that failed before."""
 
+import asyncio
 import multiprocessing
+import pathlib
+import signal
+import tempfile
 import zlib
 
 import testtools
 from testtools import content
 
+from standins.line_platform import platform as platform_module
 from tests.soak import __main__ as command
 from tests.soak import faults
+from tests.soak import hosts
 from tests.soak import run
 
 # Seeds, the duration of their faults in seconds, and the number of the first
@@ -41,6 +47,41 @@
 WORKER_COUNT = 3
 
 
+class HostTest(testtools.TestCase):
+    """A host of the soak notices how its process ended."""
+
+    async def _stop_after(
+        self, ends_unasked: bool, signal_number: signal.Signals
+    ) -> list[str]:
+        platform = platform_module.Platform()
+        await platform.start()
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        host = hosts.Host("host", "127.0.0.1", platform, folder)
+        try:
+            await host.start_links()
+            await host.start()
+            while not await host.is_ready():
+                await asyncio.sleep(0.05)
+            if ends_unasked:
+                assert host.process is not None
+                host.process.send_signal(signal.SIGUSR1)
+                await host.process.wait()
+            await host.stop(signal_number)
+        finally:
+            await host.close()
+            await platform.stop()
+        return host.unasked_ends
+
+    def test_end_without_being_asked_is_noticed(self) -> None:
+        ends = asyncio.run(self._stop_after(True, signal.SIGTERM))
+        self.assertEqual(["start 1 ended with -10"], ends)
+
+    def test_asked_ends_are_none_of_these(self) -> None:
+        for signal_number in (signal.SIGTERM, signal.SIGKILL):
+            ends = asyncio.run(self._stop_after(False, signal_number))
+            self.assertEqual([], ends)
+
+
 class SoakTest(testtools.TestCase):
     """Real processes keep their guarantees while faults are injected."""
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -14,6 +14,9 @@
 from tests.entry import harness
 from tests.soak import links
 
+# Signals that ask a process to end.
+END_SIGNALS = frozenset((signal.SIGTERM, signal.SIGKILL))
+
 # Number of ports of a host: callers, readiness, datagrams of other hosts and
 # metrics.
 PORT_COUNT = 4
@@ -32,6 +35,8 @@
         process: the process; None while it is stopped.
         start_count: number of times that the process was started.
         is_paused: whether the process is suspended by SIGSTOP.
+        unasked_ends: description of each end of a process that no signal asked
+            for.
     """
 
     def __init__(
@@ -47,6 +52,8 @@
         self.process: asyncio.subprocess.Process | None = None
         self.start_count = 0
         self.is_paused = False
+        self.unasked_ends: list[str] = []
+        self._sent_signals: set[signal.Signals] = set()
         self._platform = platform
         self._folder = folder
         self._ports = harness.find_ports(PORT_COUNT, address)
@@ -96,6 +103,7 @@
         path = self._folder / f"{self.name}.json"
         path.write_text(json.dumps(self._make_settings()), encoding="utf-8")
         self.start_count += 1
+        self._sent_signals.clear()
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -111,6 +119,7 @@
         """Send a signal to the process if it is running."""
         process = self.process
         if process is not None and process.returncode is None:
+            self._sent_signals.add(signal_number)
             process.send_signal(signal_number)
 
     def handles_signal(self, signal_number: signal.Signals) -> bool:
@@ -127,12 +136,21 @@
 
     async def stop(self, signal_number: signal.Signals) -> int | None:
         """Stop the process with a signal and return its exit status."""
+        self.send_signal(signal_number)
         process, self.process = self.process, None
         if process is None:
             return None
-        if process.returncode is None:
-            process.send_signal(signal_number)
-        return await process.wait()
+        status = await process.wait()
+        # A process that a signal met before its handler was installed ends by
+        # that signal.
+        expected = {-number for number in self._sent_signals & END_SIGNALS}
+        if signal.SIGTERM in self._sent_signals:
+            expected.add(0)
+        if status not in expected:
+            self.unasked_ends.append(
+                f"start {self.start_count} ended with {status}"
+            )
+        return status
 
     async def is_ready(self) -> bool:
         """Return whether the host reports that it is ready for callers."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -85,6 +85,7 @@
         finally:
             await asyncio.gather(*(host.close() for host in self.hosts))
             await self.platform.stop()
+        self._check_ends()
         done = checker.Index(self._make_history()).done
         invoked = [
             e for e in self.record.events if isinstance(e, model.Invoked)
@@ -212,6 +213,12 @@
             )
         self._check_fencing()
 
+    def _check_ends(self) -> None:
+        """Check that no process ended without being asked to."""
+        for host in self.hosts:
+            for end in host.unasked_ends:
+                self.problems.append(f"unasked_end: {host.name}, {end}")
+
     def _check_fencing(self) -> None:
         """Check that fencing tokens never decrease and have one holder each."""
         highest = (0, "")
