Keep idle sessions open in the soak until a host's process is gone

Cause: the soak's callers close their sessions after a few requests, so no host was ever stopped, or restarted, with callers that stay.

Change: a caller per host and group opens a session, asks nothing, and closes its side only after the process has ended.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,6 +6,7 @@
 
 from knapweedtally.core import errors
 from tests.history import model
+from tests.soak import hosts
 
 # Error codes that mean that the request has no effect.
 NOT_RUN_CODES = frozenset(
@@ -252,3 +253,31 @@
         session = Session(record, rng, f"{name}-{number}", group)
         await session.run(choose_endpoint(rng))
         await asyncio.sleep(rng.uniform(0.01, 0.1))
+
+
+async def keep_connections(host: hosts.Host, group: str) -> None:
+    """Keep an idle session open until the host's process is gone, forever.
+
+    The caller's side stays open even if the host has closed its own.
+    """
+    while True:
+        await asyncio.sleep(0.1)
+        process = host.process
+        if process is None:
+            continue
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    host.address, host.callers_port
+                )
+        except (OSError, TimeoutError):
+            continue
+        try:
+            writer.write(f"START {group}-primary keeper\r\n".encode())
+            await reader.read()
+            await process.wait()
+        except OSError:
+            # The process is gone.
+            pass
+        finally:
+            writer.transport.abort()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -78,9 +78,12 @@
         try:
             await self._start_hosts()
             tasks = self._start_callers()
+            keepers = self._start_keepers()
             await self._inject_faults(plan)
             await self._check_recovery()
             await self._stop_callers(tasks)
+            for keeper in keepers:
+                keeper.cancel()
             self._check_history()
         finally:
             await asyncio.gather(*(host.close() for host in self.hosts))
@@ -133,6 +136,13 @@
             for number in range(count)
         ]
 
+    def _start_keepers(self) -> list[asyncio.Task[None]]:
+        return [
+            asyncio.create_task(callers.keep_connections(host, group))
+            for host in self.hosts
+            for group in GROUPS
+        ]
+
     async def _inject_faults(self, plan: list[faults.Fault]) -> None:
         loop = asyncio.get_running_loop()
         start_s = loop.time()
