Play late promotions, and held up answers to promotion calls, in the soak

Cause: each promotion took effect 0.2 s after its call, and other targets learned of it 0.3 s later. The platform's page allows some hundred ms and up to a second, and a call's answer may be late or lost.

Change: from a fault on, each promotion takes effect 0.2 to 1.5 s after its call, and other targets learn of it within a second. Another fault holds up the answers to promotion calls for a while, and loses them in half of the cases.

--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -26,6 +26,8 @@
             call.
         routes: routes of the current configuration.
         leaving: ids of the targets whose entries are marked as draining.
+        choose_promotion_delay_s: returns how long after its call a promotion
+            takes effect.
     """
 
     def __init__(self, group_names: tuple[str, ...] = ("g",)) -> None:
@@ -35,6 +37,7 @@
         self.promotions: list[tuple[int, str, str]] = []
         self.routes: list[dict[str, Any]] = []
         self.leaving: set[str] = set()
+        self.choose_promotion_delay_s = lambda: PROMOTION_DURATION_S
         self._version = 0
         self._update_count = 0
         self._servers: list[http_server.Server] = []
@@ -158,7 +161,8 @@
         if target is None or not target.is_running:
             return http.Response(409)
         loop = asyncio.get_running_loop()
-        loop.call_later(PROMOTION_DURATION_S, group.promote, body["id"])
+        delay_s = self.choose_promotion_delay_s()
+        loop.call_later(delay_s, group.promote, body["id"])
         return http.Response(200)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults to inject into a running system, and their random schedule."""
 
 import asyncio
+import functools
 import random
 import signal
 from collections.abc import Awaitable
@@ -22,6 +23,11 @@
 # seconds.
 ENTRY_EXPIRY_S = 3 * platform_module.HEARTBEAT_INTERVAL_S
 
+# Range of the delay between a promotion call and its effect, and the longest
+# time until another target follows the new primary, in seconds.
+PROMOTION_DELAY_RANGE_S = (0.2, 1.5)
+MAX_NOTICE_DELAY_S = 1.0
+
 # Longest time until a target that was isolated learns of a new primary, in
 # seconds.
 MAX_REJOIN_DELAY_S = 0.8
@@ -312,6 +318,32 @@
     system.platform.write_configuration()
 
 
+async def delay_promotions(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let promotions take effect, and be followed, late from now on."""
+    system.platform.choose_promotion_delay_s = functools.partial(
+        rng.uniform, *PROMOTION_DELAY_RANGE_S
+    )
+    for group in system.platform.groups.values():
+        group.promotion_notice_delay_s = rng.uniform(0.0, MAX_NOTICE_DELAY_S)
+
+
+async def hold_promotion_answers(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Hold up the answers to promotion calls, or lose them."""
+    chosen = [host.cloud_api_link for host in system.hosts]
+    loses_answers = rng.random() < 0.5
+    for link in chosen:
+        link.set_fault(links.LinkFault(blocks_from_server=True))
+    await asyncio.sleep(duration_s)
+    for link in chosen:
+        if loses_answers:
+            link.reset_connections()
+        link.set_fault(links.LinkFault())
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -330,6 +362,8 @@
     "lag_replicas": delay_log_apply,
     "harm_store": inject_store_fault,
     "change_routes": write_configuration,
+    "late_promotions": delay_promotions,
+    "hold_promotions": hold_promotion_answers,
 }
 
 
