Crash replicas in series during changes of primary in the soak

The soak crashed one target at a time, for 0.3 s or more, and never in step with a change.

Change: a fault drains, isolates or cuts off a primary, and meanwhile crashes the replicas of its group again and again for 0.1 to 0.8 s each.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,11 +28,20 @@
 PROMOTION_DELAY_RANGE_S = (0.2, 1.5)
 MAX_NOTICE_DELAY_S = 1.0
 
+# Range of the duration of a short crash, and the longest pause between two such
+# crashes, in seconds.
+SHORT_CRASH_RANGE_S = (0.1, 0.8)
+MAX_CRASH_PAUSE_S = 0.5
+
 # Longest time until a target that was isolated learns of a new primary, in
 # seconds.
 MAX_REJOIN_DELAY_S = 0.8
 
 
+# A link that delivers nothing.
+CUT = links.LinkFault(blocks_to_server=True, blocks_from_server=True)
+
+
 class System(Protocol):
     """Parts of the running system that faults act on."""
 
@@ -175,7 +184,12 @@
     system: System, rng: random.Random, duration_s: float
 ) -> None:
     """Mark a random target as leaving, then stop it and start it again."""
-    target = _choose_target(system, rng)
+    await _drain(system, _choose_target(system, rng), duration_s)
+
+
+async def _drain(
+    system: System, target: targets.Target, duration_s: float
+) -> None:
     if system.platform.leaving or not target.is_running:
         return
     system.platform.leaving.add(target.id)
@@ -192,16 +206,20 @@
     system: System, rng: random.Random, duration_s: float
 ) -> None:
     """Isolate a target from other targets, the store and some hosts."""
-    target = _choose_target(system, rng)
+    await _isolate(system, rng, _choose_target(system, rng), duration_s)
+
+
+async def _isolate(
+    system: System,
+    rng: random.Random,
+    target: targets.Target,
+    duration_s: float,
+) -> None:
     if any(other.is_partitioned for other in target.group.targets.values()):
         return
     target.is_partitioned, target.has_platform_entry = True, False
     chosen = _choose_links(system, rng, target)
-    await _apply_link_fault(
-        chosen,
-        links.LinkFault(blocks_to_server=True, blocks_from_server=True),
-        duration_s,
-    )
+    await _apply_link_fault(chosen, CUT, duration_s)
     target.has_platform_entry = True
     await asyncio.sleep(rng.uniform(0.0, MAX_REJOIN_DELAY_S))
     target.reconnect()
@@ -344,6 +362,50 @@
         link.set_fault(links.LinkFault())
 
 
+async def crash_replicas(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Crash replicas for a short time each while their primary changes.
+
+    The primary drains, is isolated, or is cut off from the hosts alone and
+    still commits through the replicas that restart.
+    """
+    group = rng.choice(list(system.platform.groups.values()))
+    primary = group.find_primary()
+    if primary is None:
+        return
+    choice = rng.randrange(3)
+    if choice == 0:
+        cause = _drain(system, primary, duration_s)
+    elif choice == 1:
+        cause = _isolate(system, rng, primary, duration_s)
+    else:
+        chosen = [host.target_links[primary.id] for host in system.hosts]
+        cause = _apply_link_fault(chosen, CUT, duration_s)
+    await asyncio.gather(
+        cause, _crash_in_series(rng, group, primary, duration_s)
+    )
+
+
+async def _crash_in_series(
+    rng: random.Random,
+    group: targets.Group,
+    primary: targets.Target,
+    duration_s: float,
+) -> None:
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + duration_s
+    while loop.time() < end_s:
+        await asyncio.sleep(rng.uniform(0.0, MAX_CRASH_PAUSE_S))
+        target = rng.choice(list(group.targets.values()))
+        if target is primary or not target.is_running:
+            continue
+        await target.stop()
+        await asyncio.sleep(rng.uniform(*SHORT_CRASH_RANGE_S))
+        await target.start()
+        target.reconnect()
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -364,6 +426,7 @@
     "change_routes": write_configuration,
     "late_promotions": delay_promotions,
     "hold_promotions": hold_promotion_answers,
+    "crash_replicas": crash_replicas,
 }
 
 
