Replace targets under a new id, with and without their log, in the soak

Cause: a target of the soak always came back under its id with its log.

Change: Group.replace() puts a new target at the address of a stopped one, with its log or empty. One fault drains a target for drainMs or longer and then replaces it; one replaces a target without a drain by an empty one, which the primary refills. The newest term of a group outlives the target that led it.

Evidence: a test of the stand-in.

--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -225,10 +225,38 @@
         ids = [f"{name}-{run_suffix}-{number}" for number in range(count)]
         self.targets = {id_: Target(self, id_) for id_ in ids}
         self.targets[ids[0]].is_primary = True
+        self._newest_term = 1
+        self._run_suffix = run_suffix
+        self._id_count = count
+
+    def add_target(self) -> Target:
+        """Add a replica without a log, which isn't started, and return it."""
+        id_ = f"{self.name}-{self._run_suffix}-{self._id_count}"
+        self._id_count += 1
+        self.targets[id_] = Target(self, id_)
+        return self.targets[id_]
+
+    def replace(self, old: Target, keeps_log: bool) -> Target:
+        """Replace a stopped target with a replica at its address.
+
+        Args:
+            old: the target, which is gone for good.
+            keeps_log: whether its log is transferred to the new target, which
+                is otherwise refilled by the primary.
+
+        Returns:
+            The new target, which isn't started.
+        """
+        del self.targets[old.id]
+        new = self.add_target()
+        new.port = old.port
+        if keeps_log:
+            new.adopt_log(old.log, old.term)
+        return new
 
     def get_newest_term(self) -> int:
         """Return the term of the newest promotion that took effect."""
-        return max(target.term for target in self.targets.values())
+        return self._newest_term
 
     def find_primary(self) -> Target | None:
         """Return the primary of the newest term, or None without one.
@@ -294,7 +322,7 @@
             return False
         if target.is_primary:
             return True
-        term = 1 + self.get_newest_term()
+        term = self._newest_term = self._newest_term + 1
         target.adopt_log(target.log, term)
         target.is_primary = True
         loop = asyncio.get_running_loop()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,9 @@
 PROMOTION_DELAY_RANGE_S = (0.2, 1.5)
 MAX_NOTICE_DELAY_S = 1.0
 
+# How long a target that leaves for good serves on after its report, in seconds.
+DRAIN_S = 7.0
+
 # Range of the duration of a short crash, and the longest pause between two such
 # crashes, in seconds.
 SHORT_CRASH_RANGE_S = (0.1, 0.8)
@@ -362,6 +365,57 @@
         link.set_fault(links.LinkFault())
 
 
+async def replace_target(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Drain a random target and transfer its log to one with a new id."""
+    target = _choose_target(system, rng)
+    if system.platform.leaving or not target.is_running:
+        return
+    system.platform.leaving.add(target.id)
+    await asyncio.sleep(DRAIN_S + duration_s)
+    system.platform.leaving.discard(target.id)
+    await _replace(system, rng, target, True)
+
+
+async def lose_target(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Replace a random target that is lost for good by an empty one.
+
+    The platform keeps two copies of a commit, so no other target is lost until
+    the primary has refilled the new one.
+    """
+    target = _choose_target(system, rng)
+    if all(member.log for member in target.group.targets.values()):
+        await _replace(system, rng, target, False)
+
+
+def _is_group_whole(target: targets.Target) -> bool:
+    """Return whether a target and all others of its group are reachable."""
+    members = target.group.targets.values()
+    return target in members and all(t.is_reachable for t in members)
+
+
+async def _replace(
+    system: System,
+    rng: random.Random,
+    old: targets.Target,
+    keeps_log: bool,
+) -> None:
+    if not _is_group_whole(old):
+        return
+    await old.stop()
+    new = old.group.replace(old, keeps_log)
+    for host in system.hosts:
+        host.target_links[new.id] = host.target_links[old.id]
+    await asyncio.sleep(rng.uniform(*SHORT_CRASH_RANGE_S))
+    system.platform.store.remove("servers", old.id)
+    await new.start()
+    await asyncio.sleep(rng.uniform(0.0, MAX_REJOIN_DELAY_S))
+    new.reconnect()
+
+
 async def crash_replicas(
     system: System, rng: random.Random, duration_s: float
 ) -> None:
@@ -427,6 +481,8 @@
     "late_promotions": delay_promotions,
     "hold_promotions": hold_promotion_answers,
     "crash_replicas": crash_replicas,
+    "replace_target": replace_target,
+    "lose_target": lose_target,
 }
 
 
--- a/tests/standins/test_line_targets.py
+++ b/tests/standins/test_line_targets.py
@@ -158,3 +158,20 @@
         await asyncio.sleep(0.05)
         self.assertEqual([[], []], [replica.log for replica in replicas])
         writer.close()
+
+    @with_group
+    async def test_replaced_target_keeps_its_address_and_maybe_its_log(
+        self, group: targets.Group
+    ) -> None:
+        primary, first, second = group.targets.values()
+        commit(primary, "1")
+        for old, keeps_log in ((first, True), (second, False)):
+            await old.stop()
+            new = group.replace(old, keeps_log)
+            await new.start()
+            self.assertNotIn(old.id, group.targets)
+            self.assertEqual(old.port, new.port)
+            self.assertEqual(["1"] if keeps_log else [], get_values(new))
+            self.assertFalse(new.is_primary)
+            new.reconnect()
+            self.assertEqual(["1"], get_values(new))
