--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -26,6 +26,7 @@
             call.
         routes: routes of the current configuration.
         leaving: ids of the targets whose entries are marked as draining.
+        unlisted: ids of the targets that don't reach the store.
         choose_promotion_delay_s: returns how long after its call a promotion
             takes effect.
     """
@@ -37,6 +38,7 @@
         self.promotions: list[tuple[int, str, str]] = []
         self.routes: list[dict[str, Any]] = []
         self.leaving: set[str] = set()
+        self.unlisted: set[str] = set()
         self.choose_promotion_delay_s = lambda: PROMOTION_DURATION_S
         self._version = 0
         self._update_count = 0
@@ -106,6 +108,7 @@
                     target.is_running
                     and not target.is_unresponsive
                     and target.has_platform_entry
+                    and target.id not in self.unlisted
                 ):
                     spec = self._make_target_entry(group, target)
                     self.store.put("servers", target.id, spec)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,10 @@
 PROMOTION_DELAY_RANGE_S = (0.2, 1.5)
 MAX_NOTICE_DELAY_S = 1.0
 
+# How long a target that is cut off from the store stays so at least, in
+# seconds.
+STORE_CUT_S = 10.0
+
 # How long a target that leaves for good serves on after its report, in seconds.
 DRAIN_S = 7.0
 
@@ -460,6 +464,29 @@
         target.reconnect()
 
 
+async def cut_target_off_from_store(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Cut a random target off from the store alone, for over 10 s."""
+    target = _choose_target(system, rng)
+    if target.id in system.platform.unlisted:
+        return
+    await _remove_entries(system, [target], STORE_CUT_S + duration_s)
+
+
+async def _remove_entries(
+    system: System, chosen: list[targets.Target], duration_s: float
+) -> None:
+    """Remove targets' entries until they may reach the store again."""
+    ids = {target.id for target in chosen}
+    system.platform.unlisted |= ids
+    await asyncio.sleep(ENTRY_EXPIRY_S)
+    for id_ in ids:
+        system.platform.store.remove("servers", id_)
+    await asyncio.sleep(duration_s)
+    system.platform.unlisted -= ids
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -483,6 +510,7 @@
     "crash_replicas": crash_replicas,
     "replace_target": replace_target,
     "lose_target": lose_target,
+    "cut_store": cut_target_off_from_store,
 }
 
 
