Let replicas receive nothing for a while in the soak

Cause: a replica that received nothing was isolated from hosts and the store as well, so hosts never counted a reachable member whose log was old.

Change: a fault cuts a replica off from the other targets alone.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -487,6 +487,19 @@
     system.platform.unlisted -= ids
 
 
+async def stop_receiving(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let a random replica receive nothing for a while."""
+    group = rng.choice(list(system.platform.groups.values()))
+    target = rng.choice([t for t in group.targets.values() if not t.is_primary])
+    if any(other.is_partitioned for other in group.targets.values()):
+        return
+    target.is_partitioned = True
+    await asyncio.sleep(duration_s)
+    target.reconnect()
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -511,6 +524,7 @@
     "replace_target": replace_target,
     "lose_target": lose_target,
     "cut_store": cut_target_off_from_store,
+    "stop_receiving": stop_receiving,
 }
 
 
