Let targets join and leave groups in the soak

Change: a fault lets a new, empty target join a group while another drains for drainMs or longer. That one leaves for good, with its log, once the others have the whole log, and stays if they haven't within 10 s.

--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -229,12 +229,10 @@
         self._run_suffix = run_suffix
         self._id_count = count
 
-    def add_target(self) -> Target:
-        """Add a replica without a log, which isn't started, and return it."""
-        id_ = f"{self.name}-{self._run_suffix}-{self._id_count}"
+    def make_id(self) -> str:
+        """Return an id that no target of the group has had."""
         self._id_count += 1
-        self.targets[id_] = Target(self, id_)
-        return self.targets[id_]
+        return f"{self.name}-{self._run_suffix}-{self._id_count - 1}"
 
     def replace(self, old: Target, keeps_log: bool) -> Target:
         """Replace a stopped target with a replica at its address.
@@ -248,7 +246,8 @@
             The new target, which isn't started.
         """
         del self.targets[old.id]
-        new = self.add_target()
+        new = Target(self, self.make_id())
+        self.targets[new.id] = new
         new.port = old.port
         if keeps_log:
             new.adopt_log(old.log, old.term)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,9 @@
 # seconds.
 STORE_CUT_S = 10.0
 
+# Number of checks, 0.1 s apart, until a target that may not leave yet stays.
+MAX_LEAVE_CHECKS = 100
+
 # How long a target that leaves for good serves on after its report, in seconds.
 DRAIN_S = 7.0
 
@@ -500,6 +503,48 @@
     target.reconnect()
 
 
+async def join_and_leave(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let a target join a group while another drains and leaves for good.
+
+    It leaves only once the others have two copies of each commit, and stays if
+    that takes too long.
+    """
+    leaving = _choose_target(system, rng)
+    group = leaving.group
+    if system.platform.leaving or not _is_group_whole(leaving):
+        return
+    system.platform.leaving.add(leaving.id)
+    await asyncio.sleep(duration_s)
+    joining = targets.Target(group, group.make_id())
+    await joining.start()
+    for host in system.hosts:
+        await host.add_target_link(joining)
+    group.targets[joining.id] = joining
+    await asyncio.sleep(rng.uniform(0.0, MAX_REJOIN_DELAY_S))
+    joining.reconnect()
+    await asyncio.sleep(DRAIN_S)
+    for _ in range(MAX_LEAVE_CHECKS):
+        if _is_group_whole(leaving) and _is_log_elsewhere(leaving):
+            del group.targets[leaving.id]
+            await leaving.stop()
+            system.platform.store.remove("servers", leaving.id)
+            break
+        await asyncio.sleep(0.1)
+    system.platform.leaving.discard(leaving.id)
+
+
+def _is_log_elsewhere(leaving: targets.Target) -> bool:
+    """Return whether the other targets of a group have its whole log."""
+    group = leaving.group
+    newest = group.get_newest_log()
+    others = [t for t in group.targets.values() if t is not leaving]
+    return group.find_primary() in others and all(
+        other.log == newest for other in others
+    )
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -525,6 +570,7 @@
     "lose_target": lose_target,
     "cut_store": cut_target_off_from_store,
     "stop_receiving": stop_receiving,
+    "join_and_leave": join_and_leave,
 }
 
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -11,6 +11,7 @@
 from knapweedtally.platform import settings
 from knapweedtally.utils import http
 from standins.line_platform import platform as platform_module
+from standins.line_platform import targets
 from tests.entry import harness
 from tests.soak import links
 
@@ -63,15 +64,19 @@
         """Open a link to each target, to the store and to the cloud API."""
         for group in self._platform.groups.values():
             for target in group.targets.values():
-                link = links.Link(target.port)
-                await link.start()
-                self.target_links[target.id] = link
+                await self.add_target_link(target)
         server = await self._platform.serve(self._answer_store_request)
         self.store_link = links.Link(server.port)
         self.cloud_api_link = links.Link(self._platform.promotion_port)
         await self.store_link.start()
         await self.cloud_api_link.start()
 
+    async def add_target_link(self, target: targets.Target) -> None:
+        """Open the link to a started target."""
+        link = links.Link(target.port)
+        await link.start()
+        self.target_links[target.id] = link
+
     async def _answer_store_request(
         self, request: http.Request
     ) -> http.Response:
