Restart all hosts while entries of targets are missing in the soak

Change: a fault removes the entries of some or all targets of a group, kills all hosts and starts them again; the entries are back within two seconds.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,9 @@
 # seconds.
 STORE_CUT_S = 10.0
 
+# Longest time for which entries are missing, in seconds.
+MAX_ENTRY_GAP_S = 2.0
+
 # Number of checks, 0.1 s apart, until a target that may not leave yet stays.
 MAX_LEAVE_CHECKS = 100
 
@@ -545,6 +548,22 @@
     )
 
 
+async def restart_without_entries(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Restart all hosts while entries of targets are missing.
+
+    The entries are back within two seconds, as after an unavailable store.
+    """
+    group = rng.choice(list(system.platform.groups.values()))
+    members = list(group.targets.values())
+    chosen = rng.sample(members, rng.randrange(1, len(members) + 1))
+    await asyncio.gather(
+        _remove_entries(system, chosen, rng.uniform(0.5, MAX_ENTRY_GAP_S)),
+        kill_all_hosts(system, rng, duration_s),
+    )
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -571,6 +590,7 @@
     "cut_store": cut_target_off_from_store,
     "stop_receiving": stop_receiving,
     "join_and_leave": join_and_leave,
+    "restart_unlisted": restart_without_entries,
 }
 
 
