Send signals in series in the soak

Cause: a host got one signal at a time, and never one while it was stopping.

Change: a fault sends a process several SIGHUP and SIGTERM within seconds, and then stops and restarts it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,8 +32,10 @@
 # seconds.
 STORE_CUT_S = 10.0
 
-# Longest time for which entries are missing, in seconds.
+# Longest time for which entries are missing, and longest pause between two
+# signals of a series, in seconds.
 MAX_ENTRY_GAP_S = 2.0
+MAX_SIGNAL_PAUSE_S = 0.5
 
 # Number of checks, 0.1 s apart, until a target that may not leave yet stays.
 MAX_LEAVE_CHECKS = 100
@@ -564,6 +566,25 @@
     )
 
 
+async def send_signals(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Send a host's process signals in series, then stop and restart it."""
+    host = rng.choice(system.hosts)
+    for _ in range(rng.randrange(2, 7)):
+        signal_number = rng.choice(
+            (signal.SIGHUP, signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)
+        )
+        if host.handles_signal(signal_number):
+            host.send_signal(signal_number)
+        await asyncio.sleep(rng.uniform(0.0, MAX_SIGNAL_PAUSE_S))
+    while host.is_paused:
+        await asyncio.sleep(0.05)
+    if host.process is not None:
+        await host.stop(signal.SIGTERM)
+        await host.start()
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -591,6 +612,7 @@
     "stop_receiving": stop_receiving,
     "join_and_leave": join_and_leave,
     "restart_unlisted": restart_without_entries,
+    "send_signals": send_signals,
 }
 
 
