Add two tests that fail for faults which the soak found

The hosts drop h1 6 s after its entry; h0 is isolated as h2 comes back; host-2 fences h2 as the only other member and has it promoted with 118 entries. The test does the same to one caller's commit.

The host was suspended just after the primary was isolated, and then sent it nothing. The end of a suspension clears a target's failures but not the mark that it doesn't respond, and an answer clears the mark only if there are failures.

No logic is changed.

--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from knapweedtally.core.groups import catalog
 from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
 from tests.entry import harness
@@ -80,3 +81,28 @@
             while (await caller.run("WRITE other 3"))[0].startswith("ERROR"):
                 await asyncio.sleep(0.05)
         self.assertEqual((await caller.run("READ item"))[0], "ROW 2")
+
+    @harness.with_system()
+    async def test_commit_is_kept_by_a_member_that_has_no_entry(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        old = group.get_primary()
+        unlisted, behind = [t for t in group.targets.values() if t is not old]
+        system.entry_hosts[0].attach_changes(self)
+        caller = harness.Caller(system.entry_hosts[0].port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        # The member receives and answers all the time, without the store.
+        system.platform.unlisted.add(unlisted.id)
+        system.platform.store.remove("servers", unlisted.id)
+        await asyncio.sleep(catalog.MEMBERSHIP_GRACE_S)
+        behind.is_partitioned = True
+        answer = await caller.run("WRITE item 2")
+        self.assertThat(answer[0], StartsWith("DONE "))
+        await old.stop()
+        behind.is_partitioned = False
+        async with asyncio.timeout(harness.WAIT_TIMEOUT_S):
+            while (await caller.run("WRITE other 3"))[0].startswith("ERROR"):
+                await asyncio.sleep(0.05)
+        self.assertEqual((await caller.run("READ item"))[0], "ROW 2")
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -4,6 +4,8 @@
 
 import testtools
 
+from knapweedtally.entry import clock
+from knapweedtally.entry import host as host_module
 from standins.line_platform import targets
 from tests.entry import harness
 
@@ -154,6 +156,23 @@
         answer = await caller.run("READ item")
         self.assertEqual(answer[0], "ROW -")
 
+    @harness.with_system()
+    async def test_target_that_failed_before_a_suspension_serves_again(
+        self, system: harness.System
+    ) -> None:
+        host = system.entry_hosts[0].host
+        primary = system.platform.groups["g"].get_primary()
+        caller = harness.Caller(system.entry_hosts[0].port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        now_s = clock.get_time_s()
+        for _ in range(2):
+            host.routers["g"].pools[primary.id].record_failure(now_s, False)
+        host._last_tick_s = now_s - 2 * host_module.SUSPENSION_S
+        host.tick(now_s)
+        answer = await caller.run("WRITE item 2")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE "))
+
     @harness.with_system()
     async def test_crashed_primary_is_replaced(
         self, system: harness.System
