--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults to inject into a running system, and their random schedule."""
 
 import asyncio
+import functools
 import random
 import signal
 from collections.abc import Awaitable
@@ -22,11 +23,40 @@
 # seconds.
 ENTRY_EXPIRY_S = 3 * platform_module.HEARTBEAT_INTERVAL_S
 
+# Range of the delay between a promotion call and its effect, and the longest
+# time until another target follows the new primary, in seconds.
+PROMOTION_DELAY_RANGE_S = (0.2, 1.5)
+MAX_NOTICE_DELAY_S = 1.0
+
+# How long a target that is cut off from the store stays so at least, in
+# seconds.
+STORE_CUT_S = 10.0
+
+# Longest time for which entries are missing, and longest pause between two
+# signals of a series, in seconds.
+MAX_ENTRY_GAP_S = 2.0
+MAX_SIGNAL_PAUSE_S = 0.5
+
+# Number of checks, 0.1 s apart, until a target that may not leave yet stays.
+MAX_LEAVE_CHECKS = 100
+
+# How long a target that leaves for good serves on after its report, in seconds.
+DRAIN_S = 7.0
+
+# Range of the duration of a short crash, and the longest pause between two such
+# crashes, in seconds.
+SHORT_CRASH_RANGE_S = (0.1, 0.8)
+MAX_CRASH_PAUSE_S = 0.5
+
 # Longest time until a target that was isolated learns of a new primary, in
 # seconds.
 MAX_REJOIN_DELAY_S = 0.8
 
 
+# A link that delivers nothing.
+CUT = links.LinkFault(blocks_to_server=True, blocks_from_server=True)
+
+
 class System(Protocol):
     """Parts of the running system that faults act on."""
 
@@ -169,7 +199,12 @@
     system: System, rng: random.Random, duration_s: float
 ) -> None:
     """Mark a random target as leaving, then stop it and start it again."""
-    target = _choose_target(system, rng)
+    await _drain(system, _choose_target(system, rng), duration_s)
+
+
+async def _drain(
+    system: System, target: targets.Target, duration_s: float
+) -> None:
     if system.platform.leaving or not target.is_running:
         return
     system.platform.leaving.add(target.id)
@@ -186,16 +221,20 @@
     system: System, rng: random.Random, duration_s: float
 ) -> None:
     """Isolate a target from other targets, the store and some hosts."""
-    target = _choose_target(system, rng)
+    await _isolate(system, rng, _choose_target(system, rng), duration_s)
+
+
+async def _isolate(
+    system: System,
+    rng: random.Random,
+    target: targets.Target,
+    duration_s: float,
+) -> None:
     if any(other.is_partitioned for other in target.group.targets.values()):
         return
     target.is_partitioned, target.has_platform_entry = True, False
     chosen = _choose_links(system, rng, target)
-    await _apply_link_fault(
-        chosen,
-        links.LinkFault(blocks_to_server=True, blocks_from_server=True),
-        duration_s,
-    )
+    await _apply_link_fault(chosen, CUT, duration_s)
     target.has_platform_entry = True
     await asyncio.sleep(rng.uniform(0.0, MAX_REJOIN_DELAY_S))
     target.reconnect()
@@ -312,6 +351,240 @@
     system.platform.write_configuration()
 
 
+async def delay_promotions(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let promotions take effect, and be followed, late from now on."""
+    system.platform.choose_promotion_delay_s = functools.partial(
+        rng.uniform, *PROMOTION_DELAY_RANGE_S
+    )
+    for group in system.platform.groups.values():
+        group.promotion_notice_delay_s = rng.uniform(0.0, MAX_NOTICE_DELAY_S)
+
+
+async def hold_promotion_answers(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Hold up the answers to promotion calls, or lose them."""
+    chosen = [host.cloud_api_link for host in system.hosts]
+    loses_answers = rng.random() < 0.5
+    for link in chosen:
+        link.set_fault(links.LinkFault(blocks_from_server=True))
+    await asyncio.sleep(duration_s)
+    for link in chosen:
+        if loses_answers:
+            link.reset_connections()
+        link.set_fault(links.LinkFault())
+
+
+async def replace_target(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Drain a random target and transfer its log to one with a new id."""
+    target = _choose_target(system, rng)
+    if system.platform.leaving or not target.is_running:
+        return
+    system.platform.leaving.add(target.id)
+    await asyncio.sleep(DRAIN_S + duration_s)
+    system.platform.leaving.discard(target.id)
+    await _replace(system, rng, target, True)
+
+
+async def lose_target(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Replace a random target that is lost for good by an empty one.
+
+    The platform keeps two copies of a commit, so no other target is lost until
+    the primary has refilled the new one.
+    """
+    target = _choose_target(system, rng)
+    if all(member.log for member in target.group.targets.values()):
+        await _replace(system, rng, target, False)
+
+
+def _is_group_whole(target: targets.Target) -> bool:
+    """Return whether a target and all others of its group are reachable."""
+    members = target.group.targets.values()
+    return target in members and all(t.is_reachable for t in members)
+
+
+async def _replace(
+    system: System,
+    rng: random.Random,
+    old: targets.Target,
+    keeps_log: bool,
+) -> None:
+    if not _is_group_whole(old):
+        return
+    await old.stop()
+    new = old.group.replace(old, keeps_log)
+    for host in system.hosts:
+        host.target_links[new.id] = host.target_links[old.id]
+    await asyncio.sleep(rng.uniform(*SHORT_CRASH_RANGE_S))
+    system.platform.store.remove("servers", old.id)
+    await new.start()
+    await asyncio.sleep(rng.uniform(0.0, MAX_REJOIN_DELAY_S))
+    new.reconnect()
+
+
+async def crash_replicas(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Crash replicas for a short time each while their primary changes.
+
+    The primary drains, is isolated, or is cut off from the hosts alone and
+    still commits through the replicas that restart.
+    """
+    group = rng.choice(list(system.platform.groups.values()))
+    primary = group.find_primary()
+    if primary is None:
+        return
+    choice = rng.randrange(3)
+    if choice == 0:
+        cause = _drain(system, primary, duration_s)
+    elif choice == 1:
+        cause = _isolate(system, rng, primary, duration_s)
+    else:
+        chosen = [host.target_links[primary.id] for host in system.hosts]
+        cause = _apply_link_fault(chosen, CUT, duration_s)
+    await asyncio.gather(
+        cause, _crash_in_series(rng, group, primary, duration_s)
+    )
+
+
+async def _crash_in_series(
+    rng: random.Random,
+    group: targets.Group,
+    primary: targets.Target,
+    duration_s: float,
+) -> None:
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + duration_s
+    while loop.time() < end_s:
+        await asyncio.sleep(rng.uniform(0.0, MAX_CRASH_PAUSE_S))
+        target = rng.choice(list(group.targets.values()))
+        if target is primary or not target.is_running:
+            continue
+        await target.stop()
+        await asyncio.sleep(rng.uniform(*SHORT_CRASH_RANGE_S))
+        await target.start()
+        target.reconnect()
+
+
+async def cut_target_off_from_store(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Cut a random target off from the store alone, for over 10 s."""
+    target = _choose_target(system, rng)
+    if target.id in system.platform.unlisted:
+        return
+    await _remove_entries(system, [target], STORE_CUT_S + duration_s)
+
+
+async def _remove_entries(
+    system: System, chosen: list[targets.Target], duration_s: float
+) -> None:
+    """Remove targets' entries until they may reach the store again."""
+    ids = {target.id for target in chosen}
+    system.platform.unlisted |= ids
+    await asyncio.sleep(ENTRY_EXPIRY_S)
+    for id_ in ids:
+        system.platform.store.remove("servers", id_)
+    await asyncio.sleep(duration_s)
+    system.platform.unlisted -= ids
+
+
+async def stop_receiving(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let a random replica receive nothing for a while."""
+    group = rng.choice(list(system.platform.groups.values()))
+    target = rng.choice([t for t in group.targets.values() if not t.is_primary])
+    if any(other.is_partitioned for other in group.targets.values()):
+        return
+    target.is_partitioned = True
+    await asyncio.sleep(duration_s)
+    target.reconnect()
+
+
+async def join_and_leave(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let a target join a group while another drains and leaves for good.
+
+    It leaves only once the others have two copies of each commit, and stays if
+    that takes too long.
+    """
+    leaving = _choose_target(system, rng)
+    group = leaving.group
+    if system.platform.leaving or not _is_group_whole(leaving):
+        return
+    system.platform.leaving.add(leaving.id)
+    await asyncio.sleep(duration_s)
+    joining = targets.Target(group, group.make_id())
+    await joining.start()
+    for host in system.hosts:
+        await host.add_target_link(joining)
+    group.targets[joining.id] = joining
+    await asyncio.sleep(rng.uniform(0.0, MAX_REJOIN_DELAY_S))
+    joining.reconnect()
+    await asyncio.sleep(DRAIN_S)
+    for _ in range(MAX_LEAVE_CHECKS):
+        if _is_group_whole(leaving) and _is_log_elsewhere(leaving):
+            del group.targets[leaving.id]
+            await leaving.stop()
+            system.platform.store.remove("servers", leaving.id)
+            break
+        await asyncio.sleep(0.1)
+    system.platform.leaving.discard(leaving.id)
+
+
+def _is_log_elsewhere(leaving: targets.Target) -> bool:
+    """Return whether the other targets of a group have its whole log."""
+    group = leaving.group
+    newest = group.get_newest_log()
+    others = [t for t in group.targets.values() if t is not leaving]
+    return group.find_primary() in others and all(
+        other.log == newest for other in others
+    )
+
+
+async def restart_without_entries(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Restart all hosts while entries of targets are missing.
+
+    The entries are back within two seconds, as after an unavailable store.
+    """
+    group = rng.choice(list(system.platform.groups.values()))
+    members = list(group.targets.values())
+    chosen = rng.sample(members, rng.randrange(1, len(members) + 1))
+    await asyncio.gather(
+        _remove_entries(system, chosen, rng.uniform(0.5, MAX_ENTRY_GAP_S)),
+        kill_all_hosts(system, rng, duration_s),
+    )
+
+
+async def send_signals(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Send a host's process signals in series, then stop and restart it."""
+    host = rng.choice(system.hosts)
+    for _ in range(rng.randrange(2, 7)):
+        signal_number = rng.choice(
+            (signal.SIGHUP, signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)
+        )
+        if host.handles_signal(signal_number):
+            host.send_signal(signal_number)
+        await asyncio.sleep(rng.uniform(0.0, MAX_SIGNAL_PAUSE_S))
+    while host.is_paused:
+        await asyncio.sleep(0.05)
+    if host.process is not None:
+        await host.stop(signal.SIGTERM)
+        await host.start()
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -330,16 +603,36 @@
     "lag_replicas": delay_log_apply,
     "harm_store": inject_store_fault,
     "change_routes": write_configuration,
+    "late_promotions": delay_promotions,
+    "hold_promotions": hold_promotion_answers,
+    "crash_replicas": crash_replicas,
+    "replace_target": replace_target,
+    "lose_target": lose_target,
+    "cut_store": cut_target_off_from_store,
+    "stop_receiving": stop_receiving,
+    "join_and_leave": join_and_leave,
+    "restart_unlisted": restart_without_entries,
+    "send_signals": send_signals,
 }
 
 
-def draw_plan(seed: int, duration_s: float) -> list[Fault]:
-    """Return the faults that a seed gives, in the order of their start."""
+def draw_plan(
+    seed: int, duration_s: float, kind_count: int | None = None
+) -> list[Fault]:
+    """Return the faults that a seed gives, in the order of their start.
+
+    Args:
+        seed: the seed.
+        duration_s: length of the plan, in seconds.
+        kind_count: number of the first kinds to draw from, or None for all.
+            New kinds go to the end, so that earlier plans can be drawn again.
+    """
+    kinds = tuple(FAULT_FUNCTIONS)[:kind_count]
     rng = random.Random(seed)
     at_s = 0.2
     plan = []
     while at_s < duration_s:
-        kind = rng.choice(tuple(FAULT_FUNCTIONS))
+        kind = rng.choice(kinds)
         for_s = round(rng.uniform(*DURATION_RANGE_S), 2)
         plan.append(Fault(round(at_s, 2), kind, for_s, rng.getrandbits(32)))
         at_s += rng.uniform(*INTERVAL_RANGE_S)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -50,7 +50,11 @@
     """Run of one seed."""
 
     def __init__(
-        self, seed: int, host_count: int, folder: pathlib.Path
+        self,
+        seed: int,
+        host_count: int,
+        folder: pathlib.Path,
+        kind_count: int | None,
     ) -> None:
         self.seed = seed
         self.platform = platform_module.Platform(GROUPS)
@@ -58,6 +62,7 @@
         self.record = callers.RunRecord()
         self.problems: list[str] = []
         self._host_count = host_count
+        self._kind_count = kind_count
         self._folder = folder
         # Concurrent runs and their hosts have addresses of their own, so that
         # their ports don't conflict.
@@ -69,17 +74,21 @@
             group.max_connections = MAX_CONNECTIONS
             group.promotion_notice_delay_s = LEARN_DELAY_S
         await self.platform.start()
-        plan = faults.draw_plan(self.seed, duration_s)
+        plan = faults.draw_plan(self.seed, duration_s, self._kind_count)
         try:
             await self._start_hosts()
             tasks = self._start_callers()
+            keepers = self._start_keepers()
             await self._inject_faults(plan)
             await self._check_recovery()
             await self._stop_callers(tasks)
+            for keeper in keepers:
+                keeper.cancel()
             self._check_history()
         finally:
             await asyncio.gather(*(host.close() for host in self.hosts))
             await self.platform.stop()
+        self._check_ends()
         done = checker.Index(self._make_history()).done
         invoked = [
             e for e in self.record.events if isinstance(e, model.Invoked)
@@ -127,6 +136,13 @@
             for number in range(count)
         ]
 
+    def _start_keepers(self) -> list[asyncio.Task[None]]:
+        return [
+            asyncio.create_task(callers.keep_connections(host, group))
+            for host in self.hosts
+            for group in GROUPS
+        ]
+
     async def _inject_faults(self, plan: list[faults.Fault]) -> None:
         loop = asyncio.get_running_loop()
         start_s = loop.time()
@@ -185,7 +201,7 @@
                 model.TermOpened(at_s, name, term, target)
                 for at_s, term, target in group.promotion_history
             ]
-            log = group.get_primary().log
+            log = group.get_newest_log()
             tables[name] = tuple(
                 model.Row(commit.index, commit.term, "", value)
                 for commit in log
@@ -197,6 +213,9 @@
         )
 
     def _check_history(self) -> None:
+        for name, group in self.platform.groups.items():
+            if group.find_primary() is None:
+                self.problems.append(f"final_data: {name} has no primary")
         for violation in checker.check_history(self._make_history()):
             self.problems.append(
                 f"{violation.check}: request {violation.request}: "
@@ -204,6 +223,12 @@
             )
         self._check_fencing()
 
+    def _check_ends(self) -> None:
+        """Check that no process ended without being asked to."""
+        for host in self.hosts:
+            for end in host.unasked_ends:
+                self.problems.append(f"unasked_end: {host.name}, {end}")
+
     def _check_fencing(self) -> None:
         """Check that fencing tokens never decrease and have one holder each."""
         highest = (0, "")
@@ -218,8 +243,12 @@
 
 
 def run_seed(
-    seed: int, duration_s: float, host_count: int, folder: pathlib.Path
+    seed: int,
+    duration_s: float,
+    host_count: int,
+    folder: pathlib.Path,
+    kind_count: int | None,
 ) -> Result:
     """Run a seed in an event loop of its own."""
-    soak_run = SoakRun(seed, host_count, folder)
+    soak_run = SoakRun(seed, host_count, folder, kind_count)
     return asyncio.run(soak_run.run(duration_s))
