Give work to a target again that failed before a suspension

Cause: after a suspension failures prove nothing and are cleared, but not the mark that the target doesn't respond. An answer clears the mark only if there are failures, so it stayed until the next failure.

Change: failures and mark are cleared together, in one place.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -481,8 +481,7 @@
         self.log.write("standstill", lasted_s=round(now_s - last_tick_s, 2))
         for router in self.routers.values():
             for pool in router.pools.values():
-                pool.failing_since_s = None
-                pool.failures = 0
+                pool.clear_failures()
             if router.observer.no_primary_since_s is not None:
                 router.observer.no_primary_since_s = now_s
             router.observer.commits_in_flight.clear()
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -409,9 +409,13 @@
         """Clear the target's failures, since it has answered."""
         self.answered_s = clock.get_time_s()
         if self.failing_since_s is not None:
-            self.failing_since_s = None
-            self.failures = 0
-            self.load.is_responsive = True
+            self.clear_failures()
+
+    def clear_failures(self) -> None:
+        """Forget the failures since the target's last answer."""
+        self.failing_since_s = None
+        self.failures = 0
+        self.load.is_responsive = True
 
     def handle_closed(self, connection: connections.Connection) -> None:
         """Remove a connection that was closed."""
