Simulate several hosts that change the primary of one group

The hosts run the product's code on an event loop with simulated time. A commit counts as lost if a caller was told of it and a promoted target lacks it. No fault of the product is fixed here.

--- /dev/null
+++ b/tests/groups/simulated_hosts.py
@@ -0,0 +1,416 @@
+"""Hosts of the multi-host simulation, which run the product's code.
+
+Only connections, datagrams and the calls to the store and to the platform are
+simulated.
+"""
+
+import asyncio
+import types
+from collections.abc import Callable
+from typing import Any
+
+from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import model
+from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import promotion_lease
+from knapweedtally.core.groups import sharing
+from knapweedtally.core.groups import statements
+from knapweedtally.entry import connections
+from knapweedtally.entry import evidence_sharing
+from knapweedtally.entry import observer
+from knapweedtally.entry import pools as pools_module
+from knapweedtally.entry import primary_changes
+from knapweedtally.entry import promoter
+from knapweedtally.entry import store as store_module
+from knapweedtally.platform import settings
+from knapweedtally.platform import store_calls
+from tests.groups import simulated_targets
+
+TICK_INTERVAL_S = 0.05
+PROBE_INTERVAL_S = 0.1
+_TRACED_EVENTS = frozenset(
+    {
+        "primary_known",
+        "primary_lost",
+        "change_started",
+        "change_step",
+        "change_ended",
+        "promotion_asked",
+        "duty_claimed",
+        "targets_gone",
+    }
+)
+
+
+class Log:
+    """Write the important events to the trace."""
+
+    def __init__(self, world: simulated_targets.World, host: str) -> None:
+        self._world = world
+        self._host = host
+
+    def write(self, event: str, **fields: Any) -> None:
+        if event in _TRACED_EVENTS:
+            fields.pop("group", None)
+            values = " ".join(
+                f"{k}={v}" for k, v in fields.items() if v not in (None, "")
+            )
+            self._world.note(f"{self._host}: {event} {values}")
+
+
+class Pool:
+    """A host's connections to one target."""
+
+    def __init__(self, host: "Host", entry: model.TargetEntry) -> None:
+        self.host = host
+        self.entry = entry
+        self.failing_since_s: float | None = None
+        self.failures = 0
+        self.is_refusing = False
+        self.generation = 0
+        self.received = model.Position(0, 0)
+        self.position_before_restart = model.Position(0, 0)
+        self.reported_connections = 0
+        self.reported_s = 0.0
+        self.load = placement.TargetLoad(entry.target)
+        self._answered_s = 0.0
+        self._next_probe_s = 0.0
+
+    @property
+    def is_answering(self) -> bool:
+        return self.failing_since_s is None and self._answered_s > 0.0
+
+    def send_control_statement(
+        self,
+        text: bytes,
+        on_end: Callable[[connections.Outcome], None],
+        timeout_s: float,
+    ) -> None:
+        target = self.host.world.targets.get(self.entry.target)
+        self.exchange(
+            lambda answer: answer(target.run_control(text)) if target else None,
+            on_end,
+            timeout_s,
+            True,
+        )
+
+    def exchange(
+        self,
+        run: Callable[[Callable[[statements.Answer], None]], None],
+        on_end: Callable[[connections.Outcome], None],
+        timeout_s: float,
+        counts_timeout: bool,
+    ) -> None:
+        """Run a statement on the target and report its outcome once."""
+        world, name = self.host.world, self.host.name
+        target = world.targets.get(self.entry.target)
+        asked_s = world.now_s
+        is_over = False
+
+        def finish(answer: statements.Answer | None) -> None:
+            nonlocal is_over
+            if is_over:
+                return
+            is_over = True
+            if answer is not None:
+                self._answered_s = world.now_s
+                self.failing_since_s, self.failures = None, 0
+            on_end(connections.Outcome(answer, asked_s))
+
+        def refuse() -> None:
+            if not is_over:
+                self.generation += 1
+                self._record_failure(asked_s, True)
+                finish(None)
+
+        def expire() -> None:
+            if is_over:
+                return
+            if counts_timeout and self._answered_s <= asked_s:
+                self._record_failure(asked_s, False)
+            finish(None)
+
+        def answer(result: statements.Answer) -> None:
+            world.send(self.entry.target, name, lambda: finish(result))
+
+        def arrive() -> None:
+            if target is None or not target.is_up:
+                world.send(self.entry.target, name, refuse)
+            else:
+                run(answer)
+
+        world.send(name, self.entry.target, arrive)
+        world.loop.call_later(timeout_s, expire)
+
+    def _record_failure(self, since_s: float, is_refused: bool) -> None:
+        if self.failing_since_s is None:
+            self.failing_since_s = since_s
+        self.failures += 1
+        self.is_refusing = is_refused
+
+    def tick(self, now_s: float) -> None:
+        if self.is_answering or now_s < self._next_probe_s:
+            return
+        self._next_probe_s = now_s + PROBE_INTERVAL_S
+        self.send_control_statement(
+            b"STATUS", lambda outcome: None, pools_module.CONTROL_TIMEOUT_S
+        )
+
+    def get_newest_position(self) -> model.Position:
+        return max(self.position_before_restart, self.received)
+
+    def restart(self, entry: model.TargetEntry) -> None:
+        self.entry = entry
+        self.position_before_restart = self.get_newest_position()
+        self.received = model.Position(0, 0)
+        self.generation += 1
+
+
+class LeaseManager(promoter.LeaseManager):
+    """Read and write the lease in the simulated store."""
+
+    def __init__(
+        self, store: simulated_targets.Store, host: str, log: Any
+    ) -> None:
+        super().__init__(None, host, log)  # type: ignore[arg-type]
+        self._store = store
+
+    async def _call(self) -> None:
+        await asyncio.sleep(self._store.world.random.uniform(0.002, 0.02))
+        if self._host in self._store.cut_hosts:
+            await asyncio.sleep(0.5)
+            raise store_module.StoreError("the store is cut off")
+
+    async def _read(self) -> promotion_lease.Lease | None:
+        await self._call()
+        if self._store.lease is None:
+            return None
+        spec, revision = self._store.lease
+        self._record_revision(store_calls.StoredObject("", revision, spec))
+        return promotion_lease.parse_lease(spec)
+
+    async def _write(self, lease: promotion_lease.Lease, is_new: bool) -> None:
+        sent_s = self._store.world.now_s
+        await self._call()
+        stored = self._store.lease
+        known = None if stored is None else stored[1]
+        if known != (None if is_new else self._revision):
+            raise promoter.LeaseLost("the lease was replaced")
+        self._store.revision += 1
+        self._store.lease = (lease._asdict(), self._store.revision)
+        self._record_revision(
+            store_calls.StoredObject("", self._store.revision, None)
+        )
+        self.claimed_s = sent_s
+
+
+class Peers:
+    """Exchange evidence with the other hosts."""
+
+    def __init__(self, host: "Host") -> None:
+        self._host = host
+
+    @property
+    def live_version(self) -> int:
+        return self._host.world.live_version  # type: ignore[attr-defined]
+
+    def get_live_hosts(self) -> dict[str, str]:
+        return dict.fromkeys(
+            self._host.world.live_hosts,  # type: ignore[attr-defined]
+            "dc",
+        )
+
+    def share(
+        self, shared: tuple[sharing.SharedEvidence, ...], now_s: float
+    ) -> None:
+        world = self._host.world
+        for other in self._host.store.hosts:
+            if other is self._host:
+                continue
+
+            def deliver(other: "Host" = other) -> None:
+                for item in shared:
+                    other.sharer.receive(item, now_s - 0.002)
+
+            world.send(self._host.name, other.name, deliver)
+
+
+class Host:
+    """One host with the product's decisions and simulated connections."""
+
+    def __init__(
+        self,
+        world: simulated_targets.World,
+        store: simulated_targets.Store,
+        name: str,
+        entries: list[model.TargetEntry],
+    ) -> None:
+        self.name = name
+        self.world = world
+        self.store = store
+        self.log: Any = Log(world, name)
+        self.catalog = catalog.Catalog()
+        self.pools: dict[str, Any] = {}
+        self.is_alive = True
+        group_settings = model.GroupSettings(simulated_targets.GROUP, 50, 1)
+        self.observer = observer.Observer(
+            simulated_targets.GROUP, self.pools, self.log, lambda: None
+        )
+        self.router: Any = types.SimpleNamespace(
+            settings=group_settings,
+            pools=self.pools,
+            observer=self.observer,
+            dispatch=lambda: None,
+        )
+        peers: Any = Peers(self)
+        self.sharer = evidence_sharing.EvidenceSharer(
+            name, peers, {simulated_targets.GROUP: self.router}
+        )
+        self.changes = primary_changes.PrimaryChanges(
+            name,
+            self.catalog,
+            promoter.Promoter(
+                LeaseManager(store, name, self.log),
+                settings.Address("platform", 1),
+                name,
+                self.log,
+                self.sharer.share_fenced_position,
+            ),
+            self.sharer.rank_hosts,
+        )
+        self._last_primary: str | None = None
+        store.hosts.append(self)
+        self.apply_list(entries)
+        world.loop.call_later(world.random.uniform(0.0, 0.05), self._tick)
+        world.loop.call_later(0.3, self._commit_regularly)
+
+    # Entries, as in entry/host.py.
+
+    def apply_list(self, entries: list[model.TargetEntry]) -> None:
+        if self.is_alive:
+            self._restart_targets(
+                catalog.update_entries(self.catalog, entries, self.world.now_s)
+            )
+            self._sync_pools()
+
+    def apply_entry(self, entry: model.TargetEntry) -> None:
+        if not self.is_alive:
+            return
+        if catalog.update_entry(self.catalog, entry):
+            self._restart_targets([entry.target])
+        self._sync_pools()
+
+    def apply_removal(self, target: str) -> None:
+        catalog.mark_missing(self.catalog, target, self.world.now_s)
+        self._sync_pools()
+
+    def _restart_targets(self, targets: list[str]) -> None:
+        for target in targets:
+            entry = self.catalog.members[target].entry
+            pool = self.pools.get(target)
+            if pool is not None:
+                pool.restart(entry)
+            else:
+                self._replace_predecessor(entry)
+
+    def _replace_predecessor(self, entry: model.TargetEntry) -> None:
+        old = catalog.find_predecessor(self.catalog, entry)
+        if old is None:
+            return
+        del self.catalog.members[old]
+        pool = self._remove_pool(old)
+        if pool is None:
+            return
+        successor = Pool(self, entry)
+        successor.position_before_restart = pool.get_newest_position()
+        self.pools[entry.target] = successor
+
+    def _remove_pool(self, target: str) -> Pool | None:
+        pool: Pool | None = self.pools.pop(target, None)
+        if pool is not None:
+            evidence_module = observer.evidence
+            evidence_module.remove_member(self.observer.leadership, target)
+            self.world.note(f"{self.name} drops {target}")
+        return pool
+
+    def _sync_pools(self) -> None:
+        members = catalog.list_members(self.catalog, simulated_targets.GROUP)
+        known = {member.entry.target for member in members}
+        for target in [t for t in self.pools if t not in known]:
+            self._remove_pool(target)
+        for member in members:
+            target = member.entry.target
+            if target not in self.pools:
+                self.pools[target] = Pool(self, member.entry)
+                self.world.note(f"{self.name} lists {target}")
+            self.pools[target].entry = member.entry
+
+    # Periodic checks, as in entry/host.py.
+
+    def _tick(self) -> None:
+        if not self.is_alive:
+            return
+        self.world.loop.call_later(TICK_INTERVAL_S, self._tick)
+        now_s = self.world.now_s
+        removed = catalog.remove_expired(self.catalog, now_s)
+        if removed:
+            self.log.write("targets_gone", targets=removed)
+        self._sync_pools()
+        for pool in tuple(self.pools.values()):
+            pool.tick(now_s)
+        self.observer.tick(now_s)
+        self.changes.start_if_needed(self.router, now_s)
+        self.sharer.share_new_evidence(now_s, self.changes.is_changing)
+
+    # Callers.
+
+    def _commit_regularly(self) -> None:
+        if not self.is_alive:
+            return
+        rng = self.world.random
+        self.world.loop.call_later(
+            rng.uniform(0.01, 0.05), self._commit_regularly
+        )
+        leadership = self.observer.leadership
+        is_confirmed = self.observer.is_primary_confirmed(self.world.now_s)
+        target = leadership.target
+        if target is not None and is_confirmed:
+            self._last_primary = target
+        elif rng.random() < 0.2:
+            # The commit of a transaction that began before.
+            target = self._last_primary
+        else:
+            return
+        if target is not None and target in self.pools:
+            self._commit(target)
+
+    def _commit(self, name: str) -> None:
+        world = self.world
+        pool: Pool = self.pools[name]
+        id_ = len(world.commits) + world.random.getrandbits(40)
+        asked_s = world.now_s
+        key = object()
+        self.observer.commits_in_flight[key] = asked_s
+
+        def handle(outcome: connections.Outcome) -> None:
+            self.observer.commits_in_flight.pop(key, None)
+            answer = outcome.answer
+            if answer is None or answer.code is not None or not self.is_alive:
+                return
+            self.observer.record_answer_position(
+                pool,  # type: ignore[arg-type]
+                answer,
+                asked_s,
+            )
+            self.observer.record_commit(
+                name, answer, asked_s, asked_s + 5.0, True, settle
+            )
+
+        def settle(is_confirmed: bool) -> None:
+            if is_confirmed:
+                world.record_told(id_)
+
+        def run(answer: Callable[[statements.Answer], None]) -> None:
+            world.targets[name].commit(id_, self.name, answer)
+
+        pool.exchange(run, handle, 5.0, False)
