--- a/tests/groups/multi_host_simulation.py
+++ b/tests/groups/multi_host_simulation.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-import dataclasses
+import enum
 from typing import Any
 from unittest import mock
 
@@ -21,25 +21,56 @@
 DURATION_S = 16.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Faults:
-    """Which sets of faults are played.
+class Fault(enum.Enum):
+    """Faults that can be switched on by themselves.
 
-    Attributes:
-        restarts: members crash and restart while a primary is changed.
-        lists: members are listed late or not at all, leave and join.
-        late_promotions: calls are held up, take effect late, or get no answer,
-            and the lease changes hands.
-        leads_again: a primary that stepped down restarts, and leads again
-            unless another target was promoted.
-        checks_fence: whether the platform rejects lower fencing tokens.
+    The primary is replaced because of crashes, cuts and drains in any run, and
+    members are cut off or receive nothing for a while.
     """
 
-    restarts: bool = False
-    lists: bool = False
-    late_promotions: bool = False
-    leads_again: bool = False
-    checks_fence: bool = False
+    ONE_RESTART = "one member restarts during a change"
+    RESTARTS = "members restart during a change"
+    UNLISTED = "a member that runs has no entry in the store"
+    DIFFERENT_LISTS = "hosts start with lists that lack members"
+    LATE_WATCH = "hosts learn of changed entries late"
+    JOINS = "a member joins during a change"
+    MEMBER_DRAINS = "a member leaves, and a successor takes over its log"
+    LOST_ENTRIES = "the entry of a member that runs is lost"
+    NEW_HOSTS = "a host starts during a change"
+    STORE_CUTS = "a host can't reach the store for a while"
+    LATE_CALLS = "a promotion call arrives seconds late"
+    LATE_EFFECTS = "a promotion takes effect seconds late"
+    LOST_ANSWERS = "the answer to a promotion call is lost"
+    LATE_MESSAGES = "messages to targets arrive up to a second late"
+    KILLED_HOSTS = "a host is killed while it changes the primary"
+    LEADS_AGAIN = "a primary that stepped down leads again after a restart"
+    FENCE_CHECK = "the platform rejects lower fencing tokens"
+
+
+RESTARTS = frozenset({Fault.RESTARTS})
+LISTS = frozenset(
+    {
+        Fault.UNLISTED,
+        Fault.DIFFERENT_LISTS,
+        Fault.LATE_WATCH,
+        Fault.JOINS,
+        Fault.MEMBER_DRAINS,
+        Fault.LOST_ENTRIES,
+        Fault.NEW_HOSTS,
+        Fault.STORE_CUTS,
+    }
+)
+LATE_PROMOTIONS = frozenset(
+    {
+        Fault.LATE_CALLS,
+        Fault.LATE_EFFECTS,
+        Fault.LOST_ANSWERS,
+        Fault.LATE_MESSAGES,
+        Fault.KILLED_HOSTS,
+        Fault.STORE_CUTS,
+    }
+)
+LEADS_AGAIN = frozenset({Fault.LEADS_AGAIN})
 
 
 class Client:
@@ -63,26 +94,34 @@
 class Simulation:
     """One run with its targets, hosts and faults."""
 
-    def __init__(self, seed: int, faults: Faults) -> None:
+    def __init__(self, seed: int, faults: frozenset[Fault]) -> None:
         self.world: Any = simulated_targets.World(seed)
         self.random = self.world.random
         self.faults = faults
-        late = faults.late_promotions
         self.platform = simulated_targets.Platform(
             self.world,
             simulated_targets.ApiFaults(
-                lost_answer=0.3 if late else 0.05,
-                held_up=0.4 if late else 0.0,
-                slow_effect=0.3 if late else 0.0,
-                checks_fence=faults.checks_fence,
+                lost_answer=0.3 if Fault.LOST_ANSWERS in faults else 0.05,
+                held_up=0.4 if Fault.LATE_CALLS in faults else 0.0,
+                slow_effect=0.3 if Fault.LATE_EFFECTS in faults else 0.0,
+                checks_fence=Fault.FENCE_CHECK in faults,
             ),
         )
-        if late:
+        if Fault.LATE_MESSAGES in faults:
             self.world.max_delay_s = 1.0
         self.platform.on_accepted.append(self._disturb_promotion)
         self.store = simulated_targets.Store(self.world)
         self._number = 0
         self._error: BaseException | None = None
+        self._methods = {
+            Fault.RESTARTS: self._restart_member,
+            Fault.JOINS: self._join,
+            Fault.MEMBER_DRAINS: self._drain_member,
+            Fault.LOST_ENTRIES: self._lose_entry,
+            Fault.NEW_HOSTS: self._start_host,
+            Fault.STORE_CUTS: self._cut_store,
+            Fault.KILLED_HOSTS: self._replace_host,
+        }
 
     def run(self) -> simulated_targets.World:
         """Play the run and return its world."""
@@ -132,7 +171,7 @@
         self.world.live_hosts = ["h1", "h2", "h3"]
         self.world.live_version = 1
         unlisted = None
-        if self.faults.lists and self.random.random() < 0.4:
+        if Fault.UNLISTED in self.faults and self.random.random() < 0.4:
             unlisted = f"t{count}"
             self.world.note(f"{unlisted} has no entry in the store")
             del self.store.entries[unlisted]
@@ -143,7 +182,7 @@
                 if not self._is_omitted(entry)
             ]
             simulated_hosts.Host(self.world, self.store, name, entries)
-        if self.faults.lists:
+        if Fault.LATE_WATCH in self.faults:
             for name in self.world.live_hosts:
                 self.store.watch_delays_s[name] = self.random.choice(
                     (0.0, 0.0, 0.5, 2.0)
@@ -151,7 +190,7 @@
 
     def _is_omitted(self, entry: model.TargetEntry) -> bool:
         """Return whether a host that starts doesn't find an entry."""
-        if not self.faults.lists or entry.target == "t1":
+        if Fault.DIFFERENT_LISTS not in self.faults or entry.target == "t1":
             return False
         return self.random.random() < 0.1
 
@@ -189,8 +228,9 @@
     async def _crash(self, primary: simulated_targets.Target) -> None:
         primary.crash()
         await asyncio.sleep(self.random.uniform(0.1, 4.0))
-        primary.restart(self.faults.leads_again)
-        self.store.publish(primary)
+        primary.restart(Fault.LEADS_AGAIN in self.faults)
+        if not primary.is_gone:
+            self.store.publish(primary)
 
     async def _drain(self, target: simulated_targets.Target) -> None:
         """Drain a target, and start its successor at its address."""
@@ -198,7 +238,7 @@
         self.world.note(f"{target.name} is draining")
         self.store.publish(target)
         await asyncio.sleep(self.random.uniform(0.5, 4.0))
-        if not target.is_up:
+        if target.is_gone or not target.is_up:
             return
         await self._succeed(target)
 
@@ -206,6 +246,7 @@
         if target.is_primary and self.random.random() < 0.5:
             return
         target.crash()
+        target.is_gone = True
         self.store.remove(target.name)
         await asyncio.sleep(self.random.uniform(0.1, 0.6))
         successor = self._add_target(target.address)
@@ -215,7 +256,7 @@
         successor.has_stepped_down = target.has_stepped_down
         del self.world.targets[target.name]
         self.world.note(f"{successor.name} takes over {target.name}'s log")
-        successor.restart(self.faults.leads_again)
+        successor.restart(Fault.LEADS_AGAIN in self.faults)
         self.store.publish(successor)
 
     async def _stall(self, primary: simulated_targets.Target) -> None:
@@ -232,19 +273,11 @@
         for _ in range(self.random.randint(1, 4)):
             await asyncio.sleep(self.random.uniform(0.0, 1.2))
             kinds = [self._cut_member, self._delay_member]
-            if self.faults.restarts:
-                kinds += [self._restart_member] * 4
-            if self.faults.lists:
-                kinds += [
-                    self._join,
-                    self._join,
-                    self._drain_member,
-                    self._lose_entry,
-                    self._start_host,
-                    self._cut_store,
-                ]
-            if self.faults.late_promotions:
-                kinds += [self._cut_store, self._replace_host] * 2
+            kinds += [
+                method
+                for fault, method in self._methods.items()
+                if fault in self.faults
+            ] * 2
             await self.random.choice(kinds)()
 
     def _choose_host(self) -> simulated_hosts.Host:
@@ -285,8 +318,8 @@
         member.crash()
         await asyncio.sleep(self.random.uniform(0.02, 0.3))
         if not member.is_up:
-            member.restart(self.faults.leads_again)
-            if member.name in self.store.entries:
+            member.restart(Fault.LEADS_AGAIN in self.faults)
+            if not member.is_gone and member.name in self.store.entries:
                 self.store.publish(member)
 
     async def _join(self) -> None:
@@ -364,13 +397,17 @@
     def _disturb_promotion(self, candidate: str) -> None:
         """Play the faults of a set between a promotion's call and effect."""
         loop = self.world.loop
-        if self.faults.restarts and self.random.random() < 0.6:
-            for _ in range(self.random.randint(1, 2)):
-                member = self._choose_member()
-                if member is not None and member.name != candidate:
-                    delay_s = self.random.uniform(0.0, 0.2)
-                    loop.call_later(delay_s, self._restart_later, member)
-        if self.faults.leads_again and self.random.random() < 0.6:
+        count = 0
+        if Fault.RESTARTS in self.faults and self.random.random() < 0.6:
+            count = self.random.randint(1, 2)
+        elif Fault.ONE_RESTART in self.faults:
+            count = 1
+        for _ in range(count):
+            member = self._choose_member()
+            if member is not None:
+                delay_s = self.random.uniform(0.0, 0.2)
+                loop.call_later(delay_s, self._restart_later, member)
+        if Fault.LEADS_AGAIN in self.faults and self.random.random() < 0.6:
             for target in list(self.world.targets.values()):
                 if target.has_stepped_down and target.is_up:
                     delay_s = self.random.uniform(0.0, 0.2)
@@ -380,6 +417,6 @@
         self.world.loop.create_task(self._restart(target))
 
 
-def run(seed: int, faults: Faults) -> simulated_targets.World:
+def run(seed: int, faults: frozenset[Fault]) -> simulated_targets.World:
     """Play one seed and return its world."""
     return Simulation(seed, faults).run()
--- a/tests/groups/simulated_targets.py
+++ b/tests/groups/simulated_targets.py
@@ -165,6 +165,7 @@
         self.is_primary = False
         self.has_stepped_down = False
         self.is_draining = False
+        self.is_gone = False
         self.term = 1
         self.log_term = 1
         self.log: list[int] = []
@@ -201,9 +202,8 @@
         elif word == b"RESUME" and self.paused_for:
             self.paused_for = 0
             self.world.note(f"{self.name} is resumed by an order")
-        elif word == b"STEPDOWN" and self.is_primary:
-            if self.term < int(rest):
-                self.step_down()
+        elif word == b"STEPDOWN" and self.is_primary and self.term < int(rest):
+            self.step_down()
         role = b"primary" if self.is_primary else b"replica"
         row = b"ROW %b %d %d.%d %d 0 1 2\r\n" % (
             role,
@@ -326,6 +326,8 @@
     def restart(self, leads_again: bool) -> None:
         """Start again with the log, and receive again."""
         world = self.world
+        if self.is_gone:
+            return
         was_paused = self.paused_for
         self.is_up = True
         self.starts += 1
