--- a/tests/groups/multi_host_simulation.py
+++ b/tests/groups/multi_host_simulation.py
@@ -142,7 +142,7 @@
             raise self._error
         if not player.cancelled():
             player.result()
-        return world  # type: ignore[no-any-return]
+        return world
 
     def _record_error(self, loop: Any, context: dict[str, Any]) -> None:
         error = context.get("exception")
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -73,12 +73,12 @@
         self.reported_connections = 0
         self.reported_s = 0.0
         self.load = placement.TargetLoad(entry.target)
-        self._answered_s = 0.0
+        self.answered_s = 0.0
         self._next_probe_s = 0.0
 
     @property
     def is_answering(self) -> bool:
-        return self.failing_since_s is None and self._answered_s > 0.0
+        return self.failing_since_s is None and self.answered_s > 0.0
 
     def send_control_statement(
         self,
@@ -102,47 +102,17 @@
         counts_timeout: bool,
     ) -> None:
         """Run a statement on the target and report its outcome once."""
-        world, name = self.host.world, self.host.name
-        target = world.targets.get(self.entry.target)
-        asked_s = world.now_s
-        is_over = False
-
-        def finish(answer: statements.Answer | None) -> None:
-            nonlocal is_over
-            if is_over:
-                return
-            is_over = True
-            if answer is not None:
-                self._answered_s = world.now_s
-                self.failing_since_s, self.failures = None, 0
-            on_end(connections.Outcome(answer, asked_s))
-
-        def refuse() -> None:
-            if not is_over:
-                self.generation += 1
-                self._record_failure(asked_s, True)
-                finish(None)
-
-        def expire() -> None:
-            if is_over:
-                return
-            if counts_timeout and self._answered_s <= asked_s:
-                self._record_failure(asked_s, False)
-            finish(None)
-
-        def answer(result: statements.Answer) -> None:
-            world.send(self.entry.target, name, lambda: finish(result))
-
-        def arrive() -> None:
-            if target is None or not target.is_up:
-                world.send(self.entry.target, name, refuse)
-            else:
-                run(answer)
+        exchange = Exchange(self, on_end, counts_timeout)
+        self.host.world.send(
+            self.host.name, self.entry.target, lambda: exchange.arrive(run)
+        )
+        self.host.world.loop.call_later(timeout_s, exchange.expire)
 
-        world.send(name, self.entry.target, arrive)
-        world.loop.call_later(timeout_s, expire)
+    def record_answer(self) -> None:
+        self.answered_s = self.host.world.now_s
+        self.failing_since_s, self.failures = None, 0
 
-    def _record_failure(self, since_s: float, is_refused: bool) -> None:
+    def record_failure(self, since_s: float, is_refused: bool) -> None:
         if self.failing_since_s is None:
             self.failing_since_s = since_s
         self.failures += 1
@@ -166,6 +136,59 @@
         self.generation += 1
 
 
+class Exchange:
+    """One statement on its way to a target and back."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        on_end: Callable[[connections.Outcome], None],
+        counts_timeout: bool,
+    ) -> None:
+        self._pool = pool
+        self._world = pool.host.world
+        self._target = self._world.targets.get(pool.entry.target)
+        self._on_end = on_end
+        self._counts_timeout = counts_timeout
+        self._asked_s = self._world.now_s
+        self._is_over = False
+
+    def arrive(
+        self, run: Callable[[Callable[[statements.Answer], None]], None]
+    ) -> None:
+        """Run the statement, or refuse it if the target is down."""
+        if self._target is None or not self._target.is_up:
+            self._send_back(self._refuse)
+        else:
+            run(lambda answer: self._send_back(lambda: self._finish(answer)))
+
+    def expire(self) -> None:
+        """End without an answer."""
+        if self._is_over:
+            return
+        if self._counts_timeout and self._pool.answered_s <= self._asked_s:
+            self._pool.record_failure(self._asked_s, False)
+        self._finish(None)
+
+    def _send_back(self, deliver: Callable[[], None]) -> None:
+        pool = self._pool
+        self._world.send(pool.entry.target, pool.host.name, deliver)
+
+    def _refuse(self) -> None:
+        if not self._is_over:
+            self._pool.generation += 1
+            self._pool.record_failure(self._asked_s, True)
+            self._finish(None)
+
+    def _finish(self, answer: statements.Answer | None) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        if answer is not None:
+            self._pool.record_answer()
+        self._on_end(connections.Outcome(answer, self._asked_s))
+
+
 class LeaseManager(promoter.LeaseManager):
     """Read and write the lease in the simulated store."""
 
