--- a/tests/groups/multi_host_simulation.py
+++ b/tests/groups/multi_host_simulation.py
@@ -407,12 +407,29 @@
             if member is not None:
                 delay_s = self.random.uniform(0.0, 0.2)
                 loop.call_later(delay_s, self._restart_later, member)
+        if Fault.KILLED_HOSTS in self.faults and self.random.random() < 0.4:
+            loop.create_task(self._hand_over(candidate))
         if Fault.LEADS_AGAIN in self.faults and self.random.random() < 0.6:
             for target in list(self.world.targets.values()):
                 if target.has_stepped_down and target.is_up:
                     delay_s = self.random.uniform(0.0, 0.2)
                     loop.call_later(delay_s, self._restart_later, target)
 
+    async def _hand_over(self, candidate: str) -> None:
+        """Kill the promoter; the next one can't fence all members at first."""
+        await asyncio.sleep(self.random.uniform(0.0, 0.1))
+        await self._replace_host()
+        await asyncio.sleep(self.random.uniform(1.0, 2.5))
+        member = self._choose_member()
+        if member is None or member.name == candidate:
+            return
+        for host in self.store.hosts:
+            if host.is_alive:
+                self.world.cut_link(host.name, member.name)
+        await asyncio.sleep(self.random.uniform(1.5, 3.0))
+        for host in self.store.hosts:
+            self.world.heal_link(host.name, member.name)
+
     def _restart_later(self, target: simulated_targets.Target) -> None:
         self.world.loop.create_task(self._restart(target))
 
