Test that a member listed after the fencing is fenced

Fails: update_members acts only while members are being fenced, so a member that joins during the wait or later receives the log and acknowledges commits.

--- a/tests/groups/test_promotion_safety.py
+++ b/tests/groups/test_promotion_safety.py
@@ -97,3 +97,23 @@
         leadership.needs_member = False
         evidence.record_commit(leadership, "p", 19.9, 20.0, True)
         self.assertIsNone(evidence.check_commit(leadership, 1, 20.0))
+
+
+class MembersTest(testtools.TestCase):
+    """Every member that may receive the log is fenced."""
+
+    def test_member_listed_during_the_wait_is_fenced(self) -> None:
+        attempt = make_fenced_attempt()
+        primary_change.update_members(attempt, ("p", "a", "b", "c"))
+        self.assertNotIsInstance(confirm(attempt), steps.Promote)
+
+    def test_member_listed_after_the_confirmation_is_fenced(self) -> None:
+        attempt = make_fenced_attempt()
+        now_s = 100.0 + SPAN_S
+        primary_change.next_step(attempt, now_s)
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.STATUS, reports, now_s)
+        self.assertEqual(attempt.phase, _Phase.PROMOTE)
+        primary_change.update_members(attempt, ("p", "a", "b", "c"))
+        step = primary_change.next_step(attempt, now_s)
+        self.assertNotIsInstance(step, steps.Promote)
