--- a/tests/groups/simulated_targets.py
+++ b/tests/groups/simulated_targets.py
@@ -271,6 +271,7 @@
             if self.world.now_s < self.learns_at_s:
                 return False
             self.term = term
+            self.has_stepped_down = False
         if self.follows != (primary.name, term):
             self.follows = (primary.name, term)
             common = 0
