--- a/tests/groups/test_multi_host_simulation.py
+++ b/tests/groups/test_multi_host_simulation.py
@@ -41,3 +41,38 @@
         faults = multi_host_simulation.LATE_PROMOTIONS
         traces = [multi_host_simulation.run(5, faults).trace for _ in range(2)]
         self.assertEqual(traces[0], traces[1])
+
+    def test_no_commit_is_lost_if_one_member_restarts(self) -> None:
+        seeds = [15, 65, 77, 108, *SEEDS]
+        self.assert_keeps_commits({_Fault.ONE_RESTART}, seeds)
+
+    def test_no_commit_is_lost_if_members_restart(self) -> None:
+        seeds = [40, 44, 74, 75, *SEEDS]
+        self.assert_keeps_commits({_Fault.RESTARTS}, seeds)
+
+    def test_no_commit_is_lost_if_a_member_has_no_entry(self) -> None:
+        seeds = [16, 27, 41, *SEEDS]
+        self.assert_keeps_commits({_Fault.UNLISTED}, seeds)
+
+    def test_no_commit_is_lost_if_the_entry_of_a_member_is_lost(self) -> None:
+        seeds = [16, 29, 45, *SEEDS]
+        self.assert_keeps_commits({_Fault.LOST_ENTRIES}, seeds)
+
+    def test_no_commit_is_lost_if_a_member_joins(self) -> None:
+        self.assert_keeps_commits({_Fault.JOINS}, SEEDS)
+
+    def test_no_commit_is_lost_if_hosts_list_different_members(self) -> None:
+        seeds = [15, 16, 22, *SEEDS]
+        self.assert_keeps_commits({_Fault.DIFFERENT_LISTS}, seeds)
+
+    def test_no_commit_is_lost_if_promotions_are_late(self) -> None:
+        faults = {
+            _Fault.LATE_CALLS,
+            _Fault.LATE_EFFECTS,
+            _Fault.LOST_ANSWERS,
+            _Fault.KILLED_HOSTS,
+        }
+        self.assert_keeps_commits(faults, [18, 62, 213, *SEEDS])
+
+    def test_no_commit_is_lost_if_a_primary_leads_again(self) -> None:
+        self.assert_keeps_commits({_Fault.LEADS_AGAIN}, SEEDS)
