--- a/tests/groups/simulated_targets.py
+++ b/tests/groups/simulated_targets.py
@@ -4,6 +4,7 @@
 told of, so that a promotion of a target that lacks one is noticed.
 """
 
+import asyncio
 import dataclasses
 import json
 import random
@@ -12,6 +13,7 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import statements
+from knapweedtally.entry import store as store_module
 from knapweedtally.utils import http
 from tests.groups import virtual_loop
 
@@ -480,6 +482,17 @@
         self.cut_hosts: set[str] = set()
         self.watch_delays_s: dict[str, float] = {}
 
+    async def call(self, host: str) -> None:
+        """Wait for the store's answer to a host.
+
+        Raises:
+            store.StoreError: the host can't reach the store.
+        """
+        await asyncio.sleep(self.world.random.uniform(0.002, 0.02))
+        if host in self.cut_hosts:
+            await asyncio.sleep(0.5)
+            raise store_module.StoreError("the store is cut off")
+
     def publish(self, target: Target) -> None:
         """Write a target's entry and notify the hosts."""
         self.revision += 1
