Confirm the members before a promotion is requested again

Cause: a call without an answer was repeated at once, and one without effect after 3 s, on the confirmation of before. The members may have restarted since, and another target may lead. A later term that the promoter's own host knew didn't end the attempt either.

Change: each call follows a confirmation of its own. A known term that isn't earlier than the attempt's ends it before a call. Members that were paused after a call resume once a primary is known, as the promotion can't have resumed them.

--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -32,7 +32,8 @@
 # Interval at which an order is repeated.
 ORDER_INTERVAL_S = 0.05
 
-# Time limit for a promotion to take effect before it is requested again.
+# Time limit for a promotion to take effect. After it, the members are confirmed
+# again before the promotion is requested again.
 EFFECT_TIMEOUT_S = 3.0
 
 # Time limit for fencing the other members, enough for several orders. After it,
@@ -47,6 +48,11 @@
 # promotion.
 ATTEMPT_TIMEOUT_S = 8.0
 
+# Phases in which a later term may be the attempt's own.
+_FINAL_PHASES = frozenset(
+    (steps.Phase.EFFECT, steps.Phase.DONE, steps.Phase.GIVEN_UP)
+)
+
 # Phases in which members are fenced, or have to stay fenced.
 _FENCING_PHASES = frozenset(
     (
@@ -97,7 +103,7 @@
     the others lack. A member that joins has to be fenced too, since the old
     primary may commit through it.
     """
-    if attempt.is_promotion_requested or attempt.phase not in _FENCING_PHASES:
+    if attempt.phase not in _FENCING_PHASES:
         return
     others = tuple(t for t in members if t != attempt.old_primary)
     if len(others) < len(attempt.others):
@@ -154,6 +160,26 @@
     attempt.phase_since_s = now_s
 
 
+def record_known_term(
+    attempt: steps.Attempt, known_term: int, now_s: float
+) -> None:
+    """Give up if a promotion to the attempt's term or a later one is known.
+
+    Args:
+        attempt: the attempt.
+        known_term: highest known term of any member.
+        now_s: the current time.
+    """
+    if known_term >= attempt.term and attempt.phase not in _FINAL_PHASES:
+        _give_up_for_successor(attempt, now_s)
+
+
+def _give_up_for_successor(attempt: steps.Attempt, now_s: float) -> None:
+    _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+    attempt.has_successor = True
+    attempt.reason = "a target is already the primary of this or a later term"
+
+
 def _plan_step_down(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.old_primary is not None
     return steps.SendOrder(steps.Order.STEP_DOWN, (attempt.old_primary,))
@@ -169,6 +195,7 @@
         attempt.reason = "too few members could be fenced"
         return steps.Finish(False, attempt.reason)
     unfenced = tuple(t for t in attempt.others if t not in attempt.fenced)
+    attempt.is_fenced_again |= attempt.is_promotion_requested
     return steps.SendOrder(steps.Order.PAUSE, unfenced, ORDER_INTERVAL_S)
 
 
@@ -194,13 +221,20 @@
 
 
 def list_members_to_resume(attempt: steps.Attempt) -> tuple[str, ...]:
-    """Return the members that may resume replication after a failed attempt.
+    """Return the members that may resume replication after an attempt.
 
     Once the promotion was requested, it may take effect at any time, even if
     no answer arrived. A member that resumed then would receive the log of the
     old primary, which could acknowledge commits and serve reads beside the new
-    primary.
+    primary. A promotion that has taken effect resumes the members itself, but
+    not those that were paused after it.
     """
+    if attempt.phase is steps.Phase.DONE:
+        return attempt.others if attempt.is_fenced_again else ()
+    if attempt.has_successor:
+        return (
+            attempt.others if attempt.is_fenced_again else tuple(attempt.fenced)
+        )
     if attempt.is_promotion_requested or attempt.stepped_down_s:
         return ()
     return tuple(attempt.fenced)
@@ -251,8 +285,8 @@
 def _plan_effect_check(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.candidate is not None
     if now_s - attempt.phase_since_s > EFFECT_TIMEOUT_S:
-        _enter_phase(attempt, steps.Phase.PROMOTE, now_s)
-        return steps.Promote(attempt.candidate)
+        _enter_phase(attempt, steps.Phase.CONFIRM, now_s)
+        return _plan_confirmation(attempt, now_s)
     return steps.SendOrder(
         steps.Order.STATUS, (attempt.candidate,), ORDER_INTERVAL_S
     )
@@ -281,18 +315,17 @@
     now_s: float,
 ) -> None:
     """Record the answers to an order and enter the phase that follows."""
-    has_new_primary = any(
-        report.status.is_primary and report.status.term >= attempt.term
-        for report in reports.values()
-    )
-    if has_new_primary and attempt.phase not in (
-        steps.Phase.EFFECT,
-        steps.Phase.DONE,
-    ):
-        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
-        attempt.reason = (
-            "a target is already the primary of this or a later term"
-        )
+    new_primaries = [
+        target
+        for target, report in reports.items()
+        if report.status.is_primary and report.status.term >= attempt.term
+    ]
+    if new_primaries and attempt.phase not in _FINAL_PHASES:
+        is_own = attempt.is_promotion_requested
+        if is_own and new_primaries == [attempt.candidate]:
+            _enter_phase(attempt, steps.Phase.DONE, now_s)
+        else:
+            _give_up_for_successor(attempt, now_s)
         return
     _REPORT_HANDLERS.get(attempt.phase, _ignore_reports)(
         attempt, reports, now_s
@@ -346,6 +379,7 @@
         attempt.candidate = choose_candidate(attempt, attempt.fenced)
         attempt.stepped_down_s = 0.0
         _enter_phase(attempt, steps.Phase.WAIT, now_s)
+        _check_requested_candidate(attempt, now_s)
     elif attempt.stepped_down_s and now_s - attempt.phase_since_s > 1.0:
         _choose_by_final_position(attempt, now_s)
 
@@ -365,6 +399,30 @@
         choose_candidate(attempt, caught_up) or attempt.old_primary
     )
     _enter_phase(attempt, steps.Phase.WAIT, now_s)
+    _check_requested_candidate(attempt, now_s)
+
+
+def _check_requested_candidate(attempt: steps.Attempt, now_s: float) -> None:
+    """Keep to the target whose promotion may still take effect.
+
+    If it took effect after that of another target, commits of that one would be
+    lost.
+    """
+    requested = attempt.requested
+    if requested is None or attempt.candidate == requested:
+        return
+    assert attempt.candidate is not None
+    report = attempt.fenced.get(requested)
+    best = attempt.fenced.get(attempt.candidate)
+    if (
+        report is not None
+        and best is not None
+        and report.status.received >= best.status.received
+    ):
+        attempt.candidate = requested
+        return
+    _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+    attempt.reason = "the promotion of another target was requested before"
 
 
 def _handle_confirmation_reports(
@@ -442,12 +500,18 @@
         status: HTTP status, or 0 if no response arrived.
         now_s: the current time.
     """
+    if status != 409:
+        attempt.requested = attempt.candidate
     if status == 200:
         _enter_phase(attempt, steps.Phase.EFFECT, now_s)
     elif status == 409:
         attempt.fenced.clear()
         attempt.stepped_down_s = 0.0
         _enter_phase(attempt, steps.Phase.FENCE, now_s)
+    else:
+        # The call may have been executed, and the members may have restarted
+        # since.
+        _enter_phase(attempt, steps.Phase.CONFIRM, now_s)
 
 
 def choose_candidate(
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -76,6 +76,11 @@
         candidate: id of the target to promote, or None before it is chosen.
         is_promotion_requested: whether the platform was asked to promote the
             candidate.
+        requested: id of the target whose promotion may have been accepted, or
+            None.
+        is_fenced_again: whether members were paused after that.
+        has_successor: whether another promotion to the attempt's term or a
+            later one is known.
         reason: why the attempt was given up.
     """
 
@@ -95,6 +100,9 @@
     is_settled: bool = True
     candidate: str | None = None
     is_promotion_requested: bool = False
+    requested: str | None = None
+    is_fenced_again: bool = False
+    has_successor: bool = False
     reason: str = ""
 
 
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -299,7 +299,7 @@
             old_primary,
             tuple(target for target in router.members if target != old_primary),
             leaving,
-            max(router.observer.known_term, router.observer.leadership.term),
+            _get_known_term(router),
             clock.get_time_s(),
         )
         attempt.is_settled = is_settled(attempt.started_s)
@@ -337,6 +337,9 @@
         while True:
             now_s = clock.get_time_s()
             primary_change.update_members(attempt, router.members, now_s)
+            primary_change.record_known_term(
+                attempt, _get_known_term(router), now_s
+            )
             step = primary_change.next_step(attempt, now_s)
             if attempt.phase is not phase:
                 phase = attempt.phase
@@ -344,8 +347,7 @@
                     "change_step", group=attempt.group, phase=phase.value
                 )
             if isinstance(step, steps.Finish):
-                if not step.is_done:
-                    await self._resume_members(attempt, router)
+                await self._resume_members(attempt, router)
                 return step
             try:
                 await self._execute_step(step, attempt, router)
@@ -395,7 +397,7 @@
     async def _resume_members(
         self, attempt: steps.Attempt, router: router_module.Router
     ) -> None:
-        """Let fenced members receive again if the old primary still leads."""
+        """Let fenced members receive again if a primary leads."""
         targets = primary_change.list_members_to_resume(attempt)
         if not targets:
             return
@@ -514,6 +516,10 @@
         return status
 
 
+def _get_known_term(router: router_module.Router) -> int:
+    return max(router.observer.known_term, router.observer.leadership.term)
+
+
 def _encode_status(term: int) -> bytes:
     return line_protocol.STATUS
 
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -265,6 +265,105 @@
         self.assertEqual(step, steps.Finish(True, ""))
 
 
+class RepeatedCallTest(testtools.TestCase):
+    """A promotion isn't requested on an old confirmation."""
+
+    def make_requested(self) -> steps.Attempt:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        primary_change.next_step(attempt, 101.0)
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        step = primary_change.next_step(attempt, 101.0)
+        self.assertEqual(step, steps.Promote("b"))
+        return attempt
+
+    def assert_confirms(self, attempt: steps.Attempt, now_s: float) -> None:
+        step = primary_change.next_step(attempt, now_s)
+        self.assertIsInstance(step, steps.ListTargets)
+        primary_change.record_listing(attempt, now_s)
+        step = primary_change.next_step(attempt, now_s)
+        self.assertEqual(step, steps.SendOrder(_Order.STATUS, ("a", "b"), 0.05))
+
+    def test_members_are_confirmed_after_a_call_without_answer(self) -> None:
+        for status in (0, 429, 503):
+            attempt = self.make_requested()
+            primary_change.record_promotion_response(attempt, status, 101.7)
+            self.assert_confirms(attempt, 101.7)
+
+    def test_members_are_confirmed_after_a_call_without_effect(self) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 200, 101.1)
+        now_s = 101.2 + primary_change.EFFECT_TIMEOUT_S
+        self.assert_confirms(attempt, now_s)
+
+    def test_candidate_that_leads_at_the_confirmation_ends_the_change(
+        self,
+    ) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 0, 101.7)
+        status = model.TargetStatus(True, 2, model.Position(2, 5), 0, 0.0, 0, 1)
+        reports = {"b": steps.OrderReport(status, 101.8)}
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.8)
+        step = primary_change.next_step(attempt, 101.8)
+        self.assertEqual(step, steps.Finish(True, ""))
+        self.assertEqual(primary_change.list_members_to_resume(attempt), ())
+
+    def test_members_that_were_paused_after_the_call_resume(self) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 0, 101.7)
+        primary_change.record_reports(attempt, _Order.STATUS, {}, 101.8)
+        step = primary_change.next_step(attempt, 101.8)
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("a", "b"), 0.05))
+        primary_change.record_known_term(attempt, 2, 101.9)
+        self.assertEqual(
+            primary_change.list_members_to_resume(attempt), ("a", "b")
+        )
+
+    def test_member_that_joins_after_the_call_is_fenced_before_another(
+        self,
+    ) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 0, 101.7)
+        primary_change.update_members(attempt, ("p", "a", "b", "c"), 101.8)
+        step = primary_change.next_step(attempt, 101.8)
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("c",), 0.05))
+
+    def test_no_other_candidate_is_promoted_after_a_call(self) -> None:
+        for other in (make_report(5), make_report(6)):
+            attempt = self.make_requested()
+            primary_change.record_promotion_response(attempt, 0, 101.7)
+            primary_change.update_members(attempt, ("p", "a", "b", "c"), 101.8)
+            primary_change.record_reports(
+                attempt, _Order.PAUSE, {"c": other}, 101.9
+            )
+            step = primary_change.next_step(attempt, 101.9)
+            if other == make_report(5):
+                self.assertIsInstance(step, steps.ListTargets)
+                self.assertEqual(attempt.candidate, "b")
+            else:
+                self.assertIsInstance(step, steps.Finish)
+
+    def test_known_later_term_ends_the_attempt_before_a_call(self) -> None:
+        for status in (None, 0):
+            attempt = self.make_requested()
+            if status is not None:
+                primary_change.record_promotion_response(attempt, 0, 101.7)
+            primary_change.record_known_term(attempt, 1, 101.8)
+            self.assertNotEqual(attempt.phase, _Phase.GIVEN_UP)
+            primary_change.record_known_term(attempt, 2, 101.8)
+            step = primary_change.next_step(attempt, 101.8)
+            self.assertIsInstance(step, steps.Finish)
+
+    def test_known_later_term_may_be_that_of_the_accepted_promotion(
+        self,
+    ) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 200, 101.1)
+        primary_change.record_known_term(attempt, 2, 101.8)
+        self.assertEqual(attempt.phase, _Phase.EFFECT)
+
+
 class SafePositionTest(testtools.TestCase):
     """The position that covers all commits while a group is fenced."""
 
