Pause the members while a primary that stepped down is replaced

Cause: after a step-down the other members kept receiving. An old primary that restarted and led again before the promotion took effect committed through them.

Change: the members that answer are paused during the wait, until the promotion lifts the pauses. The confirmation notices an old primary with further commits, and pauses members again that restarted. A member that doesn't answer still doesn't prevent the change; it may delay it by ORDER_TIMEOUT_S.

test_fences_if_the_old_primary_is_primary_again now answers the pauses first and checks the phase before the confirmation. The directed test moved to test_primary_change.

--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -10,7 +10,8 @@
   be acknowledged, since a replica has to receive it first, and the most
   advanced of these targets has every commit that was acknowledged before.
 - The old primary stepped down. It then has every acknowledged commit, and so
-  has each target that reached its last position.
+  has each target that reached its last position. The other targets that answer
+  are paused too, since the old primary may lead again after a restart.
 
 In both cases the promotion waits until the evidence that allows hosts to read
 at the old primary has expired.
@@ -253,6 +254,16 @@
 
 def _plan_wait(attempt: steps.Attempt, now_s: float) -> steps.Step:
     remaining_s = get_wait_end_s(attempt) - now_s
+    unpaused = tuple(t for t in attempt.others if t not in attempt.fenced)
+    if attempt.stepped_down_s and unpaused:
+        # Each member is asked once, and again only as long as a member that
+        # doesn't answer can't delay the change.
+        has_time = remaining_s > ORDER_TIMEOUT_S + ORDER_INTERVAL_S
+        if has_time or not attempt.is_pause_sent:
+            attempt.is_pause_sent = True
+            return steps.SendOrder(
+                steps.Order.PAUSE, unpaused, ORDER_INTERVAL_S
+            )
     if remaining_s > 0:
         return steps.Wait(remaining_s)
     _enter_phase(attempt, steps.Phase.CONFIRM, now_s)
@@ -367,12 +378,24 @@
         _enter_phase(attempt, steps.Phase.FENCE, now_s)
 
 
-def _handle_fence_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
+def _record_fences(
+    attempt: steps.Attempt, reports: dict[str, steps.OrderReport]
 ) -> None:
     for target, report in reports.items():
         if report.status.paused_for >= attempt.term:
             attempt.fenced[target] = report
+
+
+def _handle_wait_reports(
+    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
+) -> None:
+    _record_fences(attempt, reports)
+
+
+def _handle_fence_reports(
+    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
+) -> None:
+    _record_fences(attempt, reports)
     if has_fenced_enough(attempt):
         attempt.candidate = choose_candidate(attempt, attempt.fenced)
         attempt.stepped_down_s = 0.0
@@ -458,16 +481,34 @@
 ) -> None:
     """Enter the promotion if the old primary is still not the primary.
 
-    If it restarted, it may be the primary again and commit. In this case the
-    other members are fenced instead.
+    If it restarted, it may have led and committed since. In this case, or
+    without the candidate's answer, all other members are fenced instead.
+    Members that restarted are paused again.
     """
     old = reports.get(attempt.old_primary or "")
-    has_stepped_down = old is not None and not old.status.is_primary
-    if has_stepped_down and attempt.candidate in reports:
-        _enter_phase(attempt, steps.Phase.PROMOTE, now_s)
-    else:
+    has_stepped_down = (
+        old is not None
+        and not old.status.is_primary
+        and old.status.received == attempt.final_position
+    )
+    if not has_stepped_down or attempt.candidate not in reports:
         attempt.stepped_down_s = 0.0
+        attempt.fenced.clear()
         _enter_phase(attempt, steps.Phase.FENCE, now_s)
+        return
+    restarted = [
+        target
+        for target in attempt.fenced
+        if target in reports
+        and reports[target].status.paused_for < attempt.term
+    ]
+    for target in restarted:
+        del attempt.fenced[target]
+    if restarted:
+        attempt.is_pause_sent = False
+        _enter_phase(attempt, steps.Phase.WAIT, now_s)
+    else:
+        _enter_phase(attempt, steps.Phase.PROMOTE, now_s)
 
 
 def _handle_effect_reports(
@@ -486,6 +527,7 @@
     steps.Phase.STEP_DOWN: _handle_step_down_reports,
     steps.Phase.CATCH_UP: _handle_catch_up_reports,
     steps.Phase.FENCE: _handle_fence_reports,
+    steps.Phase.WAIT: _handle_wait_reports,
     steps.Phase.CONFIRM: _handle_confirmation_reports,
     steps.Phase.EFFECT: _handle_effect_reports,
 }
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -69,6 +69,7 @@
             stepped down.
         stepped_down_s: when the old primary answered that it has stepped down,
             or 0.
+        is_pause_sent: whether the members were asked to pause after that.
         listed_s: when all targets were last listed for the attempt.
         fenced: reports of the fenced members, which have paused replication.
         is_settled: whether all members are known, so that fenced members may
@@ -95,6 +96,7 @@
     phase_since_s: float = 0.0
     final_position: model.Position | None = None
     stepped_down_s: float = 0.0
+    is_pause_sent: bool = False
     listed_s: float = 0.0
     fenced: dict[str, OrderReport] = dataclasses.field(default_factory=dict)
     is_settled: bool = True
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -228,7 +228,10 @@
             attempt, _Order.STATUS, {"a": make_report(9)}, 100.1
         )
         wait_end_s = 100.1 + evidence.EVIDENCE_VALIDITY_S
+        pauses = {"a": make_report(9), "b": make_report(9)}
+        primary_change.record_reports(attempt, _Order.PAUSE, pauses, 100.2)
         primary_change.next_step(attempt, wait_end_s)
+        self.assertEqual(attempt.phase, _Phase.CONFIRM)
         new_reports = {
             "a": make_report(9),
             "p": make_report(9, is_primary=True),
@@ -265,6 +268,60 @@
         primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
         return primary_change.next_step(attempt, 101.0)
 
+    def run_until_promotion(
+        self, silent: frozenset[str]
+    ) -> tuple[float, set[str]]:
+        """Return when a planned change promotes, and the paused members."""
+        attempt = make_attempt(_Cause.LEAVING)
+        now_s = 100.0
+        paused: set[str] = set()
+        for _ in range(100):
+            step = primary_change.next_step(attempt, now_s)
+            if isinstance(step, steps.Promote):
+                return now_s, paused
+            if isinstance(step, steps.Wait):
+                now_s += step.delay_s
+                continue
+            assert isinstance(step, steps.SendOrder)
+            answering = [t for t in step.targets if t not in silent]
+            is_delayed = len(answering) < len(step.targets)
+            now_s += primary_change.ORDER_TIMEOUT_S if is_delayed else 0.0
+            if step.order is _Order.PAUSE:
+                paused.update(answering)
+            reports = {
+                t: make_report(9, paused_for=2 if t in paused else 0)
+                for t in answering
+            }
+            primary_change.record_reports(attempt, step.order, reports, now_s)
+            now_s += step.pause_s
+        raise AssertionError(attempt)
+
+    def test_members_are_paused_before_the_promotion(self) -> None:
+        promoted_s, paused = self.run_until_promotion(frozenset())
+        self.assertEqual(paused, {"a", "b"})
+        self.assertLess(
+            promoted_s,
+            100.0 + evidence.EVIDENCE_VALIDITY_S + 0.1,
+        )
+
+    def test_members_that_answer_are_paused_before_the_promotion(self) -> None:
+        promoted_s, paused = self.run_until_promotion(frozenset("b"))
+        self.assertEqual(paused, {"a"})
+        # The orders to catch up, to pause and to confirm time out once each.
+        self.assertLess(promoted_s, 100.2 + 3 * primary_change.ORDER_TIMEOUT_S)
+
+    def test_old_primary_that_led_again_has_all_members_fenced(self) -> None:
+        step = self.confirm(p=make_report(10, paused_for=0), a=make_report(9))
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("a", "b"), 0.05))
+
+    def test_member_that_restarted_is_paused_again(self) -> None:
+        step = self.confirm(
+            p=make_report(9, paused_for=0),
+            a=make_report(9),
+            b=make_report(9, paused_for=0),
+        )
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("b",), 0.05))
+
     def test_member_that_does_not_answer_does_not_prevent_the_promotion(
         self,
     ) -> None:
--- a/tests/groups/test_promotion_safety.py
+++ b/tests/groups/test_promotion_safety.py
@@ -121,35 +121,3 @@
         )
         step = primary_change.next_step(attempt, now_s)
         self.assertNotIsInstance(step, steps.Promote)
-
-
-class StepDownTest(testtools.TestCase):
-    """A primary that stepped down may lead again after a restart."""
-
-    def test_members_are_fenced_before_the_promotion(self) -> None:
-        attempt = primary_change.begin_attempt(
-            "g", _Cause.LEAVING, "p", ("a", "b"), frozenset("p"), 1, 100.0
-        )
-        orders = set()
-        now_s = 100.0
-        for _ in range(100):
-            step = primary_change.next_step(attempt, now_s)
-            if isinstance(step, steps.Promote):
-                break
-            now_s += 0.05
-            if isinstance(step, steps.SendOrder):
-                orders.add(step.order)
-                is_pause = _Order.PAUSE in orders
-                reports = {
-                    target: make_report(
-                        9,
-                        paused_for=2 if is_pause and target != "p" else 0,
-                        answered_s=now_s,
-                    )
-                    for target in step.targets
-                }
-                primary_change.record_reports(
-                    attempt, step.order, reports, now_s
-                )
-        self.assertIsInstance(step, steps.Promote)
-        self.assertIn(_Order.PAUSE, orders)
