Give up a promotion if a member received after the fencing

Seen by callers: commits that they were told of are missing after a promotion (rule LOST).

Cause: a member that the promoter doesn't know may still receive, so that the old primary commits beside the fenced members. Other hosts share evidence of that, which the promoter ignored.

Change: evidence of a receiving member that is later than the newest fence ends an attempt before its call, and the fenced members resume.

Evidence: the directed tests state both cases.

--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -175,6 +175,28 @@
         _give_up_for_successor(attempt, now_s)
 
 
+def record_member_evidence(
+    attempt: steps.Attempt, member_seen_s: float, now_s: float
+) -> None:
+    """Give up if a member received after all known members were fenced.
+
+    There is then a member that isn't known here, through which the old primary
+    still commits.
+
+    Args:
+        attempt: the attempt.
+        member_seen_s: when a member was last known to receive the log of an
+            earlier term than the attempt's.
+        now_s: the current time.
+    """
+    if attempt.stepped_down_s or find_safe_position(attempt) is None:
+        return
+    fenced_s = max(report.answered_s for report in attempt.fenced.values())
+    if member_seen_s > fenced_s:
+        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+        attempt.reason = "a member received the log after the fencing"
+
+
 def _give_up_for_successor(attempt: steps.Attempt, now_s: float) -> None:
     _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
     attempt.has_successor = True
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -340,6 +340,9 @@
             primary_change.record_known_term(
                 attempt, _get_known_term(router), now_s
             )
+            primary_change.record_member_evidence(
+                attempt, router.observer.leadership.member_seen_s, now_s
+            )
             step = primary_change.next_step(attempt, now_s)
             if attempt.phase is not phase:
                 phase = attempt.phase
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -172,6 +172,33 @@
             step.delay_s, evidence.EVIDENCE_VALIDITY_S - 0.1, places=6
         )
 
+    def test_gives_up_if_a_member_received_after_the_fencing(self) -> None:
+        attempt = make_attempt()
+        primary_change.record_member_evidence(attempt, 100.5, 100.6)
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        primary_change.record_member_evidence(attempt, 100.0, 100.6)
+        self.assertEqual(attempt.phase, _Phase.WAIT)
+        primary_change.record_member_evidence(attempt, 100.1, 100.6)
+        step = primary_change.next_step(attempt, 100.6)
+        self.assertIsInstance(step, steps.Finish)
+        self.assertEqual(
+            primary_change.list_members_to_resume(attempt), ("a", "b")
+        )
+
+    def test_gives_up_before_the_call_on_evidence_of_a_receiving_member(
+        self,
+    ) -> None:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        primary_change.next_step(attempt, 101.0)
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        self.assertEqual(attempt.phase, _Phase.PROMOTE)
+        primary_change.record_member_evidence(attempt, 100.9, 101.0)
+        step = primary_change.next_step(attempt, 101.0)
+        self.assertIsInstance(step, steps.Finish)
+
     def test_gives_up_if_another_target_is_already_primary(self) -> None:
         attempt = make_attempt()
         status = model.TargetStatus(True, 2, model.Position(2, 9), 0, 0.0, 0, 1)
