--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -69,6 +69,7 @@
             stepped down.
         stepped_down_s: when the old primary answered that it has stepped down,
             or 0.
+        is_pause_sent: whether the members were asked to pause after that.
         listed_s: when all targets were last listed for the attempt.
         fenced: reports of the fenced members, which have paused replication.
         is_settled: whether all members are known, so that fenced members may
@@ -76,6 +77,11 @@
         candidate: id of the target to promote, or None before it is chosen.
         is_promotion_requested: whether the platform was asked to promote the
             candidate.
+        requested: id of the target whose promotion may have been accepted, or
+            None.
+        is_fenced_again: whether members were paused after that.
+        has_successor: whether another promotion to the attempt's term or a
+            later one is known.
         reason: why the attempt was given up.
     """
 
@@ -90,11 +96,15 @@
     phase_since_s: float = 0.0
     final_position: model.Position | None = None
     stepped_down_s: float = 0.0
+    is_pause_sent: bool = False
     listed_s: float = 0.0
     fenced: dict[str, OrderReport] = dataclasses.field(default_factory=dict)
     is_settled: bool = True
     candidate: str | None = None
     is_promotion_requested: bool = False
+    requested: str | None = None
+    is_fenced_again: bool = False
+    has_successor: bool = False
     reason: str = ""
 
 
--- /dev/null
+++ b/tests/groups/test_multi_host_simulation.py
@@ -0,0 +1,78 @@
+"""Simulated changes of primary by several hosts.
+
+They guard against the loss of a commit that a caller was told of.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+
+import testtools
+
+from tests.groups import multi_host_simulation
+
+_Fault = multi_host_simulation.Fault
+
+SEEDS = range(12)
+
+
+class SimulationTest(testtools.TestCase):
+    """No told commit is missing from the log of a promoted target."""
+
+    def assert_keeps_commits(
+        self, faults: Collection[_Fault], seeds: Iterable[int]
+    ) -> None:
+        losses = []
+        for seed in seeds:
+            world = multi_host_simulation.run(seed, frozenset(faults))
+            losses += [f"seed {seed}: {text}" for text in world.losses[:1]]
+        self.assertEqual(losses, [])
+
+    def test_promotions_take_effect_and_commits_are_told(self) -> None:
+        worlds = [
+            multi_host_simulation.run(seed, frozenset()) for seed in SEEDS
+        ]
+        self.assertGreater(sum(len(w.effects) for w in worlds), len(SEEDS))
+        self.assertGreater(sum(w.told_count for w in worlds), 500 * len(SEEDS))
+
+    def test_no_commit_is_lost_without_further_faults(self) -> None:
+        self.assert_keeps_commits((), SEEDS)
+
+    def test_same_seed_gives_the_same_run(self) -> None:
+        faults = multi_host_simulation.LATE_PROMOTIONS
+        traces = [multi_host_simulation.run(5, faults).trace for _ in range(2)]
+        self.assertEqual(traces[0], traces[1])
+
+    def test_no_commit_is_lost_if_one_member_restarts(self) -> None:
+        seeds = [15, 65, 77, 108, *SEEDS]
+        self.assert_keeps_commits({_Fault.ONE_RESTART}, seeds)
+
+    def test_no_commit_is_lost_if_members_restart(self) -> None:
+        seeds = [40, 44, 74, 75, *SEEDS]
+        self.assert_keeps_commits({_Fault.RESTARTS}, seeds)
+
+    def test_no_commit_is_lost_if_a_member_has_no_entry(self) -> None:
+        seeds = [16, 27, 41, *SEEDS]
+        self.assert_keeps_commits({_Fault.UNLISTED}, seeds)
+
+    def test_no_commit_is_lost_if_the_entry_of_a_member_is_lost(self) -> None:
+        seeds = [16, 29, 45, *SEEDS]
+        self.assert_keeps_commits({_Fault.LOST_ENTRIES}, seeds)
+
+    def test_no_commit_is_lost_if_a_member_joins(self) -> None:
+        self.assert_keeps_commits({_Fault.JOINS}, SEEDS)
+
+    def test_no_commit_is_lost_if_hosts_list_different_members(self) -> None:
+        seeds = [15, 16, 22, *SEEDS]
+        self.assert_keeps_commits({_Fault.DIFFERENT_LISTS}, seeds)
+
+    def test_no_commit_is_lost_if_promotions_are_late(self) -> None:
+        faults = {
+            _Fault.LATE_CALLS,
+            _Fault.LATE_EFFECTS,
+            _Fault.LOST_ANSWERS,
+            _Fault.KILLED_HOSTS,
+        }
+        self.assert_keeps_commits(faults, [18, 62, 213, *SEEDS])
+
+    def test_no_commit_is_lost_if_a_primary_leads_again(self) -> None:
+        self.assert_keeps_commits({_Fault.LEADS_AGAIN}, SEEDS)
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -123,6 +123,18 @@
         )
         self.assertEqual(attempt.phase, _Phase.PROMOTE)
 
+    def test_candidate_that_does_not_answer_is_not_promoted(self) -> None:
+        attempt = make_attempt(_Cause.ABSENT)
+        reports = {name: make_report(5) for name in ("a", "b")}
+        reports["p"] = make_report(6)
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        self.assertEqual(attempt.candidate, "p")
+        primary_change.next_step(attempt, 101.0)
+        del reports["p"]
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        step = primary_change.next_step(attempt, 101.0)
+        self.assertEqual(step, steps.Promote("b"))
+
     def test_restarted_member_replaces_its_former_id(self) -> None:
         attempt = make_attempt()
         primary_change.update_members(attempt, ("p", "a"), 100.0)
@@ -160,6 +172,33 @@
             step.delay_s, evidence.EVIDENCE_VALIDITY_S - 0.1, places=6
         )
 
+    def test_gives_up_if_a_member_received_after_the_fencing(self) -> None:
+        attempt = make_attempt()
+        primary_change.record_member_evidence(attempt, 100.5, 100.6)
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        primary_change.record_member_evidence(attempt, 100.0, 100.6)
+        self.assertEqual(attempt.phase, _Phase.WAIT)
+        primary_change.record_member_evidence(attempt, 100.1, 100.6)
+        step = primary_change.next_step(attempt, 100.6)
+        self.assertIsInstance(step, steps.Finish)
+        self.assertEqual(
+            primary_change.list_members_to_resume(attempt), ("a", "b")
+        )
+
+    def test_gives_up_before_the_call_on_evidence_of_a_receiving_member(
+        self,
+    ) -> None:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        primary_change.next_step(attempt, 101.0)
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        self.assertEqual(attempt.phase, _Phase.PROMOTE)
+        primary_change.record_member_evidence(attempt, 100.9, 101.0)
+        step = primary_change.next_step(attempt, 101.0)
+        self.assertIsInstance(step, steps.Finish)
+
     def test_gives_up_if_another_target_is_already_primary(self) -> None:
         attempt = make_attempt()
         status = model.TargetStatus(True, 2, model.Position(2, 9), 0, 0.0, 0, 1)
@@ -216,7 +255,10 @@
             attempt, _Order.STATUS, {"a": make_report(9)}, 100.1
         )
         wait_end_s = 100.1 + evidence.EVIDENCE_VALIDITY_S
+        pauses = {"a": make_report(9), "b": make_report(9)}
+        primary_change.record_reports(attempt, _Order.PAUSE, pauses, 100.2)
         primary_change.next_step(attempt, wait_end_s)
+        self.assertEqual(attempt.phase, _Phase.CONFIRM)
         new_reports = {
             "a": make_report(9),
             "p": make_report(9, is_primary=True),
@@ -227,6 +269,108 @@
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
 
+class StepDownConfirmationTest(testtools.TestCase):
+    """Confirmation that a primary which stepped down may be replaced."""
+
+    def make_confirming(self) -> steps.Attempt:
+        attempt = make_attempt(_Cause.LEAVING)
+        primary_change.record_reports(
+            attempt,
+            _Order.STEP_DOWN,
+            {"p": make_report(9, paused_for=0)},
+            100.0,
+        )
+        reports = {"a": make_report(9), "b": make_report(8)}
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 100.1)
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.2)
+        step = primary_change.next_step(attempt, 101.0)
+        assert isinstance(step, steps.SendOrder)
+        self.assertEqual(step.order, _Order.STATUS)
+        self.assertEqual(set(step.targets), {"p", "a", "b"})
+        return attempt
+
+    def confirm(self, **reports: steps.OrderReport) -> steps.Step:
+        """Return the step that follows reports of a confirmation."""
+        attempt = self.make_confirming()
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        return primary_change.next_step(attempt, 101.0)
+
+    def run_until_promotion(
+        self, silent: frozenset[str]
+    ) -> tuple[float, set[str]]:
+        """Return when a planned change promotes, and the paused members."""
+        attempt = make_attempt(_Cause.LEAVING)
+        now_s = 100.0
+        paused: set[str] = set()
+        for _ in range(100):
+            step = primary_change.next_step(attempt, now_s)
+            if isinstance(step, steps.Promote):
+                return now_s, paused
+            if isinstance(step, steps.Wait):
+                now_s += step.delay_s
+                continue
+            assert isinstance(step, steps.SendOrder)
+            answering = [t for t in step.targets if t not in silent]
+            is_delayed = len(answering) < len(step.targets)
+            now_s += primary_change.ORDER_TIMEOUT_S if is_delayed else 0.0
+            if step.order is _Order.PAUSE:
+                paused.update(answering)
+            reports = {
+                t: make_report(9, paused_for=2 if t in paused else 0)
+                for t in answering
+            }
+            primary_change.record_reports(attempt, step.order, reports, now_s)
+            now_s += step.pause_s
+        raise AssertionError(attempt)
+
+    def test_members_are_paused_before_the_promotion(self) -> None:
+        promoted_s, paused = self.run_until_promotion(frozenset())
+        self.assertEqual(paused, {"a", "b"})
+        self.assertLess(
+            promoted_s,
+            100.0 + evidence.EVIDENCE_VALIDITY_S + 0.1,
+        )
+
+    def test_members_that_answer_are_paused_before_the_promotion(self) -> None:
+        promoted_s, paused = self.run_until_promotion(frozenset("b"))
+        self.assertEqual(paused, {"a"})
+        # The orders to catch up, to pause and to confirm time out once each.
+        self.assertLess(promoted_s, 100.2 + 3 * primary_change.ORDER_TIMEOUT_S)
+
+    def test_old_primary_that_led_again_has_all_members_fenced(self) -> None:
+        step = self.confirm(p=make_report(10, paused_for=0), a=make_report(9))
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("a", "b"), 0.05))
+
+    def test_member_that_restarted_is_paused_again(self) -> None:
+        step = self.confirm(
+            p=make_report(9, paused_for=0),
+            a=make_report(9),
+            b=make_report(9, paused_for=0),
+        )
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("b",), 0.05))
+
+    def test_member_that_does_not_answer_does_not_prevent_the_promotion(
+        self,
+    ) -> None:
+        step = self.confirm(p=make_report(9, paused_for=0), a=make_report(9))
+        self.assertEqual(step, steps.Promote("a"))
+
+    def test_candidate_that_does_not_answer_is_not_promoted(self) -> None:
+        step = self.confirm(p=make_report(9, paused_for=0), b=make_report(8))
+        self.assertNotIsInstance(step, steps.Promote)
+
+    def test_primary_of_the_term_among_the_members_ends_the_attempt(
+        self,
+    ) -> None:
+        status = model.TargetStatus(True, 2, model.Position(2, 8), 0, 0.0, 0, 1)
+        step = self.confirm(
+            p=make_report(9, paused_for=0),
+            a=make_report(9),
+            b=steps.OrderReport(status, 101.0),
+        )
+        self.assertIsInstance(step, steps.Finish)
+
+
 class ResumeTest(testtools.TestCase):
     """Fenced members resume only if the old primary stays the primary."""
 
@@ -265,6 +409,105 @@
         self.assertEqual(step, steps.Finish(True, ""))
 
 
+class RepeatedCallTest(testtools.TestCase):
+    """A promotion isn't requested on an old confirmation."""
+
+    def make_requested(self) -> steps.Attempt:
+        attempt = make_attempt()
+        reports = {"a": make_report(5), "b": make_report(5)}
+        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        primary_change.next_step(attempt, 101.0)
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        step = primary_change.next_step(attempt, 101.0)
+        self.assertEqual(step, steps.Promote("b"))
+        return attempt
+
+    def assert_confirms(self, attempt: steps.Attempt, now_s: float) -> None:
+        step = primary_change.next_step(attempt, now_s)
+        self.assertIsInstance(step, steps.ListTargets)
+        primary_change.record_listing(attempt, now_s)
+        step = primary_change.next_step(attempt, now_s)
+        self.assertEqual(step, steps.SendOrder(_Order.STATUS, ("a", "b"), 0.05))
+
+    def test_members_are_confirmed_after_a_call_without_answer(self) -> None:
+        for status in (0, 429, 503):
+            attempt = self.make_requested()
+            primary_change.record_promotion_response(attempt, status, 101.7)
+            self.assert_confirms(attempt, 101.7)
+
+    def test_members_are_confirmed_after_a_call_without_effect(self) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 200, 101.1)
+        now_s = 101.2 + primary_change.EFFECT_TIMEOUT_S
+        self.assert_confirms(attempt, now_s)
+
+    def test_candidate_that_leads_at_the_confirmation_ends_the_change(
+        self,
+    ) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 0, 101.7)
+        status = model.TargetStatus(True, 2, model.Position(2, 5), 0, 0.0, 0, 1)
+        reports = {"b": steps.OrderReport(status, 101.8)}
+        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.8)
+        step = primary_change.next_step(attempt, 101.8)
+        self.assertEqual(step, steps.Finish(True, ""))
+        self.assertEqual(primary_change.list_members_to_resume(attempt), ())
+
+    def test_members_that_were_paused_after_the_call_resume(self) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 0, 101.7)
+        primary_change.record_reports(attempt, _Order.STATUS, {}, 101.8)
+        step = primary_change.next_step(attempt, 101.8)
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("a", "b"), 0.05))
+        primary_change.record_known_term(attempt, 2, 101.9)
+        self.assertEqual(
+            primary_change.list_members_to_resume(attempt), ("a", "b")
+        )
+
+    def test_member_that_joins_after_the_call_is_fenced_before_another(
+        self,
+    ) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 0, 101.7)
+        primary_change.update_members(attempt, ("p", "a", "b", "c"), 101.8)
+        step = primary_change.next_step(attempt, 101.8)
+        self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("c",), 0.05))
+
+    def test_no_other_candidate_is_promoted_after_a_call(self) -> None:
+        for other in (make_report(5), make_report(6)):
+            attempt = self.make_requested()
+            primary_change.record_promotion_response(attempt, 0, 101.7)
+            primary_change.update_members(attempt, ("p", "a", "b", "c"), 101.8)
+            primary_change.record_reports(
+                attempt, _Order.PAUSE, {"c": other}, 101.9
+            )
+            step = primary_change.next_step(attempt, 101.9)
+            if other == make_report(5):
+                self.assertIsInstance(step, steps.ListTargets)
+                self.assertEqual(attempt.candidate, "b")
+            else:
+                self.assertIsInstance(step, steps.Finish)
+
+    def test_known_later_term_ends_the_attempt_before_a_call(self) -> None:
+        for status in (None, 0):
+            attempt = self.make_requested()
+            if status is not None:
+                primary_change.record_promotion_response(attempt, 0, 101.7)
+            primary_change.record_known_term(attempt, 1, 101.8)
+            self.assertNotEqual(attempt.phase, _Phase.GIVEN_UP)
+            primary_change.record_known_term(attempt, 2, 101.8)
+            step = primary_change.next_step(attempt, 101.8)
+            self.assertIsInstance(step, steps.Finish)
+
+    def test_known_later_term_may_be_that_of_the_accepted_promotion(
+        self,
+    ) -> None:
+        attempt = self.make_requested()
+        primary_change.record_promotion_response(attempt, 200, 101.1)
+        primary_change.record_known_term(attempt, 2, 101.8)
+        self.assertEqual(attempt.phase, _Phase.EFFECT)
+
+
 class SafePositionTest(testtools.TestCase):
     """The position that covers all commits while a group is fenced."""
 
