--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -72,6 +72,7 @@
         self.reported_s = 0.0
         self.load = placement.TargetLoad(entry.target)
         self.answered_s = 0.0
+        self.restart_count = 0
         self._next_probe_s = 0.0
 
     @property
@@ -306,9 +307,7 @@
 
     def apply_list(self, entries: list[model.TargetEntry]) -> None:
         if self.is_alive:
-            self._restart_targets(
-                catalog.update_entries(self.catalog, entries, self.world.now_s)
-            )
+            catalog.update_entries(self.catalog, entries, self.world.now_s)
             self._sync_pools()
 
     async def _refresh_targets(self) -> None:
@@ -318,58 +317,44 @@
                 self.apply_entry(entry)
 
     def apply_entry(self, entry: model.TargetEntry) -> None:
-        if not self.is_alive:
-            return
-        if catalog.update_entry(self.catalog, entry):
-            self._restart_targets([entry.target])
-        self._sync_pools()
+        if self.is_alive:
+            catalog.update_entry(self.catalog, entry)
+            self._sync_pools()
 
     def apply_removal(self, target: str) -> None:
         catalog.mark_missing(self.catalog, target, self.world.now_s)
         self._sync_pools()
 
-    def _restart_targets(self, targets: list[str]) -> None:
-        for target in targets:
-            entry = self.catalog.members[target].entry
-            pool = self.pools.get(target)
-            if pool is not None:
-                pool.restart(entry)
-            else:
-                self._replace_predecessor(entry)
-
-    def _replace_predecessor(self, entry: model.TargetEntry) -> None:
-        old = catalog.find_predecessor(self.catalog, entry)
-        if old is None:
-            return
-        del self.catalog.members[old]
-        pool = self._remove_pool(old)
-        if pool is None:
-            return
-        successor = Pool(self, entry)
-        successor.position_before_restart = pool.get_newest_position()
-        self.pools[entry.target] = successor
-
-    def _remove_pool(self, target: str) -> Pool | None:
-        pool: Pool | None = self.pools.pop(target, None)
-        if pool is not None:
-            evidence_module = observer.evidence
-            evidence_module.remove_member(self.observer.leadership, target)
-            self.world.note(f"{self.name} drops {target}")
-        return pool
-
     def _sync_pools(self) -> None:
         members = catalog.list_members(self.catalog, simulated_targets.GROUP)
-        known = {member.entry.target for member in members}
-        for target in [t for t in self.pools if t not in known]:
-            self._remove_pool(target)
         for member in members:
             target = member.entry.target
-            if target not in self.pools:
-                self.pools[target] = Pool(self, member.entry)
+            pool = self.pools.get(target)
+            if pool is None:
+                pool = self._add_pool(member)
                 self.world.note(f"{self.name} lists {target}")
-            self.pools[target].entry = member.entry
+            elif pool.restart_count != member.restart_count:
+                pool.restart(member.entry)
+                pool.restart_count = member.restart_count
+            pool.entry = member.entry
+        known = {member.entry.target for member in members}
+        for target in [t for t in self.pools if t not in known]:
+            del self.pools[target]
+            evidence_module = observer.evidence
+            evidence_module.remove_member(self.observer.leadership, target)
+            self.world.note(f"{self.name} drops {target}")
         self._sync_departed()
 
+    def _add_pool(self, member: catalog.Member) -> Pool:
+        pool = Pool(self, member.entry)
+        pool.restart_count = member.restart_count
+        old = next((t for t in member.former if t in self.pools), None)
+        if old is not None:
+            position = self.pools[old].get_newest_position()
+            pool.position_before_restart = position
+        self.pools[member.entry.target] = pool
+        return pool
+
     def _sync_departed(self) -> None:
         departed = catalog.list_departed(self.catalog, simulated_targets.GROUP)
         for member in departed:
@@ -395,13 +380,13 @@
             return
         self.world.loop.call_later(TICK_INTERVAL_S, self._tick)
         now_s = self.world.now_s
-        removed = catalog.remove_expired(
+        update = catalog.remove_expired(
             self.catalog,
             {name: pool.answered_s for name, pool in self.pools.items()},
             now_s,
         )
-        if removed:
-            self.log.write("targets_gone", targets=removed)
+        if update.gone:
+            self.log.write("targets_gone", targets=update.gone)
         self._sync_pools()
         for pool in tuple(self.pools.values()):
             pool.tick(now_s)
