Share the position of fenced members only after the targets are listed anew

Cause: a promoter shares the highest position of the members that it has fenced, as one that covers every commit. The targets were listed anew only at the confirmation, 0.75 s later, and showed a member with a later position.

Change: the targets are listed as soon as enough members are fenced, and the position counts only from then on. The listing at the confirmation stays.

Evidence: test_known_from_fencing_until_the_promotion_is_requested fails before.

--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -54,16 +54,14 @@
     (steps.Phase.EFFECT, steps.Phase.DONE, steps.Phase.GIVEN_UP)
 )
 
-# Phases in which members are fenced, or have to stay fenced.
-_FENCING_PHASES = frozenset(
-    (
-        steps.Phase.FENCE,
-        steps.Phase.WAIT,
-        steps.Phase.CONFIRM,
-        steps.Phase.PROMOTE,
-    )
+# Phases in which members have to stay fenced.
+_FENCED_PHASES = frozenset(
+    (steps.Phase.WAIT, steps.Phase.CONFIRM, steps.Phase.PROMOTE)
 )
 
+# Phases in which members are fenced, or have to stay fenced.
+_FENCING_PHASES = _FENCED_PHASES | {steps.Phase.FENCE}
+
 
 def begin_attempt(
     group: str,
@@ -189,7 +187,10 @@
             earlier term than the attempt's.
         now_s: the current time.
     """
-    if attempt.stepped_down_s or find_safe_position(attempt) is None:
+    has_fences = attempt.phase in _FENCED_PHASES and attempt.fenced
+    if attempt.is_promotion_requested or attempt.stepped_down_s:
+        return
+    if not has_fences:
         return
     fenced_s = max(report.answered_s for report in attempt.fenced.values())
     if member_seen_s > fenced_s:
@@ -225,24 +226,31 @@
 def find_safe_position(attempt: steps.Attempt) -> model.Position | None:
     """Return a position that covers every acknowledged commit, or None.
 
-    There is one from when the members are fenced, or the old primary has
-    stepped down, until the promotion is requested.
+    There is one from when the members are fenced and all targets were listed
+    after that, or the old primary has stepped down, until the promotion is
+    requested.
     """
-    has_safety_proof = attempt.phase in (
-        steps.Phase.WAIT,
-        steps.Phase.CONFIRM,
-        steps.Phase.PROMOTE,
-    )
+    has_safety_proof = attempt.phase in _FENCED_PHASES
     if not has_safety_proof or attempt.is_promotion_requested:
         return None
     if attempt.stepped_down_s:
         return attempt.final_position
+    if not _is_listed_since_fenced(attempt):
+        return None
     return max(
         (report.status.received for report in attempt.fenced.values()),
         default=None,
     )
 
 
+def _is_listed_since_fenced(attempt: steps.Attempt) -> bool:
+    """Return whether all targets were listed after the members were fenced."""
+    return attempt.listed_s >= max(
+        (report.answered_s for report in attempt.fenced.values()),
+        default=attempt.phase_since_s,
+    )
+
+
 def list_members_to_resume(attempt: steps.Attempt) -> tuple[str, ...]:
     """Return the members that may resume replication after an attempt.
 
@@ -334,6 +342,17 @@
 }
 
 
+def needs_listing(attempt: steps.Attempt) -> bool:
+    """Return whether members were fenced and targets weren't listed since."""
+    is_waiting = attempt.phase is steps.Phase.WAIT
+    is_proof_by_fences = not attempt.stepped_down_s
+    return (
+        is_waiting
+        and is_proof_by_fences
+        and not _is_listed_since_fenced(attempt)
+    )
+
+
 def record_listing(attempt: steps.Attempt, now_s: float) -> None:
     """Record that all targets were listed."""
     attempt.listed_s = now_s
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -354,6 +354,11 @@
                 return step
             try:
                 await self._execute_step(step, attempt, router)
+                if primary_change.needs_listing(attempt):
+                    await self._list_targets(attempt)
+                    primary_change.update_members(
+                        attempt, router.members, clock.get_time_s()
+                    )
                 position = primary_change.find_safe_position(attempt)
                 if position is not None:
                     self._on_fenced(router, attempt.term - 1, position)
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -516,6 +516,11 @@
         self.assertIsNone(primary_change.find_safe_position(attempt))
         reports = {"a": make_report(5), "b": make_report(7)}
         primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        # A target that isn't listed yet may receive further commits.
+        self.assertTrue(primary_change.needs_listing(attempt))
+        self.assertIsNone(primary_change.find_safe_position(attempt))
+        primary_change.record_listing(attempt, 100.0)
+        self.assertFalse(primary_change.needs_listing(attempt))
         found = primary_change.find_safe_position(attempt)
         self.assertEqual(found, model.Position(1, 7))
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
