Renew no evidence from answers around a promotion's effect

Seen by callers: commits that they were told of are missing after a promotion (rule LOST).

Cause: expired evidence was renewed from one answer of each member. If a member restarted after the confirmation, its answer from before the effect and that of another member from after it, which the promotion had resumed, counted together, and commits at the replaced primary were told of.

Change: each member has to answer as a replica after every other one was first seen to receive. The candidate of a promotion that has taken effect answers as the primary instead. Members that an attempt resumed renew the evidence with one more round of answers.

Two tests of the evidence now need that further answer, and check that the evidence isn't renewed before. The directed test moved to test_evidence.

--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -61,6 +61,9 @@
         receiving_seen_s: by member other than the primary, when the newest
             request was sent to which it answered that it receives the log and
             knows no later term.
+        receiving_since_s: by member in ``receiving_seen_s``, when the first
+            of these answers in a row arrived.
+        receiving_answered_s: by the same members, when the last one arrived.
         seen_terms: by member, the term in its last answer and when the request
             was sent.
     """
@@ -76,6 +79,12 @@
         )
     )
     receiving_seen_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    receiving_since_s: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    receiving_answered_s: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     seen_terms: dict[str, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -108,6 +117,8 @@
             leadership, target, term
         )
         leadership.receiving_seen_s.clear()
+        leadership.receiving_since_s.clear()
+        leadership.receiving_answered_s.clear()
         leadership.positions.clear()
     leadership.primary_seen_s = max(leadership.primary_seen_s, sent_s)
     return is_new
@@ -175,15 +186,45 @@
     if paused_for > leadership.term:
         receiving_seen_s.pop(target, None)
         return
-    receiving_seen_s[target] = max(sent_s, receiving_seen_s.get(target, _NEVER))
+    _record_receiving(leadership, target, sent_s, answered_s)
     if _extend_member_evidence(leadership, sent_s, answered_s):
         return
     others = [member for member in members if member != leadership.target]
-    if all(member in receiving_seen_s for member in others):
+    if all(member in receiving_seen_s for member in others) and all(
+        receiving_seen_s[member] >= leadership.receiving_since_s[other]
+        for member in others
+        for other in others
+        if other != member
+    ):
         seen_s = min(receiving_seen_s[member] for member in others)
         leadership.member_seen_s = max(leadership.member_seen_s, seen_s)
 
 
+def _record_receiving(
+    leadership: Leadership, target: str, sent_s: float, answered_s: float
+) -> None:
+    """Record that a member receives the log.
+
+    A promotion resumes the other members when it takes effect, and from then on
+    its candidate answers as the primary. If every member still answers as a
+    replica after each other one was seen to receive, none was resumed by a
+    promotion. Members can be paused unseen for the wait before a promotion only
+    between answers that are a whole span apart.
+    """
+    last_s = leadership.receiving_answered_s.get(target, _NEVER)
+    is_in_a_row = (
+        target in leadership.receiving_seen_s
+        and sent_s - last_s < EVIDENCE_VALIDITY_S
+    )
+    if not is_in_a_row:
+        leadership.receiving_since_s[target] = answered_s
+        leadership.receiving_seen_s[target] = sent_s
+    leadership.receiving_answered_s[target] = max(answered_s, last_s)
+    leadership.receiving_seen_s[target] = max(
+        sent_s, leadership.receiving_seen_s[target]
+    )
+
+
 def _extend_member_evidence(
     leadership: Leadership, sent_s: float, answered_s: float
 ) -> bool:
--- a/tests/groups/test_evidence.py
+++ b/tests/groups/test_evidence.py
@@ -40,7 +40,9 @@
         note_member(leadership, "b", 9.5)
         self.assertLess(leadership.valid_until_s, 9.5)
         note_member(leadership, "c", 9.6)
-        self.assertEqual(leadership.valid_until_s, 9.5 + SPAN_S)
+        self.assertLess(leadership.valid_until_s, 9.5)
+        note_member(leadership, "b", 9.7)
+        self.assertEqual(leadership.valid_until_s, 9.6 + SPAN_S)
 
     def test_one_member_extends_valid_evidence(self) -> None:
         leadership = make_leadership(10.0)
@@ -54,7 +56,38 @@
         note_member(leadership, "b", 10.7, 10.0 + SPAN_S + 0.01)
         self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
         note_member(leadership, "c", 10.85)
-        self.assertEqual(leadership.valid_until_s, 10.7 + SPAN_S)
+        self.assertEqual(leadership.valid_until_s, 10.0 + SPAN_S)
+        note_member(leadership, "b", 10.86)
+        self.assertEqual(leadership.valid_until_s, 10.85 + SPAN_S)
+
+    def test_answers_from_before_and_after_a_promotion_prove_nothing(
+        self,
+    ) -> None:
+        leadership = make_leadership(10.0)
+        for member in "bc":
+            note_member(leadership, member, 11.0, paused_for=4)
+        # Member c restarted while its promotion was on its way. The promotion
+        # takes effect at 12.1 and resumes member b, which follows the old
+        # primary until it learns of the new one.
+        note_member(leadership, "c", 12.0)
+        for tenth in range(10):
+            note_member(leadership, "b", 12.2 + tenth / 10)
+        self.assertIsNone(evidence.check_commit(leadership, 3, 12.3))
+
+    def test_pause_between_distant_answers_is_not_overlooked(self) -> None:
+        leadership = make_leadership(10.0)
+        note_member(leadership, "c", 12.0)
+        note_member(leadership, "b", 12.2)
+        self.assertIsNone(evidence.check_commit(leadership, 3, 12.3))
+
+    def test_members_that_resumed_renew_the_evidence(self) -> None:
+        leadership = make_leadership(10.0)
+        for member in "bc":
+            note_member(leadership, member, 11.0, paused_for=4)
+        for sent_s in (12.0, 12.1):
+            for member in "bc":
+                note_member(leadership, member, sent_s, sent_s + 0.01)
+        self.assertEqual(leadership.member_seen_s, 12.1)
 
     def test_paused_member_proves_nothing(self) -> None:
         leadership = make_leadership(10.0)
--- a/tests/groups/test_promotion_safety.py
+++ b/tests/groups/test_promotion_safety.py
@@ -75,19 +75,6 @@
             evidence.record_member(leadership, "c", "pabc", 0, sent_s, sent_s)
         self.assertIsNone(evidence.check_commit(leadership, 1, 11.91))
 
-    def test_answers_from_before_and_after_a_promotion_prove_nothing(
-        self,
-    ) -> None:
-        leadership = self.make_leadership()
-        for member in "ab":
-            evidence.record_member(leadership, member, "pab", 2, 11.0, 11.0)
-        # Member b restarted while its promotion was on its way. The promotion
-        # takes effect at 12.1 and resumes member a, which follows the old
-        # primary until it learns of the new one.
-        evidence.record_member(leadership, "b", "pab", 0, 12.0, 12.0)
-        evidence.record_member(leadership, "a", "pab", 0, 12.2, 12.2)
-        self.assertIsNone(evidence.check_commit(leadership, 1, 12.3))
-
     def test_commit_is_not_told_without_evidence_if_replicas_are_unlisted(
         self,
     ) -> None:
