--- a/tests/entry/test_review_findings.py
+++ b/tests/entry/test_review_findings.py
@@ -166,3 +166,35 @@
         write = await caller.run("WRITE item 2")
         kept = system.platform.groups["g"].get_primary().read_all("item")
         self.assertEqual((write[0].startswith("DONE "), kept), (False, ["1"]))
+
+
+class ReturnedMemberTest(testtools.TestCase):
+    """Members that come back under new ids after they counted as gone."""
+
+    # Guards against a group that waits for ever for former ids of members that
+    # run again with their logs.
+    @harness.with_system()
+    async def test_group_whose_members_return_under_new_ids_is_served(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        replica = list(group.targets.values())[1]
+        host = system.entry_hosts[0]
+        writer = harness.Writer(host.port, "g-primary")
+        await writer.run_for(0.5)
+        with mock.patch.object(catalog, "MEMBERSHIP_GRACE_S", GRACE_S):
+            await asyncio.gather(primary.stop(), replica.stop())
+            for target in (primary, replica):
+                target.has_platform_entry = False
+                system.platform.store.remove("servers", target.id)
+            router = host.host.routers["g"]
+            await harness.wait_for(lambda: len(router.pools) == 1)
+            for target in (primary, replica):
+                returned = group.replace(target, keeps_log=True)
+                await returned.start()
+            await harness.wait_for(lambda: len(router.pools) == 3)
+            await asyncio.sleep(15.0)
+        self.assertEqual(
+            (router.departed, group.find_primary() is not None), ((), True)
+        )
