--- a/tests/entry/test_review_findings.py
+++ b/tests/entry/test_review_findings.py
@@ -198,3 +198,38 @@
         self.assertEqual(
             (router.departed, group.find_primary() is not None), ((), True)
         )
+
+
+class UnreachableMemberTest(testtools.TestCase):
+    """A running replica that has no entry and that a host reaches again."""
+
+    # Guards against the loss of commits that a replica received after a host
+    # that couldn't reach it for a while took it for gone.
+    @harness.with_system()
+    async def test_replica_that_answers_again_is_a_member(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        lagging, unlisted = list(group.targets.values())[1:]
+        host = system.entry_hosts[0]
+        writer = harness.Writer(host.port, "g-primary")
+        with mock.patch.object(catalog, "MEMBERSHIP_GRACE_S", GRACE_S):
+            await writer.run_for(0.3)
+            unlisted.has_platform_entry = False
+            system.platform.store.remove("servers", unlisted.id)
+            # The replica receives, but its answers to hosts are held up.
+            unlisted.is_unresponsive = True
+            await writer.run_until(lambda: bool(host.find_lines("targets_gone")))
+            unlisted.is_unresponsive = False
+            await writer.run_for(1.5)
+            with mock.patch.object(lagging, "receive", return_value=False):
+                await writer.run_for(0.5)
+                await primary.stop()
+            await asyncio.sleep(6.0)
+            await primary.start()
+            primary.reconnect()
+            await writer.run_for(0.5)
+        self.assertEqual(
+            writer.list_lost(group), [], host.find_lines("change_started")
+        )
