--- a/tests/entry/test_review_findings.py
+++ b/tests/entry/test_review_findings.py
@@ -218,10 +218,16 @@
             await writer.run_for(0.3)
             unlisted.has_platform_entry = False
             system.platform.store.remove("servers", unlisted.id)
-            # The replica receives, but its answers to hosts are held up.
-            unlisted.is_unresponsive = True
-            await writer.run_until(lambda: bool(host.find_lines("targets_gone")))
-            unlisted.is_unresponsive = False
+            # The replica receives, but the host doesn't reach it.
+            host.host.routers["g"].pools[unlisted.id].answered_s = 0.0
+            with mock.patch.object(
+                type(host.host.routers["g"].pools[unlisted.id]),
+                "handle_answer",
+                lambda pool: None,
+            ):
+                await writer.run_until(
+                    lambda: bool(host.find_lines("targets_gone"))
+                )
             await writer.run_for(1.5)
             with mock.patch.object(lagging, "receive", return_value=False):
                 await writer.run_for(0.5)
