--- a/tests/groups/test_review_findings.py
+++ b/tests/groups/test_review_findings.py
@@ -15,7 +15,9 @@
     """A target that moved while another took its address."""
 
     # Guards against a group that counts fewer members than run.
-    def test_replaced_target_that_moved_is_a_member_in_every_order(self) -> None:
+    def test_replaced_target_that_moved_is_a_member_in_every_order(
+        self,
+    ) -> None:
         moved = test_catalog.make_entry("i-1", revision=8, address="10.0.0.2")
         other = test_catalog.make_entry("i-2", revision=7)
         for order in itertools.permutations([moved, other]):
