Keep a target that moved a member

Seen by callers: none yet; the group would count a member fewer, and a change of primary could lose commits.

Cause: a former id was ignored at every address. If another target took the address of one that moved, and its entry came first, the entry of the moved one was taken for a late write.

Change: a former id is ignored at the address of its successor only.

Evidence: test_replaced_target_that_moved_is_a_member_in_every_order failed for one order of the entries.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -198,13 +198,15 @@
             if target not in listed and member.missing_since_s is None:
                 members[target] = member._replace(missing_since_s=now_s)
     former = {
-        life
+        (_get_address(member.entry), life)
         for target, member in members.items()
         if target not in expired
         for life in member.former
     }
     newest_lives = _find_newest_lives(
-        entry for entry in lives.values() if entry.target not in former
+        entry
+        for entry in lives.values()
+        if (_get_address(entry), entry.target) not in former
     )
     succeeded = _replace_members(members, lives, newest_lives, expired)
     gone = tuple(target for target in expired if members.pop(target, None))
@@ -225,6 +227,10 @@
     )
 
 
+def _get_address(entry: model.TargetEntry) -> _Address:
+    return entry.group, entry.address, entry.port
+
+
 def _find_newest_entries(
     entries: Iterable[model.TargetEntry],
 ) -> dict[str, model.TargetEntry]:
@@ -242,7 +248,7 @@
     """Return the entry with the highest revision at each address."""
     newest: dict[_Address, model.TargetEntry] = {}
     for entry in entries:
-        address = (entry.group, entry.address, entry.port)
+        address = _get_address(entry)
         known = newest.get(address, entry)
         newest[address] = max(known, entry, key=_get_age_key)
     return newest
