Keep a departed member while no primary is known

Seen by callers: none yet; acknowledged commits could be lost in groups of four.

Cause: a departed member is forgotten once another member has what the primary had reached. After a step down no primary is known, and the old primary itself counted as that other member.

Change: without a known primary no departed member is forgotten.

Evidence: test_primary_that_stepped_down_does_not_keep_a_departed_log failed.

--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -357,6 +357,9 @@
     def is_log_kept(self, since_s: float) -> bool:
         """Return whether a replica has all commits acknowledged before then."""
         primary = self.leadership.target
+        if primary is None:
+            # The last primary may be among the pools.
+            return False
         received = [
             pool.received
             for target, pool in self._pools.items()
