Count missing members anew after a suspension

Cause: a host that was suspended for longer than six seconds dropped a member without an entry in its first check, before the member could answer.

Change: the time for which members are missing starts again after a suspension.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -362,6 +362,16 @@
         catalog.members[target] = member._replace(missing_since_s=now_s)
 
 
+def restart_missing(catalog: Catalog, now_s: float) -> None:
+    """Count the time for which members are missing from now on.
+
+    Used after a suspension, in which a member couldn't show that it runs.
+    """
+    for target, member in catalog.members.items():
+        if member.missing_since_s is not None:
+            catalog.members[target] = member._replace(missing_since_s=now_s)
+
+
 def remove_expired(
     catalog: Catalog, answered_s: Mapping[str, float], now_s: float
 ) -> Update:
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -479,6 +479,7 @@
         Answers may have arrived late only because nothing ran here.
         """
         self.log.write("standstill", lasted_s=round(now_s - last_tick_s, 2))
+        catalog.restart_missing(self.catalog, now_s)
         for router in self.routers.values():
             for pool in router.pools.values():
                 pool.clear_failures()
