Let a successor take the place of a departed member

Cause: a departed member was released by its own id or by the primary's positions only. A target that returned under a new id at its address counted beside it, and the departed one can't be fenced.

Change: a new member at the address of a departed one takes its place, with the last known position as the floor for its log, as after a direct succession.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -46,12 +46,12 @@
 
     Attributes:
         target: id of the target.
-        group: name of its group.
+        entry: its last entry.
         silent_since_s: when it was last known to run.
     """
 
     target: str
-    group: str
+    entry: model.TargetEntry
     silent_since_s: float
 
 
@@ -305,11 +305,28 @@
     return tuple(succeeded)
 
 
+def _succeed_departed(catalog: Catalog, target: str) -> None:
+    """Let a new member at a departed one's address take its place."""
+    member = catalog.members[target]
+    address = _get_address(member.entry)
+    succeeded = [
+        departed.target
+        for departed in catalog.departed.values()
+        if _get_address(departed.entry) == address
+    ]
+    for old in succeeded:
+        del catalog.departed[old]
+    former = (*succeeded, *member.former)[:MAX_FORMER_LIVES]
+    catalog.members[target] = member._replace(former=former)
+
+
 def _apply_update(catalog: Catalog, update: Update) -> Update:
     catalog.members = update.members
     catalog.hidden = update.hidden
     for target in update.members:
         catalog.departed.pop(target, None)
+    for target in update.added:
+        _succeed_departed(catalog, target)
     return update
 
 
@@ -399,13 +416,13 @@
     ]
     if not expired:
         return Update(catalog.members, catalog.hidden)
-    groups = {t: catalog.members[t].entry.group for t in expired}
+    entries = {t: catalog.members[t].entry for t in expired}
     update = _apply_update(
         catalog, compute_update(catalog, (), expired=expired)
     )
     for target in update.gone:
         catalog.departed[target] = DepartedMember(
-            target, groups[target], silent_since_s[target]
+            target, entries[target], silent_since_s[target]
         )
     return update
 
@@ -413,7 +430,9 @@
 def list_departed(catalog: Catalog, group: str) -> list[DepartedMember]:
     """Return the departed members of a group whose log may be missing."""
     return [
-        member for member in catalog.departed.values() if member.group == group
+        member
+        for member in catalog.departed.values()
+        if member.entry.group == group
     ]
 
 
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -109,6 +109,7 @@
                 self._sharer.rank_hosts,
             )
         self._draining_since_s: dict[str, float] = {}
+        self._departed_positions: dict[str, model.Position] = {}
         self._last_tick_s = clock.get_time_s()
         self._next_session_check_s = 0.0
         self._unserved_since_s: float | None = None
@@ -323,6 +324,11 @@
         old = next((t for t in member.former if t in router.pools), None)
         if old is not None:
             floor = router.pools[old].get_newest_position()
+        else:
+            departed = self._departed_positions
+            old = next((t for t in member.former if t in departed), None)
+            floor = departed.pop(old, floor) if old else floor
+        if old is not None:
             self.log.write("target_succeeded", target=target, old=old)
         pool = router.add_pool(member.entry, floor)
         pool.restart_count = member.restart_count
@@ -340,6 +346,7 @@
         ]
         for target in kept:
             del self.catalog.departed[target]
+            self._departed_positions.pop(target, None)
         router.departed = tuple(
             member.target for member in departed if member.target not in kept
         )
@@ -451,10 +458,18 @@
             for router in self.routers.values()
             for target, pool in router.pools.items()
         }
+        positions = {
+            target: pool.get_newest_position()
+            for router in self.routers.values()
+            for target, pool in router.pools.items()
+        }
         update = catalog.remove_expired(self.catalog, answered_s, now_s)
         self._log_listed(update)
         if update.gone:
             self.log.write("targets_gone", targets=update.gone)
+        for target in update.gone:
+            if target in positions:
+                self._departed_positions[target] = positions[target]
         self._sync_routers()
 
     def _check_groups(self, now_s: float) -> None:
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -152,7 +152,7 @@
         departed = catalog.list_departed(known, make_entry().group)
         self.assertEqual(
             departed,
-            [catalog.DepartedMember("i-1", make_entry().group, 21.0)],
+            [catalog.DepartedMember("i-1", make_entry(), 21.0)],
         )
         catalog.update_entry(known, make_entry(revision=9))
         self.assertEqual(catalog.list_departed(known, make_entry().group), [])
