Take no primary's word alone in a group with replicas

Seen by callers: a host that knew only the replaced primary answered an old value (rule STALE) and acknowledged a write that the new primary lacks (rule LOST).

Cause: evidence from other members was needed only if the host listed any. A list without the replicas switched it off. Besides, evidence of another host about a later term was dropped if its primary wasn't listed.

Change: whether members are needed follows from the group's settings, and a later term that another host reports ends the evidence about an earlier one.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -285,6 +285,7 @@
                 )
                 self.routers[name] = router
             router.settings = group
+            router.observer.has_replicas = group.acknowledging_replicas > 0
             supervision.contain("members", self._sync_pools, router, now_s)
             supervision.contain(
                 "departed members", self._sync_departed, router, now_s
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -62,6 +62,8 @@
             that this host doesn't know was the primary.
         commits_in_flight: when each commit in flight was sent.
         last_commit_s: when the newest acknowledged commit was sent.
+        has_replicas: whether the primary needs a replica to commit, whether
+            or not this host knows one.
         is_poller: whether this host polls the members for all hosts.
         load_shedding: queueing delay of the primary and the share of requests
             that is refused.
@@ -90,6 +92,7 @@
         self.no_primary_since_s: float | None = clock.get_time_s()
         self.commits_in_flight: dict[object, float] = {}
         self.last_commit_s = 0.0
+        self.has_replicas = True
         self.is_poller = True
         self.load_shedding = load_shedding.LoadShedding()
         self._group = group
@@ -117,7 +120,7 @@
                 now_s,
                 "the target is no longer a member of the group",
             )
-        leadership.needs_member = len(self._pools) > 1
+        leadership.needs_member = self.has_replicas or len(self._pools) > 1
         due = status_polling.list_members_to_poll(
             self._polling, leadership, self._pools, self.is_poller, now_s
         )
@@ -236,6 +239,7 @@
             self.unlisted_primary_seen_s = max(
                 self.unlisted_primary_seen_s, sent_here_s - shared.primary_age_s
             )
+            self._record_later_term(shared.term)
             return
         if shared.term < self.known_term:
             return
@@ -249,6 +253,16 @@
         self._acknowledgements.settle(clock.get_time_s())
         self._on_change()
 
+    def _record_later_term(self, term: int) -> None:
+        """Drop the known primary if another target leads a later term."""
+        self.known_term = max(self.known_term, term)
+        leadership = self.leadership
+        target = leadership.target
+        if target is None or term <= leadership.term:
+            return
+        if evidence.record_primary_loss(leadership, target, term):
+            self._record_primary_loss(target, "another host knows a later term")
+
     def _handle_new_primary(self, target: str, term: int) -> None:
         self.no_primary_since_s = None
         self.known_since_s = clock.get_time_s()
