--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -169,9 +169,9 @@
     one process can listen there. The life with the highest revision counts, but
     none that was replaced before: its last write may arrive late. The others
     are hidden, and one of them counts only if the member is no longer known
-    otherwise. A known
-    target that moves to another member's address replaces nobody, so that no
-    group gets smaller. The order of the entries doesn't matter.
+    otherwise. A known target that moves to another member's address replaces
+    nobody, so that no group gets smaller. The order of the entries doesn't
+    matter.
 
     Args:
         catalog: what is known.
