Pass messages on inside data centres by distributors

Up to 12 hosts go on as before. In larger fleets two distributors a data centre, by rendezvous hashing among the hosts that a host takes for live, pass evidence and the ages of heard hosts on (core/groups/distribution.py decides, pure; entry/heard_hosts.py keeps the view).

A full list of names only at the start left hosts that missed it without names; they ask for it now.

--- a/knapweedtally/entry/evidence_sharing.py
+++ b/knapweedtally/entry/evidence_sharing.py
@@ -1,6 +1,7 @@
 """Exchange of evidence about groups with the other hosts."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
@@ -15,10 +16,29 @@
 SHARE_INTERVAL_S = evidence.EVIDENCE_VALIDITY_S * 0.3
 
 
+# Shortest interval at which a distributor passes on evidence of known terms, in
+# seconds. Evidence of several groups goes into one message.
+PASS_INTERVAL_S = 0.1
+
+# Delay after which the second distributor passes on evidence that the first one
+# hasn't passed on, in seconds.
+BACKUP_DELAY_S = 0.15
+
 # How long after the start all known hosts count as live for a rank, in seconds.
 RANK_SETTLING_TIME_S = 3.0
 
 
+class _Shared(NamedTuple):
+    """The term of evidence, and when the primary and others were seen."""
+
+    term: int
+    primary_s: float
+    member_s: float
+
+
+_NOTHING = _Shared(0, 0.0, 0.0)
+
+
 class EvidenceSharer:
     """Share evidence about groups with the other hosts."""
 
@@ -40,12 +60,16 @@
         self._peers = peers
         self._routers = routers
         self._ranked_hosts: tuple[int, dict[str, list[str]]] = (0, {})
-        # Term of the evidence that was last shared, and times when the primary
-        # and the other members were seen in it, by group.
-        self._last_shared: dict[str, tuple[int, float, float]] = {}
+        # What was last shared, and what was last passed on inside the data
+        # centre by this host or its other distributor, by group.
+        self._last_shared: dict[str, _Shared] = {}
+        self._last_passed: dict[str, _Shared] = {}
+        self._fenced_passed_s: dict[str, float] = {}
+        self._newer_since_s: dict[str, float] = {}
+        self._next_pass_s = 0.0
 
     def receive(
-        self, shared: sharing.SharedEvidence, sent_here_s: float
+        self, shared: sharing.SharedEvidence, sent_here_s: float, host: str
     ) -> None:
         """Merge another host's evidence.
 
@@ -53,10 +77,52 @@
             shared: the evidence.
             sent_here_s: the earliest time, on this host's clock, at which
                 the evidence was sent.
+            host: name of the other host.
         """
         router = self._routers.get(shared.group)
-        if router is not None:
-            router.observer.merge_evidence(shared, sent_here_s)
+        if router is None:
+            return
+        router.observer.merge_evidence(shared, sent_here_s)
+        contacts = self._peers.contacts
+        if contacts.rank is None:
+            return
+        if shared.is_fenced:
+            self._pass_on_fenced(shared, sent_here_s)
+        elif contacts.rank > 0 and host in contacts.local:
+            # The first distributor passes on what it has.
+            self._record_passed(
+                shared.group,
+                shared.term,
+                sent_here_s - shared.primary_age_s,
+                sent_here_s - shared.member_age_s,
+            )
+
+    def _pass_on_fenced(
+        self, shared: sharing.SharedEvidence, sent_here_s: float
+    ) -> None:
+        """Pass on a position that covers a fenced term's commits, once.
+
+        Its time only gets earlier from host to host, so distributors that take
+        each other for receivers don't pass it back and forth.
+        """
+        now_s = clock.get_time_s()
+        known_s = sent_here_s - shared.position_age_s
+        if known_s <= self._fenced_passed_s.get(shared.group, 0.0):
+            return
+        self._fenced_passed_s[shared.group] = known_s
+        passed_on = shared._replace(position_age_s=now_s - known_s)
+        self._peers.share_locally((passed_on,), now_s)
+
+    def _record_passed(
+        self, group: str, term: int, primary_s: float, member_s: float
+    ) -> None:
+        last = self._last_passed.get(group, _NOTHING)
+        if term < last.term:
+            return
+        if term == last.term:
+            primary_s = max(primary_s, last.primary_s)
+            member_s = max(member_s, last.member_s)
+        self._last_passed[group] = _Shared(term, primary_s, member_s)
 
     def share_fenced_position(
         self,
@@ -82,6 +148,7 @@
             router.settings.name, "", term, 0.0, 0.0, 0.0, position, True
         )
         self._peers.share((shared,), now_s)
+        self._peers.share_locally((shared,), now_s)
 
     def rank_hosts(self, group: str) -> list[str]:
         """Return the names of the live hosts in a group's order."""
@@ -110,7 +177,8 @@
     ) -> None:
         """Share the evidence that is newer than what was last shared.
 
-        Only the hosts that poll a group's members share evidence about it.
+        Only the hosts that poll a group's members share evidence about it, and
+        distributors pass on what they have.
 
         Args:
             now_s: the current time.
@@ -125,32 +193,72 @@
             observer.is_poller = self._host in pollers
             if not observer.is_poller and not is_changing(name):
                 continue
-            leadership = observer.leadership
-            last_term, last_primary_s, last_member_s = self._last_shared.get(
-                name, (0, 0.0, 0.0)
-            )
-            # Commits renew the evidence from the primary only, and it shows the
-            # other hosts that the primary answers.
-            is_newer = (
-                leadership.primary_seen_s >= last_primary_s + SHARE_INTERVAL_S
-                or leadership.member_seen_s >= last_member_s + SHARE_INTERVAL_S
-            )
-            if not is_newer and leadership.term <= last_term:
-                continue
-            if not observer.is_primary_confirmed(now_s):
-                continue
-            refused_share = load_shedding.get_refused_share(
-                observer.load_shedding, now_s
-            )
-            shared = sharing.make_shared_evidence(
-                name, leadership, refused_share, now_s
-            )
+            last = self._last_shared.get(name, _NOTHING)
+            shared = _make_newer(router, last, SHARE_INTERVAL_S, now_s)
             if shared is not None:
-                self._last_shared[name] = (
-                    leadership.term,
-                    leadership.primary_seen_s,
-                    leadership.member_seen_s,
-                )
+                self._last_shared[name] = _get_shared(router)
                 updates.append(shared)
         if updates:
             self._peers.share(tuple(updates), now_s)
+        if self._peers.contacts.rank is not None:
+            self._pass_on(self._peers.contacts.rank, now_s)
+
+    def _pass_on(self, rank: int, now_s: float) -> None:
+        """Pass evidence on to the hosts of this data centre.
+
+        The second distributor passes on what the first one hasn't.
+        """
+        updates = []
+        is_due = now_s >= self._next_pass_s
+        for name, router in self._routers.items():
+            last = self._last_passed.get(name, _NOTHING)
+            shared = _make_newer(router, last, SHARE_INTERVAL_S, now_s)
+            if shared is None:
+                self._newer_since_s.pop(name, None)
+                continue
+            newer_since_s = self._newer_since_s.setdefault(name, now_s)
+            if now_s - newer_since_s >= rank * BACKUP_DELAY_S:
+                updates.append(shared)
+                is_due = is_due or shared.term > last.term
+        if not updates or not is_due:
+            return
+        self._next_pass_s = now_s + PASS_INTERVAL_S
+        for shared in updates:
+            current = _get_shared(self._routers[shared.group])
+            self._record_passed(shared.group, *current)
+        self._peers.share_locally(tuple(updates), now_s)
+
+
+def _get_shared(router: router_module.Router) -> _Shared:
+    leadership = router.observer.leadership
+    return _Shared(
+        leadership.term, leadership.primary_seen_s, leadership.member_seen_s
+    )
+
+
+def _make_newer(
+    router: router_module.Router,
+    last: _Shared,
+    interval_s: float,
+    now_s: float,
+) -> sharing.SharedEvidence | None:
+    """Return a group's evidence to share if enough of it is newer.
+
+    Commits renew the evidence from the primary only, and it shows the other
+    hosts that the primary answers.
+    """
+    observer = router.observer
+    current = _get_shared(router)
+    is_newer = (
+        current.term > last.term
+        or current.primary_s >= last.primary_s + interval_s
+        or current.member_s >= last.member_s + interval_s
+    )
+    if not is_newer or not observer.is_primary_confirmed(now_s):
+        return None
+    refused_share = load_shedding.get_refused_share(
+        observer.load_shedding, now_s
+    )
+    return sharing.make_shared_evidence(
+        router.settings.name, observer.leadership, refused_share, now_s
+    )
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -83,9 +83,7 @@
             host_settings,
             self.store,
             log,
-            lambda shared, sent_here_s: self._sharer.receive(
-                shared, sent_here_s
-            ),
+            lambda *received: self._sharer.receive(*received),
         )
         self._sharer = evidence_sharing.EvidenceSharer(
             host_settings.host, self.peers, self.routers
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -1,13 +1,15 @@
 """The other hosts: their discovery, liveness and exchange of evidence."""
 
 import asyncio
-import dataclasses
 import random
 import typing
 from collections.abc import Callable
+from collections.abc import Iterable
 
+from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import sharing
 from knapweedtally.entry import clock
+from knapweedtally.entry import heard_hosts
 from knapweedtally.entry import logs
 from knapweedtally.entry import peer_messages
 from knapweedtally.entry import store
@@ -18,50 +20,27 @@
 
 HOSTS_KIND = "knapweedtally-hosts"
 
-# A host is live until it has missed this many heartbeats.
-MAX_MISSED_HEARTBEATS = 3
+# Body of a message without evidence.
+_NO_BODY = peer_messages.encode_body(())
 
-# Intervals of heartbeats, which are messages without evidence, in seconds:
-# within the data centre, and to other data centres, where traffic is paid for.
-HEARTBEAT_INTERVAL_S = 1.0
-REMOTE_HEARTBEAT_INTERVAL_S = 3.0
-
-# Interval of messages to hosts that aren't live, in seconds.
+# Interval at which hosts that aren't live are tried, in seconds. In a larger
+# fleet that is one host at a time.
 DISCOVERY_INTERVAL_S = 5.0
 
+# Interval at which a distributor passes on names and addresses of heard hosts,
+# in seconds; in between it passes on ages only.
+DESCRIPTION_INTERVAL_S = 10.0
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """State of another host.
-
-    Attributes:
-        address: where the host receives datagrams and connections.
-        data_centre: the host's data centre.
-        clock: offset between the host's clock and this host's.
-        received_s: when the host's last message arrived, or None.
-        echoed_s: the host's own time in that message, to be echoed.
-        contacted_s: when a message was last sent to the host.
-    """
-
-    address: tuple[str, int]
-    data_centre: str = ""
-    clock: sharing.PeerClock = dataclasses.field(
-        default_factory=sharing.PeerClock
-    )
-    received_s: float | None = None
-    echoed_s: float = 0.0
-    contacted_s: float = 0.0
+# Largest number of hosts of a kind that a distributor informs at once, and of
+# those that it answers, since more datagrams would overflow a slow link.
+MAX_INFORMED_AT_ONCE = 3
+MAX_ANSWERS_AT_ONCE = 3
 
-
-EvidenceListener = Callable[[sharing.SharedEvidence, float], None]
+EvidenceListener = Callable[[sharing.SharedEvidence, float, str], None]
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Exchange datagrams with the other hosts.
-
-    Attributes:
-        live_version: increases with each change of the live hosts.
-    """
+    """Exchange datagrams with the other hosts."""
 
     def __init__(
         self,
@@ -76,8 +55,9 @@
             host_settings: this host's settings.
             client: the store's client.
             log: where changes and errors are written.
-            on_evidence: called with another host's evidence and the earliest
-                time, on this host's clock, at which it was sent.
+            on_evidence: called with another host's evidence, the earliest
+                time, on this host's clock, at which it was sent, and the name
+                of the host.
         """
         self._host = host_settings.host
         self._data_centre = host_settings.data_centre
@@ -87,12 +67,26 @@
         self._on_evidence = on_evidence
         self._incarnation = random.getrandbits(32)
         self._started_s = clock.get_time_s()
-        self._peers: dict[str, Peer] = {}
+        self._heard = heard_hosts.HeardHosts(
+            self._host, self._data_centre, log, self._started_s
+        )
+        self._peers = self._heard.peers
         self._transport: asyncio.DatagramTransport | None = None
-        self._live_hosts: dict[str, str] = {}
-        self.live_version = 0
+        self._answers_left = MAX_ANSWERS_AT_ONCE
+        self._next_discovery_s = 0.0
+        self._random = random.Random()
         self._listed = asyncio.Event()
 
+    @property
+    def live_version(self) -> int:
+        """Return a number that increases with each change of live hosts."""
+        return self._heard.live_version
+
+    @property
+    def contacts(self) -> distribution.Contacts:
+        """Return the hosts that this host sends to regularly."""
+        return self._heard.contacts
+
     async def run(self) -> None:
         """Open the socket, register this host and list the other hosts."""
         if self._address is None:
@@ -168,8 +162,10 @@
         data_centre = spec.get("data_centre")
         if not isinstance(host, str) or not isinstance(port, int):
             return
+        if not peer_messages.is_address(host, port):
+            return
         if isinstance(data_centre, str):
-            peer = Peer((host, port), data_centre)
+            peer = heard_hosts.Peer((host, port), data_centre)
             self._peers.setdefault(stored.name, peer)
 
     def close(self) -> None:
@@ -200,11 +196,20 @@
         now_s = clock.get_time_s()
         peer = self._peers.get(message.host)
         if peer is None:
-            peer = self._peers[message.host] = Peer((addr[0], addr[1]))
+            peer = self._peers[message.host] = heard_hosts.Peer(
+                (addr[0], addr[1])
+            )
         peer.address = (addr[0], addr[1])
         peer.data_centre = message.data_centre
-        peer.received_s = now_s
+        peer.received_s = peer.heard_s = now_s
+        peer.asked_s = None
         peer.echoed_s = message.sent_s
+        peer.avoided_until_s = 0.0
+        if message.lacks_names:
+            peer.described_s = 0.0
+        self._heard.record_heard(message.heard, now_s)
+        self._heard.record_ages(message.ages, now_s)
+        self._answer_unexpected(message, peer, now_s)
         if message.echoed_s is None:
             return
         # The clock restarts with the machine. An echo of a message sent before
@@ -221,7 +226,38 @@
         )
         sent_here_s = message.sent_s + sharing.get_offset_s(peer.clock, now_s)
         for shared in message.shared:
-            self._on_evidence(shared, sent_here_s)
+            self._on_evidence(shared, sent_here_s, message.host)
+
+    def _answer_unexpected(
+        self,
+        message: peer_messages.PeerMessage,
+        peer: heard_hosts.Peer,
+        now_s: float,
+    ) -> None:
+        """Answer a host to which this host doesn't send regularly.
+
+        It needs the echo for its evidence to be used here. A host of the same
+        data centre, or a distributor of another one, takes this host for a
+        distributor, and learns which hosts are.
+        """
+        contacts, host = self.contacts, message.host
+        is_expected = contacts.is_direct or (
+            host in contacts.local
+            or host in contacts.remote
+            or host in contacts.receivers
+        )
+        if (
+            is_expected
+            or now_s - peer.contacted_s < heard_hosts.HEARTBEAT_INTERVAL_S
+        ):
+            return
+        is_local = peer.data_centre == self._data_centre
+        if self._answers_left and (message.heard or message.ages or is_local):
+            self._answers_left -= 1
+            for body in self._encode_heard(None, now_s):
+                self._send_message(peer, body, now_s)
+        else:
+            self._send_message(peer, _NO_BODY, now_s)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore a send error, because datagrams may be lost anyway."""
@@ -231,7 +267,7 @@
 
         This host is included. ``live_version`` increases with each change.
         """
-        return self._live_hosts
+        return self._heard.live_hosts
 
     def find_host_address(self, host: str) -> tuple[str, int] | None:
         """Return where a host accepts connections of other hosts, or None."""
@@ -240,45 +276,149 @@
 
     def tick(self, now_s: float) -> None:
         """Update the live hosts and send the heartbeats that are due."""
-        live = {self._host: self._data_centre}
+        self._answers_left = MAX_ANSWERS_AT_ONCE
+        self._heard.update(now_s)
+        if self.contacts.is_direct:
+            self._send_to_all(now_s)
+            return
+        if self.contacts.rank is not None:
+            self._distribute_heard(now_s)
+        for name in self.contacts.local:
+            peer = self._peers.get(name)
+            if (
+                peer
+                and now_s - peer.contacted_s > heard_hosts.HEARTBEAT_INTERVAL_S
+            ):
+                self._send_message(peer, _NO_BODY, now_s)
+        if now_s >= self._next_discovery_s:
+            self._next_discovery_s = now_s + DISCOVERY_INTERVAL_S
+            self._discover(now_s)
+
+    def _send_to_all(self, now_s: float) -> None:
         for name, peer in self._peers.items():
             is_local = peer.data_centre == self._data_centre
             interval_s = (
-                HEARTBEAT_INTERVAL_S
+                heard_hosts.HEARTBEAT_INTERVAL_S
                 if is_local
-                else REMOTE_HEARTBEAT_INTERVAL_S
-            )
-            is_live = peer.received_s is not None and (
-                now_s - peer.received_s < interval_s * MAX_MISSED_HEARTBEATS
+                else heard_hosts.REMOTE_HEARTBEAT_INTERVAL_S
             )
-            if is_live:
-                live[name] = peer.data_centre
             if now_s - peer.contacted_s > (
-                interval_s if is_live else DISCOVERY_INTERVAL_S
+                interval_s
+                if name in self._heard.live_hosts
+                else DISCOVERY_INTERVAL_S
             ):
-                self._send_message(peer, (), now_s)
-        if live != self._live_hosts:
-            self._live_hosts = live
-            self.live_version += 1
-            self._log.write("hosts_heard", hosts=len(live))
+                self._send_message(peer, _NO_BODY, now_s)
+
+    def _distribute_heard(self, now_s: float) -> None:
+        """Pass on which hosts were heard, as a distributor.
+
+        The other data centres learn of the hosts of this one only. A host gets
+        names and addresses once and from time to time; in between, ages. Only
+        a few hosts are due at a time, since a burst would fill the link.
+        """
+        contacts = self.contacts
+        self._inform_due(contacts.remote, self._data_centre, now_s)
+        self._inform_due(contacts.receivers, None, now_s)
+
+    def _inform_due(
+        self, names: Iterable[str], data_centre: str | None, now_s: float
+    ) -> None:
+        due = [
+            peer
+            for name in names
+            if (peer := self._peers.get(name))
+            and now_s - peer.informed_s >= heard_hosts.HEARTBEAT_INTERVAL_S
+        ]
+        due.sort(key=lambda peer: peer.informed_s)
+        bodies: dict[bool, list[peer_messages.Body]] = {}
+        for peer in due[:MAX_INFORMED_AT_ONCE]:
+            is_full = now_s - peer.described_s >= DESCRIPTION_INTERVAL_S
+            if is_full not in bodies:
+                encode = self._encode_heard if is_full else self._encode_ages
+                bodies[is_full] = encode(data_centre, now_s)
+            peer.informed_s = now_s
+            if is_full:
+                peer.described_s = now_s
+            for body in bodies[is_full]:
+                self._send_message(peer, body, now_s)
+
+    def _encode_ages(
+        self, data_centre: str | None, now_s: float
+    ) -> list[peer_messages.Body]:
+        """Return the bodies of messages with the ages of heard hosts."""
+        ages = [
+            (peer_messages.make_host_key(name), age_s)
+            for name, _, age_s in self._heard.list_heard(data_centre, now_s)
+        ]
+        size = peer_messages.MAX_AGES
+        return [
+            peer_messages.encode_body((), (), ages[start : start + size])
+            for start in range(0, max(1, len(ages)), size)
+        ]
+
+    def _encode_heard(
+        self, data_centre: str | None, now_s: float
+    ) -> list[peer_messages.Body]:
+        """Return the bodies of messages that describe the heard hosts."""
+        heard = [
+            peer_messages.HeardHost(
+                name, peer.data_centre, *peer.address, age_s
+            )
+            for name, peer, age_s in self._heard.list_heard(data_centre, now_s)
+        ]
+        size = peer_messages.MAX_HEARD_HOSTS
+        return [
+            peer_messages.encode_body((), heard[start : start + size])
+            for start in range(0, max(1, len(heard)), size)
+        ]
+
+    def _discover(self, now_s: float) -> None:
+        """Try one host that isn't live, which may be cut off or have moved."""
+        gone = [
+            name for name in self._peers if name not in self._heard.live_hosts
+        ]
+        if gone:
+            name = self._random.choice(gone)
+            self._send_message(self._peers[name], _NO_BODY, now_s)
 
     def share(
         self, shared: tuple[sharing.SharedEvidence, ...], now_s: float
     ) -> None:
-        """Send evidence to every live host."""
-        for name, peer in self._peers.items():
-            if name in self._live_hosts:
-                self._send_message(peer, shared, now_s)
+        """Send evidence to every live host, or to those that pass it on."""
+        contacts = self.contacts
+        names = (
+            [name for name in self._peers if name in self._heard.live_hosts]
+            if contacts.is_direct
+            else (*contacts.local, *contacts.remote)
+        )
+        self._send_evidence(names, shared, now_s)
 
-    def _send_message(
+    def share_locally(
+        self, shared: tuple[sharing.SharedEvidence, ...], now_s: float
+    ) -> None:
+        """Pass evidence on to the hosts of this data centre."""
+        self._send_evidence(self.contacts.receivers, shared, now_s)
+
+    def _send_evidence(
         self,
-        peer: Peer,
+        names: Iterable[str],
         shared: tuple[sharing.SharedEvidence, ...],
         now_s: float,
+    ) -> None:
+        body = peer_messages.encode_body(shared)
+        for name in names:
+            peer = self._peers.get(name)
+            if peer is not None:
+                self._send_message(peer, body, now_s)
+
+    def _send_message(
+        self, peer: heard_hosts.Peer, body: peer_messages.Body, now_s: float
     ) -> None:
         if self._transport is None:
             return
         peer.contacted_s = now_s
+        if peer.asked_s is None:
+            peer.asked_s = now_s
         echoed_s = None if peer.received_s is None else peer.echoed_s
         age_s = 0.0 if peer.received_s is None else now_s - peer.received_s
         message = peer_messages.PeerMessage(
@@ -288,7 +428,8 @@
             now_s,
             echoed_s,
             age_s,
-            shared,
+            (),
+            lacks_names=self._heard.lacks_names,
         )
-        data = peer_messages.encode_message(message)
+        data = peer_messages.encode_message(message, body)
         self._transport.sendto(data, peer.address)
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -35,7 +35,9 @@
             host_settings,
             mock.Mock(),
             logs.Log("h1", -1),
-            lambda shared, sent_here_s: self.sent_times_s.append(sent_here_s),
+            lambda shared, sent_here_s, host: self.sent_times_s.append(
+                sent_here_s
+            ),
         )
         self.now_s = 60.0
 
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import member_records as records_module
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -281,6 +282,8 @@
 class Peers:
     """Exchange evidence with the other hosts."""
 
+    contacts = distribution.Contacts(True)
+
     def __init__(self, host: "Host") -> None:
         self._host = host
 
@@ -297,6 +300,11 @@
     def list_known_hosts(self) -> list[str]:
         return list(self.get_live_hosts())
 
+    def share_locally(
+        self, shared: tuple[sharing.SharedEvidence, ...], now_s: float
+    ) -> None:
+        """Do nothing, since the hosts all send to each other."""
+
     def share(
         self, shared: tuple[sharing.SharedEvidence, ...], now_s: float
     ) -> None:
@@ -307,7 +315,7 @@
 
             def deliver(other: "Host" = other) -> None:
                 for item in shared:
-                    other.sharer.receive(item, now_s - 0.002)
+                    other.sharer.receive(item, now_s - 0.002, self._host.name)
 
             world.send(self._host.name, other.name, deliver)
 
