Spread what a distributor passes on by the size of its data centre

A fixed number of three receivers a check informs each host of a data centre of more than 60 less than once a second, and from about 200 on hosts would count as gone. The number follows the receivers now, and a machine that has just booted, whose clock is near zero, describes hosts at once. Tests: 120 hosts of one data centre; a host that starts with its machine.

--- a/knapweedtally/entry/heard_hosts.py
+++ b/knapweedtally/entry/heard_hosts.py
@@ -62,8 +62,8 @@
     heard_s: float | None = None
     echoed_s: float = 0.0
     contacted_s: float = 0.0
-    informed_s: float = 0.0
-    described_s: float = 0.0
+    informed_s: float = float("-inf")
+    described_s: float = float("-inf")
     asked_s: float | None = None
     avoided_until_s: float = 0.0
 
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -1,9 +1,11 @@
 """The other hosts: their discovery, liveness and exchange of evidence."""
 
 import asyncio
+import math
 import random
 import typing
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from knapweedtally.core.groups import distribution
@@ -31,9 +33,9 @@
 # in seconds; in between it passes on ages only.
 DESCRIPTION_INTERVAL_S = 10.0
 
-# Largest number of hosts of a kind that a distributor informs at once, and of
-# those that it answers, since more datagrams would overflow a slow link.
-MAX_INFORMED_AT_ONCE = 3
+# Number of checks over which a distributor spreads what it passes on, and the
+# largest number of hosts that it answers at once. Bursts overflow slow links.
+INFORMING_CHECKS = 15
 MAX_ANSWERS_AT_ONCE = 3
 
 EvidenceListener = Callable[[sharing.SharedEvidence, float, str], None]
@@ -206,7 +208,7 @@
         peer.echoed_s = message.sent_s
         peer.avoided_until_s = 0.0
         if message.lacks_names:
-            peer.described_s = 0.0
+            peer.described_s = float("-inf")
         self._heard.record_heard(message.heard, now_s)
         self._heard.record_ages(message.ages, now_s)
         self._answer_unexpected(message, peer, now_s)
@@ -321,7 +323,7 @@
         self._inform_due(contacts.receivers, None, now_s)
 
     def _inform_due(
-        self, names: Iterable[str], data_centre: str | None, now_s: float
+        self, names: Collection[str], data_centre: str | None, now_s: float
     ) -> None:
         due = [
             peer
@@ -331,7 +333,7 @@
         ]
         due.sort(key=lambda peer: peer.informed_s)
         bodies: dict[bool, list[peer_messages.Body]] = {}
-        for peer in due[:MAX_INFORMED_AT_ONCE]:
+        for peer in due[: math.ceil(len(names) / INFORMING_CHECKS)]:
             is_full = now_s - peer.described_s >= DESCRIPTION_INTERVAL_S
             if is_full not in bodies:
                 encode = self._encode_heard if is_full else self._encode_ages
--- a/tests/entry/test_distribution.py
+++ b/tests/entry/test_distribution.py
@@ -107,6 +107,24 @@
         self.assert_all_see(fleet)
         self.assertTrue(all(e.contacts.is_direct for e in fleet.hosts.values()))
 
+    def test_hosts_of_a_large_data_centre_are_heard_throughout(self) -> None:
+        fleet = simulated_peers.Fleet()
+        self.enterContext(fleet.patch_clock())
+        fleet.start_hosts(120, 1)
+        fleet.run(START_S)
+        for _ in range(10):
+            fleet.run(1.0)
+            self.assert_all_see(fleet)
+
+    def test_host_that_starts_with_its_machine_is_described(self) -> None:
+        fleet = self.start()
+        name = fleet.add_host("dc0", list(fleet.hosts)[:1])
+        # The clock starts with the machine.
+        fleet.offsets_s[name] = -fleet.now_s
+        fleet.hosts[name]._heard._started_s = 0.0
+        fleet.run(10.0)
+        self.assert_all_see(fleet)
+
     def test_lost_datagrams_make_no_host_look_gone(self) -> None:
         fleet = self.start()
         fleet.loss = 0.05
