Add the common base for teams, limits and messages of single parts

Cause: the configuration's teams, keys, limits and public routes, and the settings' contracts and limits, were not read, so no part could decide by them.

Ruled out: one module for each part that reads the same fields again, and a new version of the evidence message for each part's datagrams.

Change: the model has teams; records and settings read them; NOAUTH is an error code; sessions have a team; hosts can send each other extension messages. Nothing uses the new fields yet, so no deployment is served differently.

--- a/knapweedtally/core/groups/model.py
+++ b/knapweedtally/core/groups/model.py
@@ -1,6 +1,8 @@
 """Data types that the modules of this package share."""
 
 import enum
+import math
+import types
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -35,6 +37,7 @@
         max_age_s: maximum staleness of reads; 0 for ``PRIMARY``.
         statement_timeout_s: time limit for one statement.
         priority: priority of the requests; 0 is the highest.
+        is_public: whether callers need no key.
     """
 
     database: str
@@ -43,6 +46,7 @@
     max_age_s: float
     statement_timeout_s: float
     priority: int
+    is_public: bool = False
 
 
 class GroupSettings(NamedTuple):
@@ -61,6 +65,25 @@
     acknowledging_replicas: int
 
 
+class Team(NamedTuple):
+    """A team of callers.
+
+    Attributes:
+        name: name of the team, by which targets know it.
+        keys: keys that identify its callers.
+        priority: priority among teams; 0 is the highest.
+        rate_per_s: operations a second that the team may send over all hosts;
+            infinite if it has no limit.
+        burst: operations that it may send beyond that rate.
+    """
+
+    name: str
+    keys: frozenset[str]
+    priority: int = 0
+    rate_per_s: float = math.inf
+    burst: float = 0.0
+
+
 class Configuration(NamedTuple):
     """One version of the operator's configuration.
 
@@ -70,12 +93,16 @@
         groups: settings of the groups by name of the group.
         transaction_idle_s: how long a transaction may be idle before it may be
             ended; 0 for no limit.
+        teams: teams by name; empty if callers aren't told apart.
+        key_teams: names of the teams by key.
     """
 
     version: int
     routes: Mapping[str, Route]
     groups: Mapping[str, GroupSettings]
     transaction_idle_s: float
+    teams: Mapping[str, Team] = types.MappingProxyType({})
+    key_teams: Mapping[str, str] = types.MappingProxyType({})
 
 
 class TargetEntry(NamedTuple):
--- a/knapweedtally/core/groups/statements.py
+++ b/knapweedtally/core/groups/statements.py
@@ -54,6 +54,7 @@
     FAILED = enum.auto()
     UNKNOWN_STATEMENT = enum.auto()
     UNKNOWN_DATABASE = enum.auto()
+    UNAUTHENTICATED = enum.auto()
     TOO_LARGE = enum.auto()
     MALFORMED = enum.auto()
     OTHER = enum.auto()
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -65,10 +65,12 @@
     Attributes:
         values: session values by name.
         prepared: definitions of prepared statements by the caller's name.
+        team: name of the caller's team, empty if callers aren't told apart.
     """
 
     values: dict[bytes, bytes]
     prepared: dict[bytes, bytes]
+    team: str
 
 
 class Connection(asyncio.Protocol):
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -11,6 +11,7 @@
 from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import sharing
 from knapweedtally.entry import clock
+from knapweedtally.entry import extension_messages
 from knapweedtally.entry import heard_hosts
 from knapweedtally.entry import logs
 from knapweedtally.entry import peer_messages
@@ -73,6 +74,7 @@
             self._host, self._data_centre, log, self._started_s
         )
         self._peers = self._heard.peers
+        self._listeners = extension_messages.Listeners()
         self._transport: asyncio.DatagramTransport | None = None
         self._answers_left = MAX_ANSWERS_AT_ONCE
         self._next_discovery_s = 0.0
@@ -187,10 +189,35 @@
         """
         supervision.contain("peer message", self._handle_message, data, addr)
 
+    def add_listener(
+        self, kind: str, listener: extension_messages.Listener
+    ) -> None:
+        """Call a listener for each extension message of a kind."""
+        self._listeners.add(kind, listener)
+
+    def send_extension(self, host: str, kind: str, payload: typing.Any) -> bool:
+        """Send an extension message, which may be lost, to a known host.
+
+        Returns:
+            Whether the host's address is known and the socket is open.
+        """
+        peer = self._peers.get(host)
+        if peer is None or self._transport is None:
+            return False
+        data = extension_messages.encode_message(self._host, kind, payload)
+        self._transport.sendto(data, peer.address)
+        return True
+
     def _handle_message(self, data: bytes, addr: typing.Any) -> None:
         try:
+            if extension_messages.is_extension(data):
+                self._listeners.deliver(data, self._host, clock.get_time_s())
+                return
             message = peer_messages.decode_message(data)
-        except peer_messages.MalformedMessage as error:
+        except (
+            extension_messages.MalformedMessage,
+            peer_messages.MalformedMessage,
+        ) as error:
             self._log.write("peer_message_broken", reason=str(error))
             return
         if message.host == self._host:
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -42,6 +42,7 @@
     Attributes:
         values: session values by name.
         prepared: definitions of prepared statements by name.
+        team: name of the team whose statements follow, or empty.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         """
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, bytes] = {}
+        self.team = ""
         self._find_pool = find_pool
         self._sessions = sessions
         self._buffer = line_protocol.MessageBuffer()
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -51,6 +51,7 @@
     Attributes:
         values: session values by name.
         prepared: definitions of prepared statements by name.
+        team: name of the caller's team, empty if callers aren't told apart.
         idle_since_s: time at which its last answer was sent.
     """
 
@@ -58,6 +59,7 @@
         """Create a session that awaits its first message."""
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, bytes] = {}
+        self.team = ""
         self.idle_since_s = clock.get_time_s()
         self._services = services
         self._buffer = line_protocol.MessageBuffer()
--- a/knapweedtally/platform/line_protocol.py
+++ b/knapweedtally/platform/line_protocol.py
@@ -25,6 +25,7 @@
     b"FAIL": _Code.FAILED,
     b"NOSTMT": _Code.UNKNOWN_STATEMENT,
     b"NODB": _Code.UNKNOWN_DATABASE,
+    b"NOAUTH": _Code.UNAUTHENTICATED,
     b"TOOBIG": _Code.TOO_LARGE,
     b"MALFORMED": _Code.MALFORMED,
 }
@@ -176,6 +177,12 @@
     return fields[1].decode("utf-8", "replace")
 
 
+def parse_start_key(line: bytes) -> str:
+    """Return the key in a caller's ``START`` message, or an empty text."""
+    fields = line.split(b" ")
+    return fields[2].decode("utf-8", "replace") if len(fields) > 2 else ""
+
+
 def parse_target_start(line: bytes) -> tuple[str, str] | None:
     """Return the group and the target in a ``START`` message to a target.
 
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -1,5 +1,6 @@
 """Decode the operator's configuration and the targets' entries."""
 
+import math
 from typing import Any
 
 from knapweedtally.core.groups import model
@@ -28,7 +29,7 @@
 def parse_configuration(spec: Any) -> model.Configuration:
     """Return the configuration in an object's ``spec``.
 
-    A malformed route or group is skipped; the others are kept.
+    A malformed route, group or team is skipped; the others are kept.
 
     Raises:
         InvalidRecord: the version or a list is missing or malformed.
@@ -37,6 +38,8 @@
         version = spec["version"]
         routes = [_parse_route(item) for item in spec["routes"]]
         groups = [_parse_group(item) for item in spec["backends"]]
+        teams = [_parse_team(item) for item in spec.get("tenants") or ()]
+        known_teams = {team.name: team for team in teams if team}
         idle_ms = (spec.get("limits") or {}).get("txIdleMs") or 0
         if not isinstance(version, int):
             raise InvalidRecord(f"version must be an integer, not {version!r}")
@@ -45,6 +48,12 @@
             {route.database: route for route in routes if route},
             {group.name: group for group in groups if group},
             float(idle_ms) / 1000,
+            known_teams,
+            {
+                key: team.name
+                for team in known_teams.values()
+                for key in team.keys
+            },
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise InvalidRecord(f"configuration: {error!r}") from error
@@ -65,6 +74,7 @@
             max_age_s=float(item.get("maxStalenessMs") or 0) / 1000,
             statement_timeout_s=timeout_s,
             priority=int(item.get("priority") or 0),
+            is_public=item.get("public") is True,
         )
     except (AttributeError, KeyError, TypeError, ValueError):
         return None
@@ -81,6 +91,24 @@
         return None
 
 
+def _parse_team(item: Any) -> model.Team | None:
+    """Return a team; a name with a space can't be sent to a target."""
+    try:
+        name = str(item["name"])
+        if not name or " " in name:
+            return None
+        rate_per_s = item.get("ratePerS")
+        return model.Team(
+            name=name,
+            keys=frozenset(str(key) for key in item.get("apiKeys") or ()),
+            priority=int(item.get("priority") or 0),
+            rate_per_s=math.inf if rate_per_s is None else float(rate_per_s),
+            burst=float(item.get("burst") or 0),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
 def parse_target(name: str, revision: int, spec: Any) -> model.TargetEntry:
     """Return the target that an entry in the store describes.
 
--- a/knapweedtally/platform/settings.py
+++ b/knapweedtally/platform/settings.py
@@ -25,6 +25,20 @@
     port: int
 
 
+class Quota(NamedTuple):
+    """How teams' limits are enforced.
+
+    Attributes:
+        window_s: length of the sliding window in which operations count.
+        excess: part of a limit by which it may be exceeded.
+        slack: operations by which it may be exceeded besides.
+    """
+
+    window_s: float
+    excess: float
+    slack: float
+
+
 class HostSettings(NamedTuple):
     """Settings of one process.
 
@@ -41,6 +55,11 @@
         metrics: address on which to serve metrics, or None.
         peers: address on which to receive the datagrams and the relay
             connections of other hosts, or None.
+        quota: how teams' limits are enforced, or None if they have none.
+        has_load_control: whether statements are admitted by pace and in fair
+            order.
+        cores: processor cores that the process may use; may be a fraction.
+        link_mbps: bandwidth of the machine's link, or 0 if it isn't known.
     """
 
     host: str
@@ -53,6 +72,10 @@
     drain_s: float
     metrics: Address | None
     peers: Address | None
+    quota: Quota | None = None
+    has_load_control: bool = False
+    cores: float = 1.0
+    link_mbps: float = 0.0
 
 
 def parse_address(text: object) -> Address:
@@ -93,6 +116,11 @@
         bounds = content.get("bounds") or {}
         duties = content.get("cloudApi") or {}
         ports = content.get("internalPorts") or []
+        contracts = content.get("contracts") or []
+        limits = content.get("limits") or {}
+        cores = float(limits.get("cpuShare") or 1) * float(
+            limits.get("cores") or 1
+        )
         addresses = [Address(str(content["ip"]), int(port)) for port in ports]
         return HostSettings(
             host=str(content["node"]),
@@ -107,8 +135,20 @@
             # deploy/system.toml can only name fixed ports.
             metrics=addresses[-1] if addresses else None,
             peers=addresses[0] if addresses else None,
+            quota=_parse_quota(bounds) if "quota" in contracts else None,
+            has_load_control="pressure" in contracts,
+            cores=cores,
+            link_mbps=float(limits.get("linkMbps") or 0),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise SettingsError(
             f"settings: a field is missing or invalid: {error!r}"
         ) from error
+
+
+def _parse_quota(bounds: Any) -> Quota:
+    return Quota(
+        float(bounds.get("quotaWindowS", 5)),
+        float(bounds.get("quotaExcess", 0)),
+        float(bounds.get("quotaSlack", 0)),
+    )
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -145,6 +145,44 @@
             pass
 
 
+class TeamTest(testtools.TestCase):
+    """Teams and keys of a configuration, including malformed ones."""
+
+    def parse(self, tenants: Any) -> model.Configuration:
+        return records.parse_configuration(
+            {**CONFIGURATION, "tenants": tenants}
+        )
+
+    def test_team(self) -> None:
+        spec = {
+            "name": "t1",
+            "apiKeys": ["k1", "k2"],
+            "priority": 1,
+            "ratePerS": 195,
+            "burst": 50,
+        }
+        configuration = self.parse([spec])
+        expected = model.Team("t1", frozenset({"k1", "k2"}), 1, 195.0, 50.0)
+        self.assertEqual({"t1": expected}, configuration.teams)
+        self.assertEqual({"k1": "t1", "k2": "t1"}, configuration.key_teams)
+
+    def test_team_without_rate_has_no_limit(self) -> None:
+        configuration = self.parse([{"name": "t1", "apiKeys": []}])
+        self.assertEqual(float("inf"), configuration.teams["t1"].rate_per_s)
+
+    def test_malformed_team_costs_only_itself(self) -> None:
+        # One bad entry must not withdraw the keys of all other teams.
+        good = {"name": "t1", "apiKeys": ["k1"]}
+        for bad in ({}, 7, {"name": "a b"}, {"name": "t2", "ratePerS": "x"}):
+            configuration = self.parse([bad, good])
+            self.assertEqual({"k1": "t1"}, configuration.key_teams)
+
+    def test_configuration_without_teams(self) -> None:
+        configuration = records.parse_configuration(CONFIGURATION)
+        self.assertEqual({}, configuration.teams)
+        self.assertEqual({}, configuration.key_teams)
+
+
 class SettingsTest(testtools.TestCase):
     """The settings file that the platform provides."""
 
