Lead a group again from the log of its last primary

Hosts that start count on each recorded member until another one is shown to have its log, and that needs a primary. So three of five members answered, four were needed, and nothing could change that.

Ruled out: passing over members that are silent for long enough (what only they and the primary had may have been acknowledged), and dropping recorded members sooner (a target that runs without an entry would be forgotten again).

Change: the record of members names the last primary. Its log has every commit of its term, so a group without a primary may be led again from it while other members stay silent: it steps down, the others catch up, and the usual wait and confirmation follow. It is no proof if a later term is known, if its log ends before the recorded position or behind another member's, or if no other member answers. What the last primary had reached stays known after its loss, so that departed members can still be released. Hosts say each second why a group has no primary (log and counter).

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 
 # How long a target without an entry in the store still gets work. Entries
@@ -88,6 +89,7 @@
         released: targets that are gone and whose log another member has, by
             id. One that answers again is a member again.
         listed_s: when all targets were first listed, or None.
+        recorded_primaries: last primaries in the groups' records, by group.
     """
 
     configuration: model.Configuration | None = None
@@ -102,6 +104,9 @@
         default_factory=dict
     )
     listed_s: float | None = None
+    recorded_primaries: dict[str, last_primary.LastPrimary] = dataclasses.field(
+        default_factory=dict
+    )
 
     def find_route(self, database: str) -> model.Route | None:
         """Return the route of a database in the current configuration."""
--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -55,6 +55,8 @@
         answering_members: number of other members that answer this host.
         other_members: number of other members.
         is_settled: whether all other members are known.
+        has_last_primary: whether no primary is known, and the last one
+            answers and has every acknowledged commit.
     """
 
     has_primary: bool
@@ -71,6 +73,7 @@
     answering_members: int
     other_members: int
     is_settled: bool
+    has_last_primary: bool = False
 
 
 def find_cause(view: PrimaryView, now_s: float) -> steps.Cause | None:
@@ -80,12 +83,8 @@
     # If other hosts still see the primary, only this host is disconnected.
     is_unseen = now_s - view.primary_seen_s > PRIMARY_UNSEEN_TIMEOUT_S
     if not view.has_primary:
-        since_s = view.no_primary_since_s
-        is_late = since_s is not None and now_s - since_s > NO_PRIMARY_TIMEOUT_S
-        needed = primary_change.count_fences_without_primary(view.other_members)
-        can_fence = view.answering_members >= needed
-        can_change = is_late and is_unseen and can_fence and view.is_settled
-        return steps.Cause.ABSENT if can_change else None
+        is_due = not explain_absence(view, now_s)
+        return steps.Cause.ABSENT if is_due else None
     if is_unseen and _is_unreachable(view, now_s):
         # A host that doesn't reach all other members leaves the change to a
         # host that does.
@@ -99,6 +98,34 @@
     return steps.Cause.STALLED if _is_stalled(view, now_s) else None
 
 
+def explain_absence(view: PrimaryView, now_s: float) -> str:
+    """Return why a group without a primary gets none yet.
+
+    Returns:
+        An empty text if a change is due.
+    """
+    since_s = view.no_primary_since_s
+    needed = primary_change.count_fences_without_primary(view.other_members)
+    has_log_proof = view.has_last_primary and view.answering_members > 1
+    conditions = (
+        (
+            since_s is not None and now_s - since_s > NO_PRIMARY_TIMEOUT_S,
+            "a change that is under way may still end",
+        ),
+        (
+            now_s - view.primary_seen_s > PRIMARY_UNSEEN_TIMEOUT_S,
+            "another host sees a primary",
+        ),
+        (view.is_settled, "targets that run may not be listed yet"),
+        (
+            view.answering_members >= needed or has_log_proof,
+            f"{view.answering_members} members answer; {needed} have to, or"
+            " the last primary and another one",
+        ),
+    )
+    return next((text for is_met, text in conditions if not is_met), "")
+
+
 def _is_unreachable(view: PrimaryView, now_s: float) -> bool:
     if view.failing_since_s is None or view.failures < 2:
         return False
--- a/knapweedtally/core/groups/member_records.py
+++ b/knapweedtally/core/groups/member_records.py
@@ -3,7 +3,8 @@
 A target's entry in the store expires, and a host that starts afterwards would
 not know of a target that still runs and receives the log. The record keeps the
 id and address of each member until a host has found that the member is gone and
-that another one has its log.
+that another one has its log. It also names the last primary, whose log is the
+proof by which a group can be led again if other members are gone for good.
 """
 
 from collections.abc import Collection
@@ -13,6 +14,7 @@
 from typing import NamedTuple
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 
 # Number of hosts that keep a group's record up to date. With two, a change is
@@ -32,16 +34,20 @@
     Attributes:
         added: entries of the members that the record lacks.
         removed: ids of the recorded targets that are no longer members.
+        primary: the last primary, or None if the recorded one stays.
     """
 
     added: tuple[model.TargetEntry, ...] = ()
     removed: tuple[str, ...] = ()
+    primary: last_primary.LastPrimary | None = None
 
 
 def plan_change(
     recorded: Members,
     members: Iterable[catalog.Member],
     released: Collection[str],
+    recorded_primary: last_primary.LastPrimary | None = None,
+    primary: last_primary.LastPrimary | None = None,
 ) -> RecordChange | None:
     """Return the change that a group's record needs, or None.
 
@@ -50,6 +56,8 @@
         members: the members of the group that are known.
         released: ids of targets that are gone and whose log another member
             has.
+        recorded_primary: the recorded last primary, or None.
+        primary: the last primary that is known, or None.
     """
     known = {member.entry.target: member for member in members}
     former = {life for member in known.values() for life in member.former}
@@ -63,9 +71,24 @@
         for target in recorded
         if target not in known and (target in former or target in released)
     )
-    if not added and not removed:
+    new_primary = _find_new_primary(recorded_primary, primary)
+    if not added and not removed and new_primary is None:
         return None
-    return RecordChange(added, removed)
+    return RecordChange(added, removed, new_primary)
+
+
+def _find_new_primary(
+    recorded: last_primary.LastPrimary | None,
+    known: last_primary.LastPrimary | None,
+) -> last_primary.LastPrimary | None:
+    """Return the known last primary if the record has to name it."""
+    if known is None or recorded is None:
+        return known
+    is_newer = known.term > recorded.term
+    is_successor = (
+        known.term == recorded.term and known.target != recorded.target
+    )
+    return known if is_newer or is_successor else None
 
 
 def apply_change(recorded: Members, change: RecordChange) -> Members:
@@ -74,9 +97,12 @@
     return kept | {entry.target: entry for entry in change.added}
 
 
-def format_record(recorded: Members) -> dict[str, Any]:
+def format_record(
+    recorded: Members, primary: last_primary.LastPrimary | None = None
+) -> dict[str, Any]:
     """Return a record as it is stored."""
-    return {
+    fields = {} if primary is None else {"primary": primary._asdict()}
+    return fields | {
         "members": {
             target: {
                 "address": entry.address,
@@ -100,6 +126,13 @@
         return None
 
 
+def parse_primary(spec: Any) -> last_primary.LastPrimary | None:
+    """Return the last primary in a stored record, or None if it has none."""
+    if not isinstance(spec, dict):
+        return None
+    return last_primary.parse_last_primary(spec.get("primary"))
+
+
 def _parse_member(group: str, target: str, fields: Any) -> model.TargetEntry:
     return model.TargetEntry(
         target=target,
--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -4,7 +4,7 @@
 caller runs the step and records the answers. All steps are idempotent, so any
 host can start a new attempt after another host was killed.
 
-A promotion needs one of two proofs that no acknowledged commit is lost:
+A promotion needs one of three proofs that no acknowledged commit is lost:
 
 - All other targets are fenced: replication is paused there. No commit can then
   be acknowledged, since a replica has to receive it first, and the most
@@ -13,7 +13,11 @@
   has each target that reached its last position. The other targets that answer
   are paused too, since the old primary may lead again after a restart.
 
-In both cases the promotion waits until the evidence that allows hosts to read
+- No primary is known, and the last primary answers. Its log has every
+  acknowledged commit of the latest term, and it is made to step down like a
+  primary that is known (see ``last_primary``).
+
+In all cases the promotion waits until the evidence that allows hosts to read
 at the old primary has expired.
 """
 
@@ -71,6 +75,7 @@
     leaving: frozenset[str],
     known_term: int,
     now_s: float,
+    log_floor: model.Position | None = None,
 ) -> steps.Attempt:
     """Return a new attempt to change a group's primary.
 
@@ -82,12 +87,16 @@
         leaving: ids of the members that are leaving.
         known_term: highest known term of any member.
         now_s: the current time.
+        log_floor: if the attempt rests on the log of the last primary, which
+            is then given as the primary, the position that it has to reach.
     """
     attempt = steps.Attempt(
         group, cause, old_primary, others, leaving, known_term + 1, now_s
     )
     attempt.phase_since_s = now_s
-    if cause in (steps.Cause.UNREACHABLE, steps.Cause.ABSENT):
+    attempt.log_floor = log_floor
+    is_fenced_first = cause in (steps.Cause.UNREACHABLE, steps.Cause.ABSENT)
+    if is_fenced_first and log_floor is None:
         attempt.phase = steps.Phase.FENCE
     return attempt
 
@@ -377,11 +386,36 @@
         else:
             _give_up_for_successor(attempt, now_s)
         return
+    if _is_log_lost(attempt, reports):
+        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+        attempt.reason = "the last primary lacks entries that another has"
+        return
     _REPORT_HANDLERS.get(attempt.phase, _ignore_reports)(
         attempt, reports, now_s
     )
 
 
+def _is_log_lost(
+    attempt: steps.Attempt, reports: dict[str, steps.OrderReport]
+) -> bool:
+    """Return whether the last primary, which is the proof, lost its log.
+
+    A target that starts again with nothing answers under the same id or takes
+    the place of its former life. The other members' logs are never ahead of an
+    intact one.
+    """
+    if attempt.log_floor is None or attempt.is_promotion_requested:
+        return False
+    floor = max(attempt.log_floor, attempt.final_position or attempt.log_floor)
+    last = reports.get(attempt.old_primary or "")
+    if last is not None and last.status.received < floor:
+        return True
+    return attempt.final_position is not None and any(
+        report.status.received > attempt.final_position
+        for report in reports.values()
+    )
+
+
 def _ignore_reports(
     attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
 ) -> None:
@@ -452,6 +486,10 @@
     Used if a member can't be fenced after the old primary stepped down.
     """
     assert attempt.final_position is not None
+    if attempt.log_floor is not None and not attempt.fenced:
+        # Without another member's answer, a log that was lost can't be told
+        # from a complete one.
+        return
     caught_up = {
         target: report
         for target, report in attempt.fenced.items()
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -83,6 +83,8 @@
         has_successor: whether another promotion to the attempt's term or a
             later one is known.
         reason: why the attempt was given up.
+        log_floor: position that the last primary's log has to reach, if the
+            attempt rests on that log, or None.
     """
 
     group: str
@@ -106,6 +108,7 @@
     is_fenced_again: bool = False
     has_successor: bool = False
     reason: str = ""
+    log_floor: model.Position | None = None
 
 
 class SendOrder(NamedTuple):
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -5,6 +5,7 @@
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import connection_holders
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
 from knapweedtally.entry import evidence_sharing
@@ -15,6 +16,7 @@
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import peers
 from knapweedtally.entry import pools
+from knapweedtally.entry import primary_absence
 from knapweedtally.entry import primary_changes
 from knapweedtally.entry import promoter
 from knapweedtally.entry import relays
@@ -93,6 +95,7 @@
             self.catalog,
             self._sharer.get_rank,
             self.peers.wait_until_listed,
+            self._find_last_primary,
             log,
         )
         self._probes = member_probes.MemberProbes(
@@ -118,6 +121,9 @@
                 primary_promoter,
                 self._sharer.rank_hosts,
             )
+        self._absence_reporter = primary_absence.AbsenceReporter(
+            log, self.counters
+        )
         self._draining_since_s: dict[str, float] = {}
         self._departed_positions: dict[str, model.Position] = {}
         self._last_tick_s = clock.get_time_s()
@@ -195,6 +201,10 @@
         """Call back once a configuration is applied, or none is expected."""
         self._configuration_callbacks.append(callback)
 
+    def _find_last_primary(self, group: str) -> last_primary.LastPrimary | None:
+        router = self.routers.get(group)
+        return router.observer.last_primary if router is not None else None
+
     # Updates from the store.
 
     def _apply_configurations(
@@ -301,6 +311,9 @@
             router.settings = group
             router.observer.has_replicas = group.acknowledging_replicas > 0
             supervision.contain("members", self._sync_pools, router, now_s)
+            router.observer.take_last_primary(
+                self.catalog.recorded_primaries.get(name)
+            )
             supervision.contain(
                 "departed members", self._sync_departed, router, now_s
             )
@@ -345,6 +358,7 @@
             floor = departed.pop(old, floor) if old else floor
         if old is not None:
             self.log.write("target_succeeded", target=target, old=old)
+            router.observer.replace_last_primary(old, target)
         pool = router.add_pool(member.entry, floor)
         pool.restart_count = member.restart_count
         return pool
@@ -509,6 +523,9 @@
         router.tick(now_s)
         if self._changes is not None and not self.is_draining:
             self._changes.start_if_needed(router, now_s)
+            self._absence_reporter.report_if_due(
+                router, self._changes.make_view(router, now_s), now_s
+            )
 
     def _share_evidence(self, now_s: float) -> None:
         self._sharer.share_new_evidence(now_s, self._is_changing)
--- a/knapweedtally/entry/member_records.py
+++ b/knapweedtally/entry/member_records.py
@@ -5,8 +5,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Any
 
 from knapweedtally.core.groups import catalog as catalog_module
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import member_records
 from knapweedtally.entry import clock
 from knapweedtally.entry import logs
@@ -44,12 +46,14 @@
             it has to be read.
         next_check_s: when the members are next compared with the record.
         differs_since_s: since when they differ, or None.
+        primary: the recorded last primary, or None.
     """
 
     members: member_records.Members = dataclasses.field(default_factory=dict)
     revision: int | None = None
     next_check_s: float = 0.0
     differs_since_s: float | None = None
+    primary: last_primary.LastPrimary | None = None
 
 
 class MemberRecords:
@@ -67,6 +71,7 @@
         catalog: catalog_module.Catalog,
         get_rank: Callable[[str], int],
         wait_for_ranks: Callable[[], Awaitable[None]],
+        find_last_primary: Callable[[str], last_primary.LastPrimary | None],
         log: logs.Log,
     ) -> None:
         """Start without having read a record.
@@ -76,12 +81,15 @@
             catalog: the known targets.
             get_rank: returns this host's rank for a group.
             wait_for_ranks: returns once the other hosts have been listed.
+            find_last_primary: returns the last primary of a group that this
+                host knows, or None.
             log: where changes of a record are written.
         """
         self._client = client
         self._catalog = catalog
         self._get_rank = get_rank
         self._wait_for_ranks = wait_for_ranks
+        self._find_last_primary = find_last_primary
         self._log = log
         self._records: dict[str, GroupRecord] = {}
         self._started_s = clock.get_time_s()
@@ -129,7 +137,7 @@
             return True
         self._is_settled = bool(self._records) and all(
             not self.is_recorder(group)
-            or (record.revision and not self._plan_change(group, record))
+            or (record.revision and not self._has_other_members(group, record))
             for group, record in self._records.items()
         )
         return self._is_settled
@@ -154,8 +162,15 @@
             record.members,
             catalog_module.list_members(self._catalog, group),
             self._catalog.released,
+            record.primary,
+            self._find_last_primary(group),
         )
 
+    def _has_other_members(self, group: str, record: GroupRecord) -> bool:
+        """Return whether the recorded members aren't those of this host."""
+        change = self._plan_change(group, record)
+        return change is not None and bool(change.added or change.removed)
+
     async def _run_sync(self, group: str, record: GroupRecord) -> None:
         try:
             await self._wait_for_ranks()
@@ -187,7 +202,9 @@
             if change is None:
                 return
             members = member_records.apply_change(record.members, change)
-            stored = await self._write(group, members, record.revision or 0)
+            primary = change.primary or record.primary
+            spec = member_records.format_record(members, primary)
+            stored = await self._write(group, spec, record.revision or 0)
             self._apply(group, record, stored)
             if record.members.keys() == members.keys():
                 self._log.write(
@@ -211,12 +228,22 @@
             self._log.write("member_record_unreadable", group=group)
             members = {}
         record.members = members
+        record.primary = self._take_primary(group, stored)
         record.revision = stored.revision if stored else 0
         released = self._catalog.released if self.is_recorder(group) else ()
         self._apply_members(
             group, {t: e for t, e in members.items() if t not in released}
         )
 
+    def _take_primary(
+        self, group: str, stored: store_calls.StoredObject | None
+    ) -> last_primary.LastPrimary | None:
+        """Take over the recorded last primary, and return it."""
+        primary = member_records.parse_primary(stored.spec) if stored else None
+        if primary is not None:
+            self._catalog.recorded_primaries[group] = primary
+        return primary
+
     def _apply_members(
         self, group: str, members: member_records.Members
     ) -> None:
@@ -241,6 +268,7 @@
             if members is None:
                 self._log.write("member_record_unreadable", group=stored.name)
             else:
+                self._take_primary(stored.name, stored)
                 self._apply_members(stored.name, members)
 
     async def _list(self) -> list[store_calls.StoredObject]:
@@ -258,13 +286,12 @@
         return store_calls.parse_object(store_calls.parse_answer(response))
 
     async def _write(
-        self, group: str, members: member_records.Members, revision: int
+        self, group: str, spec: dict[str, Any], revision: int
     ) -> store_calls.StoredObject:
         """Write a record, and return what the store then has.
 
         That is another record if the revision isn't current.
         """
-        spec = member_records.format_record(members)
         request = (
             store_calls.make_replace_request(
                 MEMBERS_KIND, group, spec, revision
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -6,6 +6,7 @@
 from typing import ParamSpec
 
 from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -64,6 +65,7 @@
         last_commit_s: when the newest acknowledged commit was sent.
         has_replicas: whether the primary needs a replica to commit, whether
             or not this host knows one.
+        last_primary: primary of the latest known term, or None.
         is_poller: whether this host polls the members for all hosts.
         load_shedding: queueing delay of the primary and the share of requests
             that is refused.
@@ -93,6 +95,7 @@
         self.commits_in_flight: dict[object, float] = {}
         self.last_commit_s = 0.0
         self.has_replicas = True
+        self.last_primary: last_primary.LastPrimary | None = None
         self.is_poller = True
         self.load_shedding = load_shedding.LoadShedding()
         self._group = group
@@ -267,6 +270,11 @@
         self.no_primary_since_s = None
         self.known_since_s = clock.get_time_s()
         self.commits_in_flight.clear()
+        pool = self._pools.get(target)
+        if pool is not None:
+            self.last_primary = last_primary.LastPrimary(
+                target, term, pool.received
+            )
         load_shedding.reset_refused_share(self.load_shedding)
         self._log.write(
             "primary_known",
@@ -370,8 +378,11 @@
         """Return whether a replica has all commits acknowledged before then."""
         primary = self.leadership.target
         if primary is None:
-            # The last primary may be among the pools.
-            return False
+            # What the last primary had reached stays known after its loss.
+            last = self.last_primary
+            if last is None or last.term != self.leadership.term:
+                return False
+            primary = last.target
         received = [
             pool.received
             for target, pool in self._pools.items()
@@ -379,6 +390,33 @@
         ]
         return evidence.is_log_kept(self.leadership, received, since_s)
 
+    def take_last_primary(self, found: last_primary.LastPrimary | None) -> None:
+        """Take over a recorded last primary, if its term is later."""
+        self.last_primary = last_primary.choose_latest(
+            self.last_primary, found, self._pools
+        )
+
+    def replace_last_primary(self, old: str, new: str) -> None:
+        """Record that a target goes on under another id."""
+        if self.last_primary is not None and self.last_primary.target == old:
+            self.last_primary = self.last_primary._replace(target=new)
+
+    def find_last_primary(self) -> last_primary.LastPrimary | None:
+        """Return the last primary if its log has every acknowledged commit.
+
+        Returns:
+            None while a primary is known, if a later term is known or if the
+            target isn't a member that answers.
+        """
+        last = self.last_primary
+        known_term = max(self.known_term, self.leadership.term)
+        if self.leadership.target is not None or last is None:
+            return None
+        if not last_primary.can_prove_log(last, known_term):
+            return None
+        pool = self._pools.get(last.target)
+        return last if pool is not None and pool.is_answering else None
+
     def check_members(self, now_s: float) -> None:
         """Request the status of all members, if the last time is long ago.
 
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -106,9 +106,15 @@
 
     def _find_cause(self, router: router_module.Router) -> steps.Cause | None:
         now_s = clock.get_time_s()
+        return detection.find_cause(self.make_view(router, now_s), now_s)
+
+    def make_view(
+        self, router: router_module.Router, now_s: float
+    ) -> detection.PrimaryView:
+        """Return this host's view of a group's primary."""
         primary = router.observer.leadership.target
         pool = router.pools.get(primary) if primary else None
-        view = detection.PrimaryView(
+        return detection.PrimaryView(
             has_primary=pool is not None,
             known_since_s=router.observer.known_since_s,
             no_primary_since_s=router.observer.no_primary_since_s,
@@ -132,5 +138,5 @@
             ),
             other_members=len(router.members) - (1 if pool else 0),
             is_settled=self._catalog.is_settled(now_s),
+            has_last_primary=router.observer.find_last_primary() is not None,
         )
-        return detection.find_cause(view, now_s)
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import promotion_lease
@@ -291,8 +292,12 @@
         leaving: frozenset[str],
     ) -> bool:
         old_primary = router.observer.leadership.target
+        log_floor = None
         if cause is steps.Cause.ABSENT:
             old_primary = None
+            last = _find_log_proof(router)
+            if last is not None:
+                old_primary, log_floor = last.target, last.position
         attempt = primary_change.begin_attempt(
             router.settings.name,
             cause,
@@ -301,6 +306,7 @@
             leaving,
             _get_known_term(router),
             clock.get_time_s(),
+            log_floor,
         )
         attempt.is_settled = is_settled(attempt.started_s)
         self._log.write(
@@ -317,6 +323,7 @@
             ],
             term=attempt.term,
             fence=self._lease_manager.fence,
+            has_log_proof=log_floor is not None,
         )
         finish = await self._run_steps(attempt, router)
         self._log.write(
@@ -524,6 +531,18 @@
         return status
 
 
+def _find_log_proof(
+    router: router_module.Router,
+) -> last_primary.LastPrimary | None:
+    """Return the last primary if its log has to be the proof.
+
+    That is, if too few members answer for a proof by fences.
+    """
+    answering = sum(1 for pool in router.pools.values() if pool.is_answering)
+    needed = primary_change.count_fences_without_primary(len(router.members))
+    return None if answering >= needed else router.observer.find_last_primary()
+
+
 def _get_known_term(router: router_module.Router) -> int:
     return max(router.observer.known_term, router.observer.leadership.term)
 
--- a/tests/entry/test_member_records.py
+++ b/tests/entry/test_member_records.py
@@ -113,3 +113,66 @@
             await harness.wait_for(lambda: group.find_primary() is not primary)
             await writer.run_for(0.5)
         self.assertEqual(writer.list_lost(group), [])
+
+
+class LastPrimaryTest(testtools.TestCase):
+    """A group without a primary whose record has members that are gone."""
+
+    async def lose_primary_and_hosts(
+        self, system: harness.System
+    ) -> tuple[harness.EntryHost, targets.Target]:
+        """End two members for good, then the primary's lead, then the hosts.
+
+        Returns:
+            A host that started afterwards, and the last primary. Three of
+            five recorded members answer.
+        """
+        group = system.platform.groups["g"]
+        primary = group.get_primary()
+        gone = [targets.Target(group, group.make_id()) for _ in range(2)]
+        for target in gone:
+            await target.start()
+            group.targets[target.id] = target
+        await harness.wait_for(
+            lambda: list_recorded(system) == sorted(group.targets)
+        )
+        caller = harness.Caller(system.entry_hosts[0].port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        caller.close()
+        primary.is_primary = False
+        for target in gone:
+            target.has_platform_entry = False
+            system.platform.store.remove("servers", target.id)
+            await target.stop()
+        for host in tuple(system.entry_hosts):
+            await host.stop()
+        return await harness.add_host(system), primary
+
+    # Guards against a group that stays without a primary for ever.
+    @harness.with_system()
+    async def test_group_is_led_again_from_the_log_of_the_last_primary(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        host, _ = await self.lose_primary_and_hosts(system)
+        await harness.wait_for(lambda: group.find_primary() is not None)
+        self.assertEqual(group.get_primary().read("item"), "1")
+        started = host.find_lines("change_started")[0]
+        self.assertTrue(started["has_log_proof"])
+
+    # Guards against the loss of commits that only the gone members had.
+    @harness.with_system()
+    async def test_log_that_was_lost_is_no_proof(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        host, primary = await self.lose_primary_and_hosts(system)
+        primary.log.clear()
+        await harness.wait_for(
+            lambda: len(host.find_lines("group_without_primary")) > 3
+        )
+        self.assertIsNone(group.find_primary())
+        report = host.find_lines("group_without_primary")[0]
+        self.assertEqual(len(report["answering"]), 3)
+        self.assertEqual(report["last_primary"], primary.id)
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -232,6 +232,7 @@
             host.catalog,
             host.sharer.get_rank,
             self._return_at_once,
+            lambda group: host.observer.last_primary,
             host.log,
         )
         self._host = host
@@ -254,6 +255,7 @@
         members = stored and records_module.parse_record(
             simulated_targets.GROUP, stored.spec
         )
+        self._take_primary(simulated_targets.GROUP, stored)
         self._apply_members(simulated_targets.GROUP, members or {})
 
     def _get_stored(self) -> store_calls.StoredObject | None:
@@ -265,14 +267,13 @@
     async def _write(
         self,
         group: str,
-        members: records_module.Members,
+        spec: dict[str, Any],
         revision: int,
     ) -> store_calls.StoredObject:
         await self._store.call_record(self._host.name)
         stored = self._get_stored()
         if stored is None or stored.revision == revision:
             self._store.revision += 1
-            spec = records_module.format_record(members)
             self._store.members = (spec, self._store.revision)
             stored = self._get_stored()
         assert stored is not None
@@ -416,6 +417,9 @@
             evidence_module = observer.evidence
             evidence_module.remove_member(self.observer.leadership, target)
             self.world.note(f"{self.name} drops {target}")
+        self.observer.take_last_primary(
+            self.catalog.recorded_primaries.get(simulated_targets.GROUP)
+        )
         self._sync_departed()
 
     def _add_pool(self, member: catalog.Member) -> Pool:
@@ -425,6 +429,7 @@
         if old is not None:
             position = self.pools[old].get_newest_position()
             pool.position_before_restart = position
+            self.observer.replace_last_primary(old, member.entry.target)
         self.pools[member.entry.target] = pool
         return pool
 
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -32,6 +32,38 @@
         view = HEALTHY._replace(**changes)  # type: ignore[arg-type]
         return detection.find_cause(view, NOW_S)
 
+    # Guards against a group that stays without a primary because members that
+    # are gone for good are still counted.
+    def test_last_primary_stands_in_for_members_that_are_gone(self) -> None:
+        changes = {
+            "has_primary": False,
+            "no_primary_since_s": NOW_S - 2.0,
+            "answering_members": 3,
+            "other_members": 5,
+        }
+        self.assertIsNone(self.find_cause_for(**changes))
+        found = self.find_cause_for(**changes, has_last_primary=True)
+        self.assertEqual(found, _Cause.ABSENT)
+        alone = {**changes, "answering_members": 1, "has_last_primary": True}
+        self.assertIsNone(self.find_cause_for(**alone))
+        self.assertIsNone(
+            self.find_cause_for(
+                **changes, has_last_primary=True, is_settled=False
+            )
+        )
+
+    def test_absence_is_explained_until_a_change_is_due(self) -> None:
+        view = HEALTHY._replace(
+            has_primary=False, no_primary_since_s=NOW_S - 0.1, other_members=5
+        )
+        texts = [detection.explain_absence(view, NOW_S)]
+        view = view._replace(no_primary_since_s=NOW_S - 9.0)
+        texts.append(detection.explain_absence(view, NOW_S))
+        self.assertIn("may still end", texts[0])
+        self.assertIn("2 members answer; 4 have to", texts[1])
+        view = view._replace(answering_members=4)
+        self.assertEqual(detection.explain_absence(view, NOW_S), "")
+
     def test_healthy_primary_is_kept(self) -> None:
         self.assertIsNone(self.find_cause_for())
 
--- a/tests/groups/test_member_records.py
+++ b/tests/groups/test_member_records.py
@@ -1,9 +1,13 @@
 """Tests of the record of a group's members."""
 
+import json
+
 import testtools
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import member_records
+from knapweedtally.core.groups import model
 from tests.groups import test_catalog
 
 
@@ -45,6 +49,44 @@
         known = make_catalog("i-1", "i-2")
         self.assertIsNone(self.plan(known, known))
 
+    def plan_primary(
+        self,
+        recorded: last_primary.LastPrimary | None,
+        known: last_primary.LastPrimary | None,
+    ) -> last_primary.LastPrimary | None:
+        members = make_catalog("i-1", "i-2")
+        change = member_records.plan_change(
+            read_record(members),
+            catalog.list_members(members, "g"),
+            (),
+            recorded,
+            known,
+        )
+        return change and change.primary
+
+    # Guards against a host that restarts and knows no primary to start from,
+    # and against a write for each host that knows an earlier one.
+    def test_primary_of_a_later_term_is_recorded(self) -> None:
+        start = model.Position(1, 4)
+        first = last_primary.LastPrimary("i-1", 2, start)
+        second = last_primary.LastPrimary("i-2", 3, start)
+        self.assertEqual(self.plan_primary(None, first), first)
+        self.assertEqual(self.plan_primary(first, second), second)
+        for known in (None, first, second):
+            self.assertIsNone(self.plan_primary(second, known))
+
+    def test_successor_of_the_primary_is_recorded(self) -> None:
+        old = last_primary.LastPrimary("i-0", 2, model.Position(1, 4))
+        new = old._replace(target="i-1")
+        self.assertEqual(self.plan_primary(old, new), new)
+
+    def test_recorded_primary_is_read_as_written(self) -> None:
+        known = last_primary.LastPrimary("i-1", 2, model.Position(1, 4))
+        spec = json.loads(json.dumps(member_records.format_record({}, known)))
+        self.assertEqual(member_records.parse_primary(spec), known)
+        for broken in ({}, {"primary": 3}, {"primary": {"target": "a"}}, 7):
+            self.assertIsNone(member_records.parse_primary(broken))
+
     def test_member_that_joins_is_added(self) -> None:
         change = self.plan(make_catalog("i-1"), make_catalog("i-1", "i-2"))
         assert change is not None
