Renew evidence about a new primary while another member is down

Callers lost 452 requests to "no known primary" and 134 more to old evidence. During a change, hosts that had run for 2.5 s refused everything at once, since `Router._is_unavailable` counted from their start.

Change: members that took part in the last complete round of the former primary extend the evidence about its successor; a member that was removed extends none. Waiting counts as futile from when evidence was last valid. The promotion lease names the terms for which promotions were requested, and the log of a last primary of an earlier term is no proof.

--- a/knapweedtally/core/groups/evidence.py
+++ b/knapweedtally/core/groups/evidence.py
@@ -67,6 +67,7 @@
         confirmed_members: members that together have shown that no promotion
             had taken effect. Only these extend evidence: a promoter may not
             know a member that has joined since.
+        confirmed_primary: the primary at that time, or None.
         seen_terms: by member, the term in its last answer and when the request
             was sent.
     """
@@ -89,6 +90,7 @@
         default_factory=dict
     )
     confirmed_members: frozenset[str] = frozenset()
+    confirmed_primary: str | None = None
     seen_terms: dict[str, tuple[int, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -123,12 +125,27 @@
         leadership.receiving_seen_s.clear()
         leadership.receiving_since_s.clear()
         leadership.receiving_answered_s.clear()
-        leadership.confirmed_members = frozenset()
+        leadership.confirmed_members = _carry_confirmed_members(
+            leadership, target
+        )
         leadership.positions.clear()
     leadership.primary_seen_s = max(leadership.primary_seen_s, sent_s)
     return is_new
 
 
+def _carry_confirmed_members(
+    leadership: Leadership, target: str
+) -> frozenset[str]:
+    """Return the members that can extend evidence about a new primary.
+
+    Each of them took part in a round of the former primary, so every promoter
+    knows it and has to pause it. Without them, one member that is down would
+    keep the new primary without evidence until it counts as gone.
+    """
+    former = {*leadership.confirmed_members, leadership.confirmed_primary}
+    return frozenset(member for member in former if member and member != target)
+
+
 def record_primary_loss(leadership: Leadership, target: str, term: int) -> bool:
     """Record that a target isn't the primary or knows a higher term.
 
@@ -167,6 +184,8 @@
     """Remove the answers of a target that is no longer a member."""
     leadership.receiving_seen_s.pop(target, None)
     leadership.seen_terms.pop(target, None)
+    # A promoter that released it doesn't pause it if it returns.
+    leadership.confirmed_members -= {target}
 
 
 def record_member(
@@ -206,6 +225,7 @@
         seen_s = min(receiving_seen_s[member] for member in others)
         leadership.member_seen_s = max(leadership.member_seen_s, seen_s)
         leadership.confirmed_members = frozenset(others)
+        leadership.confirmed_primary = leadership.target
 
 
 def _record_receiving(
--- a/knapweedtally/core/groups/promotion_lease.py
+++ b/knapweedtally/core/groups/promotion_lease.py
@@ -8,6 +8,9 @@
 """
 
 import dataclasses
+import types
+from collections.abc import Mapping
+from typing import Any
 from typing import NamedTuple
 
 # How long a lease lasts unless it is renewed. The next holder of an abandoned
@@ -31,6 +34,9 @@
         renewals: number of renewals. The store assigns no new revision to an
             object that is replaced by an equal one, so without this count
             other hosts would take a renewed lease for abandoned.
+        requested_terms: highest term, by group, for which this holder or an
+            earlier one requested a promotion. A target that led an earlier term
+            may have been replaced, even if no host has seen its successor.
     """
 
     holder: str
@@ -38,6 +44,7 @@
     fence: int
     is_held: bool
     renewals: int
+    requested_terms: Mapping[str, int] = types.MappingProxyType({})
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,7 +85,8 @@
 def make_next_lease(lease: Lease | None, host: str, incarnation: str) -> Lease:
     """Return the lease to store in order to claim it."""
     fence = lease.fence + 1 if lease is not None else 1
-    return Lease(host, incarnation, fence, True, 0)
+    requested_terms = lease.requested_terms if lease is not None else {}
+    return Lease(host, incarnation, fence, True, 0, requested_terms)
 
 
 def renew_lease(lease: Lease) -> Lease:
@@ -86,6 +94,13 @@
     return lease._replace(renewals=lease.renewals + 1)
 
 
+def record_request(lease: Lease, group: str, term: int) -> Lease:
+    """Return the lease to store before a promotion is requested."""
+    known = lease.requested_terms.get(group, 0)
+    terms = {**lease.requested_terms, group: max(known, term)}
+    return renew_lease(lease)._replace(requested_terms=terms)
+
+
 def may_act(claimed_s: float, now_s: float) -> bool:
     """Return whether the holder may still act under its lease.
 
@@ -109,4 +124,18 @@
         return None
     if not isinstance(is_held, bool):
         return None
-    return Lease(holder, incarnation, fence, is_held, renewals)
+    terms = spec.get("requested_terms") or {}
+    if not isinstance(terms, dict):
+        return None
+    if not all(type(term) is int for term in terms.values()):
+        return None
+    return Lease(holder, incarnation, fence, is_held, renewals, terms)
+
+
+def format_lease(lease: Lease) -> dict[str, Any]:
+    """Return a lease as it is stored."""
+    fields = lease._asdict()
+    fields["requested_terms"] = dict(lease.requested_terms)
+    if not lease.requested_terms:
+        del fields["requested_terms"]
+    return fields
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -63,6 +63,7 @@
             that this host doesn't know was the primary.
         commits_in_flight: when each commit in flight was sent.
         last_commit_s: when the newest acknowledged commit was sent.
+        confirmed_s: when the evidence about a primary was last found valid.
         has_replicas: whether the primary needs a replica to commit, whether
             or not this host knows one.
         last_primary: primary of the latest known term, or None.
@@ -94,6 +95,7 @@
         self.no_primary_since_s: float | None = clock.get_time_s()
         self.commits_in_flight: dict[object, float] = {}
         self.last_commit_s = 0.0
+        self.confirmed_s = clock.get_time_s()
         self.has_replicas = True
         self.last_primary: last_primary.LastPrimary | None = None
         self.is_poller = True
@@ -113,6 +115,8 @@
     def tick(self, now_s: float) -> None:
         """Poll the members that are due, and settle pending commits."""
         self._poll_members(now_s)
+        if self.is_primary_confirmed(now_s):
+            self.confirmed_s = now_s
         self._acknowledgements.settle(now_s)
 
     def _poll_members(self, now_s: float) -> None:
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -114,6 +114,30 @@
             if not promotion_lease.may_act(self.claimed_s, clock.get_time_s()):
                 raise LeaseLost(str(error)) from error
 
+    def get_requested_term(self, group: str) -> int:
+        """Return the highest term requested for a group, or 0."""
+        return self._lease.requested_terms.get(group, 0)
+
+    async def record_request(self, group: str, term: int) -> None:
+        """Name the term of a promotion that is about to be requested.
+
+        If the store doesn't answer, the promotion is requested all the same:
+        a group without a primary is worse than a proof that rests on memory.
+
+        Raises:
+            LeaseLost: another host replaced the lease.
+        """
+        if self.get_requested_term(group) >= term:
+            return
+        lease = promotion_lease.record_request(self._lease, group, term)
+        try:
+            await self._write(lease, False)
+            self._lease = lease
+        except (store.StoreError, store_calls.MalformedResponse) as error:
+            self._log.write(
+                "store_call_failed", kind=LEASE_KIND, reason=str(error)
+            )
+
     async def release(self) -> None:
         """Release the lease, so that other hosts may claim it at once."""
         lease = self._lease._replace(is_held=False)
@@ -147,7 +171,7 @@
         return lease
 
     async def _write(self, lease: promotion_lease.Lease, is_new: bool) -> None:
-        spec = lease._asdict()
+        spec = promotion_lease.format_lease(lease)
         request = (
             store_calls.make_create_request(LEASE_KIND, LEASE_NAME, spec)
             if is_new
@@ -295,7 +319,10 @@
         log_floor = None
         if cause is steps.Cause.ABSENT:
             old_primary = None
-            last = _find_log_proof(router)
+            last = _find_log_proof(
+                router,
+                self._lease_manager.get_requested_term(router.settings.name),
+            )
             if last is not None:
                 old_primary, log_floor = last.target, last.position
         attempt = primary_change.begin_attempt(
@@ -385,6 +412,9 @@
         elif isinstance(step, steps.ListTargets):
             await self._list_targets(attempt)
         elif isinstance(step, steps.Promote):
+            await self._lease_manager.record_request(
+                attempt.group, attempt.term
+            )
             status = await self._promote(attempt, step.target)
             primary_change.record_promotion_response(
                 attempt, status, clock.get_time_s()
@@ -532,15 +562,23 @@
 
 
 def _find_log_proof(
-    router: router_module.Router,
+    router: router_module.Router, requested_term: int
 ) -> last_primary.LastPrimary | None:
     """Return the last primary if its log has to be the proof.
 
-    That is, if too few members answer for a proof by fences.
+    That is, if too few members answer for a proof by fences. A promotion to a
+    later term may have taken effect where this host sees nothing of it.
+
+    Args:
+        router: the group's router.
+        requested_term: highest term for which a promotion was requested.
     """
     answering = sum(1 for pool in router.pools.values() if pool.is_answering)
     needed = primary_change.count_fences_without_primary(len(router.members))
-    return None if answering >= needed else router.observer.find_last_primary()
+    last = router.observer.find_last_primary()
+    if answering >= needed or last is None or last.term < requested_term:
+        return None
+    return last
 
 
 def _get_known_term(router: router_module.Router) -> int:
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -80,7 +80,6 @@
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
         )
-        self._created_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
@@ -248,7 +247,11 @@
         """Return whether the group is unavailable and waiting is futile."""
         if choice.reason is _Reason.NO_CONNECTION:
             return False
-        since_s = max(self.observer.leadership.valid_until_s, self._created_s)
+        # A primary that was lost leaves no evidence, but the change of primary
+        # has just begun.
+        since_s = max(
+            self.observer.leadership.valid_until_s, self.observer.confirmed_s
+        )
         return now_s - since_s > UNAVAILABLE_AFTER_S
 
     def _request_connections(
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -321,14 +321,16 @@
 def _write_lease(lease: promotion_lease.Lease) -> str:
     return _format_request(
         store_calls.make_replace_request(
-            LEASE_KIND, LEASE_NAME, lease._asdict(), 41
+            LEASE_KIND, LEASE_NAME, promotion_lease.format_lease(lease), 41
         )
     )
 
 
 def _write_first_lease(lease: promotion_lease.Lease) -> str:
     return _format_request(
-        store_calls.make_create_request(LEASE_KIND, LEASE_NAME, lease._asdict())
+        store_calls.make_create_request(
+            LEASE_KIND, LEASE_NAME, promotion_lease.format_lease(lease)
+        )
     )
 
 
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -216,7 +216,10 @@
         if known != (None if is_new else self._revision):
             raise promoter.LeaseLost("the lease was replaced")
         self._store.revision += 1
-        self._store.lease = (lease._asdict(), self._store.revision)
+        self._store.lease = (
+            promotion_lease.format_lease(lease),
+            self._store.revision,
+        )
         self._record_revision(
             store_calls.StoredObject("", self._store.revision, None)
         )
--- a/tests/groups/test_evidence.py
+++ b/tests/groups/test_evidence.py
@@ -218,3 +218,38 @@
         leadership = make_leadership(10.0)
         evidence.record_position(leadership, "a", model.Position(3, 5), 9.0)
         self.assertIsNone(evidence.find_position(leadership, 9.1))
+
+
+class NewPrimaryTest(testtools.TestCase):
+    """Evidence about a new primary while another member is down."""
+
+    def change_primary(self) -> evidence.Leadership:
+        leadership = evidence.Leadership()
+        members = ("p", "a", "b")
+        evidence.record_primary(leadership, "p", 1, 10.0)
+        for sent_s in (10.0, 10.1):
+            for target in ("a", "b"):
+                evidence.record_member(
+                    leadership, target, members, 0, sent_s, sent_s + 0.01
+                )
+        evidence.record_term(leadership, "a", 1, 10.5)
+        evidence.record_primary(leadership, "a", 2, 10.6)
+        return leadership
+
+    # Guards against a group that serves nobody after a change of primary until
+    # a member that is down counts as gone.
+    def test_member_of_the_former_round_extends_it(self) -> None:
+        leadership = self.change_primary()
+        self.assertEqual(leadership.member_seen_s, 10.5)
+        evidence.record_member(leadership, "b", ("p", "a", "b"), 0, 11.2, 11.21)
+        self.assertEqual(leadership.member_seen_s, 11.2)
+
+    # Guards against evidence from a member that promoters don't pause.
+    def test_member_that_joined_or_was_removed_does_not(self) -> None:
+        leadership = self.change_primary()
+        evidence.remove_member(leadership, "b")
+        for target in ("b", "c"):
+            evidence.record_member(
+                leadership, target, ("p", "a", "b", "c"), 0, 11.2, 11.21
+            )
+        self.assertEqual(leadership.member_seen_s, 10.5)
--- a/tests/groups/test_promotion_lease.py
+++ b/tests/groups/test_promotion_lease.py
@@ -1,5 +1,7 @@
 """Tests of the promotion lease."""
 
+import json
+
 import testtools
 
 from knapweedtally.core.groups import promotion_lease
@@ -7,6 +9,31 @@
 HELD = promotion_lease.Lease("a", "1", 4, True, 0)
 
 
+class RequestTest(testtools.TestCase):
+    """The terms for which promotions were requested."""
+
+    # Guards against a former primary whose log is taken for complete because
+    # nobody who sees its successor can be heard.
+    def test_requested_terms_stay_with_the_next_holders(self) -> None:
+        lease = promotion_lease.Lease("h1", "a", 3, True, 0)
+        lease = promotion_lease.record_request(lease, "g", 4)
+        lease = promotion_lease.record_request(lease, "g", 2)
+        spec = json.loads(json.dumps(promotion_lease.format_lease(lease)))
+        read = promotion_lease.parse_lease(spec)
+        assert read is not None
+        claimed = promotion_lease.make_next_lease(read, "h2", "b")
+        self.assertEqual(claimed.requested_terms, {"g": 4})
+        self.assertEqual((read.renewals, claimed.fence), (2, 4))
+
+    def test_malformed_terms_make_the_lease_unreadable(self) -> None:
+        lease = promotion_lease.Lease("h1", "a", 3, True, 0)
+        spec = promotion_lease.format_lease(lease)
+        self.assertNotIn("requested_terms", spec)
+        for terms in ([1], {"g": "4"}):
+            broken = {**spec, "requested_terms": terms}
+            self.assertIsNone(promotion_lease.parse_lease(broken))
+
+
 class LeaseTest(testtools.TestCase):
     """Leases don't overlap, and their fencing numbers increase."""
 
