Identify callers by key, and exchange the configuration between hosts

Cause: callers of a deployment with teams were not told apart, and a host whose store is silent never learned that a key was revoked.

Change: a session identifies its caller by the key of its START and by each configuration that comes into force. A host whose store does not answer asks other hosts for their version and fetches a newer one over the relay port. A list of teams of which none is valid makes a configuration unreadable, since without teams every caller would be served; a text in place of a list of keys gives no key.

Ruled out: asking at intervals only.

--- a/knapweedtally/entry/answers.py
+++ b/knapweedtally/entry/answers.py
@@ -41,6 +41,7 @@
     route: model.Route,
     result: requests.Result,
     elapsed_s: float,
+    team: str = "",
 ) -> None:
     """Log and count the result of a forwarded statement.
 
@@ -51,9 +52,11 @@
         route: the route of the statement.
         result: the result of the statement.
         elapsed_s: time since the statement arrived.
+        team: name of the caller's team, empty if callers aren't told apart.
     """
     outcome = result.code.name if result.code else "DONE"
     services.counters.observe(outcome, elapsed_s)
+    services.counters.increment_team("team_statements", team)
     position = result.position
     services.log.write(
         "statement_ended",
@@ -73,6 +76,7 @@
         waited_ms=round(result.waited_s * 1000, 1),
         total_ms=round(elapsed_s * 1000, 1),
         attempts=result.attempts,
+        **_describe_team(team),
     )
 
 
@@ -87,6 +91,7 @@
     statement: statements.Statement,
     code: statements.Code,
     detail: str,
+    team: str = "",
 ) -> None:
     """Log that the host refused a statement without sending it to a target."""
     services.log.write(
@@ -96,9 +101,15 @@
         database=database,
         code=code.name,
         reason=detail,
+        **_describe_team(team),
     )
 
 
+def _describe_team(team: str) -> dict[str, str]:
+    """Return the log field of a team; none if callers aren't told apart."""
+    return {"team": team} if team else {}
+
+
 def _get_configuration_version(services: services_module.Services) -> int:
     """Return the version of the current configuration, or 0 without one."""
     configuration = services.catalog.configuration
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import connection_holders
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
+from knapweedtally.entry import configuration_exchange
 from knapweedtally.entry import evidence_sharing
 from knapweedtally.entry import logs
 from knapweedtally.entry import member_probes
@@ -65,6 +67,8 @@
         store: client of the platform's store.
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
+        configuration_exchange: brings the configuration of other hosts while
+            the store doesn't answer.
     """
 
     def __init__(
@@ -99,6 +103,17 @@
             self.catalog, router_module.USER, log
         )
         self._configuration_callbacks: list[Callable[[], None]] = []
+        self._configuration_watcher: store.Watcher | None = None
+        self.configuration_exchange = (
+            configuration_exchange.ConfigurationExchange(
+                self.catalog,
+                self.peers,
+                host_settings.host,
+                log,
+                self._apply_configuration,
+                self._is_store_silent,
+            )
+        )
         self.relay_sessions: set[relays.RelaySession] = set()
         self._path_keys: dict[str, tuple[int, int]] = {}
         self._settings = host_settings
@@ -132,6 +147,7 @@
             ("member records", self._check_records),
             ("peers", self.peers.tick),
             ("group", self._check_groups),
+            ("configuration exchange", self.configuration_exchange.tick),
             ("sharing", self._share_evidence),
             ("serving", self._check_serving),
             ("session", self._check_sessions),
@@ -139,14 +155,15 @@
 
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
         """Return the watchers of the configuration and of the targets."""
+        self._configuration_watcher = store.Watcher(
+            self.store,
+            records.CONFIGURATION_KIND,
+            self._apply_configurations,
+            lambda change: self._apply_configurations([change.stored]),
+            self.log,
+        )
         return (
-            store.Watcher(
-                self.store,
-                records.CONFIGURATION_KIND,
-                self._apply_configurations,
-                lambda change: self._apply_configurations([change.stored]),
-                self.log,
-            ),
+            self._configuration_watcher,
             store.Watcher(
                 self.store,
                 records.TARGETS_KIND,
@@ -189,7 +206,40 @@
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
-        return not self.store.is_unavailable
+        if not self.store.is_unavailable:
+            return True
+        return (
+            self._settings.has_teams
+            and self.configuration_exchange.is_first_expected(
+                clock.get_time_s()
+            )
+        )
+
+    def get_configuration_age_s(self, now_s: float) -> float:
+        """Return how long ago the configuration in force was confirmed."""
+        watcher = self._configuration_watcher
+        times = (
+            watcher.succeeded_s if watcher else None,
+            self.configuration_exchange.confirmed_s,
+        )
+        return now_s - max((t for t in times if t is not None), default=now_s)
+
+    def _is_store_silent(self, now_s: float) -> bool:
+        """Return whether other hosts have to be asked for a configuration.
+
+        This applies only where callers are told apart: a late configuration
+        is then a security risk.
+        """
+        configuration = self.catalog.configuration
+        if configuration is None:
+            has_teams = self._settings.has_teams
+        else:
+            has_teams = bool(configuration.teams)
+        watcher = self._configuration_watcher
+        return has_teams and (
+            self.store.is_unavailable
+            or (watcher is not None and watcher.is_overdue(now_s))
+        )
 
     def call_when_configured(self, callback: Callable[[], None]) -> None:
         """Call back once a configuration is applied, or none is expected."""
@@ -201,25 +251,46 @@
         self, objects: list[store_calls.StoredObject]
     ) -> None:
         for stored in objects:
-            if stored.name != records.CONFIGURATION_NAME:
-                continue
-            try:
-                configuration = records.parse_configuration(stored.spec)
-            except records.InvalidRecord as error:
-                self.log.write("configuration_unreadable", reason=str(error))
-                continue
-            except Exception as error:
-                supervision.report("configuration", error)
-                continue
-            if catalog.apply_configuration(self.catalog, configuration):
-                self.log.write(
-                    "configuration_in_force",
-                    version=configuration.version,
-                    revision=stored.revision,
-                    routes=len(configuration.routes),
-                )
-                self._sync_routers()
-                self._call_configuration_callbacks()
+            if stored.name == records.CONFIGURATION_NAME:
+                self._apply_configuration(stored.spec, stored.revision)
+
+    def _apply_configuration(self, spec: Any, revision: int = 0) -> bool:
+        """Apply a configuration if it is valid and newer.
+
+        Args:
+            spec: the decoded configuration.
+            revision: the store's revision, or 0 if another host sent it.
+
+        Returns:
+            Whether it came into force.
+        """
+        try:
+            configuration = records.parse_configuration(spec)
+        except records.InvalidRecord as error:
+            self.log.write("configuration_unreadable", reason=str(error))
+            return False
+        except Exception as error:
+            supervision.report("configuration", error)
+            return False
+        if not catalog.apply_configuration(self.catalog, configuration):
+            return False
+        self.log.write(
+            "configuration_in_force",
+            version=configuration.version,
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+        for session in tuple(self.sessions):
+            if not supervision.contain("session", session.check_identity):
+                session.abort()
+        supervision.contain(
+            "configuration exchange",
+            self.configuration_exchange.record_applied,
+            spec,
+        )
+        self._sync_routers()
+        self._call_configuration_callbacks()
+        return True
 
     def _call_configuration_callbacks(self) -> None:
         """Call the sessions that wait for the configuration."""
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -88,7 +88,9 @@
         if self._settings.peers is not None:
             await loop.create_server(
                 lambda: relays.RelaySession(
-                    self._host.find_direct_pool, self._host.relay_sessions
+                    self._host.find_direct_pool,
+                    self._host.relay_sessions,
+                    self._host.configuration_exchange.get_source,
                 ),
                 self._settings.peers.host,
                 self._settings.peers.port,
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -33,6 +33,7 @@
 
 _Parameters = ParamSpec("_Parameters")
 
+GetConfiguration = Callable[[], bytes | None]
 FindPool = Callable[[str, str], pools.Pool | None]
 
 
@@ -46,7 +47,10 @@
     """
 
     def __init__(
-        self, find_pool: FindPool, sessions: "set[RelaySession]"
+        self,
+        find_pool: FindPool,
+        sessions: "set[RelaySession]",
+        get_configuration: GetConfiguration = lambda: None,
     ) -> None:
         """Create a session that waits for its first message.
 
@@ -55,12 +59,15 @@
                 a target, or None if this host doesn't connect to the target
                 directly.
             sessions: the open sessions, which this one joins and leaves.
+            get_configuration: returns the configuration to send to a host
+                that asks for it, or None.
         """
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, bytes] = {}
         self.team = ""
         self._find_pool = find_pool
         self._sessions = sessions
+        self._get_configuration = get_configuration
         self._buffer = line_protocol.MessageBuffer()
         self._messages: collections.deque[bytes] = collections.deque()
         self._transport: asyncio.Transport | None = None
@@ -156,6 +163,9 @@
                 self._serve_statement(message)
 
     def _open_session(self, message: bytes) -> None:
+        if message == line_protocol.CONFIGURATION_REQUEST:
+            self._send_configuration()
+            return
         target_key = line_protocol.parse_target_start(message)
         pool = self._find_pool(*target_key) if target_key is not None else None
         if pool is None:
@@ -165,6 +175,19 @@
         self._is_busy = True
         pool.call_when_open(self._guard(self._handle_pool_opened))
 
+    def _send_configuration(self) -> None:
+        """Send the configuration in force and close the connection."""
+        source = self._get_configuration()
+        if source is None:
+            self._refuse_session(statements.Code.FAILED)
+            return
+        self._write(
+            line_protocol.encode_rows(source)
+            + line_protocol.encode_done()
+            + line_protocol.encode_ready(_State.IDLE)
+        )
+        self.close()
+
     def _handle_pool_opened(self, is_open: bool) -> None:
         self._is_busy = False
         if self._is_closed:
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -147,6 +147,10 @@
         if request in self._queue:
             self._queue.remove(request)
 
+    def is_waiting(self, request: requests.Request) -> bool:
+        """Return whether a request is queued and no attempt of it runs."""
+        return request in self._queue and not request.running_attempts
+
     def dispatch(self) -> None:
         """Start an attempt for each queued request that a target can take."""
         if self._is_dispatching or not self._queue:
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/services.py
@@ -28,6 +28,13 @@
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
 
+    def get_configuration_age_s(self, now_s: float) -> float:
+        """Return how long ago the configuration in force was confirmed.
+
+        It is confirmed by a response of the store, or by being fetched from
+        another host. A watch without changes confirms it every 25 s.
+        """
+
     def find_router(self, group: str) -> router_module.Router | None:
         """Return the router of a group."""
 
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -15,6 +15,7 @@
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import services as services_module
+from knapweedtally.entry import session_identity
 from knapweedtally.entry import supervision
 from knapweedtally.entry import transactions
 from knapweedtally.platform import line_protocol
@@ -62,6 +63,7 @@
         self.team = ""
         self.idle_since_s = clock.get_time_s()
         self._services = services
+        self._identity = session_identity.SessionIdentity(services)
         self._buffer = line_protocol.MessageBuffer()
         self._queued_messages: collections.deque[tuple[bytes, float]] = (
             collections.deque()
@@ -130,6 +132,7 @@
                 _Code.MALFORMED, "message not complete in time"
             )
             return
+        self._refuse_waiting_statement()
         transaction = self._transaction
         if transaction is None or self._is_busy or not idle_limit_s:
             return
@@ -245,9 +248,78 @@
             self._services.counters.increment("refused", "UNKNOWN_DATABASE")
             self._close_with_error(_Code.UNKNOWN_DATABASE, "no such database")
             return
+        self._identity.start(database, line_protocol.parse_start_key(message))
+        if self._identity.refusal is not None:
+            self._identity.record_start_refusal()
+            self._write(self._encode_refusal())
+            self.close()
+            return
+        self.team = self._identity.team
         self._database = database
         self._write(line_protocol.encode_ready(_State.IDLE))
 
+    # Identity.
+
+    def check_identity(self) -> None:
+        """Identify the caller again if the configuration has changed.
+
+        An open transaction of a revoked key, or of a key of another team, is
+        rolled back at once. A commit that was sent runs to its end first.
+        """
+        transaction = self._transaction
+        if self._database is None or (
+            transaction is not None
+            and transaction.is_committing
+            and self._is_busy
+        ):
+            return
+        if not self._identity.update():
+            return
+        self.team = self._identity.team
+        refusal = self._identity.refusal
+        if transaction is not None and not transaction.is_failed:
+            reason = refusal.value if refusal else session_identity.TEAM_CHANGED
+            self._abort_for_identity(transaction, reason)
+        self._refuse_waiting_statement()
+
+    def _abort_for_identity(
+        self, transaction: transactions.Transaction, reason: str
+    ) -> None:
+        if transaction.abort_reason:
+            return
+        self._identity.record_abort(reason)
+        if self._request is not None and self._router is not None:
+            # Its begin hasn't succeeded yet, so nothing ran for it.
+            result = requests.Result(None, _Code.ABORTED, reason)
+            self._router.finish(self._request, result)
+            return
+        transaction.abort_reason = reason
+        self._runner.release(transaction, self._is_busy)
+
+    def _refuse_waiting_statement(self) -> None:
+        """Refuse a statement of a refused caller that wasn't sent yet."""
+        refusal, request = self._identity.refusal, self._request
+        if refusal is None or request is None or self._router is None:
+            return
+        if self._router.is_waiting(request):
+            self._identity.record_refusal(request.statement)
+            result = requests.Result(None, _Code.UNAUTHENTICATED, refusal.value)
+            self._router.finish(request, result)
+            self.close()
+
+    def _refuse_statement(self, statement: statements.Statement) -> None:
+        """Refuse a statement of a refused caller and end the session."""
+        self._identity.record_refusal(statement)
+        self._write(
+            self._encode_refusal() + line_protocol.encode_ready(_State.IDLE)
+        )
+        self.close()
+
+    def _encode_refusal(self) -> bytes:
+        assert self._identity.refusal is not None
+        detail = self._identity.refusal.value.encode()
+        return line_protocol.encode_error(_Code.UNAUTHENTICATED, detail)
+
     def _resume_start(self, message: bytes) -> None:
         """Start a session that has waited for the configuration."""
         self._is_busy = False
@@ -258,7 +330,12 @@
     def _serve_statement(
         self, statement: statements.Statement, arrived_s: float
     ) -> None:
+        self.check_identity()
         transaction = self._transaction
+        is_refused = self._identity.refusal is not None
+        if is_refused and not (transaction and transaction.abort_reason):
+            self._refuse_statement(statement)
+            return
         if transaction is not None and transaction.is_failed:
             self._serve_failed(statement, transaction)
             return
@@ -297,7 +374,8 @@
         transaction.is_failed = True
         if statement.kind in (_Kind.COMMIT, _Kind.ROLLBACK):
             self._transaction = None
-        if statement.kind is _Kind.ROLLBACK:
+        is_refused = self._identity.refusal is not None
+        if statement.kind is _Kind.ROLLBACK and not is_refused:
             self._answer_done(_State.IDLE)
             return
         self._answer_error(statement, _Code.ABORTED, reason)
@@ -544,7 +622,7 @@
         detail: str,
     ) -> None:
         answers.log_refusal(
-            self._services, self._database, statement, code, detail
+            self._services, self._database, statement, code, detail, self.team
         )
         self._write(
             answers.encode_error_answer(
@@ -571,6 +649,7 @@
             route,
             result,
             now_s - arrived_s,
+            self.team,
         )
         if not self._is_closed:
             self._write(answers.encode_result(result, self._get_state()))
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from knapweedtally.entry import clock
 from knapweedtally.entry import logs
 from knapweedtally.entry import supervision
 from knapweedtally.platform import settings
@@ -31,6 +32,10 @@
 # Timeout of a call to the store, in seconds, besides a watch's wait.
 CALL_TIMEOUT_S = 1.0
 
+# Time after the end of a call's wait from which its success is overdue, in
+# seconds: its timeout and one retry.
+OVERDUE_S = 1.5
+
 # Bounds of the retry delay after failed calls, in seconds. The upper one is a
 # fraction of the bound for a configuration.
 MIN_RETRY_DELAY_S = 0.05
@@ -136,7 +141,11 @@
 
 
 class Watcher:
-    """Keep track of the objects of one kind by list and watch calls."""
+    """Keep track of the objects of one kind by list and watch calls.
+
+    Attributes:
+        succeeded_s: time of the last successful call, or of the creation.
+    """
 
     def __init__(
         self,
@@ -164,6 +173,12 @@
         self._on_list = on_list
         self._on_change = on_change
         self._log = log
+        self.succeeded_s = clock.get_time_s()
+        self._expected_s = self.succeeded_s
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Return whether no call succeeded for longer than one may take."""
+        return now_s - self._expected_s > OVERDUE_S
 
     async def run(self) -> None:
         """List the objects and watch for changes, forever."""
@@ -175,9 +190,11 @@
             try:
                 if revision is None:
                     revision = await self._list_objects()
+                    self._record_success(WATCH_WAIT_S)
                 else:
                     changes = await self._watch_changes(revision)
                     revision = changes.revision if changes else None
+                    self._record_success(WATCH_WAIT_S if changes else 0.0)
                     if changes and changes.changes:
                         await asyncio.sleep(BATCH_DELAY_S)
                 retry_backoff.reset()
@@ -189,14 +206,25 @@
                 # the failure, which a watch from the last revision would
                 # never return.
                 revision = None
+                self._expect_list()
                 await asyncio.sleep(retry_backoff.compute_next_delay_s())
             except Exception as error:
                 # The handler may have applied a part of what the store sent.
                 # A whole list brings the rest.
                 supervision.report("store watcher", error)
                 revision = None
+                self._expect_list()
                 await asyncio.sleep(retry_backoff.compute_next_delay_s())
 
+    def _record_success(self, wait_s: float) -> None:
+        """Record that a call succeeded and the longest wait of the next."""
+        self.succeeded_s = clock.get_time_s()
+        self._expected_s = self.succeeded_s + wait_s
+
+    def _expect_list(self) -> None:
+        """Expect an answer at once, since a failed call is retried so."""
+        self._expected_s = min(self._expected_s, clock.get_time_s())
+
     async def _list_objects(self) -> int:
         await self._prepare()
         listing = await list_objects(self._client, self._kind)
--- a/knapweedtally/entry/transactions.py
+++ b/knapweedtally/entry/transactions.py
@@ -39,6 +39,7 @@
         has_written: whether a write was sent in it.
         is_failed: whether only a commit or a rollback, which end it, is
             still accepted.
+        is_committing: whether its commit was sent.
         abort_reason: why the host aborted it, until the caller's next
             statement is answered with it; or empty.
         inactive_since_s: time at which its last statement ended.
@@ -51,6 +52,7 @@
     target: str = ""
     has_written: bool = False
     is_failed: bool = False
+    is_committing: bool = False
     abort_reason: str = ""
     inactive_since_s: float = 0.0
 
@@ -108,7 +110,12 @@
         """
         connection = transaction.connection
         if connection is None:
-            # The caller disconnected during the delay before the retry.
+            # The caller disconnected, or the host aborted the transaction,
+            # during the delay before the retry.
+            if not self.is_closed:
+                self._handle_connection_lost(
+                    transaction, statement, arrived_s, None
+                )
             return
         if connection.is_closed:
             self._handle_connection_lost(
@@ -118,6 +125,7 @@
         now_s = clock.get_time_s()
         limit_s = arrived_s + transaction.route.statement_timeout_s - now_s
         transaction.has_written |= is_write
+        transaction.is_committing = statement.kind is _Kind.COMMIT
 
         def handle_outcome(outcome: connections.Outcome) -> None:
             answer = outcome.answer
@@ -270,6 +278,9 @@
         transaction.is_failed = True
         is_timeout = outcome is not None and outcome.is_timeout
         detail = "no answer in time" if is_timeout else "connection lost"
+        if transaction.abort_reason:
+            # The host closed the connection itself to abort the transaction.
+            detail, transaction.abort_reason = transaction.abort_reason, ""
         if self.is_closed:
             detail = "the caller left"
         result = requests.Result(None, code, detail, target=transaction.target)
--- a/knapweedtally/platform/line_protocol.py
+++ b/knapweedtally/platform/line_protocol.py
@@ -301,6 +301,26 @@
     return b"EXEC %b %b" % (name, arguments) if arguments else b"EXEC %b" % name
 
 
+# First message of a host that asks another one for its configuration.
+CONFIGURATION_REQUEST = b"CONFIGURATION"
+
+# Longest part of a text in one row, in bytes.
+_ROW_BYTES = 64 * 1024
+
+
+def encode_rows(data: bytes) -> bytes:
+    """Return ``ROW`` messages with the parts of a text without line breaks."""
+    return b"".join(
+        b"ROW %b\r\n" % data[start : start + _ROW_BYTES]
+        for start in range(0, len(data), _ROW_BYTES)
+    )
+
+
+def join_rows(rows: bytes) -> bytes:
+    """Return the text whose parts are the rows of an answer."""
+    return b"".join(row[4:] for row in rows.split(TERMINATOR))
+
+
 BEGIN = b"BEGIN"
 BEGIN_READ = b"BEGIN READ"
 ROLLBACK = b"ROLLBACK"
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -32,17 +32,22 @@
     A malformed route, group or team is skipped; the others are kept.
 
     Raises:
-        InvalidRecord: the version or a list is missing or malformed.
+        InvalidRecord: the version or a list is missing or malformed, or there
+            are teams and none of them is valid. Without a team every caller
+            would be served.
     """
     try:
         version = spec["version"]
         routes = [_parse_route(item) for item in spec["routes"]]
         groups = [_parse_group(item) for item in spec["backends"]]
-        teams = [_parse_team(item) for item in spec.get("tenants") or ()]
+        tenants = spec.get("tenants") or ()
+        teams = [_parse_team(item) for item in tenants]
         known_teams = {team.name: team for team in teams if team}
         idle_ms = (spec.get("limits") or {}).get("txIdleMs") or 0
         if not isinstance(version, int):
             raise InvalidRecord(f"version must be an integer, not {version!r}")
+        if tenants and not known_teams:
+            raise InvalidRecord("tenants must contain a valid team")
         return model.Configuration(
             version,
             {route.database: route for route in routes if route},
@@ -92,15 +97,20 @@
 
 
 def _parse_team(item: Any) -> model.Team | None:
-    """Return a team; a name with a space can't be sent to a target."""
+    """Return a team, or None if its name or its keys are malformed.
+
+    A name with a space can't be sent to a target. A text in place of the list
+    of keys would make each of its characters a key.
+    """
     try:
         name = str(item["name"])
-        if not name or " " in name:
+        api_keys = item.get("apiKeys") or []
+        if not name or " " in name or not isinstance(api_keys, list):
             return None
         rate_per_s = item.get("ratePerS")
         return model.Team(
             name=name,
-            keys=frozenset(str(key) for key in item.get("apiKeys") or ()),
+            keys=frozenset(str(key) for key in api_keys if key),
             priority=int(item.get("priority") or 0),
             rate_per_s=math.inf if rate_per_s is None else float(rate_per_s),
             burst=float(item.get("burst") or 0),
--- a/knapweedtally/platform/settings.py
+++ b/knapweedtally/platform/settings.py
@@ -56,6 +56,7 @@
         peers: address on which to receive the datagrams and the relay
             connections of other hosts, or None.
         quota: how teams' limits are enforced, or None if they have none.
+        has_teams: whether callers are told apart by the keys of their teams.
         has_load_control: whether statements are admitted by pace and in fair
             order.
         cores: processor cores that the process may use; may be a fraction.
@@ -73,6 +74,7 @@
     metrics: Address | None
     peers: Address | None
     quota: Quota | None = None
+    has_teams: bool = False
     has_load_control: bool = False
     cores: float = 1.0
     link_mbps: float = 0.0
@@ -136,6 +138,7 @@
             metrics=addresses[-1] if addresses else None,
             peers=addresses[0] if addresses else None,
             quota=_parse_quota(bounds) if "quota" in contracts else None,
+            has_teams="tenants" in contracts,
             has_load_control="pressure" in contracts,
             cores=cores,
             link_mbps=float(limits.get("linkMbps") or 0),
--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -25,6 +25,8 @@
         promotions: fencing token, lease holder and target of each promotion
             call.
         routes: routes of the current configuration.
+        teams: teams of the current configuration; empty if callers aren't
+            told apart.
         leaving: ids of the targets whose entries are marked as draining.
         unlisted: ids of the targets that don't reach the store.
         choose_promotion_delay_s: returns how long after its call a promotion
@@ -37,6 +39,7 @@
         self.groups = {name: targets.Group(name, 3, 16) for name in group_names}
         self.promotions: list[tuple[int, str, str]] = []
         self.routes: list[dict[str, Any]] = []
+        self.teams: list[dict[str, Any]] = []
         self.leaving: set[str] = set()
         self.unlisted: set[str] = set()
         self.choose_promotion_delay_s = lambda: PROMOTION_DURATION_S
@@ -97,6 +100,8 @@
             "backends": groups,
             "limits": {"txIdleMs": 3000},
         }
+        if self.teams:
+            spec["tenants"] = self.teams
         self.store.put("config", "main", spec)
 
     def write_target_entries(self) -> None:
@@ -132,6 +137,7 @@
             "platform": {"addr": f"127.0.0.1:{self._servers[0].port}"},
             "cloudApi": {"addr": f"127.0.0.1:{self._servers[1].port}"},
             "bounds": {"graceS": 10, "drainMs": 7000},
+            "contracts": ["tenants"] if self.teams else [],
         }
 
     def _make_target_entry(
@@ -169,6 +175,11 @@
         return http.Response(200)
 
 
+def make_team(name: str, *keys: str) -> dict[str, Any]:
+    """Return a team with keys."""
+    return {"name": name, "apiKeys": list(keys)}
+
+
 def make_routes(group: str) -> list[dict[str, Any]]:
     """Return one route to a group for each consistency level."""
     max_staleness_ms_by_type = {
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -356,7 +356,12 @@
 
 
 class Connection:
-    """Server side of one connection to a target."""
+    """Server side of one connection to a target.
+
+    Attributes:
+        user: name of the user that opened it, empty before its start.
+        values: session values.
+    """
 
     def __init__(
         self,
@@ -373,6 +378,7 @@
         self._writes: list[tuple[str, str]] = []
         self._prepared: dict[str, str] = {}
         self.values: dict[str, str] = {}
+        self.user = ""
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -381,6 +387,7 @@
     async def run(self) -> None:
         """Serve statements until the connection is closed."""
         start = (await self._receive_line()).split(" ")
+        self.user = "".join(start[2:3])
         target = self._target
         group = target.group
         if start[1] != group.name or start[3:4] not in ([], [target.id]):
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
@@ -54,7 +55,9 @@
         assert peers is not None
         self._relay_server = await loop.create_server(
             lambda: relays.RelaySession(
-                self.host.find_direct_pool, self.host.relay_sessions
+                self.host.find_direct_pool,
+                self.host.relay_sessions,
+                self.host.configuration_exchange.get_source,
             ),
             peers.host,
             peers.port,
@@ -82,6 +85,7 @@
         for router in self.host.routers.values():
             for pool in router.pools.values():
                 pool.close()
+        self.host.configuration_exchange.close()
         self.host.peers.close()
 
     def attach_changes(self, test: testtools.TestCase) -> None:
@@ -113,11 +117,11 @@
         self._ids = 0
         self.state = ""
 
-    async def start(self, database: str) -> str:
+    async def start(self, database: str, key: str = "tests") -> str:
         self._reader, self._writer = await asyncio.open_connection(
             "127.0.0.1", self._port
         )
-        await self.send_raw(f"START {database} tests\r\n".encode())
+        await self.send_raw(f"START {database} {key}\r\n".encode())
         return await self.read_line()
 
     async def send_raw(self, data: bytes) -> None:
@@ -225,9 +229,11 @@
 async def run_system(
     hosts: int = 1,
     max_connections: int = 16,
+    teams: Sequence[dict[str, Any]] = (),
 ) -> AsyncIterator[System]:
     """Run the stand-ins, and entry hosts that are ready to serve."""
     platform = platform_module.Platform()
+    platform.teams = list(teams)
     for group in platform.groups.values():
         group.max_connections = max_connections
     await platform.start()
@@ -268,6 +274,7 @@
     hosts: int = 1,
     max_connections: int = 16,
     prepare: Callable[[System], Awaitable[None]] = _prepare_nothing,
+    teams: Sequence[dict[str, Any]] = (),
 ) -> Callable[
     [Callable[[Any, System], Awaitable[None]]], Callable[[Any], None]
 ]:
@@ -277,6 +284,7 @@
         hosts: number of entry hosts.
         max_connections: number of connections that each target accepts.
         prepare: called with the system before the test.
+        teams: teams of the first configuration.
     """
 
     def decorate(
@@ -285,7 +293,7 @@
         @functools.wraps(test)
         def run_test(case: Any) -> None:
             async def run() -> None:
-                async with run_system(hosts, max_connections) as system:
+                async with run_system(hosts, max_connections, teams) as system:
                     await prepare(system)
                     await test(case, system)
 
--- /dev/null
+++ b/tests/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of teams: identification and exchange of versions."""
