Confirm the configuration before a woken host serves its callers

Cause: a host that stood still finds statements of its callers beside the store's notice of a revoked key, and may serve the statements first.

Ruled out: waiting for a fixed time, which is too long for a process that was stopped and too short for a machine that was suspended.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -8,6 +8,7 @@
 from knapweedtally.core.groups import connection_holders
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
+from knapweedtally.entry import configuration_check
 from knapweedtally.entry import configuration_exchange
 from knapweedtally.entry import evidence_sharing
 from knapweedtally.entry import logs
@@ -104,6 +105,9 @@
         )
         self._configuration_callbacks: list[Callable[[], None]] = []
         self._configuration_watcher: store.Watcher | None = None
+        self._configuration_check = configuration_check.ConfigurationCheck(
+            self._refresh_configuration
+        )
         self.configuration_exchange = (
             configuration_exchange.ConfigurationExchange(
                 self.catalog,
@@ -215,6 +219,33 @@
             )
         )
 
+    def is_confirmation_due(self) -> bool:
+        """Return whether callers wait since the host was suspended."""
+        if not self._has_teams():
+            return False
+        still_s = clock.get_time_s() - self._last_tick_s
+        return (
+            self._configuration_check.is_running
+            or still_s > configuration_check.MIN_STANDSTILL_S
+        )
+
+    def call_when_confirmed(self, callback: Callable[[], None]) -> None:
+        """Call back once the configuration was read after a suspension."""
+        self._configuration_check.call_when_done(callback)
+
+    async def _refresh_configuration(self) -> None:
+        listing = await store.list_objects(
+            self.store, records.CONFIGURATION_KIND
+        )
+        self._apply_configurations(listing.objects)
+
+    def _has_teams(self) -> bool:
+        """Return whether callers are, or will be, told apart."""
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return self._settings.has_teams
+        return bool(configuration.teams)
+
     def get_configuration_age_s(self, now_s: float) -> float:
         """Return how long ago the configuration in force was confirmed."""
         watcher = self._configuration_watcher
@@ -230,13 +261,8 @@
         This applies only where callers are told apart: a late configuration
         is then a security risk.
         """
-        configuration = self.catalog.configuration
-        if configuration is None:
-            has_teams = self._settings.has_teams
-        else:
-            has_teams = bool(configuration.teams)
         watcher = self._configuration_watcher
-        return has_teams and (
+        return self._has_teams() and (
             self.store.is_unavailable
             or (watcher is not None and watcher.is_overdue(now_s))
         )
@@ -527,7 +553,10 @@
 
     def _check_suspension(self, now_s: float) -> None:
         last_tick_s, self._last_tick_s = self._last_tick_s, now_s
-        if now_s - last_tick_s > SUSPENSION_S:
+        still_s = now_s - last_tick_s
+        if still_s > configuration_check.MIN_STANDSTILL_S and self._has_teams():
+            self._configuration_check.start()
+        if still_s > SUSPENSION_S:
             self._handle_suspension(now_s, last_tick_s)
 
     def _check_configuration(self, now_s: float) -> None:
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/services.py
@@ -35,6 +35,12 @@
         another host. A watch without changes confirms it every 25 s.
         """
 
+    def is_confirmation_due(self) -> bool:
+        """Return whether callers wait since the host was suspended."""
+
+    def call_when_confirmed(self, callback: Callable[[], None]) -> None:
+        """Call back once the configuration was read after a suspension."""
+
     def find_router(self, group: str) -> router_module.Router | None:
         """Return the router of a group."""
 
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -212,6 +212,10 @@
         while (
             self._queued_messages and not self._is_busy and not self._is_closed
         ):
+            if self._services.is_confirmation_due():
+                self._is_busy = True
+                self._services.call_when_confirmed(self._guard(self._resume))
+                return
             message, arrived_s = self._queued_messages.popleft()
             if len(self._queued_messages) == MAX_QUEUED_MESSAGES:
                 assert self._transport is not None
@@ -227,6 +231,12 @@
             else:
                 self._close_with_error(_Code.MALFORMED, "unknown message")
 
+    def _resume(self) -> None:
+        """Serve what has waited for the configuration's confirmation."""
+        self._is_busy = False
+        if not self._is_closed:
+            self._serve_queued_messages()
+
     def _handle_start(self, message: bytes) -> None:
         database = line_protocol.parse_start(message)
         if database is None:
--- a/tests/entry/test_identification.py
+++ b/tests/entry/test_identification.py
@@ -2,9 +2,12 @@
 
 import functools
 import json
+import time
+from unittest import mock
 
 import testtools
 
+from knapweedtally.entry import configuration_check
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
 from tests.entry import harness
@@ -193,6 +196,30 @@
             self.assertEqual(0, router.queue_length)
             await apply_teams(system, TEAM)
 
+    @with_teams()
+    async def test_key_revoked_while_the_host_stood_still(
+        self, system: harness.System
+    ) -> None:
+        # Guards against statements that a woken host serves before it reads
+        # what happened during its standstill.
+        for text in ("WRITE item 1", "COMMIT"):
+            caller = await start_caller(system)
+            if text == "COMMIT":
+                await caller.run("BEGIN")
+                await caller.run("WRITE item 1")
+            system.platform.teams = [OTHER_TEAM]
+            with mock.patch.object(
+                configuration_check, "MIN_STANDSTILL_S", 0.2
+            ):
+                caller._writer.write(f"QUERY q0 {text}\r\n".encode())
+                system.platform.write_configuration()
+                time.sleep(0.3)
+                answer = await caller.receive()
+            word = "ABORTED" if text == "COMMIT" else "NOAUTH"
+            self.assertEqual([f"ERROR {word} the key was revoked"], answer)
+            self.assertEqual([], get_primary(system).log)
+            await apply_teams(system, TEAM)
+
     @with_teams()
     async def test_rotated_key_loses_nobody(
         self, system: harness.System
