Move the configuration of a host to a module of its own

Cause: host.py grew by the application, confirmation and exchange of the configuration, which the rest of the host doesn't need to know.

Change: entry/host_configuration.py holds them. Callers that wait for a confirmation are released even if a version without teams came meanwhile.

--- a/knapweedtally/entry/configuration_check.py
+++ b/knapweedtally/entry/configuration_check.py
@@ -40,6 +40,11 @@
         """Return whether callers have to wait."""
         return self._task is not None
 
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether any caller waits."""
+        return bool(self._callbacks)
+
     def start(self) -> None:
         """Read the configuration, and then call those that wait."""
         if self._task is None:
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -2,15 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import connection_holders
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
-from knapweedtally.entry import configuration_check
-from knapweedtally.entry import configuration_exchange
 from knapweedtally.entry import evidence_sharing
+from knapweedtally.entry import host_configuration
 from knapweedtally.entry import logs
 from knapweedtally.entry import member_probes
 from knapweedtally.entry import member_records
@@ -68,8 +66,7 @@
         store: client of the platform's store.
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
-        configuration_exchange: brings the configuration of other hosts while
-            the store doesn't answer.
+        configuration: reads, confirms and exchanges the configuration.
     """
 
     def __init__(
@@ -103,20 +100,13 @@
         self._probes = member_probes.MemberProbes(
             self.catalog, router_module.USER, log
         )
-        self._configuration_callbacks: list[Callable[[], None]] = []
-        self._configuration_watcher: store.Watcher | None = None
-        self._configuration_check = configuration_check.ConfigurationCheck(
-            self._refresh_configuration
-        )
-        self.configuration_exchange = (
-            configuration_exchange.ConfigurationExchange(
-                self.catalog,
-                self.peers,
-                host_settings.host,
-                log,
-                self._apply_configuration,
-                self._is_store_silent,
-            )
+        self.configuration = host_configuration.HostConfiguration(
+            host_settings,
+            self.catalog,
+            lambda: self.store,
+            self.peers,
+            log,
+            self._handle_configuration,
         )
         self.relay_sessions: set[relays.RelaySession] = set()
         self._path_keys: dict[str, tuple[int, int]] = {}
@@ -146,12 +136,12 @@
         # Each check is contained by itself; the order matters.
         self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
             ("suspension", self._check_suspension),
-            ("configuration callback", self._check_configuration),
+            ("configuration callback", self.configuration.check),
             ("members", self._check_members),
             ("member records", self._check_records),
             ("peers", self.peers.tick),
             ("group", self._check_groups),
-            ("configuration exchange", self.configuration_exchange.tick),
+            ("configuration exchange", self.configuration.exchange.tick),
             ("sharing", self._share_evidence),
             ("serving", self._check_serving),
             ("session", self._check_sessions),
@@ -159,15 +149,8 @@
 
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
         """Return the watchers of the configuration and of the targets."""
-        self._configuration_watcher = store.Watcher(
-            self.store,
-            records.CONFIGURATION_KIND,
-            self._apply_configurations,
-            lambda change: self._apply_configurations([change.stored]),
-            self.log,
-        )
         return (
-            self._configuration_watcher,
+            self.configuration.make_watcher(),
             store.Watcher(
                 self.store,
                 records.TARGETS_KIND,
@@ -210,122 +193,20 @@
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
-        if not self.store.is_unavailable:
-            return True
-        return (
-            self._settings.has_teams
-            and self.configuration_exchange.is_first_expected(
-                clock.get_time_s()
-            )
-        )
-
-    def is_confirmation_due(self) -> bool:
-        """Return whether callers wait since the host was suspended."""
-        if not self._has_teams():
-            return False
-        still_s = clock.get_time_s() - self._last_tick_s
-        return (
-            self._configuration_check.is_running
-            or still_s > configuration_check.MIN_STANDSTILL_S
-        )
-
-    def call_when_confirmed(self, callback: Callable[[], None]) -> None:
-        """Call back once the configuration was read after a suspension."""
-        self._configuration_check.call_when_done(callback)
-
-    async def _refresh_configuration(self) -> None:
-        listing = await store.list_objects(
-            self.store, records.CONFIGURATION_KIND
-        )
-        self._apply_configurations(listing.objects)
-
-    def _has_teams(self) -> bool:
-        """Return whether callers are, or will be, told apart."""
-        configuration = self.catalog.configuration
-        if configuration is None:
-            return self._settings.has_teams
-        return bool(configuration.teams)
-
-    def get_configuration_age_s(self, now_s: float) -> float:
-        """Return how long ago the configuration in force was confirmed."""
-        watcher = self._configuration_watcher
-        times = (
-            watcher.succeeded_s if watcher else None,
-            self.configuration_exchange.confirmed_s,
-        )
-        return now_s - max((t for t in times if t is not None), default=now_s)
-
-    def _is_store_silent(self, now_s: float) -> bool:
-        """Return whether other hosts have to be asked for a configuration.
-
-        This applies only where callers are told apart: a late configuration
-        is then a security risk.
-        """
-        watcher = self._configuration_watcher
-        return self._has_teams() and (
-            self.store.is_unavailable
-            or (watcher is not None and watcher.is_overdue(now_s))
-        )
+        return self.configuration.is_expected()
 
     def call_when_configured(self, callback: Callable[[], None]) -> None:
         """Call back once a configuration is applied, or none is expected."""
-        self._configuration_callbacks.append(callback)
+        self.configuration.call_when_applied(callback)
 
     # Updates from the store.
 
-    def _apply_configurations(
-        self, objects: list[store_calls.StoredObject]
-    ) -> None:
-        for stored in objects:
-            if stored.name == records.CONFIGURATION_NAME:
-                self._apply_configuration(stored.spec, stored.revision)
-
-    def _apply_configuration(self, spec: Any, revision: int = 0) -> bool:
-        """Apply a configuration if it is valid and newer.
-
-        Args:
-            spec: the decoded configuration.
-            revision: the store's revision, or 0 if another host sent it.
-
-        Returns:
-            Whether it came into force.
-        """
-        try:
-            configuration = records.parse_configuration(spec)
-        except records.InvalidRecord as error:
-            self.log.write("configuration_unreadable", reason=str(error))
-            return False
-        except Exception as error:
-            supervision.report("configuration", error)
-            return False
-        if not catalog.apply_configuration(self.catalog, configuration):
-            return False
-        self.log.write(
-            "configuration_in_force",
-            version=configuration.version,
-            revision=revision,
-            routes=len(configuration.routes),
-        )
+    def _handle_configuration(self) -> None:
+        """Act on a configuration that has come into force."""
         for session in tuple(self.sessions):
             if not supervision.contain("session", session.check_identity):
                 session.abort()
-        supervision.contain(
-            "configuration exchange",
-            self.configuration_exchange.record_applied,
-            spec,
-        )
         self._sync_routers()
-        self._call_configuration_callbacks()
-        return True
-
-    def _call_configuration_callbacks(self) -> None:
-        """Call the sessions that wait for the configuration."""
-        callbacks, self._configuration_callbacks = (
-            self._configuration_callbacks,
-            [],
-        )
-        for callback in callbacks:
-            supervision.contain("configuration callback", callback)
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
         parsed = [
@@ -553,20 +434,10 @@
 
     def _check_suspension(self, now_s: float) -> None:
         last_tick_s, self._last_tick_s = self._last_tick_s, now_s
-        still_s = now_s - last_tick_s
-        if still_s > configuration_check.MIN_STANDSTILL_S and self._has_teams():
-            self._configuration_check.start()
-        if still_s > SUSPENSION_S:
+        self.configuration.record_tick(now_s)
+        if now_s - last_tick_s > SUSPENSION_S:
             self._handle_suspension(now_s, last_tick_s)
 
-    def _check_configuration(self, now_s: float) -> None:
-        """Call the sessions for which the wait has ended."""
-        if self._configuration_callbacks and (
-            self.catalog.configuration is not None
-            or not self.is_configuration_expected()
-        ):
-            self._call_configuration_callbacks()
-
     def _check_members(self, now_s: float) -> None:
         answered_s = {
             target: pool.answered_s
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -90,7 +90,7 @@
                 lambda: relays.RelaySession(
                     self._host.find_direct_pool,
                     self._host.relay_sessions,
-                    self._host.configuration_exchange.get_source,
+                    self._host.configuration.exchange.get_source,
                 ),
                 self._settings.peers.host,
                 self._settings.peers.port,
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/services.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.entry import host_configuration
 from knapweedtally.entry import logs
 from knapweedtally.entry import metrics
 from knapweedtally.entry import router as router_module
@@ -18,29 +19,18 @@
         log: where decisions are written.
         counters: counters and histograms.
         is_draining: whether the host is about to stop.
+        configuration: reads, confirms and exchanges the configuration.
     """
 
     catalog: catalog.Catalog
     log: logs.Log
     counters: metrics.Metrics
     is_draining: bool
+    configuration: host_configuration.HostConfiguration
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
 
-    def get_configuration_age_s(self, now_s: float) -> float:
-        """Return how long ago the configuration in force was confirmed.
-
-        It is confirmed by a response of the store, or by being fetched from
-        another host. A watch without changes confirms it every 25 s.
-        """
-
-    def is_confirmation_due(self) -> bool:
-        """Return whether callers wait since the host was suspended."""
-
-    def call_when_confirmed(self, callback: Callable[[], None]) -> None:
-        """Call back once the configuration was read after a suspension."""
-
     def find_router(self, group: str) -> router_module.Router | None:
         """Return the router of a group."""
 
--- a/knapweedtally/entry/session_identity.py
+++ b/knapweedtally/entry/session_identity.py
@@ -104,7 +104,7 @@
 
     def _describe(self) -> dict[str, object]:
         """Return log fields that say what the identification was based on."""
-        age_s = self._services.get_configuration_age_s(clock.get_time_s())
+        age_s = self._services.configuration.get_age_s(clock.get_time_s())
         return {
             "team": self.team,
             "key": identification.describe_key(self._key),
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -212,9 +212,11 @@
         while (
             self._queued_messages and not self._is_busy and not self._is_closed
         ):
-            if self._services.is_confirmation_due():
+            if self._services.configuration.is_confirmation_due():
                 self._is_busy = True
-                self._services.call_when_confirmed(self._guard(self._resume))
+                self._services.configuration.call_when_confirmed(
+                    self._guard(self._resume)
+                )
                 return
             message, arrived_s = self._queued_messages.popleft()
             if len(self._queued_messages) == MAX_QUEUED_MESSAGES:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -57,7 +57,7 @@
             lambda: relays.RelaySession(
                 self.host.find_direct_pool,
                 self.host.relay_sessions,
-                self.host.configuration_exchange.get_source,
+                self.host.configuration.exchange.get_source,
             ),
             peers.host,
             peers.port,
@@ -85,7 +85,7 @@
         for router in self.host.routers.values():
             for pool in router.pools.values():
                 pool.close()
-        self.host.configuration_exchange.close()
+        self.host.configuration.exchange.close()
         self.host.peers.close()
 
     def attach_changes(self, test: testtools.TestCase) -> None:
--- a/tests/entry/test_configuration_exchange.py
+++ b/tests/entry/test_configuration_exchange.py
@@ -136,10 +136,10 @@
         # Guards against a revoked key that becomes valid again, even if the
         # other host announces a version that it doesn't have.
         newer, older = system.entry_hosts
-        old_source = older.host.configuration_exchange.source
+        old_source = older.host.configuration.exchange.source
         await revoke_for_all_but(system, older)
         await harness.wait_for(lambda: get_version(older) == 6)
-        older.host.configuration_exchange.source = old_source
+        older.host.configuration.exchange.source = old_source
         await cut_off(system, newer)
         older.host.peers.send_extension(
             "host-0", configuration_exchange.OFFER_KIND, 99
@@ -167,7 +167,7 @@
             b'{"version":"%b"}' % secret,
         )
         for count, source in enumerate(sources, 1):
-            asked.host.configuration_exchange.source = source
+            asked.host.configuration.exchange.source = source
             asked.host.peers.send_extension(
                 "host-1", configuration_exchange.OFFER_KIND, 99
             )
--- a/tests/entry/test_listing_fuzz.py
+++ b/tests/entry/test_listing_fuzz.py
@@ -227,7 +227,7 @@
         else:
             groups = [{"name": name, "maxConns": 8} for name in GROUPS]
             spec = {**listing.make_configuration(), "backends": groups}
-            host._apply_configurations(
+            host.configuration.apply_objects(
                 [store_calls.StoredObject("main", 1, spec)]
             )
             host.tick(self.now_s)
