--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -203,6 +203,9 @@
         self.assertEqual(found.callers, settings.Address("10.1.0.8", 8784))
         self.assertEqual(found.peers, settings.Address("10.1.0.8", 7440))
         self.assertEqual(found.drain_s, 7.0)
+        self.assertFalse(found.has_teams)
+        content = {**self.CONTENT, "contracts": ["tenants"]}
+        self.assertTrue(settings.parse_settings(content).has_teams)
 
     def test_missing_setting_is_rejected(self) -> None:
         for key in ("node", "zone", "listen", "platform"):
