Test a retried statement at a revocation, and overdue watches

Cause: the test of a statement whose key is revoked during the delay before a retry revoked it before the first answer, and passed without the code that it is about. It now waits for a refusal, and fails without that code.

--- a/tests/entry/test_identification.py
+++ b/tests/entry/test_identification.py
@@ -145,6 +145,10 @@
             target.remaining_refusals["WRITE"] = 10**6 if is_retried else 0
             target.is_unresponsive = not is_retried
             await caller.send("WRITE item 1")
+            if is_retried:
+                await harness.wait_for(
+                    lambda: target.remaining_refusals["WRITE"] < 10**6 - 1
+                )
             await apply_teams(system, OTHER_TEAM)
             answer = await caller.receive()
             self.assertEqual(["ERROR ABORTED the key was revoked"], answer)
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from knapweedtally.entry import clock
 from knapweedtally.entry import store
 from tests.entry import harness
 
@@ -119,3 +120,24 @@
         )
         pools = system.entry_hosts[0].host.routers["g"].pools
         self.assertEqual(set(pools), set(system.platform.groups["g"].targets))
+
+    @harness.with_system()
+    async def test_call_that_hangs_or_fails_becomes_overdue(
+        self, system: harness.System
+    ) -> None:
+        # Guards against a host that asks no other host while its store is
+        # silent without closing connections, or asks while a watch waits.
+        watcher = system.entry_hosts[0].host.configuration._watcher
+        assert watcher is not None
+        now_s = clock.get_time_s()
+        self.assertFalse(watcher.is_overdue(now_s + store.WATCH_WAIT_S))
+        self.assertTrue(watcher.is_overdue(now_s + store.WATCH_WAIT_S + 2))
+        system.platform.store.is_down = True
+        system.platform.store.abort_watches()
+        await harness.wait_for(
+            lambda: watcher.is_overdue(clock.get_time_s() + 1.5)
+        )
+        system.platform.store.is_down = False
+        await harness.wait_for(
+            lambda: not watcher.is_overdue(clock.get_time_s() + 2)
+        )
