Move the queue of a caller's messages to a module of its own

Cause: sessions.py grew by the identification of callers, and holds the buffering of messages, which has a state of its own.

Change: entry/message_queue.py holds the buffer, the queue, its limit and the timeout of a partly received message. Behaviour is unchanged.

--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -1,7 +1,6 @@
 """Sessions of callers: their transactions, values and answers."""
 
 import asyncio
-import collections
 import socket
 import typing
 from collections.abc import Callable
@@ -12,6 +11,7 @@
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import answers
 from knapweedtally.entry import clock
+from knapweedtally.entry import message_queue
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import services as services_module
@@ -20,16 +20,9 @@
 from knapweedtally.entry import transactions
 from knapweedtally.platform import line_protocol
 
-# Queued messages of one caller beyond which its connection is not read.
-MAX_QUEUED_MESSAGES = 64
-
 # Unsent bytes beyond which a caller that doesn't read is disconnected.
 MAX_WRITE_BUFFER_BYTES = 4 * 1024 * 1024
 
-# Timeout for the rest of a partly received message, and for the first message
-# of a connection.
-MESSAGE_TIMEOUT_S = 10.0
-
 # Error detail for callers while the host has no configuration and cannot expect
 # one soon. Other hosts may have one, so the retry delay is short.
 NOT_CONFIGURED_DETAIL = (
@@ -64,10 +57,7 @@
         self.idle_since_s = clock.get_time_s()
         self._services = services
         self._identity = session_identity.SessionIdentity(services)
-        self._buffer = line_protocol.MessageBuffer()
-        self._queued_messages: collections.deque[tuple[bytes, float]] = (
-            collections.deque()
-        )
+        self._messages = message_queue.MessageQueue(self.idle_since_s)
         self._transport: asyncio.Transport | None = None
         self._database: str | None = None
         self._transaction: transactions.Transaction | None = None
@@ -79,7 +69,6 @@
         )
         self._is_busy = False
         self._is_closed = False
-        self._partial_since_s: float | None = self.idle_since_s
 
     # Transport.
 
@@ -87,6 +76,7 @@
         """Set the socket options and register the session."""
         # uvloop's transports don't derive from asyncio's.
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._messages.attach(self._transport)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -100,17 +90,10 @@
     def _receive(self, data: bytes) -> None:
         now_s = clock.get_time_s()
         try:
-            messages = self._buffer.feed(data)
+            self._messages.receive(data, now_s, self._database is not None)
         except line_protocol.OversizedMessage as error:
             self._close_with_error(_Code.TOO_LARGE, str(error))
             return
-        if self._database is not None or messages:
-            is_partial = self._buffer.size > 0
-            self._partial_since_s = now_s if is_partial else None
-        self._queued_messages.extend((message, now_s) for message in messages)
-        if len(self._queued_messages) > MAX_QUEUED_MESSAGES:
-            assert self._transport is not None
-            self._transport.pause_reading()
         if not self._is_busy:
             self._serve_queued_messages()
 
@@ -126,8 +109,7 @@
             idle_limit_s: time for which an open transaction may be idle, or 0
                 for no limit.
         """
-        since_s = self._partial_since_s
-        if since_s is not None and now_s - since_s > MESSAGE_TIMEOUT_S:
+        if self._messages.is_overdue(now_s):
             self._close_with_error(
                 _Code.MALFORMED, "message not complete in time"
             )
@@ -145,9 +127,9 @@
         """Return whether the session has no request and no transaction."""
         return (
             not self._is_busy
-            and not self._queued_messages
+            and not self._messages
             and self._transaction is None
-            and not self._buffer.size
+            and not self._messages.has_partial
         )
 
     def close_unless_busy(self, reason: str) -> None:
@@ -156,7 +138,7 @@
         Args:
             reason: why the transaction is aborted, for the log.
         """
-        if self._is_busy or self._queued_messages:
+        if self._is_busy or self._messages:
             return
         if self._transaction is not None:
             self._services.log.write(
@@ -187,7 +169,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._queued_messages.clear()
+        self._messages.clear()
         if self._request is not None and self._router is not None:
             self._router.cancel(self._request)
         self._runner.is_closed = True
@@ -209,19 +191,14 @@
     # Messages.
 
     def _serve_queued_messages(self) -> None:
-        while (
-            self._queued_messages and not self._is_busy and not self._is_closed
-        ):
+        while self._messages and not self._is_busy and not self._is_closed:
             if self._services.configuration.is_confirmation_due():
                 self._is_busy = True
                 self._services.configuration.call_when_confirmed(
                     self._guard(self._resume)
                 )
                 return
-            message, arrived_s = self._queued_messages.popleft()
-            if len(self._queued_messages) == MAX_QUEUED_MESSAGES:
-                assert self._transport is not None
-                self._transport.resume_reading()
+            message, arrived_s = self._messages.take()
             if self._database is None:
                 self._handle_start(message)
                 continue
