--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -9,6 +9,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
 from knapweedtally.entry import evidence_sharing
+from knapweedtally.entry import host_configuration
 from knapweedtally.entry import logs
 from knapweedtally.entry import member_probes
 from knapweedtally.entry import member_records
@@ -67,6 +68,7 @@
         store: client of the platform's store.
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
+        configuration: reads, confirms and exchanges the configuration.
     """
 
     def __init__(
@@ -101,7 +103,14 @@
         self._probes = member_probes.MemberProbes(
             self.catalog, router_module.USER, log
         )
-        self._configuration_callbacks: list[Callable[[], None]] = []
+        self.configuration = host_configuration.HostConfiguration(
+            host_settings,
+            self.catalog,
+            lambda: self.store,
+            self.peers,
+            log,
+            self._handle_configuration,
+        )
         self.relay_sessions: set[relays.RelaySession] = set()
         self._path_keys: dict[str, tuple[int, int]] = {}
         self._settings = host_settings
@@ -133,11 +142,12 @@
         # Each check is contained by itself; the order matters.
         self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
             ("suspension", self._check_suspension),
-            ("configuration callback", self._check_configuration),
+            ("configuration callback", self.configuration.check),
             ("members", self._check_members),
             ("member records", self._check_records),
             ("peers", self.peers.tick),
             ("group", self._check_groups),
+            ("configuration exchange", self.configuration.exchange.tick),
             ("sharing", self._share_evidence),
             ("serving", self._check_serving),
             ("session", self._check_sessions),
@@ -146,13 +156,7 @@
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
         """Return the watchers of the configuration and of the targets."""
         return (
-            store.Watcher(
-                self.store,
-                records.CONFIGURATION_KIND,
-                self._apply_configurations,
-                lambda change: self._apply_configurations([change.stored]),
-                self.log,
-            ),
+            self.configuration.make_watcher(),
             store.Watcher(
                 self.store,
                 records.TARGETS_KIND,
@@ -195,11 +199,11 @@
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
-        return not self.store.is_unavailable
+        return self.configuration.is_expected()
 
     def call_when_configured(self, callback: Callable[[], None]) -> None:
         """Call back once a configuration is applied, or none is expected."""
-        self._configuration_callbacks.append(callback)
+        self.configuration.call_when_applied(callback)
 
     def _find_last_primary(self, group: str) -> last_primary.LastPrimary | None:
         router = self.routers.get(group)
@@ -207,38 +211,12 @@
 
     # Updates from the store.
 
-    def _apply_configurations(
-        self, objects: list[store_calls.StoredObject]
-    ) -> None:
-        for stored in objects:
-            if stored.name != records.CONFIGURATION_NAME:
-                continue
-            try:
-                configuration = records.parse_configuration(stored.spec)
-            except records.InvalidRecord as error:
-                self.log.write("configuration_unreadable", reason=str(error))
-                continue
-            except Exception as error:
-                supervision.report("configuration", error)
-                continue
-            if catalog.apply_configuration(self.catalog, configuration):
-                self.log.write(
-                    "configuration_in_force",
-                    version=configuration.version,
-                    revision=stored.revision,
-                    routes=len(configuration.routes),
-                )
-                self._sync_routers()
-                self._call_configuration_callbacks()
-
-    def _call_configuration_callbacks(self) -> None:
-        """Call the sessions that wait for the configuration."""
-        callbacks, self._configuration_callbacks = (
-            self._configuration_callbacks,
-            [],
-        )
-        for callback in callbacks:
-            supervision.contain("configuration callback", callback)
+    def _handle_configuration(self) -> None:
+        """Act on a configuration that has come into force."""
+        for session in tuple(self.sessions):
+            if not supervision.contain("session", session.check_identity):
+                session.abort()
+        self._sync_routers()
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
         parsed = [
@@ -470,17 +448,10 @@
 
     def _check_suspension(self, now_s: float) -> None:
         last_tick_s, self._last_tick_s = self._last_tick_s, now_s
+        self.configuration.record_tick(now_s)
         if now_s - last_tick_s > SUSPENSION_S:
             self._handle_suspension(now_s, last_tick_s)
 
-    def _check_configuration(self, now_s: float) -> None:
-        """Call the sessions for which the wait has ended."""
-        if self._configuration_callbacks and (
-            self.catalog.configuration is not None
-            or not self.is_configuration_expected()
-        ):
-            self._call_configuration_callbacks()
-
     def _check_members(self, now_s: float) -> None:
         answered_s = {
             target: pool.answered_s
