Keep the connections to targets by team

Cause: all connections to targets were opened with one user name, so a statement could run on a connection that wasn't opened for its team.

Ruled out: more connections per holder with any team on any connection, which breaks the rule; opening one for each statement, which costs 12 ms of a slot and a price each time. Recording a relayed write as in flight at its sender: while it waited at a holder or at a frozen one, a healthy primary was replaced ("the primary's commits reach no replica"), seen in two new tests.

Change: where the configuration has teams, a target has three holders in its own data centre, each with a fixed share; a direct connection belongs to one team, which Connection.run and begin check; hosts announce team, priority and time left on relay connections; a holder at its share closes the idle connection of the team that uses its connections least; own callers of a holder wait in its queue; failed holders are left for the next one in the team's order and retried. The holder records relayed writes in flight. Without teams nothing changes.

With the guard removed, a broken choice of connections runs statements on other teams' connections; with it, none.

--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -11,6 +11,7 @@
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
 from knapweedtally.entry import supervision
+from knapweedtally.platform import line_protocol
 
 if typing.TYPE_CHECKING:
     from knapweedtally.entry import router as router_module
@@ -143,7 +144,8 @@
             router.observer.discard_primary(target, now_s, "it refused a write")
             self._retry_or_finish(answer, None, now_s)
         elif code in statements.NOT_RUN_CODES:
-            placement.record_failure(pool.load, now_s)
+            if not self._is_holder_refusal(answer):
+                placement.record_failure(pool.load, now_s)
             self._retry_or_finish(answer, None, now_s)
         elif code is _Code.FAILED and not request.need.is_write:
             placement.record_failure(pool.load, now_s)
@@ -151,6 +153,16 @@
         else:
             self._finish_with_error(answer)
 
+    def _is_holder_refusal(self, answer: statements.Answer) -> bool:
+        """Return whether a team found no connection at its holder.
+
+        This says nothing about the target and the other teams.
+        """
+        return (
+            self._connection.has_announcements
+            and answer.position == line_protocol.NO_POSITION
+        )
+
     def _retry_or_finish(
         self, answer: statements.Answer, excluded: str | None, now_s: float
     ) -> None:
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -37,6 +37,10 @@
 OutcomeCallback = Callable[[Outcome], None]
 
 
+class WrongTeam(Exception):  # noqa: N818 - named after the cause
+    """Raised for a statement on a connection that belongs to another team."""
+
+
 class _PendingStatement(NamedTuple):
     on_end: OutcomeCallback | None
     asked_s: float
@@ -85,6 +89,18 @@
         idle_since_s: when the last statement ended.
         relay_host: name of the host that relays the connection, empty if
             direct.
+        team: name of the team for which a direct connection was opened, empty
+            for none.
+        has_announcements: whether the team of each statement is announced,
+            which is needed on relay connections where callers have teams.
+        announced_s: when an announcement was sent that the relay host has not
+            answered, or None.
+        is_queued: whether the newest statement is a caller's, which may wait in
+            a relay host's queue once its announcement is answered.
+        heard_s: when data last arrived.
+        is_lost: whether the other side, or the network, closed the connection.
+        is_timed_out: whether the connection was closed because an answer was
+            overdue, in which case the target may still count it.
         handshake_done: done once the target has accepted the connection or
             it was closed.
     """
@@ -107,6 +123,13 @@
         self.refusal: statements.Code | None = None
         self.idle_since_s = clock.get_time_s()
         self.relay_host = ""
+        self.team = ""
+        self.has_announcements = False
+        self.announced_s: float | None = None
+        self.is_queued = False
+        self.heard_s = float("-inf")
+        self.is_lost = False
+        self.is_timed_out = False
         self.handshake_done: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -131,6 +154,16 @@
             and not self._pending
         )
 
+    @property
+    def is_half_open(self) -> bool:
+        """Return whether the target may have accepted it without an answer."""
+        return (
+            self._transport is not None
+            and not self.is_open
+            and not self.is_lost
+            and self.refusal is None
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the start message."""
         # uvloop's transports don't derive from asyncio's.
@@ -144,6 +177,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Deliver each complete answer to its statement."""
+        self.heard_s = clock.get_time_s()
         try:
             answers = self._reader.feed(data)
         except line_protocol.MalformedMessage:
@@ -158,6 +192,7 @@
         """Report the statements in flight as lost."""
         if not self.is_open:
             self.refusal = self._reader.get_refusal()
+        self.is_lost = not self.is_closed
         self._mark_closed()
 
     def send(
@@ -175,6 +210,7 @@
             on_end: called once with the outcome, or None.
             timeout_s: time for the answer; the connection is closed after it.
         """
+        self.is_queued = False
         self._send_batch([(id_, text, on_end)], timeout_s)
 
     def run(
@@ -184,6 +220,7 @@
         add_prefix: Callable[[bytes], bytes] | None,
         on_end: OutcomeCallback,
         timeout_s: float,
+        priority: int = 0,
     ) -> None:
         """Send a caller's statement after the setup of its session.
 
@@ -194,8 +231,15 @@
                 None to send it unchanged.
             on_end: called once with the outcome.
             timeout_s: time for the answer.
+            priority: priority of the statement, for a relay host's queue.
+
+        Raises:
+            WrongTeam: the connection belongs to another team.
         """
-        batch = self._build_session_setup(session)
+        self._check_team(session)
+        self.is_queued = True
+        batch = self._build_announcement(session, timeout_s, priority)
+        batch += self._build_session_setup(session)
         text = statement.text
         if statement.kind is statements.Kind.EXECUTE:
             definition = session.prepared[statement.name]
@@ -213,6 +257,34 @@
         batch.append((statement.id, text, on_end))
         self._send_batch(batch, timeout_s)
 
+    def begin(
+        self,
+        session: Session,
+        id_: bytes,
+        text: bytes,
+        on_end: OutcomeCallback,
+        timeout_s: float,
+        priority: int = 0,
+    ) -> None:
+        """Begin a transaction, which owns the connection until it ends.
+
+        Args:
+            session: the caller's session.
+            id_: id of the statement.
+            text: text of the statement.
+            on_end: called once with the outcome.
+            timeout_s: time for the answer.
+            priority: priority of the statement, for a relay host's queue.
+
+        Raises:
+            WrongTeam: the connection belongs to another team.
+        """
+        self._check_team(session)
+        self.is_queued = True
+        batch = self._build_announcement(session, timeout_s, priority)
+        self.is_held = True
+        self._send_batch([*batch, (id_, text, on_end)], timeout_s)
+
     def get_setup_cost(self, values: Mapping[bytes, bytes]) -> int:
         """Return the cost of giving the connection a session's values.
 
@@ -266,6 +338,36 @@
             self._transport.close()
         self._mark_closed()
 
+    def _check_team(self, session: Session) -> None:
+        """Ensure that no statement runs on another team's connection."""
+        if not self.relay_host and session.team != self.team:
+            raise WrongTeam(
+                f"connection of team {self.team!r}: expected a statement of "
+                f"this team, got one of {session.team!r}"
+            )
+
+    def _build_announcement(
+        self, session: Session, timeout_s: float, priority: int
+    ) -> list[tuple[bytes, bytes, OutcomeCallback | None]]:
+        """Return the statement that names the team to the relay host.
+
+        The statements of an open transaction follow the announcement of its
+        begin.
+        """
+        if not self.has_announcements or self.is_held:
+            return []
+        text = line_protocol.encode_announcement(
+            session.team, priority, timeout_s
+        )
+        self.announced_s = clock.get_time_s()
+        return [
+            (line_protocol.HOST_STATEMENT_ID, text, self._check_announcement)
+        ]
+
+    def _check_announcement(self, outcome: Outcome) -> None:
+        self.announced_s = None
+        self._check_setup(outcome)
+
     def _build_session_setup(
         self, session: Session
     ) -> list[tuple[bytes, bytes, OutcomeCallback | None]]:
@@ -349,6 +451,7 @@
         if self.is_closed:
             return
         self.is_closed = True
+        self.is_timed_out = is_timeout
         self._finish_handshake()
         supervision.contain("connection", self._owner.handle_closed, self)
         while self._pending:
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -6,8 +6,10 @@
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import connection_holders
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import team_connections
 from knapweedtally.entry import clock
 from knapweedtally.entry import evidence_sharing
+from knapweedtally.entry import holder_selection
 from knapweedtally.entry import logs
 from knapweedtally.entry import member_probes
 from knapweedtally.entry import member_records
@@ -22,6 +24,7 @@
 from knapweedtally.entry import sessions
 from knapweedtally.entry import store
 from knapweedtally.entry import supervision
+from knapweedtally.entry import team_pools
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -299,6 +302,7 @@
                 )
                 self.routers[name] = router
             router.settings = group
+            router.has_teams = bool(configuration.teams)
             router.observer.has_replicas = group.acknowledging_replicas > 0
             supervision.contain("members", self._sync_pools, router, now_s)
             supervision.contain(
@@ -317,6 +321,10 @@
             pool = router.pools.get(target)
             if pool is None:
                 pool = self._add_pool(router, member)
+            elif pool.has_teams is not router.has_teams:
+                pool = router.replace_pool(target)
+                pool.restart_count = member.restart_count
+                self._path_keys.pop(target, None)
             elif pool.restart_count != member.restart_count:
                 pool.restart(member.entry)
                 pool.restart_count = member.restart_count
@@ -382,6 +390,9 @@
         if self._path_keys.get(target) == key:
             return
         self._path_keys[target] = key
+        if isinstance(pool, team_pools.TeamPool):
+            pool.set_paths(self._find_team_paths(pool, live))
+            return
         usable = pools.get_usable_connections(pool.max_connections)
         held_by = connection_holders.list_holders(target, live, usable)
         relay_names = connection_holders.list_relays(
@@ -396,6 +407,22 @@
             fallback_names
         )
 
+    def _find_team_paths(
+        self, pool: team_pools.TeamPool, live: dict[str, str]
+    ) -> holder_selection.TeamPaths:
+        own_host = self._settings.host
+        holders = team_connections.list_holders(
+            pool.entry.target,
+            pool.entry.data_centre,
+            live,
+            pool.max_connections,
+        )
+        others = [host for host in holders.hosts if host != own_host]
+        relay_hosts = self._find_relay_hosts(others)
+        return holder_selection.TeamPaths(
+            own_host, holders, {relay.host: relay for relay in relay_hosts}
+        )
+
     def _find_relay_hosts(
         self, names: list[str]
     ) -> tuple[path_selection.RelayHost, ...]:
@@ -419,6 +446,8 @@
         pool = router.pools.get(target) if router else None
         if pool is None or pool.path_selector.relay_hosts or self.is_draining:
             return None
+        if pool.has_teams:
+            return None if pool.is_unreachable_for_others() else pool
         is_in_fallback = pool.path_selector.is_in_fallback(clock.get_time_s())
         return None if is_in_fallback else pool
 
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -355,6 +355,16 @@
         )
         self._acknowledgements.add(pending, now_s)
 
+    def start_commit(self, commit: object) -> None:
+        """Record that a commit of another host is sent to the primary."""
+        self.commits_in_flight[commit] = clock.get_time_s()
+
+    def end_commit(self, commit: object, is_acknowledged: bool) -> None:
+        """Record that a commit of another host ended or was given up."""
+        sent_s = self.commits_in_flight.pop(commit, None)
+        if is_acknowledged and sent_s is not None:
+            self.last_commit_s = max(self.last_commit_s, sent_s)
+
     def record_evidence_ages(self, result: requests.Result) -> None:
         """Record the ages of the current evidence in a statement's result."""
         now_s = clock.get_time_s()
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -1,23 +1,13 @@
 """Pool of this host's connections to one target."""
 
-import asyncio
 from collections.abc import Callable
 
 from knapweedtally.core.groups import model
-from knapweedtally.core.groups import placement
-from knapweedtally.core.groups import statements
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import path_selection
-from knapweedtally.entry import supervision
-from knapweedtally.entry import wait_queues
+from knapweedtally.entry import pool_opening
 from knapweedtally.platform import line_protocol
 
-# Timeout for opening a connection, in seconds. A lost SYN packet is
-# retransmitted after one second, which is too long to wait for.
-CONNECT_TIMEOUT_S = 0.3
-
 # Timeout of a control statement, such as a status request, in seconds.
 CONTROL_TIMEOUT_S = 0.3
 
@@ -28,9 +18,7 @@
 RESERVED_CONNECTIONS = 2
 
 # Delay before a new connection after a failed one, in seconds.
-RETRY_DELAY_S = 0.1
-# The same after the target reported that it has too many connections.
-FULL_RETRY_DELAY_S = 0.5
+RETRY_DELAY_S = pool_opening.RETRY_DELAY_S
 
 # A target's reported number of connections is used for this long, in seconds.
 MAX_COUNT_AGE_S = 1.0
@@ -48,83 +36,11 @@
     return max(1, max_connections - RESERVED_CONNECTIONS)
 
 
-class Pool:
-    """Keep the connections to one target and detect whether it answers.
-
-    Attributes:
-        load: the target's load and lag, for the placement of requests.
-        entry: the target's entry in the store.
-        max_connections: connections that the target accepts from all hosts.
-        reported_connections: number of connections in the target's last
-            status.
-        reported_s: when that status was requested.
-        holder_count: number of hosts that hold connections to the target.
-        path_selector: chooses the network path of each connection.
-        failing_since_s: time of the first failure since the target's last
-            answer, or None.
-        failures: number of failures since the target's last answer.
-        is_refusing: whether the last failure was a refused connection.
-        answered_s: when the target last answered.
-        generation: changes when the target may have restarted.
-        received: newest log position seen since the target's last restart.
-        position_before_restart: newest log position that the target held before
-            that restart.
-        restart_count: how many restarts of the member were handled.
-    """
-
-    def __init__(
-        self,
-        entry: model.TargetEntry,
-        max_connections: int,
-        user: str,
-        log: logs.Log,
-        on_change: Callable[[], None],
-    ) -> None:
-        """Create a pool without connections."""
-        self.load = placement.TargetLoad(entry.target, entry.data_centre)
-        self.entry = entry
-        self.max_connections = max_connections
-        self.reported_connections = 0
-        self.reported_s = 0.0
-        self.holder_count = 1
-        self.path_selector = path_selection.PathSelector()
-        self._wait_queues = wait_queues.WaitQueues(self.find_idle_connection)
-        self._open_callbacks: list[Callable[[bool], None]] = []
-        self._is_relay_turn = False
-        self.failing_since_s: float | None = None
-        self.failures = 0
-        self.is_refusing = False
-        self.generation = 0
-        self.received = model.Position(0, 0)
-        self.position_before_restart = model.Position(0, 0)
-        self.restart_count = 0
-        self._user = user
-        self._log = log
-        self._on_change = on_change
-        self._connections: set[connections.Connection] = set()
-        self._opening = 0
-        self._retry_at_s = 0.0
-        self._next_probe_at_s = 0.0
-        self.answered_s = 0.0
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._is_closed = False
-
-    @property
-    def size(self) -> int:
-        """Return the number of connections, including those being opened."""
-        return len(self._connections) + self._opening
-
-    @property
-    def is_answering(self) -> bool:
-        """Return whether a connection is open and no failure is known."""
-        return self.failing_since_s is None and bool(self._connections)
-
-    @property
-    def has_direct_connection(self) -> bool:
-        """Return whether any connection is direct, not through a relay host."""
-        return any(
-            not connection.relay_host for connection in self._connections
-        )
+class Pool(pool_opening.PoolOpening):
+    """Keep the connections to one target and detect whether it answers."""
+
+    def _handle_open_end(self, path: pool_opening.Path) -> None:
+        """Handle that a connection is no longer being opened."""
 
     def has_current_paths(self) -> bool:
         """Return whether all connections use a path that is still selected.
@@ -137,7 +53,10 @@
         )
 
     def find_idle_connection(
-        self, values: dict[bytes, bytes], is_direct: bool = False
+        self,
+        values: dict[bytes, bytes],
+        is_direct: bool = False,
+        team: str | None = "",
     ) -> connections.Connection | None:
         """Return the idle connection that needs the least session setup.
 
@@ -145,6 +64,8 @@
             values: session values that the connection should have.
             is_direct: whether the connection must be direct, not through a
                 relay host.
+            team: name of the team that the connection has to serve, or None
+                for control statements; all serve any team here.
 
         Returns:
             The connection, or None if no suitable one is idle.
@@ -158,12 +79,49 @@
                     best, best_cost = connection, cost
         return best
 
+    def count_by_team(self) -> dict[str, int]:
+        """Return the number of direct connections by team; empty without."""
+        return {}
+
     def count_idle(self) -> int:
         """Return the number of idle connections, and store it in the load."""
         idle = sum(1 for c in self._connections if c.is_idle)
         self.load.idle = idle
         return idle
 
+    def update_available(self, team: str) -> None:
+        """Store in the load how many connections are idle for a team."""
+
+    def wait_for_connection(
+        self,
+        values: dict[bytes, bytes],
+        on_idle: Callable[[connections.Connection | None], None],
+        deadline_s: float,
+        team: str,
+        priority: int,
+    ) -> bool:
+        """Queue a request of this host's own callers.
+
+        They wait in the router's queue instead where they have no teams.
+
+        Returns:
+            Whether the request was queued.
+        """
+        return False
+
+    def is_unreachable_for_others(self) -> bool:
+        """Return whether other hosts should use another relay host."""
+        return False
+
+    def start_commit(self, commit: object) -> None:
+        """Handle that another host's commit is sent to the target.
+
+        Without teams, the other host alone records it.
+        """
+
+    def end_commit(self, commit: object, is_acknowledged: bool) -> None:
+        """Handle that another host's commit ended or was given up."""
+
     def send_control_statement(
         self, text: bytes, on_end: connections.OutcomeCallback, timeout_s: float
     ) -> None:
@@ -181,7 +139,7 @@
                 on_end(connections.Outcome(None, now_s))
                 return
             self.open_connection()
-        connection = self.find_idle_connection({})
+        connection = self.find_idle_connection({}, False, None)
         if connection is not None:
             connection.send(
                 line_protocol.HOST_STATEMENT_ID, text, on_end, timeout_s
@@ -190,10 +148,18 @@
             return
         self._wait_queues.add_control_statement(text, on_end, now_s + timeout_s)
         # Open transactions may hold every connection for a long time.
+        self._open_for_control()
+
+    def _open_for_control(self) -> None:
+        """Open a connection for a control statement that waits."""
         self.open_if_allowed()
 
-    def open_if_allowed(self) -> None:
-        """Open another connection if the limits allow one."""
+    def open_if_allowed(self, team: str = "") -> None:
+        """Open another connection if the limits allow one.
+
+        Args:
+            team: name of the team that needs a connection.
+        """
         now_s = clock.get_time_s()
         if self._opening or self._retry_at_s > now_s or self._is_closed:
             return
@@ -225,23 +191,6 @@
         usable = get_usable_connections(self.max_connections)
         return self.reported_connections + self.holder_count // 2 < usable
 
-    def open_connection(self) -> None:
-        """Open a connection in the background."""
-        self._opening += 1
-        task = asyncio.get_running_loop().create_task(self._open())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def start_fallback(self) -> None:
-        """Fall back to other hosts for a target that doesn't answer."""
-        if self._is_closed:
-            return
-        if (
-            self.path_selector.start_fallback(clock.get_time_s())
-            and self._opening < 2
-        ):
-            self.open_connection()
-
     def _has_current_path(self, connection: connections.Connection) -> bool:
         """Return whether a connection's path is still selected."""
         return self.path_selector.is_current_path(
@@ -265,6 +214,8 @@
         values: dict[bytes, bytes],
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
+        team: str = "",
+        priority: int = 0,
     ) -> None:
         """Call back with an idle direct connection, or None at a deadline.
 
@@ -272,105 +223,21 @@
             values: session values that the connection should have.
             on_idle: called once.
             deadline_s: when the wait ends.
+            team: name of the team that the connection has to serve.
+            priority: priority of the statement; 0 is the most urgent.
         """
         connection = None
         if not self._wait_queues.has_relay_requests:
             connection = self.find_idle_connection(values, is_direct=True)
         if connection is None:
-            self._wait_queues.add_relay_request(values, on_idle, deadline_s)
+            self._wait_queues.add_relay_request(
+                values, on_idle, deadline_s, team, priority
+            )
             self.open_if_allowed()
             return
         on_idle(connection)
         self.count_idle()
 
-    async def _open(self) -> None:
-        started_s = clock.get_time_s()
-        connection = None
-        try:
-            connection = await self._connect(started_s)
-        except Exception as error:
-            # An entry may name an address that can't be used at all.
-            supervision.report("connection", error)
-            self._handle_open_failure(started_s, False, repr(error))
-        finally:
-            self._opening -= 1
-        is_direct = False
-        if connection is not None:
-            self._handle_connected(connection, started_s)
-            is_direct = connection.is_open and not connection.relay_host
-        callbacks, self._open_callbacks = self._open_callbacks, []
-        for on_open in callbacks:
-            supervision.contain("relay request", on_open, is_direct)
-        self._on_change()
-
-    async def _connect(self, started_s: float) -> connections.Connection:
-        """Return a connection that was opened, refused or that failed."""
-        entry = self.entry
-        relay_host = self.path_selector.choose_relay_host(started_s)
-        connection = connections.Connection(
-            self, entry.group, self._user, entry.target
-        )
-        connection.relay_host = relay_host.host if relay_host else ""
-        address = (relay_host or entry).address
-        port = (relay_host or entry).port
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: connection, address, port)
-                await connection.handshake_done
-        except (OSError, TimeoutError) as error:
-            is_refused = isinstance(error, ConnectionRefusedError)
-            self._handle_open_failure(started_s, is_refused, repr(error))
-            connection.abort()
-        except Exception:
-            connection.abort()
-            raise
-        return connection
-
-    def _handle_connected(
-        self, connection: connections.Connection, started_s: float
-    ) -> None:
-        if connection.is_closed and connection.refusal is not None:
-            self._handle_refusal(connection.refusal, started_s)
-        if self._is_closed:
-            connection.abort()
-        if not connection.is_open:
-            self.path_selector.use_next_relay_host()
-        elif not connection.relay_host:
-            self.path_selector.end_fallback()
-
-    def _handle_refusal(self, code: statements.Code, started_s: float) -> None:
-        now_s = clock.get_time_s()
-        if code is statements.Code.TOO_MANY_CONNECTIONS:
-            self.reported_connections = self.max_connections
-            self.reported_s = now_s
-            self._retry_at_s = now_s + FULL_RETRY_DELAY_S
-            return
-        self._handle_open_failure(started_s, True, code.name)
-
-    def _handle_open_failure(
-        self, started_s: float, is_refused: bool, reason: str
-    ) -> None:
-        now_s = clock.get_time_s()
-        self._retry_at_s = now_s + RETRY_DELAY_S
-        self.record_failure(started_s, is_refused)
-        self.start_fallback()
-        if self.failures in (1, 10, 100):
-            self._log.write(
-                "connection_failed",
-                target=self.entry.target,
-                reason=reason,
-                failures=self.failures,
-            )
-
-    def record_failure(self, since_s: float, is_refused: bool) -> None:
-        """Record that the target refused, or did not answer in time."""
-        if self.failing_since_s is None:
-            self.failing_since_s = since_s
-        self.failures += 1
-        self.load.is_responsive = self.failures < 2
-        self.is_refusing = is_refused
-
     def handle_opened(self, connection: connections.Connection) -> None:
         """Add a connection that the target has accepted."""
         self._connections.add(connection)
@@ -405,18 +272,6 @@
         self._on_change()
         self._serve_relay_requests()
 
-    def handle_answer(self) -> None:
-        """Clear the target's failures, since it has answered."""
-        self.answered_s = clock.get_time_s()
-        if self.failing_since_s is not None:
-            self.clear_failures()
-
-    def clear_failures(self) -> None:
-        """Forget the failures since the target's last answer."""
-        self.failing_since_s = None
-        self.failures = 0
-        self.load.is_responsive = True
-
     def handle_closed(self, connection: connections.Connection) -> None:
         """Remove a connection that was closed."""
         if connection in self._connections:
@@ -435,7 +290,7 @@
             if connection.is_idle and not self._has_current_path(connection):
                 connection.close()
         if not self.size:
-            self.open_if_allowed()
+            self._open_for_control()
         elif self.path_selector.is_direct_retry_due(now_s):
             self.open_connection()
         self._close_idle(now_s)
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -205,6 +205,10 @@
             for target, pool in router.pools.items():
                 key = f'connections{{target="{target}"}}'
                 gauges[key] = pool.size
+                # At most one for each direct connection that is held.
+                for team, count in pool.count_by_team().items():
+                    label = f'target="{target}",team="{team}"'
+                    gauges[f"team_connections{{{label}}}"] = count
         return host.counters.format_text(gauges)
 
     def _handle_sighup(self) -> None:
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -28,6 +28,11 @@
 # caller's shorter timeout and then closes its connection.
 STATEMENT_TIMEOUT_S = 8.0
 
+# A waiting statement of a team is refused this long before its sender stops
+# waiting, in seconds: two of the periodic checks that drop overdue statements.
+# The refusal proves that the statement did not run.
+REFUSAL_MARGIN_S = 0.1
+
 _Kind = statements.Kind
 _State = statements.SessionState
 
@@ -59,6 +64,8 @@
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, bytes] = {}
         self.team = ""
+        self._priority = 0
+        self._deadline_s: float | None = None
         self._find_pool = find_pool
         self._sessions = sessions
         self._buffer = line_protocol.MessageBuffer()
@@ -144,6 +151,7 @@
                 line_protocol.HOST_STATEMENT_ID, pools.CONTROL_TIMEOUT_S
             )
         self._held_connection = self._running_connection = None
+        self._end_commit(None)
 
     def _serve_next(self) -> None:
         while self._messages and not self._is_busy and not self._is_closed:
@@ -188,6 +196,9 @@
         if line_protocol.is_control(text):
             self._send_control(text)
             return
+        if line_protocol.is_announcement(text):
+            self._set_team(text)
+            return
         position, statement_text = line_protocol.split_required_position(text)
         statement = line_protocol.parse_statement(id_, statement_text)
         if line_protocol.is_reset(text):
@@ -200,6 +211,22 @@
         else:
             self._forward_statement(statement, position)
 
+    def _set_team(self, text: bytes) -> None:
+        """Remember the team, priority and deadline of what follows."""
+        announcement = line_protocol.parse_announcement(text)
+        if announcement is None or self._held_connection is not None:
+            self.abort()
+            return
+        self.team, self._priority, time_left_s = announcement
+        self._deadline_s = clock.get_time_s() + time_left_s
+        self._write_done()
+
+    def _get_wait_deadline_s(self) -> float:
+        """Return until when a statement may wait for a connection."""
+        if self._deadline_s is None:
+            return clock.get_time_s() + CONNECTION_TIMEOUT_S
+        return self._deadline_s - REFUSAL_MARGIN_S
+
     def _set_value(self, statement: statements.Statement) -> None:
         self.values[statement.name] = statement.arguments
 
@@ -249,7 +276,9 @@
                     connection, statement, position
                 )
             ),
-            clock.get_time_s() + CONNECTION_TIMEOUT_S,
+            self._get_wait_deadline_s(),
+            self.team,
+            self._priority,
         )
 
     def _run_or_reject(
@@ -260,13 +289,19 @@
     ) -> None:
         if self._is_closed:
             return
-        if connection is None:
+        # This host may not know of the teams yet.
+        if connection is None or connection.team != self.team:
             self._is_busy = False
             code = statements.Code.BUSY
             self._write(
                 line_protocol.encode_error(code, b"no connection in time")
                 + line_protocol.encode_ready(_State.IDLE)
             )
+            assert self._pool is not None
+            if self._pool.is_unreachable_for_others():
+                # The other host then uses the next holder.
+                self.close()
+                return
             self._serve_next()
             return
         self._run_statement(connection, statement, position)
@@ -285,15 +320,17 @@
         def add_position(text: bytes) -> bytes:
             return position + text
 
+        if self._is_commit(statement):
+            assert self._pool is not None
+            self._pool.start_commit(self)
         handle_outcome = self._guard(
             functools.partial(self._handle_outcome, connection)
         )
 
         if statement.kind in (_Kind.BEGIN, _Kind.BEGIN_READ):
-            connection.is_held = True
             text = add_position(statement.text)
-            connection.send(
-                statement.id, text, handle_outcome, STATEMENT_TIMEOUT_S
+            connection.begin(
+                self, statement.id, text, handle_outcome, STATEMENT_TIMEOUT_S
             )
         else:
             connection.run(
@@ -310,6 +347,7 @@
         self._is_busy = False
         self._running_connection = None
         answer = outcome.answer
+        self._end_commit(answer)
         if answer is None:
             self._held_connection = None
             self.abort()
@@ -322,6 +360,20 @@
         self._write_answer(answer, answer.state)
         self._serve_next()
 
+    def _is_commit(self, statement: statements.Statement) -> bool:
+        """Return whether a statement commits a write of its own."""
+        if self._held_connection is not None:
+            return False
+        if statement.kind is _Kind.EXECUTE:
+            definition = self.prepared[statement.name]
+            return line_protocol.is_write_definition(definition)
+        return statement.kind is _Kind.WRITE
+
+    def _end_commit(self, answer: statements.Answer | None) -> None:
+        if self._pool is not None:
+            is_acknowledged = answer is not None and answer.code is None
+            self._pool.end_commit(self, is_acknowledged)
+
     def _get_state(self) -> statements.SessionState:
         return (
             _State.IDLE
--- a/knapweedtally/entry/requests.py
+++ b/knapweedtally/entry/requests.py
@@ -30,6 +30,8 @@
             cleared when no target is left.
         is_done: whether the result was delivered or the request cancelled.
         is_admitted: whether it passed the check for an overloaded primary.
+        waiting_target: id of the target for whose connections it waits in this
+            host's queue for all hosts, or empty.
         reason: outcome of the last placement; why the request is queued.
     """
 
@@ -48,6 +50,7 @@
     excluded: frozenset[str] = frozenset()
     is_done: bool = False
     is_admitted: bool = False
+    waiting_target: str = ""
     reason: placement.Reason = placement.Reason.CHOSEN
 
 
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
@@ -17,6 +18,7 @@
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
 from knapweedtally.entry import supervision
+from knapweedtally.entry import team_pools
 from knapweedtally.platform import line_protocol
 
 # A read without an answer is hedged with a second attempt after this delay, or
@@ -57,6 +59,7 @@
         departed: ids of former members whose log may hold commits that no
             other member has.
         observer: the evidence about the primary.
+        has_teams: whether callers belong to teams.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.settings = settings
         self.pools: dict[str, pools.Pool] = {}
         self.departed: tuple[str, ...] = ()
+        self.has_teams = False
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
         )
@@ -98,18 +102,37 @@
             floor: position that the target's predecessor had received. A log
                 that ends before it proves nothing about acknowledged commits.
         """
-        pool = pools.Pool(
-            entry,
-            self.settings.max_connections,
-            USER,
-            self._log,
-            self.dispatch,
-        )
+        pool = self._make_pool(entry)
         pool.position_before_restart = floor
         self.pools[entry.target] = pool
         pool.open_connection()
         return pool
 
+    def _make_pool(self, entry: model.TargetEntry) -> pools.Pool:
+        limit = self.settings.max_connections
+        if self.has_teams:
+            return team_pools.TeamPool(
+                entry,
+                limit,
+                USER,
+                self._log,
+                self.dispatch,
+                self._counters,
+                self.observer,
+            )
+        return pools.Pool(entry, limit, USER, self._log, self.dispatch)
+
+    def replace_pool(self, target: str) -> pools.Pool:
+        """Replace a pool after teams were added or all were removed.
+
+        Connections without a team may not be used for teams and the reverse,
+        so open transactions are rolled back.
+        """
+        old = self.pools[target]
+        pool = self.add_pool(old.entry, old.get_newest_position())
+        old.close()
+        return pool
+
     def remove_pool(self, target: str) -> pools.Pool | None:
         """Close the pool of a target that has left the group.
 
@@ -163,6 +186,8 @@
             self._is_dispatching = False
 
     def _place_request(self, request: requests.Request, now_s: float) -> None:
+        if self._keeps_waiting(request, now_s):
+            return
         choice = self._choose_target(request, now_s)
         request.reason = choice.reason
         if choice.reason is _Reason.CROWDED:
@@ -179,10 +204,78 @@
                 self._refuse_request(request, now_s, OUTAGE_HINT_MS)
             return
         pool = self.pools[choice.target]
-        connection = pool.find_idle_connection(request.session.values)
+        connection = pool.find_idle_connection(
+            request.session.values, team=request.session.team
+        )
         if connection is None:
             pool.load.idle = 0
+            self._wait_at_pool(request, pool, now_s)
             return
+        self._place_on_connection(request, pool, connection, choice, now_s)
+
+    def _wait_at_pool(
+        self, request: requests.Request, pool: pools.Pool, now_s: float
+    ) -> None:
+        """Let a request wait with those of other hosts for a connection."""
+        target = pool.entry.target
+
+        def handle_idle(connection: connections.Connection | None) -> None:
+            if request.is_done or request.waiting_target != target:
+                return
+            request.waiting_target = ""
+            idle_s = clock.get_time_s()
+            if connection is not None and request in self._queue:
+                choice = self._choose_among(
+                    request, [pool], idle_s, request.excluded
+                )
+                if choice.target is not None:
+                    if not supervision.contain(
+                        "placement",
+                        self._place_on_connection,
+                        request,
+                        pool,
+                        connection,
+                        choice,
+                        idle_s,
+                    ):
+                        self.fail(request)
+                    return
+            asyncio.get_running_loop().call_soon(self.dispatch)
+
+        # Set before the call, which may serve the request at once.
+        request.waiting_target = target
+        is_queued = pool.wait_for_connection(
+            request.session.values,
+            handle_idle,
+            request.deadline_s,
+            request.session.team,
+            request.priority,
+        )
+        if not is_queued:
+            request.waiting_target = ""
+
+    def _keeps_waiting(self, request: requests.Request, now_s: float) -> bool:
+        """Return whether a request waits for a target that may serve it."""
+        if not request.waiting_target:
+            return False
+        pool = self.pools.get(request.waiting_target)
+        if pool is not None:
+            choice = self._choose_among(
+                request, [pool], now_s, request.excluded
+            )
+            if choice.target or choice.reason is _Reason.NO_CONNECTION:
+                return True
+        request.waiting_target = ""
+        return False
+
+    def _place_on_connection(
+        self,
+        request: requests.Request,
+        pool: pools.Pool,
+        connection: connections.Connection,
+        choice: placement.Choice,
+        now_s: float,
+    ) -> None:
         self._queue.remove(request)
         try:
             self._start_attempt(
@@ -235,9 +328,22 @@
         excluded: frozenset[str],
         now_s: float,
     ) -> placement.Choice:
+        return self._choose_among(request, self.pools.values(), now_s, excluded)
+
+    def _choose_among(
+        self,
+        request: requests.Request,
+        candidates: Iterable[pools.Pool],
+        now_s: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> placement.Choice:
+        candidates = list(candidates)
+        if self.has_teams:
+            for pool in candidates:
+                pool.update_available(request.session.team)
         return placement.choose_target(
             request.need,
-            [pool.load for pool in self.pools.values()],
+            [pool.load for pool in candidates],
             self.observer.leadership,
             self._data_centre,
             now_s,
@@ -262,7 +368,7 @@
                 pool.load.accepts_new_work
                 and pool.load.backoff_until_s <= now_s
             ):
-                pool.open_if_allowed()
+                pool.open_if_allowed(request.session.team)
 
     def _start_attempt(
         self,
@@ -288,13 +394,18 @@
             self, request, pool, connection, position, now_s
         )
         if request.is_begin:
-            connection.is_held = True
             is_read = request.statement.kind is _Kind.BEGIN_READ
             text = line_protocol.BEGIN_READ if is_read else line_protocol.BEGIN
             if add_prefix is not None:
                 text = add_prefix(text)
-            id_ = request.statement.id
-            connection.send(id_, text, attempt.handle_outcome, limit_s)
+            connection.begin(
+                request.session,
+                request.statement.id,
+                text,
+                attempt.handle_outcome,
+                limit_s,
+                request.priority,
+            )
         else:
             connection.run(
                 request.session,
@@ -302,13 +413,16 @@
                 add_prefix,
                 attempt.handle_outcome,
                 limit_s,
+                request.priority,
             )
         pool.count_idle()
         if not request.need.is_write:
             delay_s = pool.load.run_time_s * HEDGE_RUN_TIME_FACTOR
             request.hedge_at_s = now_s + max(HEDGE_DELAY_S, delay_s)
             self._hedge_candidates.add(request)
-        elif not request.is_begin:
+        elif not request.is_begin and not connection.has_announcements:
+            # Otherwise the holder records it once it is sent to the target: it
+            # may wait there for longer than a commit takes.
             self.observer.commits_in_flight[request] = now_s
 
     def finish(
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/wait_queues.py
@@ -15,8 +15,10 @@
 # Minimum time for the answer to a control statement that has waited.
 MIN_TIMEOUT_S = 0.05
 
+# Called with session values, whether the connection must be direct, and the
+# team, or None if the connection may belong to any.
 TakeConnection = Callable[
-    [dict[bytes, bytes], bool], connections.Connection | None
+    [dict[bytes, bytes], bool, str | None], connections.Connection | None
 ]
 
 
@@ -30,6 +32,8 @@
     values: dict[bytes, bytes]
     on_idle: Callable[[connections.Connection | None], None]
     deadline_s: float
+    team: str
+    priority: int
 
 
 class WaitQueues:
@@ -41,7 +45,8 @@
         Args:
             take_connection: returns an idle connection for session values, or
                 None; if the second argument is set, only a connection that
-                isn't relayed by another host.
+                isn't relayed by another host; if the third is not None, only
+                one of that team.
         """
         self._take_connection = take_connection
         self._control_statements: collections.deque[_ControlStatement] = (
@@ -56,6 +61,18 @@
         """Return whether a relayed statement waits."""
         return bool(self._relay_requests)
 
+    @property
+    def has_control_statements(self) -> bool:
+        """Return whether a control statement waits."""
+        return bool(self._control_statements)
+
+    def count_waiting_by_team(self) -> dict[str, int]:
+        """Return how many relayed statements wait, in the order of teams."""
+        counts: dict[str, int] = {}
+        for request in self._relay_requests:
+            counts[request.team] = counts.get(request.team, 0) + 1
+        return counts
+
     def add_control_statement(
         self,
         text: bytes,
@@ -78,6 +95,8 @@
         values: dict[bytes, bytes],
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
+        team: str = "",
+        priority: int = 0,
     ) -> None:
         """Queue a request of another host for a connection.
 
@@ -86,13 +105,18 @@
             on_idle: called once with the connection, or with None if the
                 request is dropped.
             deadline_s: time at which the request is dropped.
+            team: name of the team that the connection must belong to, empty
+                for none.
+            priority: priority of the request; 0 is the most urgent.
         """
-        self._relay_requests.append(_RelayRequest(values, on_idle, deadline_s))
+        self._relay_requests.append(
+            _RelayRequest(values, on_idle, deadline_s, team, priority)
+        )
 
     def serve_control_statements(self, now_s: float) -> None:
         """Send queued control statements while a connection is idle."""
         while self._control_statements:
-            connection = self._take_connection({}, False)
+            connection = self._take_connection({}, False, None)
             if connection is None:
                 return
             statement = self._control_statements.popleft()
@@ -105,15 +129,30 @@
             )
 
     def serve_relay_requests(self) -> None:
-        """Assign idle direct connections to queued relay requests."""
-        while self._relay_requests:
-            connection = self._take_connection(
-                self._relay_requests[0].values, True
-            )
-            if connection is None:
-                return
-            request = self._relay_requests.popleft()
-            supervision.contain("relay request", request.on_idle, connection)
+        """Assign idle direct connections to queued relay requests.
+
+        A team without an idle connection doesn't delay the teams behind it.
+        """
+        blocked: set[str] = set()
+        is_served = True
+        while is_served:
+            is_served = False
+            for index, request in enumerate(self._relay_requests):
+                if request.team in blocked:
+                    continue
+                connection = self._take_connection(
+                    request.values, True, request.team
+                )
+                if connection is None:
+                    blocked.add(request.team)
+                    continue
+                del self._relay_requests[index]
+                supervision.contain(
+                    "relay request", request.on_idle, connection
+                )
+                # The callback may have changed the queue.
+                is_served = True
+                break
 
     def drop_overdue(self, now_s: float) -> None:
         """Drop overdue entries, calling them back without a connection."""
@@ -122,9 +161,17 @@
             and self._control_statements[0].deadline_s < now_s
         ):
             self._drop_control_statement(now_s, True)
-        while (
-            self._relay_requests and self._relay_requests[0].deadline_s < now_s
-        ):
+        # Deadlines of teams' statements differ, so any may be overdue.
+        overdue = [r for r in self._relay_requests if r.deadline_s < now_s]
+        for request in overdue:
+            if request in self._relay_requests:
+                self._relay_requests.remove(request)
+                self._reject(request)
+
+    def drop_relay_requests(self) -> None:
+        """Drop all relay requests, calling them back without a connection."""
+        # A callback may queue its request again.
+        for _ in range(len(self._relay_requests)):
             self._drop_relay_request()
 
     def close(self, now_s: float) -> None:
@@ -140,5 +187,7 @@
         supervision.contain("control statement", statement.on_end, outcome)
 
     def _drop_relay_request(self) -> None:
-        request = self._relay_requests.popleft()
+        self._reject(self._relay_requests.popleft())
+
+    def _reject(self, request: _RelayRequest) -> None:
         supervision.contain("relay request", request.on_idle, None)
--- a/knapweedtally/platform/line_protocol.py
+++ b/knapweedtally/platform/line_protocol.py
@@ -6,6 +6,10 @@
 MAX_MESSAGE_BYTES = 1024 * 1024
 TERMINATOR = b"\r\n"
 NO_POSITION = b"-"
+# Stands for the team of statements that belong to none.
+NO_TEAM = b"-"
+# Longer numbers are malformed; Python limits the digits that it converts.
+MAX_DIGITS = 9
 # Id of the statements that this host itself sends to a target.
 HOST_STATEMENT_ID = b"-"
 
@@ -301,6 +305,40 @@
     return b"EXEC %b %b" % (name, arguments) if arguments else b"EXEC %b" % name
 
 
+def encode_announcement(team: str, priority: int, time_s: float) -> bytes:
+    """Return the statement that names the team of what follows.
+
+    It is sent between hosts only, on relay connections.
+
+    Args:
+        team: name of the team, or empty.
+        priority: priority of the statement that follows.
+        time_s: time left for its answer.
+    """
+    name = team.encode() or NO_TEAM
+    return b"FOR %b %d %d" % (name, priority, max(0, round(time_s * 1000)))
+
+
+def parse_announcement(text: bytes) -> tuple[str, int, float] | None:
+    """Return the team, the priority and the time left in an announcement.
+
+    Returns:
+        None if the text isn't a valid announcement; the time is in seconds.
+    """
+    fields = text.split(b" ")
+    if len(fields) != 4 or fields[0] != b"FOR" or not fields[1]:
+        return None
+    if not all(f.isdigit() and len(f) <= MAX_DIGITS for f in fields[2:]):
+        return None
+    team = "" if fields[1] == NO_TEAM else fields[1].decode("utf-8", "replace")
+    return team, int(fields[2]), int(fields[3]) / 1000
+
+
+def is_announcement(text: bytes) -> bool:
+    """Return whether a statement is meant to name a team."""
+    return text.partition(b" ")[0] == b"FOR"
+
+
 BEGIN = b"BEGIN"
 BEGIN_READ = b"BEGIN READ"
 ROLLBACK = b"ROLLBACK"
--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -25,6 +25,8 @@
         promotions: fencing token, lease holder and target of each promotion
             call.
         routes: routes of the current configuration.
+        teams: names of the teams in the configuration; each has one key, its
+            name after ``key-``.
         leaving: ids of the targets whose entries are marked as draining.
         unlisted: ids of the targets that don't reach the store.
         choose_promotion_delay_s: returns how long after its call a promotion
@@ -37,6 +39,7 @@
         self.groups = {name: targets.Group(name, 3, 16) for name in group_names}
         self.promotions: list[tuple[int, str, str]] = []
         self.routes: list[dict[str, Any]] = []
+        self.teams: tuple[str, ...] = ()
         self.leaving: set[str] = set()
         self.unlisted: set[str] = set()
         self.choose_promotion_delay_s = lambda: PROMOTION_DURATION_S
@@ -97,6 +100,11 @@
             "backends": groups,
             "limits": {"txIdleMs": 3000},
         }
+        if self.teams:
+            spec["tenants"] = [
+                {"name": team, "apiKeys": [f"key-{team}"]}
+                for team in self.teams
+            ]
         self.store.put("config", "main", spec)
 
     def write_target_entries(self) -> None:
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -42,6 +42,10 @@
             the verb of the statement.
         connections: open connections.
         statements: id and text of each statement executed for a caller.
+        user_statements: user name of the connection and text of each statement
+            executed for a caller.
+        opened_connections: number of connections accepted since the start.
+        refused_connections: number of those refused as too many.
         control_statements: id and text of each statement that a host issued
             itself.
     """
@@ -66,6 +70,9 @@
         )
         self.connections: set[Connection] = set()
         self.statements: list[tuple[str, str]] = []
+        self.user_statements: list[tuple[str, str]] = []
+        self.opened_connections = 0
+        self.refused_connections = 0
         self.control_statements: list[tuple[str, str]] = []
         self._server: asyncio.Server | None = None
 
@@ -372,6 +379,7 @@
         self._is_read_only = False
         self._writes: list[tuple[str, str]] = []
         self._prepared: dict[str, str] = {}
+        self._user = ""
         self.values: dict[str, str] = {}
 
     def abort(self) -> None:
@@ -386,9 +394,12 @@
         if start[1] != group.name or start[3:4] not in ([], [target.id]):
             await self._send_text("ERROR WRONGNODE other id\r\n")
             return
+        self._user = start[2]
         if len(target.connections) > group.max_connections:
+            target.refused_connections += 1
             await self._send_text("ERROR MAXCONN full\r\n")
             return
+        target.opened_connections += 1
         await self._send_text(f"READY I {target.format_position()}\r\n")
         while True:
             message = await self._receive_line()
@@ -434,6 +445,8 @@
             else self._target.statements
         )
         executed.append((id_, text))
+        if id_ != "-":
+            self._target.user_statements.append((self._user, text))
         return str(await handler(id_, operand))
 
     def _has_lost_primary(self) -> bool:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -113,11 +113,11 @@
         self._ids = 0
         self.state = ""
 
-    async def start(self, database: str) -> str:
+    async def start(self, database: str, key: str = "tests") -> str:
         self._reader, self._writer = await asyncio.open_connection(
             "127.0.0.1", self._port
         )
-        await self.send_raw(f"START {database} tests\r\n".encode())
+        await self.send_raw(f"START {database} {key}\r\n".encode())
         return await self.read_line()
 
     async def send_raw(self, data: bytes) -> None:
@@ -153,6 +153,11 @@
         except ConnectionError:
             return True
 
+    def get_address(self) -> tuple[str, int]:
+        """Return the address by which the host knows the caller."""
+        address: tuple[str, int] = self._writer.get_extra_info("sockname")
+        return address
+
     def close(self) -> None:
         self._writer.close()
 
@@ -225,11 +230,13 @@
 async def run_system(
     hosts: int = 1,
     max_connections: int = 16,
+    teams: tuple[str, ...] = (),
 ) -> AsyncIterator[System]:
     """Run the stand-ins, and entry hosts that are ready to serve."""
     platform = platform_module.Platform()
     for group in platform.groups.values():
         group.max_connections = max_connections
+    platform.teams = teams
     await platform.start()
     entries: list[EntryHost] = []
     try:
@@ -268,6 +275,7 @@
     hosts: int = 1,
     max_connections: int = 16,
     prepare: Callable[[System], Awaitable[None]] = _prepare_nothing,
+    teams: tuple[str, ...] = (),
 ) -> Callable[
     [Callable[[Any, System], Awaitable[None]]], Callable[[Any], None]
 ]:
@@ -277,6 +285,7 @@
         hosts: number of entry hosts.
         max_connections: number of connections that each target accepts.
         prepare: called with the system before the test.
+        teams: names of the teams in the configuration.
     """
 
     def decorate(
@@ -285,7 +294,7 @@
         @functools.wraps(test)
         def run_test(case: Any) -> None:
             async def run() -> None:
-                async with run_system(hosts, max_connections) as system:
+                async with run_system(hosts, max_connections, teams) as system:
                     await prepare(system)
                     await test(case, system)
 
--- /dev/null
+++ b/tests/entry/test_connection_share.py
@@ -0,0 +1,67 @@
+"""Tests of the share of a target's connections, and of remote holders."""
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from knapweedtally.entry import connection_share
+from standins.line_platform import platform
+from tests.entry import harness
+from tests.entry import test_team_pools
+
+_make_entry = platform.Platform._make_target_entry
+
+
+def make_remote_entry(*arguments: Any) -> dict[str, Any]:
+    """Return a target's entry in a data centre without hosts."""
+    return _make_entry(*arguments) | {"zone": "other"}
+
+
+class ShareTest(testtools.TestCase):
+    """How many connections a holder may hold."""
+
+    def test_full_target_reduces_the_share_for_a_while(self) -> None:
+        share = connection_share.ConnectionShare()
+        self.assertEqual(7, share.get_share(29, True, 0, 0.0, 10.0))
+        share.reduce(2, 10.0)
+        self.assertEqual(2, share.get_share(29, True, 0, 0.0, 14.9))
+        self.assertEqual(7, share.get_share(29, True, 0, 0.0, 15.1))
+
+    def test_remote_holder_uses_only_room_that_was_lately_seen(self) -> None:
+        # Otherwise the two sides of a partition would exceed the limit.
+        share = connection_share.ConnectionShare()
+        self.assertEqual(7, share.get_share(29, False, 22, 9.5, 10.0))
+        self.assertEqual(1, share.get_share(29, False, 23, 9.5, 10.0))
+        self.assertEqual(1, share.get_share(29, False, 0, 8.9, 10.0))
+
+    def test_silent_connection_counts_until_the_target_drops_it(self) -> None:
+        share = connection_share.ConnectionShare()
+        share.add_lingering(10.0)
+        self.assertEqual(1, share.count_lingering(12.9))
+        self.assertEqual(0, share.count_lingering(13.1))
+
+
+class RemoteHolderTest(testtools.TestCase):
+    """Targets in a data centre without hosts."""
+
+    @mock.patch.object(
+        platform.Platform, "_make_target_entry", make_remote_entry
+    )
+    @test_team_pools.with_teams(hosts=3)
+    async def test_teams_are_served_from_another_data_centre(
+        self, system: harness.System
+    ) -> None:
+        answers = await asyncio.gather(
+            *(
+                test_team_pools.run_operations(entry, team)
+                for entry in system.entry_hosts
+                for team in test_team_pools.TEAMS
+            )
+        )
+        refused = [a for run in answers for a in run if a[:5] == "ERROR"]
+        self.assertEqual([], refused)
+        self.assertEqual(0, test_team_pools.count_foreign(system))
+        for target in test_team_pools.list_targets(system):
+            self.assertEqual(0, target.refused_connections)
--- a/tests/platform/test_line_protocol.py
+++ b/tests/platform/test_line_protocol.py
@@ -174,6 +174,23 @@
             line_protocol.parse_status(answer)
 
 
+class AnnouncementTest(testtools.TestCase):
+    """The statement that names a team to a relay host."""
+
+    def test_round_trip(self) -> None:
+        for team, wire in (("t1", b"FOR t1 2 1500"), ("", b"FOR - 2 1500")):
+            text = line_protocol.encode_announcement(team, 2, 1.5)
+            self.assertEqual(wire, text)
+            self.assertEqual(
+                (team, 2, 1.5), line_protocol.parse_announcement(text)
+            )
+
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes_are_parsed_or_rejected(self, data: bytes) -> None:
+        for text in (data, b"FOR " + data, b"FOR t 1 " + data):
+            line_protocol.parse_announcement(text)
+
+
 class PositionTest(testtools.TestCase):
     """Order and encoding of log positions."""
 
