Test that pools are replaced when teams are added or removed

Cause: the replacement of a group's pools by a new configuration had no test.

Ruled out: keeping the pools, whose connections have no team.

Change: a test with a configuration that adds teams and one that removes them.

--- a/tests/entry/test_connection_share.py
+++ b/tests/entry/test_connection_share.py
@@ -65,3 +65,39 @@
         self.assertEqual(0, test_team_pools.count_foreign(system))
         for target in test_team_pools.list_targets(system):
             self.assertEqual(0, target.refused_connections)
+
+
+class ChangeTest(testtools.TestCase):
+    """A configuration that adds teams, and one that removes them."""
+
+    @test_team_pools.with_teams(hosts=3, teams=())
+    async def test_teams_are_added_and_removed(
+        self, system: harness.System
+    ) -> None:
+        # A pool kept from before would hold connections without a team.
+        for teams in (test_team_pools.TEAMS, ()):
+            system.platform.teams = teams
+            system.platform.write_configuration()
+            for entry in system.entry_hosts:
+                router = entry.host.routers["g"]
+                await harness.wait_for(
+                    lambda router=router, teams=teams: (
+                        router.has_teams is bool(teams)
+                    )
+                )
+                await harness.wait_for(
+                    lambda router=router: all(
+                        pool.is_answering for pool in router.pools.values()
+                    )
+                )
+                team = "t0" if teams else ""
+                caller = await test_team_pools.start_caller(entry, team)
+                answer = await caller.run("WRITE t0-item 1")
+                self.assertTrue(answer[0].startswith("DONE "), answer)
+                caller.close()
+        users = [
+            user
+            for target in test_team_pools.list_targets(system)
+            for user, _ in target.user_statements
+        ]
+        self.assertEqual(["t0"] * 3 + ["knapweedtally"] * 3, users)
