--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -157,6 +157,11 @@
         except ConnectionError:
             return True
 
+    def get_address(self) -> tuple[str, int]:
+        """Return the address by which the host knows the caller."""
+        address: tuple[str, int] = self._writer.get_extra_info("sockname")
+        return address
+
     def close(self) -> None:
         self._writer.close()
 
