Admit operations of teams with a limit by tokens that hosts lend

Cause: a team's rate and burst were read, but nothing kept them over all hosts.

Ruled out: an equal static share for each host, which refuses callers that are spread unevenly, and one allocator for a team, which a cut data centre loses.

Change: core/quotas splits a limit by data centre, grants tokens of 250 ms from buckets that start empty, and decides whom to ask and when to refuse. entry/quotas sends the questions and answers, and sessions ask it before they submit a request. An operation that is queued until its token has expired needs another, and so does a retry after an attempt that may have run. Without quotas in the settings, or for a team without a limit, nothing is sent and nothing waits.

--- /dev/null
+++ b/knapweedtally/core/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas: how all hosts together keep the limits of teams."""
--- /dev/null
+++ b/knapweedtally/core/quotas/borrower.py
@@ -0,0 +1,429 @@
+"""One host's tokens of all teams: whom to ask, and when to refuse.
+
+The bound. Let a team have the rate r and the burst b, split into n slices, and
+let the lease be l. Within a window w, targets receive operations
+
+* whose tokens were granted in the window or up to l before it. A slice's bucket
+  holds at most max(1, b / n) tokens and gains r / n a second, so all slices
+  grant at most r (w + l) + b + n. This holds also where a data centre is
+  divided, apart from the one token that each part keeps: the shares of the
+  parts add up to one (``rules.compute_share``). A bucket that a host takes over
+  starts empty, so it grants only what flowed in since, and its predecessor is
+  gone or grants nothing any more;
+* that used the allowance, at most the spare s over all hosts.
+
+s is half of the tolerance w r e + b e + k that r l + n leaves, where e is the
+excess and k the slack (``compute_spare``). The sum is at most
+(r w + b) (1 + e) + k if r l + n <= (r w + b) e + k, which holds for l = 0.25 s,
+w = 5 s, e = 0.1, k = 20 and n <= 20. For each second in which two allocators
+grant from one slice, r / n comes on top; the other half of the tolerance, at
+least r / 8 + 8 for n = 3, covers it for 0.375 s at any rate, and for longer the
+lower r is.
+"""
+
+import collections
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from knapweedtally.core.quotas import messages
+from knapweedtally.core.quotas import rules
+from knapweedtally.core.quotas import slices
+from knapweedtally.core.quotas import team_leases
+
+# Longest wait of an operation for its token, in seconds and as a part of its
+# remaining time.
+MAX_WAIT_S = 0.12
+MAX_WAIT_PART = 1 / 3
+
+# Time after which a question is repeated, and after which its allocator counts
+# as silent, in seconds.
+REPEAT_AFTER_S = 0.03
+SILENT_AFTER_S = 0.06
+
+# For how long a silent allocator isn't asked, in seconds, and how many silent
+# ones an operation waits for.
+AVOID_SILENT_S = 0.5
+MAX_SILENT = 2
+
+# Shortest time for which an empty slice isn't asked again, in seconds. It
+# bounds the messages of a team far above its limit.
+MIN_RETRY_S = 0.05
+
+# Part of what a host used lately within a lease that it asks for in advance.
+# More would be lost when the tokens expire.
+AHEAD_PART = 0.6
+
+# Hints for callers while no allocator has said when to retry, and the longest,
+# in seconds.
+UNKNOWN_RETRY_S = 0.3
+MAX_HINT_S = 2.0
+
+
+class Admitted(NamedTuple):
+    """An operation got a token, which is valid until a time."""
+
+    id: int
+    expires_s: float
+
+
+class Refused(NamedTuple):
+    """An operation got none, and why; its caller may retry after a time."""
+
+    id: int
+    retry_s: float
+    reason: str
+
+
+class Sent(NamedTuple):
+    """A question goes to a host, which may be the own one."""
+
+    host: str
+    ask: messages.Ask
+
+
+Effect = Admitted | Refused | Sent
+
+
+class Tolerance(NamedTuple):
+    """By how much a limit may be exceeded in a window.
+
+    Attributes:
+        window_s: length of the window.
+        excess: part of the limit.
+        slack: operations besides.
+    """
+
+    window_s: float
+    excess: float
+    slack: float
+
+
+def compute_spare(
+    limit: slices.Limit, tolerance: Tolerance, count: int
+) -> float:
+    """Return the operations of a window for all hosts' allowances.
+
+    Args:
+        limit: the team's limit.
+        tolerance: by how much it may be exceeded.
+        count: number of slices.
+    """
+    total = limit.rate_per_s * tolerance.window_s + limit.burst
+    extra = total * tolerance.excess + tolerance.slack
+    left = extra - limit.rate_per_s * rules.LEASE_S - count
+    return max(0.0, left / 2)
+
+
+def compute_wait_s(left_s: float) -> float:
+    """Return how long an operation with this time left waits for a token."""
+    return max(0.0, min(MAX_WAIT_S, left_s * MAX_WAIT_PART))
+
+
+class Borrower:
+    """The tokens that one host borrows."""
+
+    def __init__(
+        self, host: str, data_centre: str, tolerance: Tolerance, first_id: int
+    ) -> None:
+        """Start without tokens.
+
+        Args:
+            host: name of the host.
+            data_centre: its data centre.
+            tolerance: by how much limits may be exceeded.
+            first_id: a number that differs between starts of the host, from
+                which its questions are counted.
+        """
+        self._host = host
+        self._data_centre = data_centre
+        self._tolerance = tolerance
+        self._next_id = first_id
+        self._fleet = slices.Fleet({host: data_centre}, {}, frozenset(), False)
+        self._data_centres: list[str] = [data_centre]
+        self._teams: dict[str, team_leases.TeamLeases] = {}
+        self._allocators: dict[tuple[str, str], str | None] = {}
+
+    def update_limits(
+        self, limits: Mapping[str, slices.Limit], now_s: float
+    ) -> list[Effect]:
+        """Take over the limits of a configuration.
+
+        Operations that wait although their team has no limit any more are
+        admitted.
+        """
+        removed = [team for team in self._teams if team not in limits]
+        effects: list[Effect] = [
+            Admitted(waiter.id, math.inf)
+            for team in removed
+            for waiter in self._teams.pop(team).waiters
+        ]
+        self._allocators.clear()
+        for team, limit in limits.items():
+            state = self._teams.get(team)
+            if state is None:
+                state = self._teams[team] = team_leases.TeamLeases(limit, now_s)
+            elif rules.is_newer(limit.version, state.limit.version):
+                state.limit = limit
+            self._update_allowance(team, state, now_s)
+        return effects
+
+    def update_fleet(self, fleet: slices.Fleet, now_s: float) -> None:
+        """Take over which hosts are known and live."""
+        if fleet.live != self._fleet.live:
+            self._allocators.clear()
+        self._fleet = fleet
+        self._data_centres = slices.list_data_centres(fleet.known)
+        for team, state in self._teams.items():
+            state.views = {
+                name: view
+                for name, view in state.views.items()
+                if self._find_allocator(team, name) == view.allocator
+            }
+            self._update_allowance(team, state, now_s)
+
+    def _find_allocator(self, team: str, data_centre: str) -> str | None:
+        key = (team, data_centre)
+        if key not in self._allocators:
+            self._allocators[key] = slices.find_allocator(
+                team, data_centre, self._fleet.live
+            )
+        return self._allocators[key]
+
+    def _update_allowance(
+        self, team: str, state: team_leases.TeamLeases, now_s: float
+    ) -> None:
+        # A host without the list of hosts may take its part for a larger one.
+        spare = 0.0
+        if self._fleet.is_listed:
+            count = len(self._data_centres)
+            spare = compute_spare(state.limit, self._tolerance, count)
+        state.allowance = slices.compute_allowance(
+            state.limit,
+            team,
+            self._host,
+            self._fleet.known,
+            spare,
+            self._tolerance.window_s,
+        )
+        state.allowed = min(state.allowed, state.allowance.capacity)
+
+    def is_limited(self, team: str) -> bool:
+        """Return whether a team's operations need tokens."""
+        return team in self._teams
+
+    def get_state(self, team: str) -> team_leases.TeamLeases | None:
+        """Return what is known of a team's tokens, for the log."""
+        return self._teams.get(team)
+
+    def take_at_hand(self, team: str, now_s: float) -> float | None:
+        """Take a token that is at hand.
+
+        Returns:
+            When it expires, or None if there is none or operations wait.
+        """
+        state = self._teams.get(team)
+        if state is None or state.waiters:
+            return None
+        expires_s = state.take(now_s)
+        if expires_s is not None:
+            state.record_use(now_s)
+        return expires_s
+
+    def give_back(
+        self, team: str, expires_s: float, now_s: float
+    ) -> list[Effect]:
+        """Take back a token whose operation was never sent to a target."""
+        state = self._teams.get(team)
+        if state is None or not rules.is_valid(expires_s, now_s):
+            return []
+        state.put(expires_s, 1, now_s)
+        return self._proceed(team, state, now_s)
+
+    def admit(
+        self, team: str, id_: int, left_s: float, now_s: float
+    ) -> list[Effect]:
+        """Admit or refuse an operation, or let it wait.
+
+        Args:
+            team: name of a team with a limit.
+            id_: number of the operation.
+            left_s: time that the operation has left.
+            now_s: the current time.
+        """
+        state = self._teams[team]
+        until_s = now_s + compute_wait_s(left_s)
+        state.waiters.append(team_leases.Waiter(id_, until_s))
+        return self._proceed(team, state, now_s)
+
+    def cancel(self, team: str, id_: int) -> None:
+        """Forget an operation that no longer waits."""
+        state = self._teams.get(team)
+        if state is not None:
+            state.waiters = collections.deque(
+                waiter for waiter in state.waiters if waiter.id != id_
+            )
+
+    def handle_lend(
+        self, host: str, lend: messages.Lend, now_s: float
+    ) -> list[Effect]:
+        """Handle an answer; one that wasn't asked for changes nothing."""
+        state = self._teams.get(lend.team)
+        if state is None:
+            return []
+        pending = state.pending
+        if pending is None or pending.ask.id != lend.id:
+            pending = state.late.get(lend.id)
+        if pending is None or pending.host != host:
+            return []
+        if lend.tokens > pending.ask.needed + pending.ask.ahead:
+            return []
+        if pending is state.pending:
+            state.pending = None
+        state.late.pop(lend.id, None)
+        if rules.is_newer(lend.limit.version, state.limit.version):
+            state.limit = lend.limit
+            self._update_allowance(lend.team, state, now_s)
+        expires_s = rules.compute_expiry_s(pending.sent_s, now_s)
+        if rules.is_valid(expires_s, now_s):
+            state.put(expires_s, lend.tokens, now_s)
+            state.asked_s = pending.sent_s
+        view = team_leases.SliceView(host, lend.fill, 0.0, lend.reply.name)
+        if lend.reply is not messages.Reply.GRANTED:
+            view.retry_at_s = now_s + max(MIN_RETRY_S, lend.retry_s)
+        else:
+            state.tried.discard(pending.data_centre)
+        state.views[pending.data_centre] = view
+        return self._proceed(lend.team, state, now_s)
+
+    def check(self, team: str, now_s: float) -> list[Effect]:
+        """Repeat questions, give up silent allocators and end long waits."""
+        state = self._teams.get(team)
+        if state is None:
+            return []
+        state.drop_late(now_s)
+        effects: list[Effect] = []
+        if state.pending is not None:
+            effects += self._check_pending(state, state.pending, now_s)
+        return effects + self._proceed(team, state, now_s)
+
+    def _check_pending(
+        self,
+        state: team_leases.TeamLeases,
+        pending: team_leases.PendingAsk,
+        now_s: float,
+    ) -> list[Effect]:
+        waited_s = now_s - pending.sent_s
+        if waited_s >= SILENT_AFTER_S:
+            state.views[pending.data_centre] = team_leases.SliceView(
+                pending.host, 0.0, now_s + AVOID_SILENT_S, "SILENT"
+            )
+            state.late[pending.ask.id] = pending
+            state.pending = None
+            state.silent += 1
+        elif waited_s >= REPEAT_AFTER_S and not pending.is_repeated:
+            pending.is_repeated = True
+            return [Sent(pending.host, pending.ask)]
+        return []
+
+    def _proceed(
+        self, team: str, state: team_leases.TeamLeases, now_s: float
+    ) -> list[Effect]:
+        """Serve the waiting operations as far as possible, and ask for more."""
+        effects: list[Effect] = []
+        while state.waiters:
+            expires_s = state.take(now_s)
+            if expires_s is None:
+                break
+            state.record_use(now_s)
+            effects.append(Admitted(state.waiters.popleft().id, expires_s))
+        while state.waiters and state.waiters[0].until_s <= now_s:
+            effects.append(self._end_wait(state, now_s))
+        if state.waiters and state.pending is None:
+            data_centre = self._choose_slice(team, state, now_s)
+            if data_centre is not None:
+                effects.append(self._ask(team, state, data_centre, now_s))
+            else:
+                while state.waiters:
+                    effects.append(self._end_wait(state, now_s))
+        if not state.waiters and state.pending is None:
+            state.tried.clear()
+            state.silent = 0
+        return effects
+
+    def _choose_slice(
+        self, team: str, state: team_leases.TeamLeases, now_s: float
+    ) -> str | None:
+        """Return the data centre to ask next: the own one, then the fullest."""
+        if state.silent >= MAX_SILENT:
+            return None
+        best: tuple[tuple[bool, float], str] | None = None
+        for name in self._data_centres:
+            host = self._find_allocator(team, name)
+            if name in state.tried or host is None:
+                continue
+            view = state.views.get(name)
+            if view is not None and now_s < view.retry_at_s:
+                continue
+            fill = view.fill if view is not None else 0.5
+            key = (name != self._data_centre, -fill)
+            if best is None or (key, name) < best:
+                best = (key, name)
+        return best[1] if best else None
+
+    def _ask(
+        self,
+        team: str,
+        state: team_leases.TeamLeases,
+        data_centre: str,
+        now_s: float,
+    ) -> Effect:
+        host = self._find_allocator(team, data_centre)
+        assert host is not None
+        use = state.get_use_per_s(now_s) * rules.LEASE_S * AHEAD_PART
+        self._next_id += 1
+        ask = messages.Ask(
+            self._next_id,
+            team,
+            state.limit,
+            len(state.waiters),
+            math.floor(use),
+        )
+        state.tried.add(data_centre)
+        state.pending = team_leases.PendingAsk(ask, host, data_centre, now_s)
+        return Sent(host, ask)
+
+    def _end_wait(
+        self, state: team_leases.TeamLeases, now_s: float
+    ) -> Admitted | Refused:
+        """Refuse the first waiting operation, or use the allowance for it.
+
+        The allowance is for hosts to which no allocator grants, so a slice
+        that is known to be empty rules it out.
+        """
+        waiter = state.waiters.popleft()
+        is_answered = any(
+            view.reply == messages.Reply.EMPTY.name and now_s < view.retry_at_s
+            for view in state.views.values()
+        )
+        if not is_answered and state.take_allowed(now_s):
+            state.record_use(now_s)
+            return Admitted(waiter.id, now_s + rules.LEASE_S)
+        reason = "empty" if is_answered else "no allocator"
+        return Refused(waiter.id, self._compute_hint_s(state, now_s), reason)
+
+    def _compute_hint_s(
+        self, state: team_leases.TeamLeases, now_s: float
+    ) -> float:
+        """Return when a refused caller may retry, later for each refusal.
+
+        Each caller of this host is put behind the one refused before by the
+        time in which a slice gains a token.
+        """
+        times = [v.retry_at_s for v in state.views.values()]
+        first_s = min(times, default=now_s + UNKNOWN_RETRY_S)
+        rate_per_s = max(state.limit.rate_per_s, 1e-6)
+        gap_s = max(1, len(self._data_centres)) / rate_per_s
+        at_s = max(first_s, now_s, state.hint_at_s + gap_s)
+        state.hint_at_s = min(at_s, now_s + MAX_HINT_S)
+        return state.hint_at_s - now_s
--- /dev/null
+++ b/knapweedtally/core/quotas/rules.py
@@ -0,0 +1,89 @@
+"""The rules that keep a team's operations below its limit.
+
+Each is called through this module, so that a test can disable it and show that
+a check fails without it.
+"""
+
+# Validity of a token, in seconds, from the sending of the question. It adds
+# rate x lease to a window, which the tolerance has to cover.
+LEASE_S = 0.25
+
+# A longer time without a periodic check, in seconds, may have let another host
+# take over the slice. That takes three missed heartbeats, so at least 2 s.
+SUSPENSION_S = 1.0
+
+# A host grants nothing for this long after its start or a suspension, in
+# seconds: by then it has heard the other hosts and they have heard it.
+SETTLING_TIME_S = 3.0
+
+# Hosts that were heard within this time count when an allocator determines
+# which part of its data centre it sees, in seconds.
+MEMORY_S = 60.0
+
+
+# Hosts that were listed in the store, but not heard since the start, count as
+# heard for this long, in seconds.
+UNHEARD_MEMORY_S = 10.0
+
+
+def was_suspended(last_s: float, now_s: float) -> bool:
+    """Return whether a host has not run for a while."""
+    return now_s - last_s > SUSPENSION_S
+
+
+def is_settled(since_s: float, now_s: float, is_listed: bool) -> bool:
+    """Return whether a host knows the other hosts well enough to grant.
+
+    Args:
+        since_s: time of the start or of the end of the last suspension.
+        now_s: the current time.
+        is_listed: whether the known hosts were listed. Without the list a host
+            may know one data centre only and take its slice for all of them.
+    """
+    return is_listed and now_s - since_s >= SETTLING_TIME_S
+
+
+def compute_share(live: int, recent: int) -> float:
+    """Return the part of a slice that one allocator may grant.
+
+    The parts of a data centre that is divided see disjoint sets of live hosts,
+    so their shares add up to one at most.
+
+    Args:
+        live: number of live hosts of the data centre.
+        recent: number of its hosts that were heard lately.
+    """
+    return live / max(live, recent, 1)
+
+
+def get_initial_level(capacity: float) -> float:
+    """Return the tokens with which a bucket starts.
+
+    None, because a predecessor may just have granted a burst.
+    """
+    return 0.0
+
+
+def limit_level(level: float, capacity: float) -> float:
+    """Return the tokens that a bucket may keep."""
+    return min(level, capacity)
+
+
+def is_newer(version: int, known: int) -> bool:
+    """Return whether a limit replaces the known one."""
+    return version > known
+
+
+def is_valid(expires_s: float, now_s: float) -> bool:
+    """Return whether a token may still be used."""
+    return now_s < expires_s
+
+
+def compute_expiry_s(asked_s: float, received_s: float) -> float:
+    """Return until when a token may be used, on the asking host's clock."""
+    return asked_s + LEASE_S
+
+
+def is_repeated(ask: int, last: int | None) -> bool:
+    """Return whether a question was answered already."""
+    return ask == last
--- /dev/null
+++ b/knapweedtally/core/quotas/slices.py
@@ -0,0 +1,131 @@
+"""Split of limits by data centre, and the hosts that grant from the parts."""
+
+import math
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from knapweedtally.utils import hashes
+
+
+class Limit(NamedTuple):
+    """The limit of a team.
+
+    Attributes:
+        version: version of the configuration that states it.
+        rate_per_s: operations a second.
+        burst: operations beyond that rate.
+    """
+
+    version: int
+    rate_per_s: float
+    burst: float
+
+
+class Slice(NamedTuple):
+    """The part of a limit that one allocator grants.
+
+    Attributes:
+        rate_per_s: tokens a second.
+        capacity: largest number of tokens that it keeps.
+    """
+
+    rate_per_s: float
+    capacity: float
+
+
+class Fleet(NamedTuple):
+    """The hosts, as one host knows them.
+
+    Attributes:
+        live: data centres of the live hosts by name, the own host included.
+        known: data centres of all known hosts by name, live or not.
+        recent: names of the hosts that were heard lately.
+        is_listed: whether the known hosts were listed in the store.
+    """
+
+    live: Mapping[str, str]
+    known: Mapping[str, str]
+    recent: frozenset[str]
+    is_listed: bool
+
+
+def list_data_centres(known: Mapping[str, str]) -> list[str]:
+    """Return the data centres between which limits are split.
+
+    They are those of the known hosts, so that a data centre that is cut off
+    keeps its slice and the others don't take it.
+    """
+    return sorted({name for name in known.values() if name})
+
+
+def split_limit(limit: Limit, count: int, share: float) -> Slice:
+    """Return the slice of an allocator.
+
+    Args:
+        limit: the team's limit.
+        count: number of data centres.
+        share: part of the slice that the allocator may grant.
+    """
+    part = share / max(1, count)
+    # A bucket that holds less than one token would never grant any.
+    capacity = max(1.0, limit.burst * part)
+    return Slice(limit.rate_per_s * part, capacity)
+
+
+def find_allocator(
+    team: str, data_centre: str, live: Mapping[str, str]
+) -> str | None:
+    """Return the host that grants a team's tokens in a data centre."""
+    hosts = [host for host, name in live.items() if name == data_centre]
+    return min(hosts, key=lambda host: _rank(team, host), default=None)
+
+
+def _rank(team: str, host: str) -> int:
+    return hashes.hash_text(f"{team}/{host}")
+
+
+class Allowance(NamedTuple):
+    """What a host may use while no allocator responds.
+
+    Attributes:
+        rate_per_s: tokens a second.
+        capacity: largest number of tokens kept; 0 for none.
+    """
+
+    rate_per_s: float
+    capacity: float
+
+
+def compute_allowance(
+    limit: Limit,
+    team: str,
+    host: str,
+    known: Iterable[str],
+    spare: float,
+    window_s: float,
+) -> Allowance:
+    """Return a host's part of what the tolerance leaves.
+
+    In a window, a bucket passes its capacity and what flows in, so each gets
+    half. Where that is less than one token per host, only as many hosts as
+    there are tokens have one each.
+
+    Args:
+        limit: the team's limit.
+        team: name of the team.
+        host: name of this host.
+        known: names of all known hosts.
+        spare: operations of a window that may be passed out in this way.
+        window_s: length of the window.
+    """
+    hosts = sorted(known)
+    if spare < 2 or not hosts:
+        return Allowance(0.0, 0.0)
+    half = spare / 2 / len(hosts)
+    if half >= 1:
+        return Allowance(half / window_s, half)
+    hosts.sort(key=lambda name: _rank(team, name))
+    if host in hosts[: math.floor(spare / 2)]:
+        return Allowance(1 / window_s, 1.0)
+    return Allowance(0.0, 0.0)
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -147,6 +147,7 @@
             self._retry_or_finish(answer, None, now_s)
         elif code is _Code.FAILED and not request.need.is_write:
             placement.record_failure(pool.load, now_s)
+            self._require_another_token()
             self._retry_or_finish(answer, target, now_s)
         else:
             self._finish_with_error(answer)
@@ -172,6 +173,11 @@
         )
         self._router.finish(self._request, result)
 
+    def _require_another_token(self) -> None:
+        """Count the next attempt, since this one may have run."""
+        if self._request.permit is not None:
+            self._request.permit.require_another()
+
     def _handle_connection_lost(
         self, outcome: connections.Outcome, now_s: float
     ) -> None:
@@ -181,6 +187,7 @@
             code = _Code.TIMED_OUT if outcome.is_timeout else None
             self._finish_request(None, code or _Code.UNKNOWN_OUTCOME)
         elif request.attempts < MAX_ATTEMPTS and now_s < request.deadline_s:
+            self._require_another_token()
             self._router.retry(request, self._pool.entry.target)
         elif not request.running_attempts:
             code = _Code.ABORTED if request.is_begin else _Code.TIMED_OUT
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -17,6 +17,7 @@
 from knapweedtally.entry import pools
 from knapweedtally.entry import primary_changes
 from knapweedtally.entry import promoter
+from knapweedtally.entry import quotas
 from knapweedtally.entry import relays
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
@@ -59,6 +60,7 @@
         catalog: configuration and targets.
         log: where decisions are written.
         counters: counters and histograms.
+        quotas: admission within the limits of teams.
         is_draining: whether the process is about to stop.
         routers: routers by name of the group.
         sessions: open sessions of callers.
@@ -85,6 +87,9 @@
             log,
             lambda *received: self._sharer.receive(*received),
         )
+        self.quotas = quotas.Quotas(
+            host_settings, self.peers, self.catalog, log, self.counters
+        )
         self._sharer = evidence_sharing.EvidenceSharer(
             host_settings.host, self.peers, self.routers
         )
@@ -131,6 +136,7 @@
             ("members", self._check_members),
             ("member records", self._check_records),
             ("peers", self.peers.tick),
+            ("quotas", self.quotas.tick),
             ("group", self._check_groups),
             ("sharing", self._share_evidence),
             ("serving", self._check_serving),
--- a/knapweedtally/entry/metrics.py
+++ b/knapweedtally/entry/metrics.py
@@ -21,10 +21,10 @@
         self._buckets: dict[str, list[int]] = {}
         self._sums: dict[str, float] = {}
 
-    def increment(self, name: str, label: str) -> None:
+    def increment(self, name: str, label: str, amount: int = 1) -> None:
         """Increment a counter."""
         key = (name, label)
-        self._counters[key] = self._counters.get(key, 0) + 1
+        self._counters[key] = self._counters.get(key, 0) + amount
 
     def observe(self, label: str, duration_s: float) -> None:
         """Record a statement's latency in the histogram of a label."""
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/peers.py
@@ -119,6 +119,42 @@
         """Return the names of this host and of all hosts ever known here."""
         return [self._host, *self._peers]
 
+    @property
+    def is_listed(self) -> bool:
+        """Return whether the other hosts were listed in the store."""
+        return self._listed.is_set()
+
+    def list_known_data_centres(self) -> dict[str, str]:
+        """Return the data centres of all hosts ever known here, by name.
+
+        This host is included. A name is empty if it isn't known.
+        """
+        known = {name: peer.data_centre for name, peer in self._peers.items()}
+        known[self._host] = self._data_centre
+        return known
+
+    def list_recent_hosts(
+        self, now_s: float, heard_s: float, unheard_s: float
+    ) -> frozenset[str]:
+        """Return the names of other hosts that were heard lately.
+
+        Args:
+            now_s: the current time.
+            heard_s: for how long a host counts after it was last heard.
+            unheard_s: for how long after the start of this host those count
+                that haven't been heard since.
+        """
+        is_starting = now_s - self._started_s < unheard_s
+        return frozenset(
+            name
+            for name, peer in self._peers.items()
+            if (
+                is_starting
+                if peer.heard_s is None
+                else now_s - peer.heard_s < heard_s
+            )
+        )
+
     async def _open_socket(self) -> None:
         if self._transport is not None:
             return
--- a/knapweedtally/entry/requests.py
+++ b/knapweedtally/entry/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from typing import Protocol
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -9,6 +10,27 @@
 from knapweedtally.entry import connections
 
 
+class Permit(Protocol):
+    """The right to send an operation of a team that has a limit."""
+
+    def attach(
+        self, on_ready: Callable[[], None], on_refused: Callable[[str], None]
+    ) -> None:
+        """Set what is called after ``confirm`` returned False."""
+
+    def confirm(self, now_s: float) -> bool:
+        """Return whether the operation may be sent now."""
+
+    def take_more(self, now_s: float) -> bool:
+        """Return whether a hedged attempt may be sent."""
+
+    def require_another(self) -> None:
+        """Count the next attempt as another operation."""
+
+    def release(self) -> None:
+        """Return what wasn't used."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Request:
     """A statement, or the start of a transaction, that needs a target.
@@ -31,6 +53,7 @@
         is_done: whether the result was delivered or the request cancelled.
         is_admitted: whether it passed the check for an overloaded primary.
         reason: outcome of the last placement; why the request is queued.
+        permit: its right to be sent, or None if its team has no limit.
     """
 
     session: connections.Session
@@ -49,6 +72,7 @@
     is_done: bool = False
     is_admitted: bool = False
     reason: placement.Reason = placement.Reason.CHOSEN
+    permit: Permit | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -137,6 +137,11 @@
         load_shedding.record_priority(
             self.observer.load_shedding, request.priority
         )
+        if request.permit is not None:
+            request.permit.attach(
+                self.dispatch,
+                lambda detail: self._refuse_over_limit(request, detail),
+            )
         self._queue.append(request)
         self._queue.sort(key=_get_queue_key)
         self.dispatch()
@@ -144,6 +149,8 @@
     def cancel(self, request: requests.Request) -> None:
         """Drop a request whose caller has disconnected."""
         request.is_done = True
+        if request.permit is not None:
+            request.permit.release()
         if request in self._queue:
             self._queue.remove(request)
 
@@ -183,6 +190,8 @@
         if connection is None:
             pool.load.idle = 0
             return
+        if request.permit is not None and not request.permit.confirm(now_s):
+            return
         self._queue.remove(request)
         try:
             self._start_attempt(
@@ -321,6 +330,8 @@
             return
         request.is_done = True
         self._hedge_candidates.discard(request)
+        if request.permit is not None:
+            request.permit.release()
         if request in self._queue:
             self._queue.remove(request)
         result.attempts = request.attempts
@@ -400,6 +411,18 @@
             requests.Result(None, _Code.BUSY, detail, waited_s=waited_s),
         )
 
+    def _refuse_over_limit(
+        self, request: requests.Request, detail: str
+    ) -> None:
+        """Refuse a queued request, unless an attempt of it still runs."""
+        if request.is_done:
+            return
+        if request.running_attempts:
+            self._queue.remove(request)
+            return
+        result = requests.Result(None, _Code.BUSY, detail)
+        self.finish(request, result)
+
     def _send_due_hedge(self, request: requests.Request, now_s: float) -> None:
         if request.is_done or not request.running_attempts:
             self._hedge_candidates.discard(request)
@@ -407,6 +430,8 @@
             request.hedge_at_s <= now_s
             and request.attempts < attempts.MAX_ATTEMPTS
         ):
+            if request.permit and not request.permit.take_more(now_s):
+                return
             request.hedge_at_s = now_s + 10.0
             self._counters.increment("second_tries", self.settings.name)
             self.retry(request, None)
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/services.py
@@ -7,6 +7,7 @@
 from knapweedtally.core.groups import catalog
 from knapweedtally.entry import logs
 from knapweedtally.entry import metrics
+from knapweedtally.entry import quotas
 from knapweedtally.entry import router as router_module
 
 
@@ -17,12 +18,14 @@
         catalog: configuration and targets.
         log: where decisions are written.
         counters: counters and histograms.
+        quotas: admission within the limits of teams.
         is_draining: whether the host is about to stop.
     """
 
     catalog: catalog.Catalog
     log: logs.Log
     counters: metrics.Metrics
+    quotas: quotas.Quotas
     is_draining: bool
 
     def is_configuration_expected(self) -> bool:
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -469,6 +469,28 @@
             arrived_s + route.statement_timeout_s,
             self._guard(on_end),
         )
+        self._services.quotas.admit(
+            self.team,
+            statement.id,
+            request.deadline_s - clock.get_time_s(),
+            self._guard(lambda permit: self._submit(router, request, permit)),
+            lambda detail: request.on_end(
+                requests.Result(None, _Code.BUSY, detail)
+            ),
+        )
+
+    def _submit(
+        self,
+        router: router_module.Router,
+        request: requests.Request,
+        permit: requests.Permit | None,
+    ) -> None:
+        """Submit a request that is within its team's limit."""
+        if self._is_closed:
+            if permit is not None:
+                permit.release()
+            return
+        request.permit = permit
         self._request = request
         self._router = router
         router.submit(request)
