--- /dev/null
+++ b/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quotas over all hosts."""
--- /dev/null
+++ b/tests/quotas/test_service.py
@@ -0,0 +1,112 @@
+"""Tests of what callers within and above a limit receive."""
+
+import testtools
+
+from knapweedtally.core.quotas import messages
+from knapweedtally.core.quotas import slices
+from tests.quotas import model
+
+TEAM = "t"
+LIMIT = slices.Limit(1, 60.0, 60.0)
+
+
+def make_fleet() -> model.Model:
+    return model.Model(27, {TEAM: LIMIT}, 3)
+
+
+class ServiceTest(testtools.TestCase):
+    def test_team_within_its_limit_is_served(self) -> None:
+        # A split that ignores where callers are refuses some of them.
+        for names in (None, ["h0", "h3", "h6"], ["h1"]):
+            fleet = make_fleet()
+            fleet.run(3.0)
+            chosen = names or list(fleet.known)
+            fleet.offer(TEAM, 0.7 * LIMIT.rate_per_s, 10.0, chosen)
+            fleet.run(11.0)
+            self.assertGreater(len(fleet.ran[TEAM]), 350)
+            self.assertLess(len(fleet.refused[TEAM]), 5)
+
+    def test_team_above_its_limit_gets_the_limit(self) -> None:
+        # Tokens that hosts hold back unused would be lost.
+        fleet = make_fleet()
+        fleet.offer(TEAM, 7.5 * LIMIT.rate_per_s, 10.0, list(fleet.known))
+        fleet.run(10.0)
+        self.assertGreater(len(fleet.ran[TEAM]), 0.95 * 600)
+        self.assertLess(fleet.sent, 10 * 800)
+
+    def test_data_centre_that_is_cut_off_keeps_its_slice(self) -> None:
+        fleet = make_fleet()
+        local = [n for n, place in fleet.places.items() if place == "dc1"]
+        fleet.parted = dict.fromkeys(local, 1)
+        fleet.run(12.0)
+        fleet.offer(TEAM, LIMIT.rate_per_s, 10.0, local)
+        fleet.run(10.0)
+        self.assertGreater(len(fleet.ran[TEAM]), 190)
+        # One burst of the slice beyond its rate.
+        self.assertLess(len(fleet.ran[TEAM]), 225)
+
+    def test_killed_allocators_are_replaced(self) -> None:
+        fleet = make_fleet()
+        fleet.run(3.0)
+        for place in ("dc0", "dc1", "dc2"):
+            name = slices.find_allocator(TEAM, place, fleet.known)
+            fleet.kill(name or "")
+        fleet.run(4.0)
+        fleet.offer(TEAM, 0.5 * LIMIT.rate_per_s, 5.0, list(fleet.hosts))
+        fleet.run(5.0)
+        self.assertGreater(len(fleet.ran[TEAM]), 130)
+        self.assertLess(len(fleet.refused[TEAM]), 3)
+
+    def test_idle_team_costs_no_message(self) -> None:
+        fleet = make_fleet()
+        fleet.run(20.0)
+        self.assertEqual(0, fleet.sent)
+
+    def test_token_at_hand_needs_no_message(self) -> None:
+        # Tokens asked for in advance, and returned ones, are used first.
+        fleet = make_fleet()
+        fleet.run(3.0)
+        host = fleet.hosts["h0"]
+        fleet.admit(host, TEAM)
+        fleet.run(0.1)
+        sent = fleet.sent
+        host.borrower.give_back(TEAM, fleet.now_s + 0.2, fleet.now_s)
+        fleet.admit(host, TEAM)
+        self.assertEqual(sent, fleet.sent)
+        self.assertEqual([], fleet.refused[TEAM])
+
+    def test_answer_of_another_host_changes_nothing(self) -> None:
+        # A late or forged answer must not add tokens.
+        fleet = make_fleet()
+        host = fleet.hosts["h0"]
+        effects = host.borrower.admit(TEAM, 1, 2.0, fleet.now_s)
+        ask = effects[0].ask
+        lend = messages.Lend(
+            ask.id, TEAM, messages.Reply.GRANTED, 1, 1.0, 0.0, LIMIT
+        )
+        other = "h1" if effects[0].host != "h1" else "h2"
+        for sender, answer in (
+            (other, lend),
+            (effects[0].host, lend._replace(id=ask.id + 1)),
+            (effects[0].host, lend._replace(tokens=99)),
+            (effects[0].host, lend._replace(team="other")),
+        ):
+            found = host.borrower.handle_lend(sender, answer, fleet.now_s)
+            self.assertEqual([], found)
+        host.borrower.handle_lend(effects[0].host, lend, fleet.now_s)
+        self.assertEqual(
+            [], host.borrower.handle_lend(effects[0].host, lend, fleet.now_s)
+        )
+
+    def test_hints_of_one_host_are_spread(self) -> None:
+        # Callers that return together are refused together.
+        fleet = make_fleet()
+        host = fleet.hosts["h0"]
+        host.borrower.update_fleet(
+            slices.Fleet({}, {}, frozenset(), True), fleet.now_s
+        )
+        hints = [
+            host.borrower.admit(TEAM, n, 2.0, fleet.now_s)[0].retry_s
+            for n in range(10)
+        ]
+        self.assertEqual(sorted(set(hints)), hints)
