--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -4,21 +4,21 @@
 let the lease be l. Within a window w, targets receive operations
 
 * whose tokens were granted in the window or up to l before it. A slice's bucket
-  holds at most max(1, b / n) tokens and gains r / n a second, so all slices
-  grant at most r (w + l) + b + n. This holds also where a data centre is
-  divided, apart from the one token that each part keeps: the shares of the
-  parts add up to one (``rules.compute_share``). A bucket that a host takes over
+  holds at most max(c, b / n) tokens, where c is ``slices.MIN_CAPACITY``, and
+  gains r / n a second, so all slices grant at most r (w + l) + b + c n. This
+  holds also where a data centre is divided: the shares of the parts add up to
+  one (``rules.compute_share``). A bucket that a host takes over
   starts empty, so it grants only what flowed in since, and its predecessor is
   gone or grants nothing any more;
 * that used the allowance, at most the spare s over all hosts.
 
-s is half of the tolerance w r e + b e + k that r l + n leaves, where e is the
+s is half of the tolerance w r e + b e + k that r l + c n leaves, where e is the
 excess and k the slack (``compute_spare``). The sum is at most
-(r w + b) (1 + e) + k if r l + n <= (r w + b) e + k, which holds for l = 0.25 s,
-w = 5 s, e = 0.1, k = 20 and n <= 20. For each second in which two allocators
-grant from one slice, r / n comes on top; the other half of the tolerance, at
-least r / 8 + 8 for n = 3, covers it for 0.375 s at any rate, and for longer the
-lower r is.
+(r w + b) (1 + e) + k if r l + c n <= (r w + b) e + k, which holds for
+l = 0.25 s, w = 5 s, e = 0.1, k = 20 and n <= 6. For each second in which two
+allocators grant from one slice, r / n comes on top; the other half of the
+tolerance, at least r / 8 + 5 for n = 3, covers it for 0.375 s at any rate, and
+for longer the lower r is.
 """
 
 import collections
@@ -111,7 +111,8 @@
     """
     total = limit.rate_per_s * tolerance.window_s + limit.burst
     extra = total * tolerance.excess + tolerance.slack
-    left = extra - limit.rate_per_s * rules.LEASE_S - count
+    left = extra - limit.rate_per_s * rules.LEASE_S
+    left -= slices.MIN_CAPACITY * count
     return max(0.0, left / 2)
 
 
@@ -172,6 +173,10 @@
         """Take over which hosts are known and live."""
         if fleet.live != self._fleet.live:
             self._allocators.clear()
+        is_known = (fleet.known, fleet.is_listed) == (
+            self._fleet.known,
+            self._fleet.is_listed,
+        )
         self._fleet = fleet
         self._data_centres = slices.list_data_centres(fleet.known)
         for team, state in self._teams.items():
@@ -180,7 +185,8 @@
                 for name, view in state.views.items()
                 if self._find_allocator(team, name) == view.allocator
             }
-            self._update_allowance(team, state, now_s)
+            if not is_known:
+                self._update_allowance(team, state, now_s)
 
     def _find_allocator(self, team: str, data_centre: str) -> str | None:
         key = (team, data_centre)
--- a/knapweedtally/core/quotas/slices.py
+++ b/knapweedtally/core/quotas/slices.py
@@ -7,6 +7,10 @@
 
 from knapweedtally.utils import hashes
 
+# Smallest capacity of a whole slice. One token would refuse small teams whose
+# operations come in pairs; the slack of the limit covers these.
+MIN_CAPACITY = 3.0
+
 
 class Limit(NamedTuple):
     """The limit of a team.
@@ -67,10 +71,11 @@
         count: number of data centres.
         share: part of the slice that the allocator may grant.
     """
-    part = share / max(1, count)
-    # A bucket that holds less than one token would never grant any.
-    capacity = max(1.0, limit.burst * part)
-    return Slice(limit.rate_per_s * part, capacity)
+    # The capacities of the parts of a divided data centre add up to that of the
+    # slice. A part whose capacity is below one token grants none.
+    count = max(1, count)
+    capacity = max(MIN_CAPACITY, limit.burst / count)
+    return Slice(limit.rate_per_s / count * share, capacity * share)
 
 
 def find_allocator(
