--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -13,7 +13,7 @@
 * that used the allowance, at most the spare s over all hosts.
 
 s is half of the tolerance w r e + b e + k that r l + c n leaves, where e is the
-excess and k the slack (``compute_spare``). The sum is at most
+excess and k the slack (``slices.compute_spare``). The sum is at most
 (r w + b) (1 + e) + k if r l + c n <= (r w + b) e + k, which holds for
 l = 0.25 s, w = 5 s, e = 0.1, k = 20 and n <= 6. For each second in which two
 allocators grant from one slice, r / n comes on top; the other half of the
@@ -31,11 +31,6 @@
 from knapweedtally.core.quotas import slices
 from knapweedtally.core.quotas import team_leases
 
-# Longest wait of an operation for its token, in seconds and as a part of its
-# remaining time.
-MAX_WAIT_S = 0.12
-MAX_WAIT_PART = 1 / 3
-
 # Time after which a question is repeated, and after which its allocator counts
 # as silent, in seconds.
 REPEAT_AFTER_S = 0.03
@@ -85,47 +80,15 @@
 Effect = Admitted | Refused | Sent
 
 
-class Tolerance(NamedTuple):
-    """By how much a limit may be exceeded in a window.
-
-    Attributes:
-        window_s: length of the window.
-        excess: part of the limit.
-        slack: operations besides.
-    """
-
-    window_s: float
-    excess: float
-    slack: float
-
-
-def compute_spare(
-    limit: slices.Limit, tolerance: Tolerance, count: int
-) -> float:
-    """Return the operations of a window for all hosts' allowances.
-
-    Args:
-        limit: the team's limit.
-        tolerance: by how much it may be exceeded.
-        count: number of slices.
-    """
-    total = limit.rate_per_s * tolerance.window_s + limit.burst
-    extra = total * tolerance.excess + tolerance.slack
-    left = extra - limit.rate_per_s * rules.LEASE_S
-    left -= slices.MIN_CAPACITY * count
-    return max(0.0, left / 2)
-
-
-def compute_wait_s(left_s: float) -> float:
-    """Return how long an operation with this time left waits for a token."""
-    return max(0.0, min(MAX_WAIT_S, left_s * MAX_WAIT_PART))
-
-
 class Borrower:
     """The tokens that one host borrows."""
 
     def __init__(
-        self, host: str, data_centre: str, tolerance: Tolerance, first_id: int
+        self,
+        host: str,
+        data_centre: str,
+        tolerance: slices.Tolerance,
+        first_id: int,
     ) -> None:
         """Start without tokens.
 
@@ -203,7 +166,7 @@
         spare = 0.0
         if self._fleet.is_listed:
             count = len(self._data_centres)
-            spare = compute_spare(state.limit, self._tolerance, count)
+            spare = slices.compute_spare(state.limit, self._tolerance, count)
         state.allowance = slices.compute_allowance(
             state.limit,
             team,
@@ -258,7 +221,7 @@
             now_s: the current time.
         """
         state = self._teams[team]
-        until_s = now_s + compute_wait_s(left_s)
+        until_s = now_s + rules.compute_wait_s(left_s)
         state.waiters.append(team_leases.Waiter(id_, until_s))
         return self._proceed(team, state, now_s)
 
--- a/knapweedtally/core/quotas/rules.py
+++ b/knapweedtally/core/quotas/rules.py
@@ -25,6 +25,11 @@
 # heard for this long, in seconds.
 UNHEARD_MEMORY_S = 10.0
 
+# Longest wait of an operation for its token, in seconds and as a part of its
+# remaining time.
+MAX_WAIT_S = 0.12
+MAX_WAIT_PART = 1 / 3
+
 
 def was_suspended(last_s: float, now_s: float) -> bool:
     """Return whether a host has not run for a while."""
@@ -87,3 +92,8 @@
 def is_repeated(ask: int, last: int | None) -> bool:
     """Return whether a question was answered already."""
     return ask == last
+
+
+def compute_wait_s(left_s: float) -> float:
+    """Return how long an operation with this time left waits for a token."""
+    return max(0.0, min(MAX_WAIT_S, left_s * MAX_WAIT_PART))
--- a/knapweedtally/core/quotas/slices.py
+++ b/knapweedtally/core/quotas/slices.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from knapweedtally.core.quotas import rules
 from knapweedtally.utils import hashes
 
 # Smallest capacity of a whole slice. One token would refuse small teams whose
@@ -134,3 +135,32 @@
     if host in hosts[: math.floor(spare / 2)]:
         return Allowance(1 / window_s, 1.0)
     return Allowance(0.0, 0.0)
+
+
+class Tolerance(NamedTuple):
+    """By how much a limit may be exceeded in a window.
+
+    Attributes:
+        window_s: length of the window.
+        excess: part of the limit.
+        slack: operations besides.
+    """
+
+    window_s: float
+    excess: float
+    slack: float
+
+
+def compute_spare(limit: Limit, tolerance: Tolerance, count: int) -> float:
+    """Return the operations of a window for all hosts' allowances.
+
+    Args:
+        limit: the team's limit.
+        tolerance: by how much it may be exceeded.
+        count: number of slices.
+    """
+    total = limit.rate_per_s * tolerance.window_s + limit.burst
+    extra = total * tolerance.excess + tolerance.slack
+    left = extra - limit.rate_per_s * rules.LEASE_S
+    left -= MIN_CAPACITY * count
+    return max(0.0, left / 2)
--- a/tests/quotas/model.py
+++ b/tests/quotas/model.py
@@ -15,7 +15,7 @@
 from knapweedtally.core.quotas import rules
 from knapweedtally.core.quotas import slices
 
-TOLERANCE = borrower.Tolerance(5.0, 0.1, 20.0)
+TOLERANCE = slices.Tolerance(5.0, 0.1, 20.0)
 CHECK_INTERVAL_S = 0.5
 TIMEOUT_S = 2.0
 # Heartbeats and times after which a silent host isn't live, in seconds: in the
@@ -219,7 +219,7 @@
         self._operations[number] = (host.name, team)
         now_s = self.now_s
         effects = host.borrower.admit(team, number, TIMEOUT_S, now_s)
-        self.at(borrower.MAX_WAIT_S + 0.001, self._check_team, host, team)
+        self.at(rules.MAX_WAIT_S + 0.001, self._check_team, host, team)
         self._apply(host, team, effects)
 
     def _check_team(self, host: Host, team: str) -> None:
