--- a/knapweedtally/entry/metrics.py
+++ b/knapweedtally/entry/metrics.py
@@ -61,10 +61,10 @@
         self._sums: dict[str, float] = {}
         self._team_counters: dict[str, TeamCounter] = {}
 
-    def increment(self, name: str, label: str) -> None:
+    def increment(self, name: str, label: str, amount: int = 1) -> None:
         """Increment a counter."""
         key = (name, label)
-        self._counters[key] = self._counters.get(key, 0) + 1
+        self._counters[key] = self._counters.get(key, 0) + amount
 
     def increment_team(self, name: str, team: str) -> None:
         """Increment a counter by team, unless callers aren't told apart."""
