--- a/knapweedtally/core/groups/model.py
+++ b/knapweedtally/core/groups/model.py
@@ -1,6 +1,7 @@
 """Data types that the modules of this package share."""
 
 import enum
+import hashlib
 import math
 import types
 from collections.abc import Mapping
@@ -65,12 +66,21 @@
     acknowledging_replicas: int
 
 
+def digest_key(key: str) -> str:
+    """Return the digest by which a key is known once it was read.
+
+    Keys are long and random, so a digest without salt can't be inverted.
+    """
+    data = key.encode("utf-8", "surrogatepass")
+    return hashlib.sha256(data).hexdigest()
+
+
 class Team(NamedTuple):
     """A team of callers.
 
     Attributes:
         name: name of the team, by which targets know it.
-        keys: keys that identify its callers.
+        keys: digests of the keys that identify its callers.
         priority: priority among teams; 0 is the highest.
         rate_per_s: operations a second that the team may send over all hosts;
             infinite if it has no limit.
@@ -94,7 +104,7 @@
         transaction_idle_s: how long a transaction may be idle before it may be
             ended; 0 for no limit.
         teams: teams by name; empty if callers aren't told apart.
-        key_teams: names of the teams by key.
+        key_teams: names of the teams by digest of the key.
     """
 
     version: int
--- a/knapweedtally/core/teams/identification.py
+++ b/knapweedtally/core/teams/identification.py
@@ -46,7 +46,7 @@
     """
     if not configuration.teams:
         return Identification("")
-    team = configuration.key_teams.get(key) if key else None
+    team = configuration.key_teams.get(model.digest_key(key)) if key else None
     if team is not None:
         return Identification(team)
     if is_public:
--- a/knapweedtally/entry/configuration_exchange.py
+++ b/knapweedtally/entry/configuration_exchange.py
@@ -12,6 +12,7 @@
 from knapweedtally.entry import logs
 from knapweedtally.entry import peers as peers_module
 from knapweedtally.platform import line_protocol
+from knapweedtally.platform import records
 from knapweedtally.platform import store_calls
 
 # Kinds of the datagrams; their payload is the sender's version.
@@ -99,8 +100,13 @@
         return version_exchange.is_first_expected(self._state, now_s)
 
     def record_applied(self, spec: Any) -> None:
-        """Keep the source of a version that came into force, and offer it."""
-        self.source = json.dumps(spec, separators=(",", ":")).encode()
+        """Keep a version that came into force, and offer it.
+
+        Only digests of the keys are kept: whoever reaches the relay port can
+        fetch what is kept.
+        """
+        passed_on = records.replace_keys(spec)
+        self.source = json.dumps(passed_on, separators=(",", ":")).encode()
         for host in version_exchange.take_hosts_to_notify(
             self._state, self._get_version(), clock.get_time_s()
         ):
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -15,6 +15,13 @@
     "bounded_stale": model.Consistency.BOUNDED,
     "read_your_writes": model.Consistency.SESSION,
 }
+# Field of a team with the digests of its keys, in a configuration that a host
+# has passed on; the operator's has the keys in ``apiKeys``.
+KEY_DIGESTS = "keyDigests"
+
+# Fields of a team that are passed on unchanged.
+_TEAM_FIELDS = ("name", "priority", "ratePerS", "burst")
+
 _TARGET_STATES = frozenset({"ready", "draining"})
 _TARGET_ROLES = frozenset({"primary", "replica"})
 
@@ -105,12 +112,20 @@
     try:
         name = str(item["name"])
         api_keys = item.get("apiKeys") or []
-        if not name or " " in name or not isinstance(api_keys, list):
+        digests = item.get(KEY_DIGESTS) or []
+        if not name or " " in name:
+            return None
+        if not isinstance(api_keys, list) or not isinstance(digests, list):
             return None
         rate_per_s = item.get("ratePerS")
         return model.Team(
             name=name,
-            keys=frozenset(str(key) for key in api_keys if key),
+            keys=frozenset(
+                (
+                    *(model.digest_key(str(key)) for key in api_keys if key),
+                    *(str(digest) for digest in digests),
+                )
+            ),
             priority=int(item.get("priority") or 0),
             rate_per_s=math.inf if rate_per_s is None else float(rate_per_s),
             burst=float(item.get("burst") or 0),
@@ -119,6 +134,28 @@
         return None
 
 
+def replace_keys(spec: Any) -> Any:
+    """Return a configuration's ``spec`` with digests in place of its keys.
+
+    Hosts pass a configuration on in this form, which they read as well.
+    """
+    if not isinstance(spec, dict):
+        return spec
+    teams = spec.get("tenants")
+    if not isinstance(teams, list):
+        return spec
+    return {**spec, "tenants": [_replace_team_keys(team) for team in teams]}
+
+
+def _replace_team_keys(item: Any) -> Any:
+    team = _parse_team(item)
+    if team is None:
+        # Whatever else it has may be a key.
+        return None
+    kept = {name: item[name] for name in _TEAM_FIELDS if name in item}
+    return {**kept, KEY_DIGESTS: sorted(team.keys)}
+
+
 def parse_target(name: str, revision: int, spec: Any) -> model.TargetEntry:
     """Return the target that an entry in the store describes.
 
--- a/tests/entry/test_identification.py
+++ b/tests/entry/test_identification.py
@@ -42,6 +42,12 @@
     return system.platform.groups["g"].get_primary()
 
 
+def count_rollbacks(target: targets.Target) -> int:
+    """Return how many rollbacks a target has run."""
+    ran = (*target.statements, *target.control_statements)
+    return sum(1 for _, text in ran if text == "ROLLBACK")
+
+
 class IdentificationTest(testtools.TestCase):
     """The session of a caller, by its key and the configuration in force."""
 
@@ -117,12 +123,13 @@
             caller = await start_caller(system)
             await caller.run("BEGIN")
             await caller.run("WRITE item 1")
-            await apply_teams(system, OTHER_TEAM)
             target = get_primary(system)
+            known = count_rollbacks(target)
+            await apply_teams(system, OTHER_TEAM)
+            # A status request may follow the rollback at once.
             await harness.wait_for(
-                lambda target=target: (
-                    target.statements[-1][1] == "ROLLBACK"
-                    or target.control_statements[-1][1] == "ROLLBACK"
+                lambda target=target, known=known: (
+                    count_rollbacks(target) > known
                 )
             )
             answer = await caller.run(end)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -162,9 +162,10 @@
             "burst": 50,
         }
         configuration = self.parse([spec])
-        expected = model.Team("t1", frozenset({"k1", "k2"}), 1, 195.0, 50.0)
+        digests = [model.digest_key(key) for key in ("k1", "k2")]
+        expected = model.Team("t1", frozenset(digests), 1, 195.0, 50.0)
         self.assertEqual({"t1": expected}, configuration.teams)
-        self.assertEqual({"k1": "t1", "k2": "t1"}, configuration.key_teams)
+        self.assertEqual(dict.fromkeys(digests, "t1"), configuration.key_teams)
 
     def test_team_without_rate_has_no_limit(self) -> None:
         configuration = self.parse([{"name": "t1", "apiKeys": []}])
@@ -175,7 +176,29 @@
         good = {"name": "t1", "apiKeys": ["k1"]}
         for bad in ({}, 7, {"name": "a b"}, {"name": "t2", "ratePerS": "x"}):
             configuration = self.parse([bad, good])
-            self.assertEqual({"k1": "t1"}, configuration.key_teams)
+            expected = {model.digest_key("k1"): "t1"}
+            self.assertEqual(expected, configuration.key_teams)
+
+    # Guards against keys on the way between hosts.
+    def test_passed_on_configuration_has_no_key(self) -> None:
+        teams = [
+            {
+                "name": "t1",
+                "apiKeys": ["secret-1"],
+                "burst": 3,
+                "x": "secret-2",
+            },
+            {"name": "a b", "apiKeys": ["secret-3"]},
+        ]
+        spec = {**CONFIGURATION, "tenants": teams}
+        passed_on = records.replace_keys(spec)
+        self.assertNotIn("secret", repr(passed_on))
+        self.assertEqual(
+            records.parse_configuration(passed_on),
+            records.parse_configuration(spec),
+        )
+        for other in (None, 3, [], {"tenants": "secret"}):
+            records.replace_keys(other)
 
     def test_configuration_without_teams(self) -> None:
         configuration = records.parse_configuration(CONFIGURATION)
--- a/tests/teams/test_identification.py
+++ b/tests/teams/test_identification.py
@@ -14,7 +14,7 @@
     teams = {
         name: model.Team(name, frozenset([key])) for name, key in keys.items()
     }
-    key_teams = {key: name for name, key in keys.items()}
+    key_teams = {model.digest_key(key): n for n, key in keys.items()}
     return model.Configuration(1, {}, {}, 0.0, teams, key_teams)
 
 
@@ -76,4 +76,5 @@
         configuration = self.parse(
             {"name": "a", "apiKeys": "xyz"}, {"name": "b", "apiKeys": ["k", ""]}
         )
-        self.assertEqual({"k": "b"}, dict(configuration.key_teams))
+        expected = {model.digest_key("k"): "b"}
+        self.assertEqual(expected, dict(configuration.key_teams))
