Rank only hosts that came or went for the slices of limits

Cause: each update of the fleet, once a second even without a change, and each version of the configuration ranked all hosts of a data centre for all limited teams; allowances were computed for all teams whenever a host became known.

Ruled out: a longer interval, which would delay allocators that take over.

Change: slices.Ranking keeps the allocators and ranks only hosts that were added; an allowance is computed when an operation first needs it.

--- a/knapweedtally/core/quotas/allocator.py
+++ b/knapweedtally/core/quotas/allocator.py
@@ -67,7 +67,7 @@
         self._fleet: slices.Fleet | None = None
         self._data_centre_count = 1
         self._share = 0.0
-        self._allocators: dict[str, str | None] = {}
+        self._ranking = slices.Ranking()
         self._limits: dict[str, slices.Limit] = {}
         self._own_teams: frozenset[str] = frozenset()
         self._buckets: dict[str, _Bucket] = {}
@@ -87,7 +87,7 @@
         A team that the configuration doesn't limit has no bucket.
         """
         self._own_teams = frozenset(limits)
-        self._allocators.clear()
+        self._ranking.keep_teams(limits)
         self._limits = {
             team: self._choose_newest(team, limit)
             for team, limit in limits.items()
@@ -98,7 +98,7 @@
         """Take over which hosts are known and live."""
         self.check(now_s)
         self._fleet = fleet
-        self._allocators.clear()
+        self._ranking.update(fleet.live)
         live = self._count(fleet, frozenset(fleet.live))
         recent = self._count(fleet, fleet.recent | frozenset(fleet.live))
         self._share = rules.compute_share(live, recent)
@@ -140,11 +140,7 @@
             self._since_s, now_s, fleet.is_listed
         ):
             return None
-        if team not in self._allocators:
-            self._allocators[team] = slices.find_allocator(
-                team, self._data_centre, fleet.live
-            )
-        if self._allocators[team] != self._host:
+        if self._ranking.find(team, self._data_centre) != self._host:
             return None
         return slices.split_limit(
             self._limits[team], self._data_centre_count, self._share
--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -106,7 +106,7 @@
         self._fleet = slices.Fleet({host: data_centre}, {}, frozenset(), False)
         self._data_centres: list[str] = [data_centre]
         self._teams: dict[str, team_leases.TeamLeases] = {}
-        self._allocators: dict[tuple[str, str], str | None] = {}
+        self._ranking = slices.Ranking()
 
     def update_limits(
         self, limits: Mapping[str, slices.Limit], now_s: float
@@ -122,20 +122,19 @@
             for team in removed
             for waiter in self._teams.pop(team).waiters
         ]
-        self._allocators.clear()
+        self._ranking.keep_teams(limits)
         for team, limit in limits.items():
             state = self._teams.get(team)
             if state is None:
                 state = self._teams[team] = team_leases.TeamLeases(limit, now_s)
             elif rules.is_newer(limit.version, state.limit.version):
                 state.limit = limit
-            self._update_allowance(team, state, now_s)
+            state.is_allowance_due = True
         return effects
 
     def update_fleet(self, fleet: slices.Fleet, now_s: float) -> None:
         """Take over which hosts are known and live."""
-        if fleet.live != self._fleet.live:
-            self._allocators.clear()
+        self._ranking.update(fleet.live)
         is_known = (fleet.known, fleet.is_listed) == (
             self._fleet.known,
             self._fleet.is_listed,
@@ -146,22 +145,18 @@
             state.views = {
                 name: view
                 for name, view in state.views.items()
-                if self._find_allocator(team, name) == view.allocator
+                if self._ranking.find(team, name) == view.allocator
             }
             if not is_known:
-                self._update_allowance(team, state, now_s)
-
-    def _find_allocator(self, team: str, data_centre: str) -> str | None:
-        key = (team, data_centre)
-        if key not in self._allocators:
-            self._allocators[key] = slices.find_allocator(
-                team, data_centre, self._fleet.live
-            )
-        return self._allocators[key]
+                state.is_allowance_due = True
 
     def _update_allowance(
-        self, team: str, state: team_leases.TeamLeases, now_s: float
+        self, team: str, state: team_leases.TeamLeases
     ) -> None:
+        """Compute a team's allowance, which ranks all hosts, if it is due."""
+        if not state.is_allowance_due:
+            return
+        state.is_allowance_due = False
         # A host without the list of hosts may take its part for a larger one.
         spare = 0.0
         if self._fleet.is_listed:
@@ -252,7 +247,7 @@
         state.late.pop(lend.id, None)
         if rules.is_newer(lend.limit.version, state.limit.version):
             state.limit = lend.limit
-            self._update_allowance(lend.team, state, now_s)
+            state.is_allowance_due = True
         expires_s = rules.compute_expiry_s(pending.sent_s, now_s)
         if rules.is_valid(expires_s, now_s):
             state.put(expires_s, lend.tokens, now_s)
@@ -307,14 +302,14 @@
             state.record_use(now_s)
             effects.append(Admitted(state.waiters.popleft().id, expires_s))
         while state.waiters and state.waiters[0].until_s <= now_s:
-            effects.append(self._end_wait(state, now_s))
+            effects.append(self._end_wait(team, state, now_s))
         if state.waiters and state.pending is None:
             data_centre = self._choose_slice(team, state, now_s)
             if data_centre is not None:
                 effects.append(self._ask(team, state, data_centre, now_s))
             else:
                 while state.waiters:
-                    effects.append(self._end_wait(state, now_s))
+                    effects.append(self._end_wait(team, state, now_s))
         if not state.waiters and state.pending is None:
             state.tried.clear()
             state.silent = 0
@@ -328,7 +323,7 @@
             return None
         best: tuple[tuple[bool, float], str] | None = None
         for name in self._data_centres:
-            host = self._find_allocator(team, name)
+            host = self._ranking.find(team, name)
             if name in state.tried or host is None:
                 continue
             view = state.views.get(name)
@@ -347,7 +342,7 @@
         data_centre: str,
         now_s: float,
     ) -> Effect:
-        host = self._find_allocator(team, data_centre)
+        host = self._ranking.find(team, data_centre)
         assert host is not None
         use = state.get_use_per_s(now_s) * rules.LEASE_S * AHEAD_PART
         self._next_id += 1
@@ -363,7 +358,7 @@
         return Sent(host, ask)
 
     def _end_wait(
-        self, state: team_leases.TeamLeases, now_s: float
+        self, team: str, state: team_leases.TeamLeases, now_s: float
     ) -> Admitted | Refused:
         """Refuse the first waiting operation, or use the allowance for it.
 
@@ -375,9 +370,11 @@
             view.reply == messages.Reply.EMPTY.name and now_s < view.retry_at_s
             for view in state.views.values()
         )
-        if not is_answered and state.take_allowed(now_s):
-            state.record_use(now_s)
-            return Admitted(waiter.id, now_s + rules.LEASE_S)
+        if not is_answered:
+            self._update_allowance(team, state)
+            if state.take_allowed(now_s):
+                state.record_use(now_s)
+                return Admitted(waiter.id, now_s + rules.LEASE_S)
         reason = "empty" if is_answered else "no allocator"
         return Refused(waiter.id, self._compute_hint_s(state, now_s), reason)
 
--- a/knapweedtally/core/quotas/slices.py
+++ b/knapweedtally/core/quotas/slices.py
@@ -1,6 +1,7 @@
 """Split of limits by data centre, and the hosts that grant from the parts."""
 
 import math
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -87,6 +88,50 @@
     return min(hosts, key=lambda host: _rank(team, host), default=None)
 
 
+class Ranking:
+    """The allocators of slices, kept while hosts come and go.
+
+    A change of one host ranks that host only, not all hosts for all teams.
+    """
+
+    def __init__(self) -> None:
+        """Start without hosts."""
+        self._live: Mapping[str, str] = {}
+        self._allocators: dict[tuple[str, str], str | None] = {}
+
+    def update(self, live: Mapping[str, str]) -> None:
+        """Take over the data centres of the live hosts by name."""
+        if live == self._live:
+            return
+        added = dict(live.items() - self._live.items())
+        self._live = dict(live)
+        for key, host in tuple(self._allocators.items()):
+            team, data_centre = key
+            if host is None or live.get(host) != data_centre:
+                del self._allocators[key]
+                continue
+            if added:
+                candidates = {**added, host: data_centre}
+                self._allocators[key] = find_allocator(
+                    team, data_centre, candidates
+                )
+
+    def keep_teams(self, teams: Collection[str]) -> None:
+        """Forget the slices of all other teams."""
+        for key in tuple(self._allocators):
+            if key[0] not in teams:
+                del self._allocators[key]
+
+    def find(self, team: str, data_centre: str) -> str | None:
+        """Return the host that grants a team's tokens in a data centre."""
+        key = (team, data_centre)
+        if key not in self._allocators:
+            self._allocators[key] = find_allocator(
+                team, data_centre, self._live
+            )
+        return self._allocators[key]
+
+
 def _rank(team: str, host: str) -> int:
     return hashes.hash_text(f"{team}/{host}")
 
--- a/knapweedtally/core/quotas/team_leases.py
+++ b/knapweedtally/core/quotas/team_leases.py
@@ -79,6 +79,8 @@
         hint_at_s: when the caller that was refused last may retry.
         asked_s: when the last token at hand was asked for.
         allowance: the host's part of the tolerance.
+        is_allowance_due: whether the limit or the known hosts changed since
+            the allowance was computed.
         allowed: tokens of the allowance that are left.
         allowed_s: when ``allowed`` was updated.
     """
@@ -99,6 +101,7 @@
     hint_at_s: float = 0.0
     asked_s: float = 0.0
     allowance: slices.Allowance = slices.Allowance(0.0, 0.0)
+    is_allowance_due: bool = True
     allowed: float = 0.0
 
     def take(self, now_s: float) -> float | None:
