Require the last primary's log to reach every position seen of it

Cause: the floor below which the last primary's log counts as lost was the position in this host's pool when the primary became known. A host that learned of the primary from another host recorded position 0, and commits seen later didn't raise the floor, so a target that restarted with nothing, or with a shorter log, could be the proof of a promotion.

Ruled out: writing each position to the record, a store call for each commit.

Change: the position in another host's evidence counts, and the newest position that this host has seen of the target is a floor too.

--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -208,7 +208,7 @@
                 leadership, target, status.term, asked_s
             )
             if is_new:
-                self._handle_new_primary(target, status.term)
+                self._handle_new_primary(target, status.term, status.received)
             evidence.record_position(
                 leadership, target, status.received, asked_s
             )
@@ -252,7 +252,9 @@
             return
         self.known_term = shared.term
         if sharing.merge_shared_evidence(self.leadership, shared, sent_here_s):
-            self._handle_new_primary(shared.target, shared.term)
+            self._handle_new_primary(
+                shared.target, shared.term, shared.position
+            )
         if not self.is_poller and shared.target == self.leadership.target:
             load_shedding.set_refused_share(
                 self.load_shedding, shared.refused_share, clock.get_time_s()
@@ -270,14 +272,16 @@
         if evidence.record_primary_loss(leadership, target, term):
             self._record_primary_loss(target, "another host knows a later term")
 
-    def _handle_new_primary(self, target: str, term: int) -> None:
+    def _handle_new_primary(
+        self, target: str, term: int, position: model.Position
+    ) -> None:
         self.no_primary_since_s = None
         self.known_since_s = clock.get_time_s()
         self.commits_in_flight.clear()
         pool = self._pools.get(target)
         if pool is not None:
             self.last_primary = last_primary.LastPrimary(
-                target, term, pool.received
+                target, term, max(position, pool.received)
             )
         load_shedding.reset_refused_share(self.load_shedding)
         self._log.write(
@@ -429,7 +433,12 @@
         if not last_primary.can_prove_log(last, known_term):
             return None
         pool = self._pools.get(last.target)
-        return last if pool is not None and pool.is_answering else None
+        if pool is None or not pool.is_answering:
+            return None
+        # A log that ends before what this host has seen of it was lost, even if
+        # it reaches the recorded position.
+        reached = max(last.position, pool.get_newest_position())
+        return last._replace(position=reached)
 
     def check_members(self, now_s: float) -> None:
         """Request the status of all members, if the last time is long ago.
