Refuse a statement whose key was revoked during its admission

Cause: a statement that waits for a token of its team's limit isn't a request of the router yet, so the check at a new configuration didn't find it, and it was submitted once admitted. The begin of a transaction was marked as aborted, but its first statement ran nonetheless.

Ruled out: the router's queue and the queues of holders; requests there are found by is_waiting.

Change: the session checks its identity again when a permit arrives, returns the permit and answers NOAUTH, or ABORTED for a transaction.

--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -296,6 +296,29 @@
             self._router.finish(request, result)
             self.close()
 
+    def _refuse_admitted(self, request: requests.Request) -> bool:
+        """Refuse a request whose caller was refused during its admission.
+
+        Nothing was sent for it. A begin ends like that of any other aborted
+        transaction, also if the key only went to another team.
+
+        Returns:
+            Whether the request was refused.
+        """
+        transaction, refusal = self._transaction, self._identity.refusal
+        if transaction is not None and transaction.abort_reason:
+            reason, transaction.abort_reason = transaction.abort_reason, ""
+            request.on_end(requests.Result(None, _Code.ABORTED, reason))
+            return True
+        if refusal is None:
+            return False
+        self._identity.record_refusal(request.statement)
+        request.on_end(
+            requests.Result(None, _Code.UNAUTHENTICATED, refusal.value)
+        )
+        self.close()
+        return True
+
     def _refuse_statement(self, statement: statements.Statement) -> None:
         """Refuse a statement of a refused caller and end the session."""
         self._identity.record_refusal(statement)
@@ -557,6 +580,10 @@
             if permit is not None:
                 permit.release()
             return
+        if self._refuse_admitted(request):
+            if permit is not None:
+                permit.release()
+            return
         request.permit = permit
         self._request = request
         self._router = router
--- a/tests/entry/test_identification.py
+++ b/tests/entry/test_identification.py
@@ -207,6 +207,33 @@
             self.assertEqual(0, router.queue_length)
             await apply_teams(system, TEAM)
 
+    @with_teams()
+    async def test_key_revoked_while_its_statement_awaits_a_permit(
+        self, system: harness.System
+    ) -> None:
+        # Guards against a statement that is sent once it is admitted, though
+        # its key was revoked meanwhile.
+        quotas = system.entry_hosts[0].host.quotas
+        for text in ("WRITE item 1", "BEGIN"):
+            caller = await start_caller(system)
+            if text == "BEGIN":
+                await caller.run(text)
+            with mock.patch.object(quotas, "admit") as admit:
+                await caller.send("WRITE item 1")
+                await harness.wait_for(lambda admit=admit: admit.called)
+                await apply_teams(system, OTHER_TEAM)
+                permit = mock.Mock()
+                admit.call_args.args[3](permit)
+            answer = await caller.receive()
+            word = "ABORTED" if text == "BEGIN" else "NOAUTH"
+            self.assertEqual([f"ERROR {word} the key was revoked"], answer)
+            permit.release.assert_called_once_with()
+            if text == "BEGIN":
+                await self.assert_ended(caller, "COMMIT")
+            await apply_teams(system, TEAM)
+        self.assertEqual([], get_primary(system).log)
+        self.assertEqual([], get_primary(system).statements)
+
     @with_teams()
     async def test_key_revoked_while_the_host_stood_still(
         self, system: harness.System
