Leave a holder at once that says it can't reach the target

Cause: a holder that can't reach its target refused each statement as not run and closed that relay connection. The sender left the holder only when its last connection to it was closed. A retry used the same connection, or the next one to this holder: a write sent on the connection that the holder was closing ended as INDOUBT, though nothing ran.

Ruled out: marking the holder on each closed connection, as a holder closes one connection too when one statement's outcome is unknown.

Change: the refusal says that the target isn't reached, and the sender marks the holder as failed before it retries.

--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -113,6 +113,12 @@
         """Return whether other hosts should use another relay host."""
         return False
 
+    def handle_unreachable_holder(self, host: str) -> None:
+        """Handle that a holder refused a statement: it can't reach the target.
+
+        Only holders of teams' connections refuse statements so.
+        """
+
     def start_commit(self, commit: object) -> None:
         """Handle that another host's commit is sent to the target.
 
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -207,7 +207,8 @@
         self._serve_next()
 
     def _refuse_session(self, code: statements.Code) -> None:
-        self._write(line_protocol.encode_error(code, b"not reached from here"))
+        detail = line_protocol.NOT_REACHED_DETAIL
+        self._write(line_protocol.encode_error(code, detail))
         self.close()
 
     def _serve_statement(self, message: bytes) -> None:
@@ -315,20 +316,25 @@
         # This host may not know of the teams yet.
         if connection is None or connection.team != self.team:
             self._is_busy = False
-            code = statements.Code.BUSY
-            self._write(
-                line_protocol.encode_error(code, b"no connection in time")
-                + line_protocol.encode_ready(_State.IDLE)
-            )
             assert self._pool is not None
             if self._pool.is_unreachable_for_others():
-                # The other host then uses the next holder.
+                # Tells the other host to use the next holder at once: it may
+                # have more connections to this one than attempts.
+                self._reject_statement(line_protocol.NOT_REACHED_DETAIL)
                 self.close()
                 return
+            self._reject_statement(b"no connection in time")
             self._serve_next()
             return
         self._run_statement(connection, statement, position)
 
+    def _reject_statement(self, detail: bytes) -> None:
+        """Answer a statement that was not sent to the target."""
+        self._write(
+            line_protocol.encode_error(statements.Code.BUSY, detail)
+            + line_protocol.encode_ready(_State.IDLE)
+        )
+
     def _run_statement(
         self,
         connection: connections.Connection,
--- a/knapweedtally/entry/team_pools.py
+++ b/knapweedtally/entry/team_pools.py
@@ -230,6 +230,10 @@
         self._on_change()
         self._open_waiting()
 
+    def handle_unreachable_holder(self, host: str) -> None:
+        """Use the next holders of the teams until this one is tried again."""
+        self._mark_failed(host)
+
     def start_commit(self, commit: object) -> None:
         """Record that another host's commit is sent to the target."""
         self._commits.start_commit(commit)
--- a/knapweedtally/platform/line_protocol.py
+++ b/knapweedtally/platform/line_protocol.py
@@ -305,6 +305,10 @@
     return b"EXEC %b %b" % (name, arguments) if arguments else b"EXEC %b" % name
 
 
+# Detail with which a host refuses another host's statements to a target that
+# it doesn't reach. The other host then uses another path.
+NOT_REACHED_DETAIL = b"not reached from here"
+
 # First message of a host that asks another one for its configuration.
 CONFIGURATION_REQUEST = b"CONFIGURATION"
 
--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -245,6 +245,17 @@
         self.assertTrue(all(a[:4] == "DONE" for a in answers), answers)
 
 
+def cut_off(entry: harness.EntryHost, target: targets.Target) -> None:
+    """Let a host find nothing at a target's address."""
+    (closed_port,) = harness.find_ports(1)
+    members = entry.host.catalog.members
+    unreachable = members[target.id].entry._replace(
+        port=closed_port, revision=10**9
+    )
+    members[target.id] = members[target.id]._replace(entry=unreachable)
+    find_pool(entry, target.id).restart(unreachable)
+
+
 class FailureTest(testtools.TestCase):
     """Failures of holders and targets, one at a time."""
 
@@ -301,20 +312,37 @@
         first, second, _, *others = rank_entries(system, "t0")
         await self.check_served(system, others[0], "t0")
         primary = system.platform.groups["g"].get_primary()
-        pool = find_pool(first, primary.id)
-        (closed_port,) = harness.find_ports(1)
-        members = first.host.catalog.members
-        unreachable = members[primary.id].entry._replace(
-            port=closed_port, revision=10**9
-        )
-        members[primary.id] = members[primary.id]._replace(entry=unreachable)
-        pool.restart(unreachable)
+        cut_off(first, primary)
         # A caller of the cut-off host itself and one of another host.
         for entry in (first, others[0]):
             await self.check_served(system, entry, "t0")
         self.assertIn("t0", find_pool(second, primary.id).count_by_team())
         self.assertIs(system.platform.groups["g"].get_primary(), primary)
 
+    @with_teams()
+    async def test_sender_with_many_connections_to_a_cut_off_holder(
+        self, system: harness.System
+    ) -> None:
+        # Each attempt took another connection to the same holder, until none
+        # was left and the caller was refused though other holders serve.
+        first, _, _, *others = rank_entries(system, "t0")
+        callers = [await start_caller(others[0], "t0") for _ in range(6)]
+        for caller in callers:
+            await caller.run("BEGIN")
+            await caller.run("READ t0-item")
+        for caller in callers:
+            await caller.run("COMMIT")
+        primary = system.platform.groups["g"].get_primary()
+        sender = find_pool(others[0], primary.id)
+        relayed = [c for c in sender._connections if c.relay_host]
+        self.assertGreaterEqual(len(relayed), 5)
+        cut_off(first, primary)
+        await harness.wait_for(
+            find_pool(first, primary.id).is_unreachable_for_others
+        )
+        answer = await callers[0].run("WRITE t0-item 1")
+        self.assertTrue(answer[0].startswith("DONE "), answer)
+
     @with_teams()
     async def test_target_restarts_under_the_same_id(
         self, system: harness.System
