Refuse what waits at a host that is no holder any more

Cause: set_paths left the queue of relayed statements as it was. Each connection that became idle was closed, since its path isn't current, and another was opened for the statement that waited, beside the connections of the new holder.

Change: when a host stops being a holder, what waits there is refused as not run, and runs through the new holder. Open transactions end where they are.

--- a/knapweedtally/entry/team_openings.py
+++ b/knapweedtally/entry/team_openings.py
@@ -72,8 +72,16 @@
         return self._holders
 
     def set_paths(self, paths: holder_selection.TeamPaths) -> None:
-        """Set the holders of the target."""
-        if self._holders.set_paths(paths) and not self.size:
+        """Set the holders of the target.
+
+        What waits at a host that is no holder any more is refused as not run:
+        the new holder serves it, and this host may open nothing for it.
+        """
+        if not self._holders.set_paths(paths):
+            return
+        if not paths.is_holder:
+            self._wait_queues.drop_relay_requests()
+        if not self.size:
             self.open_connection()
 
     def count_by_team(self) -> dict[str, int]:
--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -397,6 +397,42 @@
         await self.check_served(system, sender, team)
         self.assertEqual({}, find_pool(wrong, primary).count_by_team())
 
+    @with_teams(max_connections=8)
+    async def test_host_that_is_no_holder_any_more_opens_nothing(
+        self, system: harness.System
+    ) -> None:
+        # It opened a connection for each statement that still waited, beside
+        # those of the holder that has taken its place.
+        first, *_, sender = rank_entries(system, "t0")
+        primary = system.platform.groups["g"].get_primary()
+        pool = find_pool(first, primary.id)
+        teams = [t for t in SPARE_TEAMS if pool.holders.is_own(t)][:3]
+        holder, *waiting = [await start_caller(sender, t) for t in teams]
+        await holder.run("BEGIN")
+        await holder.run(f"READ {teams[0]}-item")
+        for team, caller in zip(teams[1:], waiting, strict=True):
+            await caller.send(f"WRITE {team}-item 1")
+        queues = pool._wait_queues
+        await harness.wait_for(lambda: len(queues.count_waiting_by_team()) > 1)
+        with mock.patch.object(pool, "_start_opening") as start_opening:
+            for entry in system.entry_hosts:
+                paths = find_pool(entry, primary.id).holders.paths
+                names = [h for h in paths.holders.hosts if h != first.host.name]
+                holders = paths.holders._replace(hosts=tuple(names))
+                find_pool(entry, primary.id).set_paths(
+                    paths._replace(holders=holders)
+                )
+            for caller in waiting:
+                answer = await caller.receive()
+                self.assertTrue(answer[0].startswith("DONE "), answer)
+            await holder.run("COMMIT")
+        directs = [
+            call.args[0]
+            for call in start_opening.call_args_list
+            if call.args[0].relay_host is None
+        ]
+        self.assertEqual([], directs)
+
     @with_teams()
     async def test_draining_holder_finishes_transactions(
         self, system: harness.System
