Count a connection that its sender gave up while the target was silent

Cause: a closed connection counted towards the share for 3 s only if its answer was overdue at the holder. The sender of a relayed statement stops waiting first (the holder waits for 8 s), and the holder then closes the connection, which a target behind a partition doesn't learn. The holder could open as many again as soon as the partition ended, while the target still had the old ones.

Ruled out: counting each closed connection. Where the target answers, the reset reaches it, and callers that leave would cost places for 3 s.

Change: it also counts if its statement is older than the timeout of control statements and the target has answered nothing since.

Result: the new test counts one more place, none before; test_connection_share passes.

--- a/knapweedtally/entry/team_pools.py
+++ b/knapweedtally/entry/team_pools.py
@@ -255,7 +255,9 @@
         now_s = clock.get_time_s()
         host = connection.relay_host
         if not host:
-            if connection.is_timed_out:
+            if connection.is_timed_out or self._is_target_silent(
+                connection, now_s
+            ):
                 self._share.add_lingering(now_s)
             return
         has_other = any(
@@ -267,6 +269,22 @@
         if connection.is_lost and not has_other:
             self._mark_failed(host)
 
+    def _is_target_silent(
+        self, connection: connections.Connection, now_s: float
+    ) -> bool:
+        """Return whether the target may miss that a connection was closed.
+
+        The sender of a relayed statement mostly stops waiting before this host
+        does, so that the connection is closed before its answer is overdue.
+        """
+        asked_s = connection.get_oldest_sent_s()
+        return (
+            not connection.is_lost
+            and asked_s is not None
+            and now_s - asked_s > pools.CONTROL_TIMEOUT_S
+            and self.answered_s < asked_s
+        )
+
     # Periodic checks.
 
     def tick(self, now_s: float) -> None:
--- a/tests/entry/test_connection_share.py
+++ b/tests/entry/test_connection_share.py
@@ -6,7 +6,10 @@
 
 import testtools
 
+from knapweedtally.entry import clock
 from knapweedtally.entry import connection_share
+from knapweedtally.entry import connections
+from knapweedtally.entry import pools
 from standins.line_platform import platform
 from tests.entry import harness
 from tests.entry import test_team_pools
@@ -43,6 +46,41 @@
         self.assertEqual(0, share.count_lingering(13.1))
 
 
+class SilentTargetTest(testtools.TestCase):
+    """Connections that are closed while the target may not notice it."""
+
+    @test_team_pools.with_teams()
+    async def test_connection_given_up_by_the_sender_of_a_statement(
+        self, system: harness.System
+    ) -> None:
+        # The sender stops waiting before the holder does. Uncounted, the
+        # holder would open as many again while the target keeps the old ones.
+        first, *_, sender = test_team_pools.rank_entries(system, "t0")
+        primary = system.platform.groups["g"].get_primary()
+        pool = test_team_pools.find_pool(first, primary.id)
+        caller = await test_team_pools.start_caller(sender, "t0")
+        await caller.run("BEGIN")
+        await caller.run("READ t0-item")
+        receive = connections.Connection.data_received
+
+        def lose(connection: connections.Connection, data: bytes) -> None:
+            if connection._owner is not pool:
+                receive(connection, data)
+
+        with mock.patch.object(connections.Connection, "data_received", lose):
+            await caller.send("WRITE t0-item 1")
+            await asyncio.sleep(2 * pools.CONTROL_TIMEOUT_S)
+            (session,) = (
+                session
+                for session in first.host.relay_sessions
+                if session._running_connection is not None
+            )
+            now_s = clock.get_time_s()
+            count = pool._share.count_lingering(now_s)
+            session.abort()
+        self.assertEqual(count + 1, pool._share.count_lingering(now_s))
+
+
 class RemoteHolderTest(testtools.TestCase):
     """Targets in a data centre without hosts."""
 
