Close other hosts' connections to a replaced pool

Cause: a relay connection keeps the pool that it was opened for. After teams were added or removed, that pool is closed and isn't checked any more, but statements of hosts that don't have the new configuration yet were queued there, with nothing to serve, expire or refuse them.

Change: the host closes the relay connections of a pool that it replaces. Pools of removed targets stay as they were.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -319,7 +319,9 @@
             if pool is None:
                 pool = self._add_pool(router, member)
             elif pool.has_teams is not router.has_teams:
+                replaced = pool
                 pool = router.replace_pool(target)
+                self._close_relays(replaced)
                 pool.restart_count = member.restart_count
                 self._path_keys.pop(target, None)
             elif pool.restart_count != member.restart_count:
@@ -335,6 +337,15 @@
             self._path_keys.pop(target, None)
             self._draining_since_s.pop(target, None)
 
+    def _close_relays(self, pool: pools.Pool) -> None:
+        """Close the connections of other hosts that use a closed pool.
+
+        Nothing would serve or expire what they send.
+        """
+        for session in tuple(self.relay_sessions):
+            if session.pool is pool:
+                session.close()
+
     def _add_pool(
         self, router: router_module.Router, member: catalog.Member
     ) -> pools.Pool:
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -120,6 +120,11 @@
         """Roll back what the other host left open."""
         self._clean_up()
 
+    @property
+    def pool(self) -> pools.Pool | None:
+        """Return the pool that the other host uses, None before its start."""
+        return self._pool
+
     def is_idle(self) -> bool:
         """Return whether no statement and no transaction is open."""
         return (
--- a/tests/entry/test_connection_share.py
+++ b/tests/entry/test_connection_share.py
@@ -139,3 +139,20 @@
             for user, _ in target.user_statements
         ]
         self.assertEqual(["t0"] * 3 + ["knapweedtally"] * 3, users)
+
+    @test_team_pools.with_teams()
+    async def test_no_statement_waits_at_a_replaced_pool(
+        self, system: harness.System
+    ) -> None:
+        # Nothing serves it there; a write ended as timed out.
+        first, *_, sender = test_team_pools.rank_entries(system, "t0")
+        caller = await test_team_pools.start_caller(sender, "t0")
+        await caller.run("WRITE t0-item 1")
+        host = first.host
+        configuration = host.catalog.configuration
+        for teams in ({}, configuration.teams):
+            host.catalog.configuration = configuration._replace(teams=teams)
+            host._sync_routers()
+        await asyncio.sleep(2 * pools.CONTROL_TIMEOUT_S)
+        answer = await caller.run("WRITE t0-item 2")
+        self.assertTrue(answer[0].startswith("DONE "), answer)
