Soak callers with teams, revoked keys and limits

Cause: the process soak had no teams, so nothing played revoked keys or lowered limits together with faults of hosts, targets and the store.

Change: callers belong to four teams; half of the seeds have limits. The targets of the stand-in record the user of each connection and check each statement's team by the key of its caller. Four kinds of faults come last: a key is revoked, keys are rotated, a limit is lowered and raised again, a team sends many times its usual. The judge finds statements for revoked keys after 5 s, refused valid keys, and windows above a team's limit.

--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -136,10 +136,20 @@
             "internalPorts": ports[2:4],
             "platform": {"addr": f"127.0.0.1:{self._servers[0].port}"},
             "cloudApi": {"addr": f"127.0.0.1:{self._servers[1].port}"},
-            "bounds": {"graceS": 10, "drainMs": 7000},
-            "contracts": ["tenants"] if self.teams else [],
+            "bounds": {
+                "graceS": 10,
+                "drainMs": 7000,
+                "quotaWindowS": 5,
+                "quotaExcess": 0.1,
+                "quotaSlack": 20,
+            },
+            "contracts": self._list_contracts(),
         }
 
+    def _list_contracts(self) -> list[str]:
+        has_limits = any("ratePerS" in team for team in self.teams)
+        return ["tenants"] * bool(self.teams) + ["quota"] * has_limits
+
     def _make_target_entry(
         self, group: targets.Group, target: targets.Target
     ) -> dict[str, Any]:
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -6,6 +6,8 @@
 import secrets
 from typing import Any
 
+from standins.line_platform import monitor as monitor_module
+
 # Duration of one statement on a target, in seconds.
 STATEMENT_DURATION_S = 0.001
 
@@ -218,6 +220,7 @@
         promotion_notice_delay_s: delay until the other targets are notified of
             a promotion.
         promotion_history: time, term and target of each promotion.
+        monitor: checks the team of each statement, or None.
     """
 
     def __init__(self, name: str, count: int, max_connections: int) -> None:
@@ -226,6 +229,7 @@
         self.max_connections = max_connections
         self.promotion_notice_delay_s = 0.0
         self.promotion_history: list[tuple[float, int, str]] = []
+        self.monitor: monitor_module.Monitor | None = None
         # Ids are unique as on the platform, because concurrent test runs may
         # reuse each other's ports.
         run_suffix = secrets.token_hex(3)
@@ -454,6 +458,10 @@
         executed.append((id_, text))
         if id_ != "-":
             self._target.user_statements.append((self._user, text))
+            monitor = self._target.group.monitor
+            if monitor is not None:
+                now_s = asyncio.get_running_loop().time()
+                monitor.record(now_s, self._user, id_, text)
         return str(await handler(id_, operand))
 
     def _has_lost_primary(self) -> bool:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,16 +1,27 @@
 """Callers that use all hosts and record their requests and answers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
 from knapweedtally.core import errors
 from tests.history import model
 from tests.soak import hosts
+from tests.soak import team_judge
+from tests.soak import teams as teams_module
 
 # Error codes that mean that the request has no effect.
 NOT_RUN_CODES = frozenset(
-    ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN")
+    (
+        "BUSY",
+        "ABORTED",
+        "LAGGING",
+        "READONLY",
+        "WRONGNODE",
+        "MAXCONN",
+        "NOAUTH",
+    )
 )
 
 # Timeout of an answer, in seconds: well over the 4 s that routes allow. A
@@ -42,10 +53,17 @@
         events: requests and answers.
         sessions: group and name of each opened session.
         is_stopping: whether callers are to send no more requests.
+        teams: the callers' teams, or None if callers aren't told apart.
+        operation_hosts: host that an operation was sent to, by the id of the
+            operation.
+        refusals: the refusals with NOAUTH.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, teams: teams_module.Teams | None = None) -> None:
         self.is_stopping = False
+        self.teams = teams
+        self.operation_hosts: dict[str, str] = {}
+        self.refusals: list[team_judge.Refusal] = []
         self.events: list[model.Event] = []
         self.sessions: list[tuple[str, str]] = []
         self._request_count = 0
@@ -60,12 +78,18 @@
     """One connection and the requests sent on it."""
 
     def __init__(
-        self, record: RunRecord, rng: random.Random, name: str, group: str
+        self,
+        record: RunRecord,
+        rng: random.Random,
+        name: str,
+        group: str,
+        key: str = "soak",
     ) -> None:
         self._record = record
         self._rng = rng
         self._name = name
         self._group = group
+        self._key = key
         self._route_kind = rng.choice(tuple(MAX_AGE_S))
         self._write_count = 0
         self._host = ""
@@ -84,8 +108,13 @@
             return
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                self._send_line(f"START {self._group}-{self._route_kind} soak")
-                if not (await self._read_line()).startswith("READY "):
+                sent_s = asyncio.get_running_loop().time()
+                self._send_line(
+                    f"START {self._group}-{self._route_kind} {self._key}"
+                )
+                line = await self._read_line()
+                if not line.startswith("READY "):
+                    self._record_refusal(sent_s, line)
                     return
             self._record.sessions.append((self._group, self._name))
             for _ in range(self._rng.randrange(1, SESSION_REQUESTS_END)):
@@ -99,6 +128,15 @@
         finally:
             self._writer.transport.abort()
 
+    def _record_refusal(self, sent_s: float, line: str) -> None:
+        """Record an error, if it is a refusal with NOAUTH."""
+        if line.split(" ")[1:2] == ["NOAUTH"]:
+            now_s = asyncio.get_running_loop().time()
+            self._record.refusals.append(
+                team_judge.Refusal(sent_s, now_s, self._host, self._key)
+            )
+            self._is_ended = True
+
     def _send_line(self, line: str) -> None:
         self._writer.write(f"{line}\r\n".encode())
 
@@ -158,6 +196,10 @@
             marker=f"q{request_id}",
         )
         self._record.events.append(invoked)
+        self._record.operation_hosts[invoked.marker] = self._host
+        if self._record.teams is not None:
+            monitor = self._record.teams.monitor
+            monitor.operation_keys[invoked.marker] = self._key
         return invoked
 
     async def _run_statements(
@@ -168,11 +210,15 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 for number, statement in enumerate(statements, 1):
                     is_last = number == len(statements)
-                    request_id = invoked.marker if is_last else f"{number}q"
+                    request_id = invoked.marker
+                    if not is_last:
+                        request_id += f"-{number}"
+                    sent_s = asyncio.get_running_loop().time()
                     self._send_line(f"QUERY {request_id} {statement}")
                     lines, ready = await self._read_result()
                     if is_last or lines[-1].startswith("ERROR"):
                         self._record_result(invoked, lines, ready)
+                        self._record_refusal(sent_s, lines[-1])
                         break
         except ConnectionClosed:
             self._record_answer(invoked, errors.Outcome.UNKNOWN)
@@ -244,13 +290,28 @@
     rng: random.Random,
     groups: list[str],
     choose_endpoint: Callable[[random.Random], Endpoint],
+    team: str = "",
+    end_s: float = math.inf,
 ) -> None:
-    """Run one session after another until the run is stopping."""
+    """Run one session after another until the run is stopping.
+
+    Args:
+        name: name of the caller.
+        record: record of the run.
+        rng: source of the caller's choices.
+        groups: names of the groups.
+        choose_endpoint: chooses the host for a session.
+        team: the caller's team if the run has teams.
+        end_s: time from which no session is started.
+    """
     number = 0
-    while not record.is_stopping:
+    while not record.is_stopping and asyncio.get_running_loop().time() < end_s:
         number += 1
         group = rng.choice(groups)
-        session = Session(record, rng, f"{name}-{number}", group)
+        key = "soak"
+        if record.teams is not None:
+            key = record.teams.choose_key(rng, team)
+        session = Session(record, rng, f"{name}-{number}", group, key)
         await session.run(choose_endpoint(rng))
         await asyncio.sleep(rng.uniform(0.01, 0.1))
 
@@ -273,7 +334,8 @@
         except (OSError, TimeoutError):
             continue
         try:
-            writer.write(f"START {group}-primary keeper\r\n".encode())
+            key = teams_module.PROBE_KEY
+            writer.write(f"START {group}-primary {key}\r\n".encode())
             await reader.read()
             await process.wait()
         except OSError:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 from standins.line_platform import targets
 from tests.soak import hosts as hosts_module
 from tests.soak import links
+from tests.soak import team_faults
+from tests.soak import teams as teams_module
 
 # Ranges of the interval between the starts of two faults and of the duration
 # of a fault, in seconds. Most faults overlap.
@@ -62,6 +64,10 @@
 
     platform: platform_module.Platform
     hosts: list[hosts_module.Host]
+    teams: teams_module.Teams | None
+
+    async def run_surge(self, team: str, factor: int, for_s: float) -> None:
+        """Run additional callers of a team for a time in seconds."""
 
 
 class Fault(NamedTuple):
@@ -613,8 +619,15 @@
     "join_and_leave": join_and_leave,
     "restart_unlisted": restart_without_entries,
     "send_signals": send_signals,
+    "revoke_key": team_faults.revoke_key,
+    "rotate_key": team_faults.rotate_key,
+    "lower_limit": team_faults.lower_limit,
+    "send_surge": team_faults.send_surge,
 }
 
+# Number of the kinds from before callers belonged to teams.
+KIND_COUNT_WITHOUT_TEAMS = tuple(FAULT_FUNCTIONS).index("revoke_key")
+
 
 def draw_plan(
     seed: int, duration_s: float, kind_count: int | None = None
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Run one seed: start the system, inject faults and check the history."""
 
 import asyncio
+import math
 import pathlib
 import random
 from typing import NamedTuple
@@ -11,6 +12,9 @@
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import hosts as hosts_module
+from tests.soak import reachability
+from tests.soak import team_judge
+from tests.soak import teams as teams_module
 
 GROUPS = ("g", "h")
 HOST_COUNT = 3
@@ -59,11 +63,14 @@
         self.seed = seed
         self.platform = platform_module.Platform(GROUPS)
         self.hosts: list[hosts_module.Host] = []
+        self.teams: teams_module.Teams | None = None
         self.record = callers.RunRecord()
         self.problems: list[str] = []
         self._host_count = host_count
         self._kind_count = kind_count
         self._folder = folder
+        self._reachabilities: dict[str, reachability.Reachability] = {}
+        self._surge_count = 0
         # Concurrent runs and their hosts have addresses of their own, so that
         # their ports don't conflict.
         self._network = f"127.{1 + seed % 250}.{1 + seed // 250 % 250}"
@@ -73,18 +80,23 @@
         for group in self.platform.groups.values():
             group.max_connections = MAX_CONNECTIONS
             group.promotion_notice_delay_s = LEARN_DELAY_S
+        if (self._kind_count or math.inf) > faults.KIND_COUNT_WITHOUT_TEAMS:
+            rng = random.Random(f"{self.seed}/teams")
+            self.teams = teams_module.Teams(self.platform, rng)
+            self.record.teams = self.teams
         await self.platform.start()
         plan = faults.draw_plan(self.seed, duration_s, self._kind_count)
         try:
             await self._start_hosts()
             tasks = self._start_callers()
-            keepers = self._start_keepers()
+            keepers = self._start_keepers() + self._start_watches()
             await self._inject_faults(plan)
             await self._check_recovery()
             await self._stop_callers(tasks)
             for keeper in keepers:
                 keeper.cancel()
             self._check_history()
+            self._check_teams()
         finally:
             await asyncio.gather(*(host.close() for host in self.hosts))
             await self.platform.stop()
@@ -117,25 +129,58 @@
                 while not await host.is_ready():
                     await asyncio.sleep(0.05)
 
-    def _start_callers(self) -> list[asyncio.Task[None]]:
-        def choose_endpoint(rng: random.Random) -> callers.Endpoint:
-            host = rng.choice(self.hosts)
-            return host.name, host.address, host.callers_port
+    def _choose_endpoint(self, rng: random.Random) -> callers.Endpoint:
+        host = rng.choice(self.hosts)
+        return host.name, host.address, host.callers_port
 
-        count = max(CALLER_COUNT, self._host_count)
+    def _start_callers(self) -> list[asyncio.Task[None]]:
+        names = teams_module.TEAM_NAMES
         return [
-            asyncio.create_task(
-                callers.run_caller(
-                    f"c{number}",
-                    self.record,
-                    random.Random(f"{self.seed}/{number}"),
-                    list(GROUPS),
-                    choose_endpoint,
-                )
+            self._start_caller(
+                f"c{number}", str(number), names[number % len(names)], math.inf
             )
-            for number in range(count)
+            for number in range(self._count_callers())
         ]
 
+    def _count_callers(self) -> int:
+        return max(CALLER_COUNT, self._host_count)
+
+    def _start_caller(
+        self, name: str, draw: str, team: str, end_s: float
+    ) -> asyncio.Task[None]:
+        return asyncio.create_task(
+            callers.run_caller(
+                name,
+                self.record,
+                random.Random(f"{self.seed}/{draw}"),
+                list(GROUPS),
+                self._choose_endpoint,
+                team,
+                end_s,
+            )
+        )
+
+    async def run_surge(self, team: str, factor: int, for_s: float) -> None:
+        """Run ``factor`` times a team's usual callers besides these."""
+        self._surge_count += 1
+        end_s = asyncio.get_running_loop().time() + for_s
+        count = factor * self._count_callers() // len(teams_module.TEAM_NAMES)
+        names = [f"s{self._surge_count}.{number}" for number in range(count)]
+        await asyncio.gather(
+            *(self._start_caller(name, name, team, end_s) for name in names)
+        )
+
+    def _start_watches(self) -> list[asyncio.Task[None]]:
+        """Record when each host doesn't reach the store."""
+        tasks = []
+        for host in self.hosts:
+            watched = self._reachabilities[host.name] = (
+                reachability.Reachability()
+            )
+            store = self.platform.store
+            tasks.append(asyncio.create_task(watched.watch(host, store)))
+        return tasks
+
     def _start_keepers(self) -> list[asyncio.Task[None]]:
         return [
             asyncio.create_task(callers.keep_connections(host, group))
@@ -179,8 +224,10 @@
         except OSError:
             return False
         try:
-            writer.write(f"START {group}-primary probe\r\n".encode())
-            writer.write(b"QUERY probe WRITE probe 1\r\n")
+            key = teams_module.PROBE_KEY
+            writer.write(f"START {group}-primary {key}\r\n".encode())
+            id_ = teams_module.PROBE_OPERATION
+            writer.write(f"QUERY {id_} WRITE probe 1\r\n".encode())
             await reader.readline()
             return (await reader.readline()).startswith(b"DONE ")
         except OSError:
@@ -223,6 +270,30 @@
             )
         self._check_fencing()
 
+    def _check_teams(self) -> None:
+        """Check that keys and limits of teams were kept."""
+        teams = self.teams
+        if teams is None:
+            return
+        monitor = teams.monitor
+        self.problems += [f"team: {text}" for text in monitor.violations]
+        self.problems += team_judge.check_revoked_keys(
+            monitor.executions,
+            teams.keys,
+            self.record.operation_hosts,
+            self._reachabilities,
+        )
+        self.problems += team_judge.check_refusals(
+            self.record.refusals, teams.keys, self._reachabilities
+        )
+        for team, limits in teams.limits.items():
+            executions = [
+                execution
+                for execution in monitor.executions
+                if monitor.key_teams.get(execution.key) == team
+            ]
+            self.problems += team_judge.check_limit(team, executions, limits)
+
     def _check_ends(self) -> None:
         """Check that no process ended without being asked to."""
         for host in self.hosts:
