Keep sessions open in the soak while keys are revoked

Cause: a caller's session of the soak lasts some tenths of a second, so no session outlived the 5 s that a host has to apply a revocation.

Change: three callers of each team keep their sessions, with pauses inside transactions. Limits start at 8 operations a second, so that more teams reach theirs.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from knapweedtally.core import errors
 from tests.history import model
@@ -34,14 +35,31 @@
 # Maximum data age of reads by kind of route, in seconds.
 MAX_AGE_S = {"primary": 0.0, "bounded_stale": 1.5, "read_your_writes": 2.5}
 
-# Exclusive upper bound of the number of requests in a session, and the longest
-# pause between them, in seconds.
-SESSION_REQUESTS_END = 12
-MAX_PAUSE_S = 0.03
-
 Endpoint = tuple[str, str, int]
 
 
+class Pace(NamedTuple):
+    """How a caller uses its sessions.
+
+    Attributes:
+        requests_end: exclusive upper bound of the requests in a session.
+        max_pause_s: longest pause between two requests, in seconds.
+        max_transaction_pause_s: longest pause between two statements of a
+            transaction, in seconds.
+    """
+
+    requests_end: int
+    max_pause_s: float
+    max_transaction_pause_s: float
+
+
+USUAL_PACE = Pace(12, 0.03, 0.0)
+
+# Sessions last until they fail, so that keys are revoked while sessions and
+# transactions are open.
+STEADY_PACE = Pace(1000, 0.3, 0.6)
+
+
 class ConnectionClosed(Exception):  # noqa: N818 - named after the cause
     """The connection to the host was closed."""
 
@@ -84,12 +102,14 @@
         name: str,
         group: str,
         key: str = "soak",
+        pace: Pace = USUAL_PACE,
     ) -> None:
         self._record = record
         self._rng = rng
         self._name = name
         self._group = group
         self._key = key
+        self._pace = pace
         self._route_kind = rng.choice(tuple(MAX_AGE_S))
         self._write_count = 0
         self._host = ""
@@ -117,11 +137,12 @@
                     self._record_refusal(sent_s, line)
                     return
             self._record.sessions.append((self._group, self._name))
-            for _ in range(self._rng.randrange(1, SESSION_REQUESTS_END)):
+            for _ in range(self._rng.randrange(1, self._pace.requests_end)):
                 await self._run_request()
                 if self._is_ended or self._record.is_stopping:
                     return
-                await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+                pause_s = self._rng.uniform(0.0, self._pace.max_pause_s)
+                await asyncio.sleep(pause_s)
         except (ConnectionClosed, TimeoutError, OSError):
             # No request was sent yet, so there is no outcome to record.
             pass
@@ -220,6 +241,12 @@
                         self._record_result(invoked, lines, ready)
                         self._record_refusal(sent_s, lines[-1])
                         break
+                    if self._pace.max_transaction_pause_s:
+                        await asyncio.sleep(
+                            self._rng.uniform(
+                                0.0, self._pace.max_transaction_pause_s
+                            )
+                        )
         except ConnectionClosed:
             self._record_answer(invoked, errors.Outcome.UNKNOWN)
             self._is_ended = True
@@ -292,6 +319,7 @@
     choose_endpoint: Callable[[random.Random], Endpoint],
     team: str = "",
     end_s: float = math.inf,
+    pace: Pace = USUAL_PACE,
 ) -> None:
     """Run one session after another until the run is stopping.
 
@@ -303,6 +331,7 @@
         choose_endpoint: chooses the host for a session.
         team: the caller's team if the run has teams.
         end_s: time from which no session is started.
+        pace: how the caller uses its sessions.
     """
     number = 0
     while not record.is_stopping and asyncio.get_running_loop().time() < end_s:
@@ -311,7 +340,7 @@
         key = "soak"
         if record.teams is not None:
             key = record.teams.choose_key(rng, team)
-        session = Session(record, rng, f"{name}-{number}", group, key)
+        session = Session(record, rng, f"{name}-{number}", group, key, pace)
         await session.run(choose_endpoint(rng))
         await asyncio.sleep(rng.uniform(0.01, 0.1))
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 GROUPS = ("g", "h")
 HOST_COUNT = 3
 CALLER_COUNT = 8
+STEADY_CALLER_COUNT = 3
 MAX_CONNECTIONS = 24
 
 # Delay until other targets learn of a promotion, in seconds.
@@ -135,18 +136,35 @@
 
     def _start_callers(self) -> list[asyncio.Task[None]]:
         names = teams_module.TEAM_NAMES
-        return [
+        tasks = [
             self._start_caller(
-                f"c{number}", str(number), names[number % len(names)], math.inf
+                f"c{number}", str(number), names[number % len(names)]
             )
             for number in range(self._count_callers())
         ]
+        if self.teams is not None:
+            tasks += [
+                self._start_caller(
+                    f"t{name}{number}",
+                    f"{name}{number}",
+                    name,
+                    pace=callers.STEADY_PACE,
+                )
+                for name in names
+                for number in range(STEADY_CALLER_COUNT)
+            ]
+        return tasks
 
     def _count_callers(self) -> int:
         return max(CALLER_COUNT, self._host_count)
 
     def _start_caller(
-        self, name: str, draw: str, team: str, end_s: float
+        self,
+        name: str,
+        draw: str,
+        team: str,
+        end_s: float = math.inf,
+        pace: callers.Pace = callers.USUAL_PACE,
     ) -> asyncio.Task[None]:
         return asyncio.create_task(
             callers.run_caller(
@@ -157,6 +175,7 @@
                 self._choose_endpoint,
                 team,
                 end_s,
+                pace,
             )
         )
 
--- a/tests/soak/teams.py
+++ b/tests/soak/teams.py
@@ -20,7 +20,7 @@
 # Ranges of the usual limits: operations a second, and operations at once. Two
 # callers send some tens of operations a second, so that some teams exceed
 # theirs all the time and others only when they send more than usual.
-RATE_RANGE_PER_S = (15, 80)
+RATE_RANGE_PER_S = (8, 60)
 BURST_RANGE = (10, 40)
 
 # Part of sessions that use a revoked key although the team may have another.
