--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,16 +1,28 @@
 """Callers that use all hosts and record their requests and answers."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from knapweedtally.core import errors
 from tests.history import model
 from tests.soak import hosts
+from tests.soak import team_judge
+from tests.soak import teams as teams_module
 
 # Error codes that mean that the request has no effect.
 NOT_RUN_CODES = frozenset(
-    ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN")
+    (
+        "BUSY",
+        "ABORTED",
+        "LAGGING",
+        "READONLY",
+        "WRONGNODE",
+        "MAXCONN",
+        "NOAUTH",
+    )
 )
 
 # Timeout of an answer, in seconds: well over the 4 s that routes allow. A
@@ -23,14 +35,31 @@
 # Maximum data age of reads by kind of route, in seconds.
 MAX_AGE_S = {"primary": 0.0, "bounded_stale": 1.5, "read_your_writes": 2.5}
 
-# Exclusive upper bound of the number of requests in a session, and the longest
-# pause between them, in seconds.
-SESSION_REQUESTS_END = 12
-MAX_PAUSE_S = 0.03
-
 Endpoint = tuple[str, str, int]
 
 
+class Pace(NamedTuple):
+    """How a caller uses its sessions.
+
+    Attributes:
+        requests_end: exclusive upper bound of the requests in a session.
+        max_pause_s: longest pause between two requests, in seconds.
+        max_transaction_pause_s: longest pause between two statements of a
+            transaction, in seconds.
+    """
+
+    requests_end: int
+    max_pause_s: float
+    max_transaction_pause_s: float
+
+
+USUAL_PACE = Pace(12, 0.03, 0.0)
+
+# Sessions last until they fail, so that keys are revoked while sessions and
+# transactions are open.
+STEADY_PACE = Pace(1000, 0.3, 0.6)
+
+
 class ConnectionClosed(Exception):  # noqa: N818 - named after the cause
     """The connection to the host was closed."""
 
@@ -42,10 +71,17 @@
         events: requests and answers.
         sessions: group and name of each opened session.
         is_stopping: whether callers are to send no more requests.
+        teams: the callers' teams, or None if callers aren't told apart.
+        operation_hosts: host that an operation was sent to, by the id of the
+            operation.
+        refusals: the refusals with NOAUTH.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, teams: teams_module.Teams | None = None) -> None:
         self.is_stopping = False
+        self.teams = teams
+        self.operation_hosts: dict[str, str] = {}
+        self.refusals: list[team_judge.Refusal] = []
         self.events: list[model.Event] = []
         self.sessions: list[tuple[str, str]] = []
         self._request_count = 0
@@ -60,12 +96,20 @@
     """One connection and the requests sent on it."""
 
     def __init__(
-        self, record: RunRecord, rng: random.Random, name: str, group: str
+        self,
+        record: RunRecord,
+        rng: random.Random,
+        name: str,
+        group: str,
+        key: str = "soak",
+        pace: Pace = USUAL_PACE,
     ) -> None:
         self._record = record
         self._rng = rng
         self._name = name
         self._group = group
+        self._key = key
+        self._pace = pace
         self._route_kind = rng.choice(tuple(MAX_AGE_S))
         self._write_count = 0
         self._host = ""
@@ -84,21 +128,36 @@
             return
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                self._send_line(f"START {self._group}-{self._route_kind} soak")
-                if not (await self._read_line()).startswith("READY "):
+                sent_s = asyncio.get_running_loop().time()
+                self._send_line(
+                    f"START {self._group}-{self._route_kind} {self._key}"
+                )
+                line = await self._read_line()
+                if not line.startswith("READY "):
+                    self._record_refusal(sent_s, line)
                     return
             self._record.sessions.append((self._group, self._name))
-            for _ in range(self._rng.randrange(1, SESSION_REQUESTS_END)):
+            for _ in range(self._rng.randrange(1, self._pace.requests_end)):
                 await self._run_request()
                 if self._is_ended or self._record.is_stopping:
                     return
-                await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+                pause_s = self._rng.uniform(0.0, self._pace.max_pause_s)
+                await asyncio.sleep(pause_s)
         except (ConnectionClosed, TimeoutError, OSError):
             # No request was sent yet, so there is no outcome to record.
             pass
         finally:
             self._writer.transport.abort()
 
+    def _record_refusal(self, sent_s: float, line: str) -> None:
+        """Record an error, if it is a refusal with NOAUTH."""
+        if line.split(" ")[1:2] == ["NOAUTH"]:
+            now_s = asyncio.get_running_loop().time()
+            self._record.refusals.append(
+                team_judge.Refusal(sent_s, now_s, self._host, self._key)
+            )
+            self._is_ended = True
+
     def _send_line(self, line: str) -> None:
         self._writer.write(f"{line}\r\n".encode())
 
@@ -158,6 +217,10 @@
             marker=f"q{request_id}",
         )
         self._record.events.append(invoked)
+        self._record.operation_hosts[invoked.marker] = self._host
+        if self._record.teams is not None:
+            monitor = self._record.teams.monitor
+            monitor.operation_keys[invoked.marker] = self._key
         return invoked
 
     async def _run_statements(
@@ -168,12 +231,22 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 for number, statement in enumerate(statements, 1):
                     is_last = number == len(statements)
-                    request_id = invoked.marker if is_last else f"{number}q"
+                    request_id = invoked.marker
+                    if not is_last:
+                        request_id += f"-{number}"
+                    sent_s = asyncio.get_running_loop().time()
                     self._send_line(f"QUERY {request_id} {statement}")
                     lines, ready = await self._read_result()
                     if is_last or lines[-1].startswith("ERROR"):
                         self._record_result(invoked, lines, ready)
+                        self._record_refusal(sent_s, lines[-1])
                         break
+                    if self._pace.max_transaction_pause_s:
+                        await asyncio.sleep(
+                            self._rng.uniform(
+                                0.0, self._pace.max_transaction_pause_s
+                            )
+                        )
         except ConnectionClosed:
             self._record_answer(invoked, errors.Outcome.UNKNOWN)
             self._is_ended = True
@@ -244,13 +317,30 @@
     rng: random.Random,
     groups: list[str],
     choose_endpoint: Callable[[random.Random], Endpoint],
+    team: str = "",
+    end_s: float = math.inf,
+    pace: Pace = USUAL_PACE,
 ) -> None:
-    """Run one session after another until the run is stopping."""
+    """Run one session after another until the run is stopping.
+
+    Args:
+        name: name of the caller.
+        record: record of the run.
+        rng: source of the caller's choices.
+        groups: names of the groups.
+        choose_endpoint: chooses the host for a session.
+        team: the caller's team if the run has teams.
+        end_s: time from which no session is started.
+        pace: how the caller uses its sessions.
+    """
     number = 0
-    while not record.is_stopping:
+    while not record.is_stopping and asyncio.get_running_loop().time() < end_s:
         number += 1
         group = rng.choice(groups)
-        session = Session(record, rng, f"{name}-{number}", group)
+        key = "soak"
+        if record.teams is not None:
+            key = record.teams.choose_key(rng, team)
+        session = Session(record, rng, f"{name}-{number}", group, key, pace)
         await session.run(choose_endpoint(rng))
         await asyncio.sleep(rng.uniform(0.01, 0.1))
 
@@ -273,7 +363,8 @@
         except (OSError, TimeoutError):
             continue
         try:
-            writer.write(f"START {group}-primary keeper\r\n".encode())
+            key = teams_module.PROBE_KEY
+            writer.write(f"START {group}-primary {key}\r\n".encode())
             await reader.read()
             await process.wait()
         except OSError:
