Plan openings for waiting teams only where a place can be found

Cause: at each idle connection, each closed one and each new statement, a holder planned an opening for every team that waits, and each plan lists all of its connections again. A busy holder did that for nothing. Each request of its own callers also counted the waiting statements of all teams at each dispatch.

Ruled out: planning for the first teams only; a later one may be the only one without a team, for which a place is kept.

Change: the holder first checks once whether any team could get a place, and counts the statements of one team alone. Holders outside of the target's data centre plan as before, since planning also requests the target's count.

--- a/knapweedtally/core/groups/team_connections.py
+++ b/knapweedtally/core/groups/team_connections.py
@@ -215,6 +215,28 @@
     return None if evicted is None else Opening(evicted)
 
 
+def can_open(is_any_unnamed: bool, usage: Usage, share: int) -> bool:
+    """Return whether ``plan_opening`` may open a connection for any team.
+
+    At a busy holder this saves one plan for each team that waits.
+
+    Args:
+        is_any_unnamed: whether a statement without a team waits.
+        usage: places in use.
+        share: number of connections that this host may hold.
+    """
+    unnamed = sum(1 for c in usage.connections if c.team == NO_TEAM)
+    may_close_unnamed = share < 2 or unnamed > 1
+    if any(
+        c.is_idle and (c.team != NO_TEAM or may_close_unnamed)
+        for c in usage.connections
+    ):
+        return True
+    if usage.count_all() >= share:
+        return False
+    return is_any_unnamed or usage.count_named() < max(1, share - 1)
+
+
 def find_excess(usage: Usage, share: int) -> int | None:
     """Return the connection to close while more than the share is held."""
     if usage.count_all() <= share or len(usage.connections) < 2:
--- a/knapweedtally/entry/team_openings.py
+++ b/knapweedtally/entry/team_openings.py
@@ -147,12 +147,23 @@
         if holder != self._holders.paths.own_host:
             self._open_relay(holder, MAX_RELAY_CONNECTIONS)
             return
-        waiting = self._wait_queues.count_waiting_by_team().get(team, 0)
+        waiting = self._wait_queues.count_waiting(team)
         self._open_direct(team, max(1, waiting))
 
     def _open_waiting(self) -> None:
         """Open connections for the teams that wait, in their order."""
         waiting = self._wait_queues.count_waiting_by_team()
+        if not waiting:
+            return
+        now_s = clock.get_time_s()
+        if self._holders.paths.holders.is_local and not (
+            team_connections.can_open(
+                _NO_TEAM in waiting,
+                self._get_usage(now_s),
+                self._get_share(now_s),
+            )
+        ):
+            return
         for team, count in waiting.items():
             self._open_direct(team, count)
 
--- a/knapweedtally/entry/team_pools.py
+++ b/knapweedtally/entry/team_pools.py
@@ -138,7 +138,7 @@
             and self._holders.is_own(team)
             and self.has_direct_connection
         ):
-            waiting = self._wait_queues.count_waiting_by_team().get(team, 0)
+            waiting = self._wait_queues.count_waiting(team)
             idle = int(waiting < MAX_WAITING_PER_TEAM)
         self.load.idle = idle
 
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/wait_queues.py
@@ -73,6 +73,10 @@
             counts[request.team] = counts.get(request.team, 0) + 1
         return counts
 
+    def count_waiting(self, team: str) -> int:
+        """Return how many relayed statements of a team wait."""
+        return sum(1 for r in self._relay_requests if r.team == team)
+
     def add_control_statement(
         self,
         text: bytes,
--- a/tests/groups/test_team_connections.py
+++ b/tests/groups/test_team_connections.py
@@ -155,3 +155,34 @@
                     states[index].team, at_s, not is_begin, is_begin
                 )
             self.assertLessEqual(len(states), share)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["", "a", "b", "c"]),
+                strategies.booleans(),
+            ),
+            max_size=9,
+        ),
+        strategies.dictionaries(
+            strategies.sampled_from(["", "a", "b"]), strategies.integers(0, 2)
+        ),
+        strategies.integers(0, 2),
+        strategies.integers(1, 8),
+    )
+    def test_no_opening_is_passed_over(
+        self,
+        places: list[tuple[str, bool]],
+        opening: dict[str, int],
+        lingering: int,
+        share: int,
+    ) -> None:
+        # Guards against a team that waits though it could get a connection.
+        states = [make_state(team, 0.0, is_idle) for team, is_idle in places]
+        usage = team_connections.Usage(states, opening, lingering)
+        for team in ("", "a", "d"):
+            plan = team_connections.plan_opening(team, 9, usage, share, 9)
+            if plan is not None:
+                self.assertTrue(
+                    team_connections.can_open(team == "", usage, share)
+                )
