Wait for the current holders before tests of teams' pools

Cause: the preparation waited until each host knew the others and had connections.

Change: the preparation also waits until each pool's holders belong to the current view. No check is eased.

--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -35,6 +35,13 @@
         await harness.wait_for(
             lambda entry=entry: len(entry.host.peers.get_live_hosts()) == count
         )
+        # Holders of an earlier view would be taken for those of the test.
+        await harness.wait_for(
+            lambda host=entry.host: all(
+                version == host.peers.live_version
+                for version, _ in host._path_keys.values()
+            )
+        )
         for pool in entry.host.routers["g"].pools.values():
             await harness.wait_for(pool.has_current_paths)
 
