Open one connection for each count of the target from elsewhere

Cause: where no host of a target's data centre is seen, its holders use the full share while the target reports seven free places. The reserve is meant for one opening by each of six holders, but each could open its whole share on one report: with 22 of 29 places taken, three holders of two connections each could open 15.

Ruled out: a smaller share; these connections are all that serves the target.

Change: beyond its own share, such a holder opens one connection for each report that was requested after its last opening.

--- a/knapweedtally/entry/team_openings.py
+++ b/knapweedtally/entry/team_openings.py
@@ -60,6 +60,8 @@
         self._opening_relays: collections.Counter[str] = collections.Counter()
         self._use_rates = team_connections.UseRates()
         self._next_count_s = 0.0
+        # When a direct connection was last opened, or failed to open.
+        self._opened_s = float("-inf")
 
     @property
     def has_teams(self) -> bool:
@@ -185,7 +187,11 @@
         while True:
             usage = self._get_usage(now_s)
             plan = team_connections.plan_opening(
-                team, waiting, usage, share, self.entry.slots
+                team,
+                waiting,
+                usage,
+                self._limit_growth(share, usage),
+                self.entry.slots,
             )
             if plan is None:
                 break
@@ -204,6 +210,20 @@
         if not self._holders.paths.holders.is_local:
             self._request_count(now_s)
 
+    def _limit_growth(self, share: int, usage: team_connections.Usage) -> int:
+        """Return the share for the next opening.
+
+        Holders outside of the target's data centre see the same free places. So
+        each opens only one connection beyond its own share for each report of
+        the target's count that was requested after its last opening.
+        """
+        if self._holders.paths.holders.is_local or (
+            not self._opening_teams.total() and self._opened_s < self.reported_s
+        ):
+            return share
+        own = team_connections.get_share(self.max_connections, False)
+        return min(share, max(own, usage.count_all()))
+
     def _evict(self, connection: connections.Connection, team: str) -> None:
         self._counters.increment("connections_evicted", "share")
         self._log.write(
@@ -263,6 +283,7 @@
     def _handle_open_end(self, path: pool_opening.Path) -> None:
         if path.relay_host is None:
             self._opening_teams[path.team] -= 1
+            self._opened_s = clock.get_time_s()
         else:
             self._opening_relays[path.relay_host.host] -= 1
 
--- a/tests/entry/test_connection_share.py
+++ b/tests/entry/test_connection_share.py
@@ -104,6 +104,33 @@
         for target in test_team_pools.list_targets(system):
             self.assertEqual(0, target.refused_connections)
 
+    @mock.patch.object(
+        platform.Platform, "_make_target_entry", make_remote_entry
+    )
+    @test_team_pools.with_teams(hosts=3)
+    async def test_one_connection_is_opened_for_each_report(
+        self, system: harness.System
+    ) -> None:
+        # Several holders would open all their share in the same free places.
+        entry = test_team_pools.rank_entries(system, "t0")[0]
+        primary = system.platform.groups["g"].get_primary().id
+        pool = test_team_pools.find_pool(entry, primary)
+        with (
+            mock.patch.object(pool, "_start_opening") as start_opening,
+            mock.patch.object(pool, "_request_count"),
+        ):
+            pool._opened_s = clock.get_time_s() - 0.1
+            pool.reported_connections = 3
+            pool.reported_s = clock.get_time_s()
+            known = pool._get_usage(pool.reported_s).count_all()
+            self.assertEqual(4, pool._get_share(pool.reported_s))
+            self.assertLess(known, 3)
+            for team in test_team_pools.SPARE_TEAMS[:5]:
+                pool._open_direct(team, 1)
+            opened = pool._get_usage(pool.reported_s).count_all() - known
+            self.assertEqual(1, opened)
+            self.assertGreaterEqual(start_opening.call_count, 1)
+
 
 class ChangeTest(testtools.TestCase):
     """A configuration that adds teams, and one that removes them."""
