Order and bound the statements that wait at a holder

Cause: relayed statements waited first in, first out for a holder's connections, so that an urgent statement or a small team waited behind any backlog, and a statement that could not be answered in its time was kept until then.

Ruled out: deriving run times at the relay sessions, since connections already show when they were freed. For waits, judging by the number of entries alone, since run times differ between priorities. Treating a holder's refusal as a failure of the target, since its backoff then keeps a working target unused.

Change: with load control, a pure queue orders by priority, deficit round robin between teams and deadline, sets a share aside for lower priorities, and refuses at once what its estimate shows to be too late. A refusal is BUSY with the hint. The requesting host raises the target's expected answer time for as long as the queue needs, and tries another target within a budget for second attempts. Without load control the order and the messages are those of before.

--- a/knapweedtally/core/groups/placement.py
+++ b/knapweedtally/core/groups/placement.py
@@ -13,6 +13,7 @@
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import queue_refusals
 
 # Weight of the newest sample in the moving average of run times.
 RUN_TIME_WEIGHT = 0.2
@@ -96,6 +97,8 @@
         missing_position: position that the target lacked when it was last
             tried in vain, or None.
         missing_until_s: until when the target is assumed to lack it.
+        queue_cost: addition to the expected time until an answer after a
+            refusal of a holder's queue.
     """
 
     target: str
@@ -113,6 +116,7 @@
     failures: int = 0
     missing_position: model.Position | None = None
     missing_until_s: float = 0.0
+    queue_cost: queue_refusals.QueueCost = queue_refusals.NO_COST
 
 
 class Choice(NamedTuple):
@@ -290,6 +294,7 @@
             continue
         has_candidate = True
         cost = estimate_answer_s(load, is_primary and not need.is_primary_only)
+        cost += queue_refusals.get_remaining_s(load.queue_cost, now_s)
         if load.data_centre != data_centre:
             cost += CROSS_DATA_CENTRE_LATENCY_S
         if load.idle > 0 and (best is None or cost < best_cost):
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -4,6 +4,7 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import queue_refusals
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
@@ -20,6 +21,12 @@
 
 _Code = statements.Code
 
+# Errors that show where a request belongs. The target has done no work for
+# it, so that a second attempt doesn't add to an overload.
+_REDIRECTING_CODES = frozenset(
+    {_Code.BEHIND, _Code.READ_ONLY, _Code.WRONG_TARGET}
+)
+
 
 class Attempt:
     """One attempt to run a request on a target.
@@ -134,7 +141,11 @@
         code = answer.code
         assert code is not None
         self._release_connection()
-        if code is _Code.BEHIND and self._position is not None:
+        refusal = self._find_queue_refusal(answer)
+        if refusal is not None:
+            pool.load.queue_cost = queue_refusals.get_cost(refusal, now_s)
+            self._try_alternative(answer, now_s)
+        elif code is _Code.BEHIND and self._position is not None:
             placement.record_missing_position(
                 pool.load, self._position, router.observer.leadership, now_s
             )
@@ -151,20 +162,59 @@
         else:
             self._finish_with_error(answer)
 
+    def _find_queue_refusal(
+        self, answer: statements.Answer
+    ) -> queue_refusals.QueueRefusal | None:
+        """Return the refusal if a holder's queue refused, or None."""
+        if (
+            self._router.retry_budget is None
+            or not self._connection.relay_host
+            or answer.code is not _Code.BUSY
+        ):
+            return None
+        return queue_refusals.parse_detail(answer.detail)
+
+    def _try_alternative(self, answer: statements.Answer, now_s: float) -> None:
+        """Retry at another target, or pass on a holder's refusal."""
+        request, target = self._request, self._pool.entry.target
+        if (
+            request.attempts < MAX_ATTEMPTS
+            and now_s < request.deadline_s
+            and self._router.has_alternative(request, target, now_s)
+            and self._router.may_retry(now_s)
+        ):
+            self._router.retry(request, target)
+        elif not request.running_attempts:
+            # The detail goes to the log, too: it says why, and which wait was
+            # expected.
+            self._finish_with_error(
+                answer, answer.detail.decode("utf-8", "replace")
+            )
+
     def _retry_or_finish(
         self, answer: statements.Answer, excluded: str | None, now_s: float
     ) -> None:
         request = self._request
         request.attempts -= 1 if answer.code is _Code.BEHIND else 0
-        if request.attempts < MAX_ATTEMPTS and now_s < request.deadline_s:
+        if (
+            request.attempts < MAX_ATTEMPTS
+            and now_s < request.deadline_s
+            and (
+                answer.code in _REDIRECTING_CODES
+                or self._router.may_retry(now_s)
+            )
+        ):
             self._router.retry(request, excluded)
         elif not request.running_attempts:
             self._finish_with_error(answer)
 
-    def _finish_with_error(self, answer: statements.Answer) -> None:
+    def _finish_with_error(
+        self, answer: statements.Answer, detail: str = ""
+    ) -> None:
         result = requests.Result(
             answer,
             answer.code,
+            detail,
             target=self._pool.entry.target,
             relay_host=self._connection.relay_host,
             position=self._position,
@@ -180,7 +230,11 @@
         if request.need.is_write and not request.is_begin:
             code = _Code.TIMED_OUT if outcome.is_timeout else None
             self._finish_request(None, code or _Code.UNKNOWN_OUTCOME)
-        elif request.attempts < MAX_ATTEMPTS and now_s < request.deadline_s:
+        elif (
+            request.attempts < MAX_ATTEMPTS
+            and now_s < request.deadline_s
+            and self._router.may_retry(now_s)
+        ):
             self._router.retry(request, self._pool.entry.target)
         elif not request.running_attempts:
             code = _Code.ABORTED if request.is_begin else _Code.TIMED_OUT
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -6,6 +6,7 @@
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import connection_holders
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import retry_budget
 from knapweedtally.entry import clock
 from knapweedtally.entry import evidence_sharing
 from knapweedtally.entry import logs
@@ -60,6 +61,8 @@
         log: where decisions are written.
         counters: counters and histograms.
         is_draining: whether the process is about to stop.
+        retry_budget: limit on the second attempts of all routers, or None
+            without load control.
         routers: routers by name of the group.
         sessions: open sessions of callers.
         store: client of the platform's store.
@@ -76,6 +79,11 @@
         self.log = log
         self.counters = metrics.Metrics()
         self.is_draining = False
+        self.retry_budget = (
+            retry_budget.RetryBudget()
+            if host_settings.has_load_control
+            else None
+        )
         self.routers: dict[str, router_module.Router] = {}
         self.sessions: set[sessions.CallerSession] = set()
         self.store = store.StoreClient(host_settings.store, log)
@@ -295,7 +303,11 @@
             router = self.routers.get(name)
             if router is None:
                 router = router_module.Router(
-                    group, self._settings.data_centre, self.log, self.counters
+                    group,
+                    self._settings.data_centre,
+                    self.log,
+                    self.counters,
+                    self.retry_budget,
                 )
                 self.routers[name] = router
             router.settings = group
--- a/knapweedtally/entry/metrics.py
+++ b/knapweedtally/entry/metrics.py
@@ -10,29 +10,33 @@
 BUCKET_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 
 _PREFIX = "knapweedtally"
+STATEMENT_HISTOGRAM = "statement_seconds"
 
 
 class Metrics:
-    """Counters by name and label, and latency histograms by label."""
+    """Counters and latency histograms, by name and label."""
 
     def __init__(self) -> None:
         """Create empty counters and histograms."""
         self._counters: dict[tuple[str, str], int] = {}
-        self._buckets: dict[str, list[int]] = {}
-        self._sums: dict[str, float] = {}
+        self._buckets: dict[tuple[str, str], list[int]] = {}
+        self._sums: dict[tuple[str, str], float] = {}
 
     def increment(self, name: str, label: str) -> None:
         """Increment a counter."""
         key = (name, label)
         self._counters[key] = self._counters.get(key, 0) + 1
 
-    def observe(self, label: str, duration_s: float) -> None:
-        """Record a statement's latency in the histogram of a label."""
-        buckets = self._buckets.get(label)
+    def observe(
+        self, label: str, duration_s: float, name: str = STATEMENT_HISTOGRAM
+    ) -> None:
+        """Record a duration in the histogram of a name and label."""
+        key = (name, label)
+        buckets = self._buckets.get(key)
         if buckets is None:
-            buckets = self._buckets[label] = [0] * (len(BUCKET_BOUNDS_S) + 1)
+            buckets = self._buckets[key] = [0] * (len(BUCKET_BOUNDS_S) + 1)
         buckets[bisect.bisect_left(BUCKET_BOUNDS_S, duration_s)] += 1
-        self._sums[label] = self._sums.get(label, 0.0) + duration_s
+        self._sums[key] = self._sums.get(key, 0.0) + duration_s
 
     def format_text(self, gauges: Mapping[str, float]) -> str:
         """Return all metrics in the Prometheus text format.
@@ -43,14 +47,16 @@
         lines = []
         for (name, label), value in sorted(self._counters.items()):
             lines.append(f'{_PREFIX}_{name}_total{{label="{label}"}} {value}')
-        for label, buckets in sorted(self._buckets.items()):
-            lines += self._format_histogram(label, buckets)
+        for key, buckets in sorted(self._buckets.items()):
+            lines += self._format_histogram(key, buckets)
         for name, gauge in sorted(gauges.items()):
             lines.append(f"{_PREFIX}_{name} {gauge}")
         return "\n".join(lines) + "\n"
 
-    def _format_histogram(self, label: str, buckets: list[int]) -> list[str]:
-        name = f"{_PREFIX}_statement_seconds"
+    def _format_histogram(
+        self, key: tuple[str, str], buckets: list[int]
+    ) -> list[str]:
+        name, label = f"{_PREFIX}_{key[0]}", key[1]
         lines = []
         total = 0
         for bound, count in zip(
@@ -60,6 +66,6 @@
             labels = f'label="{label}",le="{bound}"'
             lines.append(f"{name}_bucket{{{labels}}} {total}")
         labels = f'{{label="{label}"}}'
-        lines.append(f"{name}_sum{labels} {self._sums[label]:.6f}")
+        lines.append(f"{name}_sum{labels} {self._sums[key]:.6f}")
         lines.append(f"{name}_count{labels} {total}")
         return lines
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -9,6 +9,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
+from knapweedtally.entry import metrics
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import supervision
 from knapweedtally.entry import wait_queues
@@ -109,6 +110,17 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
 
+    @property
+    def relay_request_count(self) -> int:
+        """Return the number of relayed statements that wait."""
+        return self._wait_queues.relay_request_count
+
+    def use_holder_queue(self, counters: metrics.Metrics) -> None:
+        """Order relayed statements by priority, team and deadline."""
+        self._wait_queues.use_holder_queue(
+            self.entry.target, self._log, counters
+        )
+
     @property
     def size(self) -> int:
         """Return the number of connections, including those being opened."""
@@ -265,6 +277,10 @@
         values: dict[bytes, bytes],
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
+        team: str = "",
+        priority: int = 0,
+        on_refused: Callable[[bytes], None] | None = None,
+        id_: bytes = b"",
     ) -> None:
         """Call back with an idle direct connection, or None at a deadline.
 
@@ -272,14 +288,23 @@
             values: session values that the connection should have.
             on_idle: called once.
             deadline_s: when the wait ends.
+            team: name of the team, or empty.
+            priority: priority of the statement; 0 is the most urgent.
+            on_refused: called in place of ``on_idle`` with the detail of the
+                refusal if the wait would take too long; only with load
+                control.
+            id_: id of the statement, for the log.
         """
         connection = None
         if not self._wait_queues.has_relay_requests:
             connection = self.find_idle_connection(values, is_direct=True)
         if connection is None:
-            self._wait_queues.add_relay_request(values, on_idle, deadline_s)
+            self._wait_queues.add_relay_request(
+                values, on_idle, deadline_s, team, priority, on_refused, id_
+            )
             self.open_if_allowed()
             return
+        self._wait_queues.record_start(connection, team, priority)
         on_idle(connection)
         self.count_idle()
 
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -205,6 +205,9 @@
             for target, pool in router.pools.items():
                 key = f'connections{{target="{target}"}}'
                 gauges[key] = pool.size
+                if host.retry_budget is not None:
+                    key = f'holder_queue{{target="{target}"}}'
+                    gauges[key] = pool.relay_request_count
         return host.counters.format_text(gauges)
 
     def _handle_sighup(self) -> None:
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -250,6 +250,9 @@
                 )
             ),
             clock.get_time_s() + CONNECTION_TIMEOUT_S,
+            team=self.team,
+            on_refused=self._guard(self._refuse_statement),
+            id_=statement.id,
         )
 
     def _run_or_reject(
@@ -258,18 +261,22 @@
         statement: statements.Statement,
         position: bytes,
     ) -> None:
-        if self._is_closed:
-            return
         if connection is None:
-            self._is_busy = False
-            code = statements.Code.BUSY
-            self._write(
-                line_protocol.encode_error(code, b"no connection in time")
-                + line_protocol.encode_ready(_State.IDLE)
-            )
-            self._serve_next()
+            self._refuse_statement(b"no connection in time")
+        elif not self._is_closed:
+            self._run_statement(connection, statement, position)
+
+    def _refuse_statement(self, detail: bytes) -> None:
+        """Refuse a statement of which nothing was sent to the target."""
+        if self._is_closed:
             return
-        self._run_statement(connection, statement, position)
+        self._is_busy = False
+        self._write(
+            line_protocol.encode_error(statements.Code.BUSY, detail)
+            + line_protocol.encode_ready(_State.IDLE)
+        )
+        # The queue may refuse at once, while the messages are being served.
+        asyncio.get_running_loop().call_soon(self._guard(self._serve_next))
 
     def _run_statement(
         self,
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -7,6 +7,7 @@
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import retry_budget
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import attempts
 from knapweedtally.entry import clock
@@ -57,6 +58,8 @@
         departed: ids of former members whose log may hold commits that no
             other member has.
         observer: the evidence about the primary.
+        retry_budget: limit on the host's second attempts, or None without load
+            control.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         data_centre: str,
         log: logs.Log,
         counters: metrics.Metrics,
+        budget: retry_budget.RetryBudget | None = None,
     ) -> None:
         """Create a router without targets.
 
@@ -73,6 +77,8 @@
             data_centre: data centre of this host.
             log: the host's log.
             counters: the host's counters.
+            budget: limit on the host's second attempts with load control, or
+                None without it.
         """
         self.settings = settings
         self.pools: dict[str, pools.Pool] = {}
@@ -84,6 +90,7 @@
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
+        self.retry_budget = budget
         self._queue: list[requests.Request] = []
         self._hedge_candidates: set[requests.Request] = set()
         self._is_dispatching = False
@@ -106,6 +113,8 @@
             self.dispatch,
         )
         pool.position_before_restart = floor
+        if self.retry_budget is not None:
+            pool.use_holder_queue(self._counters)
         self.pools[entry.target] = pool
         pool.open_connection()
         return pool
@@ -134,6 +143,8 @@
 
     def submit(self, request: requests.Request) -> None:
         """Queue a request and dispatch the queue."""
+        if self.retry_budget is not None:
+            self.retry_budget.record_request(clock.get_time_s())
         load_shedding.record_priority(
             self.observer.load_shedding, request.priority
         )
@@ -355,6 +366,22 @@
             self._queue.sort(key=_get_queue_key)
         asyncio.get_running_loop().call_soon(self.dispatch)
 
+    def may_retry(self, now_s: float) -> bool:
+        """Return whether the host may make a second attempt, and count it."""
+        if self.retry_budget is None or self.retry_budget.take(now_s):
+            return True
+        self._counters.increment("retries_withheld", self.settings.name)
+        return False
+
+    def has_alternative(
+        self, request: requests.Request, excluded: str, now_s: float
+    ) -> bool:
+        """Return whether a target except one may serve a request."""
+        choice = self._choose_target_except(
+            request, request.excluded | {excluded}, now_s
+        )
+        return choice.target is not None
+
     def tick(self, now_s: float) -> None:
         """Refuse overdue requests, hedge slow reads and renew evidence."""
         for pool in tuple(self.pools.values()):
@@ -408,6 +435,8 @@
             and request.attempts < attempts.MAX_ATTEMPTS
         ):
             request.hedge_at_s = now_s + 10.0
+            if not self.may_retry(now_s):
+                return
             self._counters.increment("second_tries", self.settings.name)
             self.retry(request, None)
 
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/wait_queues.py
@@ -9,6 +9,9 @@
 from typing import NamedTuple
 
 from knapweedtally.entry import connections
+from knapweedtally.entry import holder_queues
+from knapweedtally.entry import logs
+from knapweedtally.entry import metrics
 from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
@@ -33,7 +36,11 @@
 
 
 class WaitQueues:
-    """First-in, first-out queues for the idle connections of one pool."""
+    """Queues for the idle connections of one pool.
+
+    They are first in, first out. With load control, relayed statements wait in
+    the order of ``core.groups.holder_queue`` instead.
+    """
 
     def __init__(self, take_connection: TakeConnection) -> None:
         """Create empty queues.
@@ -44,6 +51,7 @@
                 isn't relayed by another host.
         """
         self._take_connection = take_connection
+        self._holder_queues: holder_queues.HolderQueues | None = None
         self._control_statements: collections.deque[_ControlStatement] = (
             collections.deque()
         )
@@ -54,7 +62,38 @@
     @property
     def has_relay_requests(self) -> bool:
         """Return whether a relayed statement waits."""
-        return bool(self._relay_requests)
+        return bool(self._relay_requests or self._holder_queues)
+
+    @property
+    def relay_request_count(self) -> int:
+        """Return the number of relayed statements that wait."""
+        return len(self._relay_requests) + len(self._holder_queues or ())
+
+    def use_holder_queue(
+        self,
+        target: str,
+        log: logs.Log,
+        counters: metrics.Metrics,
+        take_team_connection: holder_queues.TakeTeamConnection | None = None,
+    ) -> None:
+        """Queue relayed statements by priority, team and deadline.
+
+        Args:
+            target: id of the target.
+            log: the host's log.
+            counters: the host's counters.
+            take_team_connection: returns an idle direct connection for a
+                team, or None to use any idle connection for any team.
+        """
+
+        def take_any_connection(
+            team: str, values: dict[bytes, bytes]
+        ) -> connections.Connection | None:
+            return self._take_connection(values, True)
+
+        self._holder_queues = holder_queues.HolderQueues(
+            target, take_team_connection or take_any_connection, log, counters
+        )
 
     def add_control_statement(
         self,
@@ -78,19 +117,52 @@
         values: dict[bytes, bytes],
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
+        team: str = "",
+        priority: int = 0,
+        on_refused: Callable[[bytes], None] | None = None,
+        id_: bytes = b"",
     ) -> None:
-        """Queue a request of another host for a connection.
+        """Queue a request for a connection.
+
+        The optional arguments have no effect without load control.
 
         Args:
             values: session values that the connection should hold.
             on_idle: called once with the connection, or with None if the
                 request is dropped.
             deadline_s: time at which the request is dropped.
+            team: name of the team, or empty.
+            priority: priority of the statement; 0 is the most urgent.
+            on_refused: called in place of ``on_idle`` with the detail of the
+                refusal if the queue refuses the request, at once or later.
+            id_: id of the statement, for the log.
         """
-        self._relay_requests.append(_RelayRequest(values, on_idle, deadline_s))
+        if self._holder_queues is None:
+            request = _RelayRequest(values, on_idle, deadline_s)
+            self._relay_requests.append(request)
+            return
+        self._holder_queues.add(
+            holder_queues.Request(values, on_idle, on_refused, id_),
+            deadline_s,
+            team,
+            priority,
+        )
+
+    def record_start(
+        self,
+        connection: connections.Connection,
+        team: str = "",
+        priority: int = 0,
+    ) -> None:
+        """Record that a relayed statement got a connection without waiting."""
+        if self._holder_queues is not None:
+            self._holder_queues.record_start(connection, team, priority)
 
     def serve_control_statements(self, now_s: float) -> None:
         """Send queued control statements while a connection is idle."""
+        if self._holder_queues is not None:
+            # What ended has to be seen before the connection is used again.
+            self._holder_queues.record_ends()
         while self._control_statements:
             connection = self._take_connection({}, False)
             if connection is None:
@@ -106,6 +178,8 @@
 
     def serve_relay_requests(self) -> None:
         """Assign idle direct connections to queued relay requests."""
+        if self._holder_queues is not None:
+            self._holder_queues.serve()
         while self._relay_requests:
             connection = self._take_connection(
                 self._relay_requests[0].values, True
@@ -122,6 +196,9 @@
             and self._control_statements[0].deadline_s < now_s
         ):
             self._drop_control_statement(now_s, True)
+        if self._holder_queues is not None:
+            self._holder_queues.record_ends()
+            self._holder_queues.drop_overdue(now_s)
         while (
             self._relay_requests and self._relay_requests[0].deadline_s < now_s
         ):
@@ -131,6 +208,8 @@
         """Drop all entries, calling them back without a connection."""
         while self._control_statements:
             self._drop_control_statement(now_s, False)
+        if self._holder_queues is not None:
+            self._holder_queues.close()
         while self._relay_requests:
             self._drop_relay_request()
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -225,6 +225,7 @@
 async def run_system(
     hosts: int = 1,
     max_connections: int = 16,
+    contracts: tuple[str, ...] = (),
 ) -> AsyncIterator[System]:
     """Run the stand-ins, and entry hosts that are ready to serve."""
     platform = platform_module.Platform()
@@ -234,7 +235,7 @@
     entries: list[EntryHost] = []
     try:
         for _ in range(hosts):
-            await add_host(System(platform, entries))
+            await add_host(System(platform, entries), contracts)
         for entry in entries:
             await wait_for(entry.host.is_ready)
         yield System(platform, entries)
@@ -244,10 +245,13 @@
         await platform.stop()
 
 
-async def add_host(system: System) -> EntryHost:
+async def add_host(
+    system: System, contracts: tuple[str, ...] = ()
+) -> EntryHost:
     """Start another entry host and return it."""
     number = len(system.entry_hosts)
     content = system.platform.make_settings(f"host-{number}", find_ports(4))
+    content["contracts"] = list(contracts)
     entry = EntryHost(settings.parse_settings(content))
     system.entry_hosts.append(entry)
     await entry.start()
@@ -268,6 +272,7 @@
     hosts: int = 1,
     max_connections: int = 16,
     prepare: Callable[[System], Awaitable[None]] = _prepare_nothing,
+    contracts: tuple[str, ...] = (),
 ) -> Callable[
     [Callable[[Any, System], Awaitable[None]]], Callable[[Any], None]
 ]:
@@ -277,6 +282,7 @@
         hosts: number of entry hosts.
         max_connections: number of connections that each target accepts.
         prepare: called with the system before the test.
+        contracts: contracts in the settings of the entry hosts.
     """
 
     def decorate(
@@ -285,7 +291,9 @@
         @functools.wraps(test)
         def run_test(case: Any) -> None:
             async def run() -> None:
-                async with run_system(hosts, max_connections) as system:
+                async with run_system(
+                    hosts, max_connections, contracts
+                ) as system:
                     await prepare(system)
                     await test(case, system)
 
