Compare the orders of holders' queues in the model

Change: the model has teams, surges and holders with few connections; python -m bench queues plays the orders. A team with more than 60% of the running statements comes after the others. The share for lower priorities is 5%.

--- a/bench/commands.py
+++ b/bench/commands.py
@@ -18,6 +18,7 @@
 from bench import systems
 from bench import workload
 from bench.placing import comparison
+from bench.placing import queue_comparison
 from bench.placing import scenarios
 
 OUTPUT_DIRECTORY = "out"
@@ -242,6 +243,29 @@
         return 0
 
 
+class QueuesCommand(command.Command):
+    """Compare orders of holders' queues in a model of teams and one target."""
+
+    name = "queues"
+    description = "Compare orders of the queues at holders in a model."
+    options = [
+        _option("seeds", 5, "number of seeds; all orders get the same load"),
+        _option("first-seed", 0, "the first seed"),
+        _option("duration-s", 12, "virtual time with arrivals"),
+    ]
+
+    def handle(self) -> int:
+        """Print a table for each load."""
+        first_seed = int(self.option("first-seed"))
+        seeds = range(first_seed, first_seed + int(self.option("seeds")))
+        duration_s = float(self.option("duration-s"))
+        for scenario in scenarios.TEAM_SCENARIOS:
+            rows = queue_comparison.compare_orders(scenario, seeds, duration_s)
+            self.line(f"\n{scenario.name}")
+            self.line(queue_comparison.format_rows(rows))
+        return 0
+
+
 def make_application() -> application.Application:
     """Return the command-line application of the load tool."""
     app = application.Application("bench")
@@ -251,6 +275,7 @@
         IdleCommand(),
         ProfileCommand(),
         PlacingCommand(),
+        QueuesCommand(),
     ):
         app.add(bench_command)
     return app
--- a/bench/placing/policies.py
+++ b/bench/placing/policies.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from bench.placing import model
+from bench.placing import operations
 from bench.placing import scenarios
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import status_polling
@@ -16,7 +17,7 @@
 POLL_SERVICE_TIME_S = 0.0005
 
 PolicyFactory = Callable[
-    [random.Random, load_shedding.LoadShedding], model.Policy
+    [random.Random, load_shedding.LoadShedding], operations.Policy
 ]
 
 
@@ -36,21 +37,24 @@
         """
         self._random = random_source
         self._shedding_state = shedding_state
-        self._sent: list[model.Request] = []
-        self._refused: list[model.Request] = []
+        self._sent: list[operations.Request] = []
+        self._refused: list[operations.Request] = []
 
-    def add_request(self, request: model.Request, now_s: float) -> None:
+    def add_request(self, request: operations.Request, now_s: float) -> None:
         """Queue a request to be sent to the target."""
         self._sent.append(request)
 
-    def record_rejection(self, request: model.Request) -> None:
+    def record_rejection(self, request: operations.Request) -> None:
         """Retry a request that the target rejected, or refuse it."""
         is_last = request.attempts >= attempts.MAX_ATTEMPTS
         (self._refused if is_last else self._sent).append(request)
 
-    def take_actions(self) -> model.Actions:
+    def record_end(self, request: operations.Request, now_s: float) -> None:
+        """Do nothing: the number of sent requests isn't limited."""
+
+    def take_actions(self) -> operations.Actions:
         """Remove and return the requests to send and to refuse now."""
-        actions = model.Actions(self._sent, self._refused)
+        actions = operations.Actions(self._sent, self._refused)
         self._sent, self._refused = [], []
         return actions
 
@@ -58,7 +62,7 @@
 class RefuseEarly(RetryImmediately):
     """Policy that refuses a share of new requests under overload."""
 
-    def add_request(self, request: model.Request, now_s: float) -> None:
+    def add_request(self, request: operations.Request, now_s: float) -> None:
         """Queue a request to be sent, or refuse it at once."""
         priority = request.request_class.priority
         load_shedding.record_priority(self._shedding_state, priority)
@@ -84,6 +88,7 @@
         scenario.layout,
         lambda random_source: make_policy(random_source, shedding_state),
         seed,
+        scenario.demand,
     )
 
     def record_wait(has_run: bool, wait_s: float, now_s: float) -> None:
@@ -119,7 +124,7 @@
     operations = sorted(
         (
             (sum(service_times_s), request_classes[name].utility)
-            for name, service_times_s in run.arrivals
+            for name, service_times_s, _ in run.arrivals
         ),
         key=lambda item: item[0] / item[1],
     )
--- a/knapweedtally/core/groups/holder_load.py
+++ b/knapweedtally/core/groups/holder_load.py
@@ -1,11 +1,17 @@
 """Run times and concurrency that a holder sees at one target."""
 
+import collections
 import dataclasses
 
 # Weight of the newest sample in the moving averages.
 RUN_TIME_WEIGHT = 0.1
 CONCURRENCY_WEIGHT = 0.1
 
+# Weight of the newest sample in the moving average of a team's share of the
+# running statements, and the share below which a team is forgotten.
+TEAM_SHARE_WEIGHT = 0.05
+MIN_TEAM_SHARE = 0.001
+
 # Run time that is assumed for a priority without samples, in seconds.
 INITIAL_RUN_TIME_S = 0.015
 
@@ -30,6 +36,8 @@
         """Create a load without samples."""
         self.running = 0
         self._concurrency: float | None = None
+        self._running_by_team: collections.Counter[str] = collections.Counter()
+        self._team_shares: dict[str, float] = {}
         self._run_times: dict[int, _RunTime] = {}
 
     @property
@@ -37,6 +45,31 @@
         """Return the usual number of running statements while others wait."""
         return max(1.0, self._concurrency or 0.0)
 
+    def record_start(self, team: str) -> None:
+        """Record that a statement of a team occupies a connection."""
+        self.running += 1
+        self._running_by_team[team] += 1
+        for other in {*self._team_shares, *self._running_by_team}:
+            share = self._team_shares.get(other, 0.0)
+            sample = self._running_by_team[other] / self.running
+            share += TEAM_SHARE_WEIGHT * (sample - share)
+            if share < MIN_TEAM_SHARE:
+                self._team_shares.pop(other, None)
+            else:
+                self._team_shares[other] = share
+
+    def record_end(self, team: str) -> None:
+        """Record that a statement of a team has freed its connection."""
+        if self._running_by_team[team]:
+            self.running -= 1
+            self._running_by_team[team] -= 1
+        if not self._running_by_team[team]:
+            del self._running_by_team[team]
+
+    def get_team_share(self, team: str) -> float:
+        """Return a team's usual share of the running statements."""
+        return self._team_shares.get(team, 0.0)
+
     def sample_concurrency(self) -> None:
         """Sample the concurrency; call this when a statement has to wait."""
         if self._concurrency is None:
--- a/knapweedtally/core/groups/holder_queue.py
+++ b/knapweedtally/core/groups/holder_queue.py
@@ -23,9 +23,14 @@
 # to be evicted, whatever their priority.
 MAX_TEAM_SHARE = 0.5
 
+# Share of the running statements above which a team's statements come after
+# those of all other teams, whatever their priority. With strict priority alone,
+# the urgent statements of one team's burst starve the others' less urgent ones.
+MAX_RUNNING_SHARE = 0.6
+
 # Share of the run time of more urgent statements that is set aside for the
 # lower priorities that wait.
-LOWER_SHARE = 0.1
+LOWER_SHARE = 0.05
 
 # A statement is refused once its expected answer time exceeds the time left by
 # the first factor, and while it exceeds it by the second. Both are at least 1,
@@ -135,10 +140,16 @@
         Returns:
             The entry, or None if there is none or no connection for it.
         """
+        entry = self._take(lambda t: not self._is_crowding(t) and is_free(t))
+        return entry or self._take(is_free)
+
+    def _take(
+        self, is_eligible: Callable[[str], bool]
+    ) -> team_turns.Entry | None:
         for priority in self._list_turns():
             priority_class = self._classes[priority]
             cost_s = self.load.get_run_time_s(priority)
-            team = priority_class.choose_team(cost_s, is_free)
+            team = priority_class.choose_team(cost_s, is_eligible)
             if team is None:
                 continue
             self._set_aside(priority, cost_s)
@@ -146,9 +157,12 @@
             return priority_class.pop(team, 0)
         return None
 
+    def _is_crowding(self, team: str) -> bool:
+        return self.load.get_team_share(team) > MAX_RUNNING_SHARE
+
     def record_start(self, team: str, priority: int) -> None:
         """Record that a statement has got a connection."""
-        self.load.running += 1
+        self.load.record_start(team)
         self._charge(team, priority, self.load.get_run_time_s(priority))
 
     def record_end(self, team: str, priority: int, run_s: float | None) -> None:
@@ -160,7 +174,7 @@
             run_s: time for which it had the connection, in seconds, or None if
                 it is not known or the statement failed.
         """
-        self.load.running = max(0, self.load.running - 1)
+        self.load.record_end(team)
         if run_s is None:
             return
         expected_s = self.load.get_run_time_s(priority)
