Test the retry budget of a host and the queues without load control

Cause: no test showed that a used-up budget stops second attempts, or that a host without load control has neither the budget nor the new refusals.

--- a/tests/entry/test_holder_queues.py
+++ b/tests/entry/test_holder_queues.py
@@ -199,6 +199,51 @@
         self.assertEqual(0, load.failures)
         self.assertEqual(0.4, load.queue_cost.cost_s)
 
+    @with_load_control()
+    async def test_used_up_budget_passes_the_refusal_on(
+        self, system: harness.System
+    ) -> None:
+        """Guards against attempts of the host that double an overload."""
+        group = system.platform.groups["g"]
+        replica = next(t for t in group.targets.values() if not t.is_primary)
+        entry = test_relays.find_relayed_host(system.entry_hosts, replica.id)
+        caller = harness.Caller(entry.port)
+        await caller.start("g-bounded_stale")
+        await caller.run("READ item")
+        for target, pool in entry.host.routers["g"].pools.items():
+            pool.load.run_time_s = 0.001 if target == replica.id else 0.1
+        entry.lines.clear()
+        budget = entry.host.retry_budget
+        assert budget is not None
+        while budget.take(clock.get_time_s()):
+            pass
+        with mock.patch.object(pools.Pool, "call_when_idle", refuse):
+            answer = await caller.run("READ item")
+        self.assertEqual([f"ERROR BUSY {DETAIL.decode()}"], answer)
+        (line,) = entry.find_lines("statement_ended")
+        self.assertEqual(1, line["attempts"])
+
+    @harness.with_system()
+    async def test_without_load_control_refusal_and_budget_are_unchanged(
+        self, system: harness.System
+    ) -> None:
+        primary = system.platform.groups["g"].get_primary()
+        host = system.entry_hosts[0].host
+        self.assertIsNone(host.retry_budget)
+        pool = host.routers["g"].pools[primary.id]
+        while (held := pool.find_idle_connection({})) is not None:
+            held.is_held = True
+        outcomes: list[Any] = []
+        with mock.patch.object(pool, "open_if_allowed"):
+            pool.call_when_idle(
+                {},
+                outcomes.append,
+                clock.get_time_s() + 0.2,
+                on_refused=outcomes.append,
+            )
+            await harness.wait_for(lambda: bool(outcomes))
+        self.assertEqual([None], outcomes)
+
     @harness.with_system(contracts=CONTRACTS)
     async def test_statement_that_gets_no_connection_in_time_is_refused(
         self, system: harness.System
