--- a/knapweedtally/core/groups/holder_queue.py
+++ b/knapweedtally/core/groups/holder_queue.py
@@ -106,6 +106,21 @@
     def __len__(self) -> int:
         return sum(map(len, self._classes.values()))
 
+    def count_by_team(self) -> dict[str, int]:
+        """Return how many entries each team has, in the order of their turns.
+
+        Teams with many running statements come last, as in ``take``.
+        """
+        counts: dict[str, int] = {}
+        for priority in self._list_turns():
+            priority_class = self._classes[priority]
+            for team in priority_class.turns:
+                count = len(priority_class.entries[team])
+                counts[team] = counts.get(team, 0) + count
+        return dict(
+            sorted(counts.items(), key=lambda item: self._is_crowding(item[0]))
+        )
+
     def add(self, entry: team_turns.Entry, now_s: float) -> list[Refusal]:
         """Add an entry.
 
--- a/knapweedtally/core/groups/placement.py
+++ b/knapweedtally/core/groups/placement.py
@@ -99,6 +99,7 @@
         missing_until_s: until when the target is assumed to lack it.
         queue_cost: addition to the expected time until an answer after a
             refusal of a holder's queue.
+        wait_s: expected wait for a connection in this host's own queue.
     """
 
     target: str
@@ -117,6 +118,7 @@
     missing_position: model.Position | None = None
     missing_until_s: float = 0.0
     queue_cost: queue_refusals.QueueCost = queue_refusals.NO_COST
+    wait_s: float = 0.0
 
 
 class Choice(NamedTuple):
@@ -295,6 +297,7 @@
         has_candidate = True
         cost = estimate_answer_s(load, is_primary and not need.is_primary_only)
         cost += queue_refusals.get_remaining_s(load.queue_cost, now_s)
+        cost += load.wait_s
         if load.data_centre != data_centre:
             cost += CROSS_DATA_CENTRE_LATENCY_S
         if load.idle > 0 and (best is None or cost < best_cost):
--- a/knapweedtally/core/groups/retry_budget.py
+++ b/knapweedtally/core/groups/retry_budget.py
@@ -39,6 +39,11 @@
         _increment(self._retries, now_s)
         return True
 
+    def give_back(self) -> None:
+        """Take back the newest second attempt, which was not made."""
+        if self._retries:
+            self._retries[-1][1] -= 1
+
 
 def _increment(counts: collections.deque[list[int]], now_s: float) -> None:
     second = int(now_s)
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/attempts.py
@@ -12,6 +12,7 @@
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
 from knapweedtally.entry import supervision
+from knapweedtally.platform import line_protocol
 
 if typing.TYPE_CHECKING:
     from knapweedtally.entry import router as router_module
@@ -154,18 +155,24 @@
             router.observer.discard_primary(target, now_s, "it refused a write")
             self._retry_or_finish(answer, None, now_s)
         elif code in statements.NOT_RUN_CODES:
-            placement.record_failure(pool.load, now_s)
+            if not self._is_holder_refusal(answer):
+                placement.record_failure(pool.load, now_s)
             self._retry_or_finish(answer, None, now_s)
         elif code is _Code.FAILED and not request.need.is_write:
             placement.record_failure(pool.load, now_s)
-            self._retry_or_finish(answer, target, now_s)
+            self._retry_or_finish(answer, target, now_s, has_run=True)
         else:
             self._finish_with_error(answer)
 
     def _find_queue_refusal(
         self, answer: statements.Answer
     ) -> queue_refusals.QueueRefusal | None:
-        """Return the refusal if a holder's queue refused, or None."""
+        """Return the refusal if a holder's queue refused, or None.
+
+        A holder that has no queue, or doesn't reach the target, refuses
+        without these details. The next holder of the same target may then
+        serve the request, see ``_is_holder_refusal``.
+        """
         if (
             self._router.retry_budget is None
             or not self._connection.relay_host
@@ -175,24 +182,33 @@
         return queue_refusals.parse_detail(answer.detail)
 
     def _try_alternative(self, answer: statements.Answer, now_s: float) -> None:
-        """Retry at another target, or pass on a holder's refusal."""
+        """Retry once at another target, or pass on a holder's refusal."""
         request, target = self._request, self._pool.entry.target
-        if (
-            request.attempts < MAX_ATTEMPTS
-            and now_s < request.deadline_s
-            and self._router.has_alternative(request, target, now_s)
-            and self._router.may_retry(now_s)
-        ):
-            self._router.retry(request, target)
-        elif not request.running_attempts:
+        if self._router.retry_elsewhere(request, target, now_s):
+            return
+        if not request.running_attempts:
             # The detail goes to the log, too: it says why, and which wait was
             # expected.
             self._finish_with_error(
                 answer, answer.detail.decode("utf-8", "replace")
             )
 
+    def _is_holder_refusal(self, answer: statements.Answer) -> bool:
+        """Return whether a team found no connection at its holder.
+
+        This says nothing about the target and the other teams.
+        """
+        return (
+            self._connection.has_announcements
+            and answer.position == line_protocol.NO_POSITION
+        )
+
     def _retry_or_finish(
-        self, answer: statements.Answer, excluded: str | None, now_s: float
+        self,
+        answer: statements.Answer,
+        excluded: str | None,
+        now_s: float,
+        has_run: bool = False,
     ) -> None:
         request = self._request
         request.attempts -= 1 if answer.code is _Code.BEHIND else 0
@@ -204,6 +220,8 @@
                 or self._router.may_retry(now_s)
             )
         ):
+            if has_run:
+                self._require_another_token()
             self._router.retry(request, excluded)
         elif not request.running_attempts:
             self._finish_with_error(answer)
@@ -222,6 +240,11 @@
         )
         self._router.finish(self._request, result)
 
+    def _require_another_token(self) -> None:
+        """Count the next attempt, since this one may have run."""
+        if self._request.permit is not None:
+            self._request.permit.require_another()
+
     def _handle_connection_lost(
         self, outcome: connections.Outcome, now_s: float
     ) -> None:
@@ -235,6 +258,7 @@
             and now_s < request.deadline_s
             and self._router.may_retry(now_s)
         ):
+            self._require_another_token()
             self._router.retry(request, self._pool.entry.target)
         elif not request.running_attempts:
             code = _Code.ABORTED if request.is_begin else _Code.TIMED_OUT
--- a/knapweedtally/entry/holder_queues.py
+++ b/knapweedtally/entry/holder_queues.py
@@ -56,6 +56,7 @@
         self,
         target: str,
         take_connection: TakeTeamConnection,
+        is_free: Callable[[str], bool],
         log: logs.Log,
         counters: metrics.Metrics,
     ) -> None:
@@ -65,11 +66,14 @@
             target: id of the target.
             take_connection: returns an idle direct connection for a team and
                 session values, or None.
+            is_free: returns whether it would return one for a team. It is
+                asked for each waiting team, so it must not count as a use.
             log: the host's log.
             counters: the host's counters.
         """
         self._target = target
         self._take_connection = take_connection
+        self._is_free = is_free
         self._log = log
         self._counters = counters
         self._queue = holder_queue.HolderQueue()
@@ -78,6 +82,14 @@
     def __len__(self) -> int:
         return len(self._queue)
 
+    def count_by_team(self) -> dict[str, int]:
+        """Return how many requests wait, in the order of their teams."""
+        return self._queue.count_by_team()
+
+    def estimate_wait(self, team: str, priority: int) -> float:
+        """Return how long a new request would wait, in seconds."""
+        return self._queue.estimate_wait(team, priority)
+
     def add(
         self, request: Request, deadline_s: float, team: str, priority: int
     ) -> None:
@@ -106,6 +118,8 @@
                 WAIT_HISTOGRAM,
             )
             if connection is not None:
+                # The last request may not have used it after all.
+                self._forget(connection)
                 run = _Run(entry.team, entry.priority, now_s)
                 self._runs[connection] = run
             else:
@@ -136,9 +150,6 @@
             request: Request = entry.payload
             supervision.contain("relay request", request.on_idle, None)
 
-    def _is_free(self, team: str) -> bool:
-        return self._take_connection(team, {}) is not None
-
     def _forget(self, connection: connections.Connection) -> None:
         run = self._runs.pop(connection, None)
         if run is None:
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -5,10 +5,14 @@
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import connection_holders
+from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
+from knapweedtally.core.groups import team_connections
 from knapweedtally.entry import clock
 from knapweedtally.entry import evidence_sharing
+from knapweedtally.entry import holder_selection
+from knapweedtally.entry import host_configuration
 from knapweedtally.entry import logs
 from knapweedtally.entry import member_probes
 from knapweedtally.entry import member_records
@@ -16,13 +20,16 @@
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import peers
 from knapweedtally.entry import pools
+from knapweedtally.entry import primary_absence
 from knapweedtally.entry import primary_changes
 from knapweedtally.entry import promoter
+from knapweedtally.entry import quotas
 from knapweedtally.entry import relays
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import sessions
 from knapweedtally.entry import store
 from knapweedtally.entry import supervision
+from knapweedtally.entry import team_pools
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -60,6 +67,7 @@
         catalog: configuration and targets.
         log: where decisions are written.
         counters: counters and histograms.
+        quotas: admission within the limits of teams.
         is_draining: whether the process is about to stop.
         retry_budget: limit on the second attempts of all routers, or None
             without load control.
@@ -68,6 +76,7 @@
         store: client of the platform's store.
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
+        configuration: reads, confirms and exchanges the configuration.
     """
 
     def __init__(
@@ -93,6 +102,9 @@
             log,
             lambda *received: self._sharer.receive(*received),
         )
+        self.quotas = quotas.Quotas(
+            host_settings, self.peers, self.catalog, log, self.counters
+        )
         self._sharer = evidence_sharing.EvidenceSharer(
             host_settings.host, self.peers, self.routers
         )
@@ -101,12 +113,20 @@
             self.catalog,
             self._sharer.get_rank,
             self.peers.wait_until_listed,
+            self._find_last_primary,
             log,
         )
         self._probes = member_probes.MemberProbes(
             self.catalog, router_module.USER, log
         )
-        self._configuration_callbacks: list[Callable[[], None]] = []
+        self.configuration = host_configuration.HostConfiguration(
+            host_settings,
+            self.catalog,
+            lambda: self.store,
+            self.peers,
+            log,
+            self._handle_configuration,
+        )
         self.relay_sessions: set[relays.RelaySession] = set()
         self._path_keys: dict[str, tuple[int, int]] = {}
         self._settings = host_settings
@@ -126,6 +146,9 @@
                 primary_promoter,
                 self._sharer.rank_hosts,
             )
+        self._absence_reporter = primary_absence.AbsenceReporter(
+            log, self.counters
+        )
         self._draining_since_s: dict[str, float] = {}
         self._departed_positions: dict[str, model.Position] = {}
         self._last_tick_s = clock.get_time_s()
@@ -135,11 +158,13 @@
         # Each check is contained by itself; the order matters.
         self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
             ("suspension", self._check_suspension),
-            ("configuration callback", self._check_configuration),
+            ("configuration callback", self.configuration.check),
             ("members", self._check_members),
             ("member records", self._check_records),
             ("peers", self.peers.tick),
+            ("quotas", self.quotas.tick),
             ("group", self._check_groups),
+            ("configuration exchange", self.configuration.exchange.tick),
             ("sharing", self._share_evidence),
             ("serving", self._check_serving),
             ("session", self._check_sessions),
@@ -148,13 +173,7 @@
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
         """Return the watchers of the configuration and of the targets."""
         return (
-            store.Watcher(
-                self.store,
-                records.CONFIGURATION_KIND,
-                self._apply_configurations,
-                lambda change: self._apply_configurations([change.stored]),
-                self.log,
-            ),
+            self.configuration.make_watcher(),
             store.Watcher(
                 self.store,
                 records.TARGETS_KIND,
@@ -197,46 +216,24 @@
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
-        return not self.store.is_unavailable
+        return self.configuration.is_expected()
 
     def call_when_configured(self, callback: Callable[[], None]) -> None:
         """Call back once a configuration is applied, or none is expected."""
-        self._configuration_callbacks.append(callback)
+        self.configuration.call_when_applied(callback)
+
+    def _find_last_primary(self, group: str) -> last_primary.LastPrimary | None:
+        router = self.routers.get(group)
+        return router.observer.last_primary if router is not None else None
 
     # Updates from the store.
 
-    def _apply_configurations(
-        self, objects: list[store_calls.StoredObject]
-    ) -> None:
-        for stored in objects:
-            if stored.name != records.CONFIGURATION_NAME:
-                continue
-            try:
-                configuration = records.parse_configuration(stored.spec)
-            except records.InvalidRecord as error:
-                self.log.write("configuration_unreadable", reason=str(error))
-                continue
-            except Exception as error:
-                supervision.report("configuration", error)
-                continue
-            if catalog.apply_configuration(self.catalog, configuration):
-                self.log.write(
-                    "configuration_in_force",
-                    version=configuration.version,
-                    revision=stored.revision,
-                    routes=len(configuration.routes),
-                )
-                self._sync_routers()
-                self._call_configuration_callbacks()
-
-    def _call_configuration_callbacks(self) -> None:
-        """Call the sessions that wait for the configuration."""
-        callbacks, self._configuration_callbacks = (
-            self._configuration_callbacks,
-            [],
-        )
-        for callback in callbacks:
-            supervision.contain("configuration callback", callback)
+    def _handle_configuration(self) -> None:
+        """Act on a configuration that has come into force."""
+        for session in tuple(self.sessions):
+            if not supervision.contain("session", session.check_identity):
+                session.abort()
+        self._sync_routers()
 
     def _apply_entries(self, objects: list[store_calls.StoredObject]) -> None:
         parsed = [
@@ -311,8 +308,12 @@
                 )
                 self.routers[name] = router
             router.settings = group
+            router.has_teams = bool(configuration.teams)
             router.observer.has_replicas = group.acknowledging_replicas > 0
             supervision.contain("members", self._sync_pools, router, now_s)
+            router.observer.take_last_primary(
+                self.catalog.recorded_primaries.get(name)
+            )
             supervision.contain(
                 "departed members", self._sync_departed, router, now_s
             )
@@ -329,6 +330,10 @@
             pool = router.pools.get(target)
             if pool is None:
                 pool = self._add_pool(router, member)
+            elif pool.has_teams is not router.has_teams:
+                pool = router.replace_pool(target)
+                pool.restart_count = member.restart_count
+                self._path_keys.pop(target, None)
             elif pool.restart_count != member.restart_count:
                 pool.restart(member.entry)
                 pool.restart_count = member.restart_count
@@ -357,6 +362,7 @@
             floor = departed.pop(old, floor) if old else floor
         if old is not None:
             self.log.write("target_succeeded", target=target, old=old)
+            router.observer.replace_last_primary(old, target)
         pool = router.add_pool(member.entry, floor)
         pool.restart_count = member.restart_count
         return pool
@@ -394,6 +400,9 @@
         if self._path_keys.get(target) == key:
             return
         self._path_keys[target] = key
+        if isinstance(pool, team_pools.TeamPool):
+            pool.set_paths(self._find_team_paths(pool, live))
+            return
         usable = pools.get_usable_connections(pool.max_connections)
         held_by = connection_holders.list_holders(target, live, usable)
         relay_names = connection_holders.list_relays(
@@ -408,6 +417,22 @@
             fallback_names
         )
 
+    def _find_team_paths(
+        self, pool: team_pools.TeamPool, live: dict[str, str]
+    ) -> holder_selection.TeamPaths:
+        own_host = self._settings.host
+        holders = team_connections.list_holders(
+            pool.entry.target,
+            pool.entry.data_centre,
+            live,
+            pool.max_connections,
+        )
+        others = [host for host in holders.hosts if host != own_host]
+        relay_hosts = self._find_relay_hosts(others)
+        return holder_selection.TeamPaths(
+            own_host, holders, {relay.host: relay for relay in relay_hosts}
+        )
+
     def _find_relay_hosts(
         self, names: list[str]
     ) -> tuple[path_selection.RelayHost, ...]:
@@ -431,6 +456,8 @@
         pool = router.pools.get(target) if router else None
         if pool is None or pool.path_selector.relay_hosts or self.is_draining:
             return None
+        if pool.has_teams:
+            return None if pool.is_unreachable_for_others() else pool
         is_in_fallback = pool.path_selector.is_in_fallback(clock.get_time_s())
         return None if is_in_fallback else pool
 
@@ -468,17 +495,10 @@
 
     def _check_suspension(self, now_s: float) -> None:
         last_tick_s, self._last_tick_s = self._last_tick_s, now_s
+        self.configuration.record_tick(now_s)
         if now_s - last_tick_s > SUSPENSION_S:
             self._handle_suspension(now_s, last_tick_s)
 
-    def _check_configuration(self, now_s: float) -> None:
-        """Call the sessions for which the wait has ended."""
-        if self._configuration_callbacks and (
-            self.catalog.configuration is not None
-            or not self.is_configuration_expected()
-        ):
-            self._call_configuration_callbacks()
-
     def _check_members(self, now_s: float) -> None:
         answered_s = {
             target: pool.answered_s
@@ -521,6 +541,9 @@
         router.tick(now_s)
         if self._changes is not None and not self.is_draining:
             self._changes.start_if_needed(router, now_s)
+            self._absence_reporter.report_if_due(
+                router, self._changes.make_view(router, now_s), now_s
+            )
 
     def _share_evidence(self, now_s: float) -> None:
         self._sharer.share_new_evidence(now_s, self._is_changing)
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -88,7 +88,9 @@
         if self._settings.peers is not None:
             await loop.create_server(
                 lambda: relays.RelaySession(
-                    self._host.find_direct_pool, self._host.relay_sessions
+                    self._host.find_direct_pool,
+                    self._host.relay_sessions,
+                    self._host.configuration.exchange.get_source,
                 ),
                 self._settings.peers.host,
                 self._settings.peers.port,
@@ -208,6 +210,10 @@
                 if host.retry_budget is not None:
                     key = f'holder_queue{{target="{target}"}}'
                     gauges[key] = pool.relay_request_count
+                # At most one for each direct connection that is held.
+                for team, count in pool.count_by_team().items():
+                    label = f'target="{target}",team="{team}"'
+                    gauges[f"team_connections{{{label}}}"] = count
         return host.counters.format_text(gauges)
 
     def _handle_sighup(self) -> None:
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import queue_refusals
 from knapweedtally.core.groups import retry_budget
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import attempts
@@ -18,6 +20,7 @@
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
 from knapweedtally.entry import supervision
+from knapweedtally.entry import team_pools
 from knapweedtally.platform import line_protocol
 
 # A read without an answer is hedged with a second attempt after this delay, or
@@ -60,6 +63,7 @@
         observer: the evidence about the primary.
         retry_budget: limit on the host's second attempts, or None without load
             control.
+        has_teams: whether callers belong to teams.
     """
 
     def __init__(
@@ -83,10 +87,10 @@
         self.settings = settings
         self.pools: dict[str, pools.Pool] = {}
         self.departed: tuple[str, ...] = ()
+        self.has_teams = False
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
         )
-        self._created_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
@@ -105,13 +109,7 @@
             floor: position that the target's predecessor had received. A log
                 that ends before it proves nothing about acknowledged commits.
         """
-        pool = pools.Pool(
-            entry,
-            self.settings.max_connections,
-            USER,
-            self._log,
-            self.dispatch,
-        )
+        pool = self._make_pool(entry)
         pool.position_before_restart = floor
         if self.retry_budget is not None:
             pool.use_holder_queue(self._counters)
@@ -119,6 +117,31 @@
         pool.open_connection()
         return pool
 
+    def _make_pool(self, entry: model.TargetEntry) -> pools.Pool:
+        limit = self.settings.max_connections
+        if self.has_teams:
+            return team_pools.TeamPool(
+                entry,
+                limit,
+                USER,
+                self._log,
+                self.dispatch,
+                self._counters,
+                self.observer,
+            )
+        return pools.Pool(entry, limit, USER, self._log, self.dispatch)
+
+    def replace_pool(self, target: str) -> pools.Pool:
+        """Replace a pool after teams were added or all were removed.
+
+        Connections without a team may not be used for teams and the reverse,
+        so open transactions are rolled back.
+        """
+        old = self.pools[target]
+        pool = self.add_pool(old.entry, old.get_newest_position())
+        old.close()
+        return pool
+
     def remove_pool(self, target: str) -> pools.Pool | None:
         """Close the pool of a target that has left the group.
 
@@ -148,6 +171,11 @@
         load_shedding.record_priority(
             self.observer.load_shedding, request.priority
         )
+        if request.permit is not None:
+            request.permit.attach(
+                self.dispatch,
+                lambda detail: self._refuse_over_limit(request, detail),
+            )
         self._queue.append(request)
         self._queue.sort(key=_get_queue_key)
         self.dispatch()
@@ -155,9 +183,15 @@
     def cancel(self, request: requests.Request) -> None:
         """Drop a request whose caller has disconnected."""
         request.is_done = True
+        if request.permit is not None:
+            request.permit.release()
         if request in self._queue:
             self._queue.remove(request)
 
+    def is_waiting(self, request: requests.Request) -> bool:
+        """Return whether a request is queued and no attempt of it runs."""
+        return request in self._queue and not request.running_attempts
+
     def dispatch(self) -> None:
         """Start an attempt for each queued request that a target can take."""
         if self._is_dispatching or not self._queue:
@@ -174,6 +208,8 @@
             self._is_dispatching = False
 
     def _place_request(self, request: requests.Request, now_s: float) -> None:
+        if self._keeps_waiting(request, now_s):
+            return
         choice = self._choose_target(request, now_s)
         request.reason = choice.reason
         if choice.reason is _Reason.CROWDED:
@@ -190,9 +226,145 @@
                 self._refuse_request(request, now_s, OUTAGE_HINT_MS)
             return
         pool = self.pools[choice.target]
-        connection = pool.find_idle_connection(request.session.values)
+        connection = pool.find_idle_connection(
+            request.session.values, team=request.session.team
+        )
         if connection is None:
             pool.load.idle = 0
+            self._wait_at_pool(request, pool, now_s)
+            return
+        self._place_on_connection(request, pool, connection, choice, now_s)
+        if not connection.is_idle:
+            pool.record_start(
+                connection, request.session.team, request.priority
+            )
+
+    def _wait_at_pool(
+        self, request: requests.Request, pool: pools.Pool, now_s: float
+    ) -> None:
+        """Let a request wait with those of other hosts for a connection."""
+        target = pool.entry.target
+
+        def handle_idle(connection: connections.Connection | None) -> None:
+            if request.is_done or request.waiting_target != target:
+                return
+            request.waiting_target = ""
+            idle_s = clock.get_time_s()
+            if connection is not None and request in self._queue:
+                choice = self._choose_among(
+                    request, [pool], idle_s, request.excluded
+                )
+                if choice.target is not None:
+                    if not supervision.contain(
+                        "placement",
+                        self._place_on_connection,
+                        request,
+                        pool,
+                        connection,
+                        choice,
+                        idle_s,
+                    ):
+                        self.fail(request)
+                    return
+            asyncio.get_running_loop().call_soon(self.dispatch)
+
+        def handle_refused(detail: bytes) -> None:
+            if request.is_done or request.waiting_target != target:
+                return
+            request.waiting_target = ""
+            self._handle_queue_refusal(request, pool, detail)
+
+        # Set before the call, which may serve the request at once.
+        request.waiting_target = target
+        is_queued = pool.wait_for_connection(
+            request.session.values,
+            handle_idle,
+            request.deadline_s,
+            request.session.team,
+            request.priority,
+            handle_refused,
+            request.statement.id,
+        )
+        if not is_queued:
+            request.waiting_target = ""
+
+    def _handle_queue_refusal(
+        self, request: requests.Request, pool: pools.Pool, detail: bytes
+    ) -> None:
+        """Answer a request that this host's own queue has refused.
+
+        Nothing of it was sent, unless another attempt of it still runs.
+        """
+        now_s = clock.get_time_s()
+        refusal = queue_refusals.parse_detail(detail)
+        if refusal is not None:
+            pool.load.queue_cost = queue_refusals.get_cost(refusal, now_s)
+        target = pool.entry.target
+        if self.retry_elsewhere(request, target, now_s):
+            return
+        if request.running_attempts:
+            self._queue.remove(request)
+            return
+        self.finish(
+            request,
+            requests.Result(
+                None,
+                _Code.BUSY,
+                detail.decode("utf-8", "replace"),
+                target=target,
+                waited_s=now_s - request.arrived_s,
+            ),
+        )
+
+    def retry_elsewhere(
+        self, request: requests.Request, target: str, now_s: float
+    ) -> bool:
+        """Queue a request for another target after a queue's refusal, once.
+
+        Args:
+            request: the request.
+            target: id of the target whose holder refused it.
+            now_s: the current time.
+
+        Returns:
+            Whether another target may serve it and the retry budget allows it.
+        """
+        was_refused = request.is_refused_by_queue
+        request.is_refused_by_queue = True
+        if (
+            was_refused
+            or request.attempts >= attempts.MAX_ATTEMPTS
+            or now_s >= request.deadline_s
+            or not self.has_alternative(request, target, now_s)
+            or not self.may_retry(now_s)
+        ):
+            return False
+        self.retry(request, target)
+        return True
+
+    def _keeps_waiting(self, request: requests.Request, now_s: float) -> bool:
+        """Return whether a request waits for a target that may serve it."""
+        if not request.waiting_target:
+            return False
+        pool = self.pools.get(request.waiting_target)
+        if pool is not None:
+            choice = self._choose_among(
+                request, [pool], now_s, request.excluded
+            )
+            if choice.target or choice.reason is _Reason.NO_CONNECTION:
+                return True
+        request.waiting_target = ""
+        return False
+
+    def _place_on_connection(
+        self,
+        request: requests.Request,
+        pool: pools.Pool,
+        connection: connections.Connection,
+        choice: placement.Choice,
+        now_s: float,
+    ) -> None:
+        if request.permit is not None and not request.permit.confirm(now_s):
             return
         self._queue.remove(request)
         try:
@@ -246,9 +418,48 @@
         excluded: frozenset[str],
         now_s: float,
     ) -> placement.Choice:
+        return self._choose_among(request, self.pools.values(), now_s, excluded)
+
+    def _choose_among(
+        self,
+        request: requests.Request,
+        candidates: Iterable[pools.Pool],
+        now_s: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> placement.Choice:
+        candidates = list(candidates)
+        if self.retry_budget is None or not self.has_teams:
+            return self._choose_available(
+                request, candidates, now_s, excluded, True
+            )
+        # With load control, the queues of this host hold any number of
+        # requests, so a target that has a connection at once comes first.
+        choice = self._choose_available(
+            request, candidates, now_s, excluded, False
+        )
+        if choice.reason is not _Reason.NO_CONNECTION:
+            return choice
+        return self._choose_available(
+            request, candidates, now_s, excluded, True
+        )
+
+    def _choose_available(
+        self,
+        request: requests.Request,
+        candidates: list[pools.Pool],
+        now_s: float,
+        excluded: frozenset[str],
+        may_wait: bool,
+    ) -> placement.Choice:
+        """Choose a target by the connections that a team may use."""
+        if self.has_teams:
+            for pool in candidates:
+                pool.update_available(
+                    request.session.team, request.priority, may_wait
+                )
         return placement.choose_target(
             request.need,
-            [pool.load for pool in self.pools.values()],
+            [pool.load for pool in candidates],
             self.observer.leadership,
             self._data_centre,
             now_s,
@@ -259,7 +470,11 @@
         """Return whether the group is unavailable and waiting is futile."""
         if choice.reason is _Reason.NO_CONNECTION:
             return False
-        since_s = max(self.observer.leadership.valid_until_s, self._created_s)
+        # A primary that was lost leaves no evidence, but the change of primary
+        # has just begun.
+        since_s = max(
+            self.observer.leadership.valid_until_s, self.observer.confirmed_s
+        )
         return now_s - since_s > UNAVAILABLE_AFTER_S
 
     def _request_connections(
@@ -273,7 +488,7 @@
                 pool.load.accepts_new_work
                 and pool.load.backoff_until_s <= now_s
             ):
-                pool.open_if_allowed()
+                pool.open_if_allowed(request.session.team)
 
     def _start_attempt(
         self,
@@ -299,13 +514,18 @@
             self, request, pool, connection, position, now_s
         )
         if request.is_begin:
-            connection.is_held = True
             is_read = request.statement.kind is _Kind.BEGIN_READ
             text = line_protocol.BEGIN_READ if is_read else line_protocol.BEGIN
             if add_prefix is not None:
                 text = add_prefix(text)
-            id_ = request.statement.id
-            connection.send(id_, text, attempt.handle_outcome, limit_s)
+            connection.begin(
+                request.session,
+                request.statement.id,
+                text,
+                attempt.handle_outcome,
+                limit_s,
+                request.priority,
+            )
         else:
             connection.run(
                 request.session,
@@ -313,13 +533,16 @@
                 add_prefix,
                 attempt.handle_outcome,
                 limit_s,
+                request.priority,
             )
         pool.count_idle()
         if not request.need.is_write:
             delay_s = pool.load.run_time_s * HEDGE_RUN_TIME_FACTOR
             request.hedge_at_s = now_s + max(HEDGE_DELAY_S, delay_s)
             self._hedge_candidates.add(request)
-        elif not request.is_begin:
+        elif not request.is_begin and not connection.has_announcements:
+            # Otherwise the holder records it once it is sent to the target: it
+            # may wait there for longer than a commit takes.
             self.observer.commits_in_flight[request] = now_s
 
     def finish(
@@ -332,6 +555,8 @@
             return
         request.is_done = True
         self._hedge_candidates.discard(request)
+        if request.permit is not None:
+            request.permit.release()
         if request in self._queue:
             self._queue.remove(request)
         result.attempts = request.attempts
@@ -427,6 +652,18 @@
             requests.Result(None, _Code.BUSY, detail, waited_s=waited_s),
         )
 
+    def _refuse_over_limit(
+        self, request: requests.Request, detail: str
+    ) -> None:
+        """Refuse a queued request, unless an attempt of it still runs."""
+        if request.is_done:
+            return
+        if request.running_attempts:
+            self._queue.remove(request)
+            return
+        result = requests.Result(None, _Code.BUSY, detail)
+        self.finish(request, result)
+
     def _send_due_hedge(self, request: requests.Request, now_s: float) -> None:
         if request.is_done or not request.running_attempts:
             self._hedge_candidates.discard(request)
@@ -434,9 +671,16 @@
             request.hedge_at_s <= now_s
             and request.attempts < attempts.MAX_ATTEMPTS
         ):
-            request.hedge_at_s = now_s + 10.0
             if not self.may_retry(now_s):
+                request.hedge_at_s = now_s + 10.0
                 return
+            if request.permit and not request.permit.take_more(now_s):
+                # Tried again at the next tick, which must not use up the
+                # budget.
+                if self.retry_budget is not None:
+                    self.retry_budget.give_back()
+                return
+            request.hedge_at_s = now_s + 10.0
             self._counters.increment("second_tries", self.settings.name)
             self.retry(request, None)
 
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/services.py
@@ -5,8 +5,10 @@
 from typing import Protocol
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.entry import host_configuration
 from knapweedtally.entry import logs
 from knapweedtally.entry import metrics
+from knapweedtally.entry import quotas
 from knapweedtally.entry import router as router_module
 
 
@@ -17,13 +19,17 @@
         catalog: configuration and targets.
         log: where decisions are written.
         counters: counters and histograms.
+        quotas: admission within the limits of teams.
         is_draining: whether the host is about to stop.
+        configuration: reads, confirms and exchanges the configuration.
     """
 
     catalog: catalog.Catalog
     log: logs.Log
     counters: metrics.Metrics
+    quotas: quotas.Quotas
     is_draining: bool
+    configuration: host_configuration.HostConfiguration
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/sessions.py
@@ -1,7 +1,6 @@
 """Sessions of callers: their transactions, values and answers."""
 
 import asyncio
-import collections
 import socket
 import typing
 from collections.abc import Callable
@@ -12,23 +11,18 @@
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import answers
 from knapweedtally.entry import clock
+from knapweedtally.entry import message_queue
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import services as services_module
+from knapweedtally.entry import session_identity
 from knapweedtally.entry import supervision
 from knapweedtally.entry import transactions
 from knapweedtally.platform import line_protocol
 
-# Queued messages of one caller beyond which its connection is not read.
-MAX_QUEUED_MESSAGES = 64
-
 # Unsent bytes beyond which a caller that doesn't read is disconnected.
 MAX_WRITE_BUFFER_BYTES = 4 * 1024 * 1024
 
-# Timeout for the rest of a partly received message, and for the first message
-# of a connection.
-MESSAGE_TIMEOUT_S = 10.0
-
 # Error detail for callers while the host has no configuration and cannot expect
 # one soon. Other hosts may have one, so the retry delay is short.
 NOT_CONFIGURED_DETAIL = (
@@ -62,10 +56,8 @@
         self.team = ""
         self.idle_since_s = clock.get_time_s()
         self._services = services
-        self._buffer = line_protocol.MessageBuffer()
-        self._queued_messages: collections.deque[tuple[bytes, float]] = (
-            collections.deque()
-        )
+        self._identity = session_identity.SessionIdentity(services)
+        self._messages = message_queue.MessageQueue(self.idle_since_s)
         self._transport: asyncio.Transport | None = None
         self._database: str | None = None
         self._transaction: transactions.Transaction | None = None
@@ -77,7 +69,6 @@
         )
         self._is_busy = False
         self._is_closed = False
-        self._partial_since_s: float | None = self.idle_since_s
 
     # Transport.
 
@@ -85,6 +76,7 @@
         """Set the socket options and register the session."""
         # uvloop's transports don't derive from asyncio's.
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._messages.attach(self._transport)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -98,17 +90,10 @@
     def _receive(self, data: bytes) -> None:
         now_s = clock.get_time_s()
         try:
-            messages = self._buffer.feed(data)
+            self._messages.receive(data, now_s, self._database is not None)
         except line_protocol.OversizedMessage as error:
             self._close_with_error(_Code.TOO_LARGE, str(error))
             return
-        if self._database is not None or messages:
-            is_partial = self._buffer.size > 0
-            self._partial_since_s = now_s if is_partial else None
-        self._queued_messages.extend((message, now_s) for message in messages)
-        if len(self._queued_messages) > MAX_QUEUED_MESSAGES:
-            assert self._transport is not None
-            self._transport.pause_reading()
         if not self._is_busy:
             self._serve_queued_messages()
 
@@ -124,12 +109,12 @@
             idle_limit_s: time for which an open transaction may be idle, or 0
                 for no limit.
         """
-        since_s = self._partial_since_s
-        if since_s is not None and now_s - since_s > MESSAGE_TIMEOUT_S:
+        if self._messages.is_overdue(now_s):
             self._close_with_error(
                 _Code.MALFORMED, "message not complete in time"
             )
             return
+        self._refuse_waiting_statement()
         transaction = self._transaction
         if transaction is None or self._is_busy or not idle_limit_s:
             return
@@ -142,9 +127,9 @@
         """Return whether the session has no request and no transaction."""
         return (
             not self._is_busy
-            and not self._queued_messages
+            and not self._messages
             and self._transaction is None
-            and not self._buffer.size
+            and not self._messages.has_partial
         )
 
     def close_unless_busy(self, reason: str) -> None:
@@ -153,7 +138,7 @@
         Args:
             reason: why the transaction is aborted, for the log.
         """
-        if self._is_busy or self._queued_messages:
+        if self._is_busy or self._messages:
             return
         if self._transaction is not None:
             self._services.log.write(
@@ -184,7 +169,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._queued_messages.clear()
+        self._messages.clear()
         if self._request is not None and self._router is not None:
             self._router.cancel(self._request)
         self._runner.is_closed = True
@@ -206,13 +191,14 @@
     # Messages.
 
     def _serve_queued_messages(self) -> None:
-        while (
-            self._queued_messages and not self._is_busy and not self._is_closed
-        ):
-            message, arrived_s = self._queued_messages.popleft()
-            if len(self._queued_messages) == MAX_QUEUED_MESSAGES:
-                assert self._transport is not None
-                self._transport.resume_reading()
+        while self._messages and not self._is_busy and not self._is_closed:
+            if self._services.configuration.is_confirmation_due():
+                self._is_busy = True
+                self._services.configuration.call_when_confirmed(
+                    self._guard(self._resume)
+                )
+                return
+            message, arrived_s = self._messages.take()
             if self._database is None:
                 self._handle_start(message)
                 continue
@@ -224,6 +210,12 @@
             else:
                 self._close_with_error(_Code.MALFORMED, "unknown message")
 
+    def _resume(self) -> None:
+        """Serve what has waited for the configuration's confirmation."""
+        self._is_busy = False
+        if not self._is_closed:
+            self._serve_queued_messages()
+
     def _handle_start(self, message: bytes) -> None:
         database = line_protocol.parse_start(message)
         if database is None:
@@ -245,9 +237,78 @@
             self._services.counters.increment("refused", "UNKNOWN_DATABASE")
             self._close_with_error(_Code.UNKNOWN_DATABASE, "no such database")
             return
+        self._identity.start(database, line_protocol.parse_start_key(message))
+        if self._identity.refusal is not None:
+            self._identity.record_start_refusal()
+            self._write(self._encode_refusal())
+            self.close()
+            return
+        self.team = self._identity.team
         self._database = database
         self._write(line_protocol.encode_ready(_State.IDLE))
 
+    # Identity.
+
+    def check_identity(self) -> None:
+        """Identify the caller again if the configuration has changed.
+
+        An open transaction of a revoked key, or of a key of another team, is
+        rolled back at once. A commit that was sent runs to its end first.
+        """
+        transaction = self._transaction
+        if self._database is None or (
+            transaction is not None
+            and transaction.is_committing
+            and self._is_busy
+        ):
+            return
+        if not self._identity.update():
+            return
+        self.team = self._identity.team
+        refusal = self._identity.refusal
+        if transaction is not None and not transaction.is_failed:
+            reason = refusal.value if refusal else session_identity.TEAM_CHANGED
+            self._abort_for_identity(transaction, reason)
+        self._refuse_waiting_statement()
+
+    def _abort_for_identity(
+        self, transaction: transactions.Transaction, reason: str
+    ) -> None:
+        if transaction.abort_reason:
+            return
+        self._identity.record_abort(reason)
+        if self._request is not None and self._router is not None:
+            # Its begin hasn't succeeded yet, so nothing ran for it.
+            result = requests.Result(None, _Code.ABORTED, reason)
+            self._router.finish(self._request, result)
+            return
+        transaction.abort_reason = reason
+        self._runner.release(transaction, self._is_busy)
+
+    def _refuse_waiting_statement(self) -> None:
+        """Refuse a statement of a refused caller that wasn't sent yet."""
+        refusal, request = self._identity.refusal, self._request
+        if refusal is None or request is None or self._router is None:
+            return
+        if self._router.is_waiting(request):
+            self._identity.record_refusal(request.statement)
+            result = requests.Result(None, _Code.UNAUTHENTICATED, refusal.value)
+            self._router.finish(request, result)
+            self.close()
+
+    def _refuse_statement(self, statement: statements.Statement) -> None:
+        """Refuse a statement of a refused caller and end the session."""
+        self._identity.record_refusal(statement)
+        self._write(
+            self._encode_refusal() + line_protocol.encode_ready(_State.IDLE)
+        )
+        self.close()
+
+    def _encode_refusal(self) -> bytes:
+        assert self._identity.refusal is not None
+        detail = self._identity.refusal.value.encode()
+        return line_protocol.encode_error(_Code.UNAUTHENTICATED, detail)
+
     def _resume_start(self, message: bytes) -> None:
         """Start a session that has waited for the configuration."""
         self._is_busy = False
@@ -258,7 +319,12 @@
     def _serve_statement(
         self, statement: statements.Statement, arrived_s: float
     ) -> None:
+        self.check_identity()
         transaction = self._transaction
+        is_refused = self._identity.refusal is not None
+        if is_refused and not (transaction and transaction.abort_reason):
+            self._refuse_statement(statement)
+            return
         if transaction is not None and transaction.is_failed:
             self._serve_failed(statement, transaction)
             return
@@ -297,7 +363,8 @@
         transaction.is_failed = True
         if statement.kind in (_Kind.COMMIT, _Kind.ROLLBACK):
             self._transaction = None
-        if statement.kind is _Kind.ROLLBACK:
+        is_refused = self._identity.refusal is not None
+        if statement.kind is _Kind.ROLLBACK and not is_refused:
             self._answer_done(_State.IDLE)
             return
         self._answer_error(statement, _Code.ABORTED, reason)
@@ -469,6 +536,28 @@
             arrived_s + route.statement_timeout_s,
             self._guard(on_end),
         )
+        self._services.quotas.admit(
+            self.team,
+            statement.id,
+            request.deadline_s - clock.get_time_s(),
+            self._guard(lambda permit: self._submit(router, request, permit)),
+            lambda detail: request.on_end(
+                requests.Result(None, _Code.BUSY, detail)
+            ),
+        )
+
+    def _submit(
+        self,
+        router: router_module.Router,
+        request: requests.Request,
+        permit: requests.Permit | None,
+    ) -> None:
+        """Submit a request that is within its team's limit."""
+        if self._is_closed:
+            if permit is not None:
+                permit.release()
+            return
+        request.permit = permit
         self._request = request
         self._router = router
         router.submit(request)
@@ -544,7 +633,7 @@
         detail: str,
     ) -> None:
         answers.log_refusal(
-            self._services, self._database, statement, code, detail
+            self._services, self._database, statement, code, detail, self.team
         )
         self._write(
             answers.encode_error_answer(
@@ -571,6 +660,7 @@
             route,
             result,
             now_s - arrived_s,
+            self.team,
         )
         if not self._is_closed:
             self._write(answers.encode_result(result, self._get_state()))
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/wait_queues.py
@@ -1,7 +1,8 @@
 """Statements that wait for an idle connection to a target.
 
 These are the control statements of this host and the statements that it relays
-for other hosts. The statements of its own callers wait in the router.
+for other hosts. The statements of its own callers wait here, too, where callers
+belong to teams, and in the router otherwise.
 """
 
 import collections
@@ -18,8 +19,10 @@
 # Minimum time for the answer to a control statement that has waited.
 MIN_TIMEOUT_S = 0.05
 
+# Called with session values, whether the connection must be direct, and the
+# team, or None if the connection may belong to any.
 TakeConnection = Callable[
-    [dict[bytes, bytes], bool], connections.Connection | None
+    [dict[bytes, bytes], bool, str | None], connections.Connection | None
 ]
 
 
@@ -33,6 +36,7 @@
     values: dict[bytes, bytes]
     on_idle: Callable[[connections.Connection | None], None]
     deadline_s: float
+    team: str
 
 
 class WaitQueues:
@@ -48,7 +52,8 @@
         Args:
             take_connection: returns an idle connection for session values, or
                 None; if the second argument is set, only a connection that
-                isn't relayed by another host.
+                isn't relayed by another host; if the third is not None, only
+                one of that team.
         """
         self._take_connection = take_connection
         self._holder_queues: holder_queues.HolderQueues | None = None
@@ -74,27 +79,63 @@
         target: str,
         log: logs.Log,
         counters: metrics.Metrics,
-        take_team_connection: holder_queues.TakeTeamConnection | None = None,
+        is_free: Callable[[str], bool] | None = None,
     ) -> None:
-        """Queue relayed statements by priority, team and deadline.
+        """Queue statements by priority, team and deadline.
 
         Args:
             target: id of the target.
             log: the host's log.
             counters: the host's counters.
-            take_team_connection: returns an idle direct connection for a
-                team, or None to use any idle connection for any team.
+            is_free: returns whether a direct connection for a team is idle
+                without counting it as used, or None to take one for the
+                answer.
         """
 
-        def take_any_connection(
+        def take_team_connection(
             team: str, values: dict[bytes, bytes]
         ) -> connections.Connection | None:
-            return self._take_connection(values, True)
+            return self._take_connection(values, True, team)
+
+        def has_team_connection(team: str) -> bool:
+            return take_team_connection(team, {}) is not None
 
         self._holder_queues = holder_queues.HolderQueues(
-            target, take_team_connection or take_any_connection, log, counters
+            target,
+            take_team_connection,
+            is_free or has_team_connection,
+            log,
+            counters,
         )
 
+    @property
+    def has_holder_queue(self) -> bool:
+        """Return whether statements wait by priority, team and deadline."""
+        return self._holder_queues is not None
+
+    def estimate_wait(self, team: str, priority: int) -> float:
+        """Return the expected wait for a connection, in seconds.
+
+        It is known only with load control, and 0 otherwise.
+        """
+        if self._holder_queues is None:
+            return 0.0
+        return self._holder_queues.estimate_wait(team, priority)
+
+    @property
+    def has_control_statements(self) -> bool:
+        """Return whether a control statement waits."""
+        return bool(self._control_statements)
+
+    def count_waiting_by_team(self) -> dict[str, int]:
+        """Return how many relayed statements wait, in the order of teams."""
+        if self._holder_queues is not None:
+            return self._holder_queues.count_by_team()
+        counts: dict[str, int] = {}
+        for request in self._relay_requests:
+            counts[request.team] = counts.get(request.team, 0) + 1
+        return counts
+
     def add_control_statement(
         self,
         text: bytes,
@@ -131,14 +172,15 @@
             on_idle: called once with the connection, or with None if the
                 request is dropped.
             deadline_s: time at which the request is dropped.
-            team: name of the team, or empty.
+            team: name of the team that the connection must belong to, empty
+                for none.
             priority: priority of the statement; 0 is the most urgent.
             on_refused: called in place of ``on_idle`` with the detail of the
                 refusal if the queue refuses the request, at once or later.
             id_: id of the statement, for the log.
         """
         if self._holder_queues is None:
-            request = _RelayRequest(values, on_idle, deadline_s)
+            request = _RelayRequest(values, on_idle, deadline_s, team)
             self._relay_requests.append(request)
             return
         self._holder_queues.add(
@@ -164,7 +206,7 @@
             # What ended has to be seen before the connection is used again.
             self._holder_queues.record_ends()
         while self._control_statements:
-            connection = self._take_connection({}, False)
+            connection = self._take_connection({}, False, None)
             if connection is None:
                 return
             statement = self._control_statements.popleft()
@@ -177,17 +219,33 @@
             )
 
     def serve_relay_requests(self) -> None:
-        """Assign idle direct connections to queued relay requests."""
+        """Assign idle direct connections to queued relay requests.
+
+        A team without an idle connection doesn't delay the teams behind it.
+        """
         if self._holder_queues is not None:
             self._holder_queues.serve()
-        while self._relay_requests:
-            connection = self._take_connection(
-                self._relay_requests[0].values, True
-            )
-            if connection is None:
-                return
-            request = self._relay_requests.popleft()
-            supervision.contain("relay request", request.on_idle, connection)
+            return
+        blocked: set[str] = set()
+        is_served = True
+        while is_served:
+            is_served = False
+            for index, request in enumerate(self._relay_requests):
+                if request.team in blocked:
+                    continue
+                connection = self._take_connection(
+                    request.values, True, request.team
+                )
+                if connection is None:
+                    blocked.add(request.team)
+                    continue
+                del self._relay_requests[index]
+                supervision.contain(
+                    "relay request", request.on_idle, connection
+                )
+                # The callback may have changed the queue.
+                is_served = True
+                break
 
     def drop_overdue(self, now_s: float) -> None:
         """Drop overdue entries, calling them back without a connection."""
@@ -199,9 +257,19 @@
         if self._holder_queues is not None:
             self._holder_queues.record_ends()
             self._holder_queues.drop_overdue(now_s)
-        while (
-            self._relay_requests and self._relay_requests[0].deadline_s < now_s
-        ):
+        # Deadlines of teams' statements differ, so any may be overdue.
+        overdue = [r for r in self._relay_requests if r.deadline_s < now_s]
+        for request in overdue:
+            if request in self._relay_requests:
+                self._relay_requests.remove(request)
+                self._reject(request)
+
+    def drop_relay_requests(self) -> None:
+        """Drop all relay requests, calling them back without a connection."""
+        if self._holder_queues is not None:
+            self._holder_queues.close()
+        # A callback may queue its request again.
+        for _ in range(len(self._relay_requests)):
             self._drop_relay_request()
 
     def close(self, now_s: float) -> None:
@@ -219,5 +287,7 @@
         supervision.contain("control statement", statement.on_end, outcome)
 
     def _drop_relay_request(self) -> None:
-        request = self._relay_requests.popleft()
+        self._reject(self._relay_requests.popleft())
+
+    def _reject(self, request: _RelayRequest) -> None:
         supervision.contain("relay request", request.on_idle, None)
--- a/tests/entry/test_holder_queues.py
+++ b/tests/entry/test_holder_queues.py
@@ -52,7 +52,9 @@
         self.served: list[str] = []
         self.refused: list[tuple[str, bytes]] = []
 
-    def _take(self, values: dict[bytes, bytes], is_direct: bool) -> Any:
+    def _take(
+        self, values: dict[bytes, bytes], is_direct: bool, team: str | None
+    ) -> Any:
         return self.connection if self.connection.is_idle else None
 
     def _add(
