--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -5,6 +5,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
+from knapweedtally.entry import metrics
 from knapweedtally.entry import pool_opening
 from knapweedtally.platform import line_protocol
 
@@ -39,6 +40,21 @@
 class Pool(pool_opening.PoolOpening):
     """Keep the connections to one target and detect whether it answers."""
 
+    @property
+    def relay_request_count(self) -> int:
+        """Return the number of statements that wait for a connection."""
+        return self._wait_queues.relay_request_count
+
+    def use_holder_queue(self, counters: metrics.Metrics) -> None:
+        """Order waiting statements by priority, team and deadline."""
+        self._wait_queues.use_holder_queue(
+            self.entry.target, self._log, counters, self._has_idle
+        )
+
+    def _has_idle(self, team: str) -> bool:
+        """Return whether a direct connection of a team may be used now."""
+        return self.find_idle_connection({}, True, team) is not None
+
     def _handle_open_end(self, path: pool_opening.Path) -> None:
         """Handle that a connection is no longer being opened."""
 
@@ -89,8 +105,16 @@
         self.load.idle = idle
         return idle
 
-    def update_available(self, team: str) -> None:
-        """Store in the load how many connections are idle for a team."""
+    def update_available(
+        self, team: str, priority: int, may_wait: bool
+    ) -> None:
+        """Store in the load how many connections are idle for a team.
+
+        Args:
+            team: name of the team.
+            priority: priority of the request that is to be placed.
+            may_wait: whether room in the queue of this host counts, too.
+        """
 
     def wait_for_connection(
         self,
@@ -99,6 +123,8 @@
         deadline_s: float,
         team: str,
         priority: int,
+        on_refused: Callable[[bytes], None],
+        id_: bytes,
     ) -> bool:
         """Queue a request of this host's own callers.
 
@@ -119,6 +145,15 @@
         Only holders of teams' connections refuse statements so.
         """
 
+    def record_start(
+        self, connection: connections.Connection, team: str, priority: int
+    ) -> None:
+        """Record that a request of this host's own callers was started.
+
+        Only statements that wait in the holder's queue count, so without teams
+        nothing is recorded.
+        """
+
     def start_commit(self, commit: object) -> None:
         """Handle that another host's commit is sent to the target.
 
@@ -222,6 +257,8 @@
         deadline_s: float,
         team: str = "",
         priority: int = 0,
+        on_refused: Callable[[bytes], None] | None = None,
+        id_: bytes = b"",
     ) -> None:
         """Call back with an idle direct connection, or None at a deadline.
 
@@ -231,16 +268,21 @@
             deadline_s: when the wait ends.
             team: name of the team that the connection has to serve.
             priority: priority of the statement; 0 is the most urgent.
+            on_refused: called in place of ``on_idle`` with the detail of the
+                refusal if the wait would take too long; only with load
+                control.
+            id_: id of the statement, for the log.
         """
         connection = None
         if not self._wait_queues.has_relay_requests:
             connection = self.find_idle_connection(values, is_direct=True)
         if connection is None:
             self._wait_queues.add_relay_request(
-                values, on_idle, deadline_s, team, priority
+                values, on_idle, deadline_s, team, priority, on_refused, id_
             )
             self.open_if_allowed()
             return
+        self._wait_queues.record_start(connection, team, priority)
         on_idle(connection)
         self.count_idle()
 
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -207,6 +207,9 @@
             for target, pool in router.pools.items():
                 key = f'connections{{target="{target}"}}'
                 gauges[key] = pool.size
+                if host.retry_budget is not None:
+                    key = f'holder_queue{{target="{target}"}}'
+                    gauges[key] = pool.relay_request_count
                 # At most one for each direct connection that is held.
                 for team, count in pool.count_by_team().items():
                     label = f'target="{target}",team="{team}"'
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/relays.py
@@ -308,6 +308,8 @@
             self._get_wait_deadline_s(),
             self.team,
             self._priority,
+            on_refused=self._guard(self._refuse_statement),
+            id_=statement.id,
         )
 
     def _run_or_reject(
@@ -316,29 +318,32 @@
         statement: statements.Statement,
         position: bytes,
     ) -> None:
-        if self._is_closed:
-            return
         # This host may not know of the teams yet.
         if connection is None or connection.team != self.team:
-            self._is_busy = False
-            assert self._pool is not None
-            if self._pool.is_unreachable_for_others():
-                # Tells the other host to use the next holder at once: it may
-                # have more connections to this one than attempts.
-                self._reject_statement(line_protocol.NOT_REACHED_DETAIL)
-                self.close()
-                return
-            self._reject_statement(b"no connection in time")
-            self._serve_next()
-            return
-        self._run_statement(connection, statement, position)
+            self._refuse_statement(b"no connection in time")
+        elif not self._is_closed:
+            self._run_statement(connection, statement, position)
 
-    def _reject_statement(self, detail: bytes) -> None:
-        """Answer a statement that was not sent to the target."""
+    def _refuse_statement(self, detail: bytes) -> None:
+        """Refuse a statement of which nothing was sent to the target."""
+        if self._is_closed:
+            return
+        self._is_busy = False
+        assert self._pool is not None
+        is_unreachable = self._pool.is_unreachable_for_others()
+        if is_unreachable:
+            # Tells the other host to use the next holder at once: it may have
+            # more connections to this one than attempts.
+            detail = line_protocol.NOT_REACHED_DETAIL
         self._write(
             line_protocol.encode_error(statements.Code.BUSY, detail)
             + line_protocol.encode_ready(_State.IDLE)
         )
+        if is_unreachable:
+            self.close()
+            return
+        # The queue may refuse at once, while the messages are being served.
+        asyncio.get_running_loop().call_soon(self._guard(self._serve_next))
 
     def _run_statement(
         self,
--- a/knapweedtally/entry/requests.py
+++ b/knapweedtally/entry/requests.py
@@ -54,6 +54,7 @@
         is_admitted: whether it passed the check for an overloaded primary.
         waiting_target: id of the target for whose connections it waits in this
             host's queue for all hosts, or empty.
+        is_refused_by_queue: whether a holder's queue has refused it once.
         reason: outcome of the last placement; why the request is queued.
         permit: its right to be sent, or None if its team has no limit.
     """
@@ -74,6 +75,7 @@
     is_done: bool = False
     is_admitted: bool = False
     waiting_target: str = ""
+    is_refused_by_queue: bool = False
     reason: placement.Reason = placement.Reason.CHOSEN
     permit: Permit | None = None
 
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -8,6 +8,8 @@
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import queue_refusals
+from knapweedtally.core.groups import retry_budget
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import attempts
 from knapweedtally.entry import clock
@@ -59,6 +61,8 @@
         departed: ids of former members whose log may hold commits that no
             other member has.
         observer: the evidence about the primary.
+        retry_budget: limit on the host's second attempts, or None without load
+            control.
         has_teams: whether callers belong to teams.
     """
 
@@ -68,6 +72,7 @@
         data_centre: str,
         log: logs.Log,
         counters: metrics.Metrics,
+        budget: retry_budget.RetryBudget | None = None,
     ) -> None:
         """Create a router without targets.
 
@@ -76,6 +81,8 @@
             data_centre: data centre of this host.
             log: the host's log.
             counters: the host's counters.
+            budget: limit on the host's second attempts with load control, or
+                None without it.
         """
         self.settings = settings
         self.pools: dict[str, pools.Pool] = {}
@@ -87,6 +94,7 @@
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
+        self.retry_budget = budget
         self._queue: list[requests.Request] = []
         self._hedge_candidates: set[requests.Request] = set()
         self._is_dispatching = False
@@ -103,6 +111,8 @@
         """
         pool = self._make_pool(entry)
         pool.position_before_restart = floor
+        if self.retry_budget is not None:
+            pool.use_holder_queue(self._counters)
         self.pools[entry.target] = pool
         pool.open_connection()
         return pool
@@ -156,6 +166,8 @@
 
     def submit(self, request: requests.Request) -> None:
         """Queue a request and dispatch the queue."""
+        if self.retry_budget is not None:
+            self.retry_budget.record_request(clock.get_time_s())
         load_shedding.record_priority(
             self.observer.load_shedding, request.priority
         )
@@ -222,6 +234,10 @@
             self._wait_at_pool(request, pool, now_s)
             return
         self._place_on_connection(request, pool, connection, choice, now_s)
+        if not connection.is_idle:
+            pool.record_start(
+                connection, request.session.team, request.priority
+            )
 
     def _wait_at_pool(
         self, request: requests.Request, pool: pools.Pool, now_s: float
@@ -252,6 +268,12 @@
                     return
             asyncio.get_running_loop().call_soon(self.dispatch)
 
+        def handle_refused(detail: bytes) -> None:
+            if request.is_done or request.waiting_target != target:
+                return
+            request.waiting_target = ""
+            self._handle_queue_refusal(request, pool, detail)
+
         # Set before the call, which may serve the request at once.
         request.waiting_target = target
         is_queued = pool.wait_for_connection(
@@ -260,10 +282,66 @@
             request.deadline_s,
             request.session.team,
             request.priority,
+            handle_refused,
+            request.statement.id,
         )
         if not is_queued:
             request.waiting_target = ""
 
+    def _handle_queue_refusal(
+        self, request: requests.Request, pool: pools.Pool, detail: bytes
+    ) -> None:
+        """Answer a request that this host's own queue has refused.
+
+        Nothing of it was sent, unless another attempt of it still runs.
+        """
+        now_s = clock.get_time_s()
+        refusal = queue_refusals.parse_detail(detail)
+        if refusal is not None:
+            pool.load.queue_cost = queue_refusals.get_cost(refusal, now_s)
+        target = pool.entry.target
+        if self.retry_elsewhere(request, target, now_s):
+            return
+        if request.running_attempts:
+            self._queue.remove(request)
+            return
+        self.finish(
+            request,
+            requests.Result(
+                None,
+                _Code.BUSY,
+                detail.decode("utf-8", "replace"),
+                target=target,
+                waited_s=now_s - request.arrived_s,
+            ),
+        )
+
+    def retry_elsewhere(
+        self, request: requests.Request, target: str, now_s: float
+    ) -> bool:
+        """Queue a request for another target after a queue's refusal, once.
+
+        Args:
+            request: the request.
+            target: id of the target whose holder refused it.
+            now_s: the current time.
+
+        Returns:
+            Whether another target may serve it and the retry budget allows it.
+        """
+        was_refused = request.is_refused_by_queue
+        request.is_refused_by_queue = True
+        if (
+            was_refused
+            or request.attempts >= attempts.MAX_ATTEMPTS
+            or now_s >= request.deadline_s
+            or not self.has_alternative(request, target, now_s)
+            or not self.may_retry(now_s)
+        ):
+            return False
+        self.retry(request, target)
+        return True
+
     def _keeps_waiting(self, request: requests.Request, now_s: float) -> bool:
         """Return whether a request waits for a target that may serve it."""
         if not request.waiting_target:
@@ -350,9 +428,35 @@
         excluded: frozenset[str] = frozenset(),
     ) -> placement.Choice:
         candidates = list(candidates)
+        if self.retry_budget is None or not self.has_teams:
+            return self._choose_available(
+                request, candidates, now_s, excluded, True
+            )
+        # With load control, the queues of this host hold any number of
+        # requests, so a target that has a connection at once comes first.
+        choice = self._choose_available(
+            request, candidates, now_s, excluded, False
+        )
+        if choice.reason is not _Reason.NO_CONNECTION:
+            return choice
+        return self._choose_available(
+            request, candidates, now_s, excluded, True
+        )
+
+    def _choose_available(
+        self,
+        request: requests.Request,
+        candidates: list[pools.Pool],
+        now_s: float,
+        excluded: frozenset[str],
+        may_wait: bool,
+    ) -> placement.Choice:
+        """Choose a target by the connections that a team may use."""
         if self.has_teams:
             for pool in candidates:
-                pool.update_available(request.session.team)
+                pool.update_available(
+                    request.session.team, request.priority, may_wait
+                )
         return placement.choose_target(
             request.need,
             [pool.load for pool in candidates],
@@ -487,6 +591,22 @@
             self._queue.sort(key=_get_queue_key)
         asyncio.get_running_loop().call_soon(self.dispatch)
 
+    def may_retry(self, now_s: float) -> bool:
+        """Return whether the host may make a second attempt, and count it."""
+        if self.retry_budget is None or self.retry_budget.take(now_s):
+            return True
+        self._counters.increment("retries_withheld", self.settings.name)
+        return False
+
+    def has_alternative(
+        self, request: requests.Request, excluded: str, now_s: float
+    ) -> bool:
+        """Return whether a target except one may serve a request."""
+        choice = self._choose_target_except(
+            request, request.excluded | {excluded}, now_s
+        )
+        return choice.target is not None
+
     def tick(self, now_s: float) -> None:
         """Refuse overdue requests, hedge slow reads and renew evidence."""
         for pool in tuple(self.pools.values()):
@@ -551,7 +671,14 @@
             request.hedge_at_s <= now_s
             and request.attempts < attempts.MAX_ATTEMPTS
         ):
+            if not self.may_retry(now_s):
+                request.hedge_at_s = now_s + 10.0
+                return
             if request.permit and not request.permit.take_more(now_s):
+                # Tried again at the next tick, which must not use up the
+                # budget.
+                if self.retry_budget is not None:
+                    self.retry_budget.give_back()
                 return
             request.hedge_at_s = now_s + 10.0
             self._counters.increment("second_tries", self.settings.name)
--- a/knapweedtally/entry/team_pools.py
+++ b/knapweedtally/entry/team_pools.py
@@ -111,7 +111,7 @@
         Returns:
             The connection, or None if no suitable one is idle.
         """
-        idle = [c for c in self._list_usable(is_direct, team) if c.is_idle]
+        idle = self._list_idle(is_direct, team)
         connection = min(
             idle,
             key=lambda c: (
@@ -125,23 +125,55 @@
             self._use_rates.record(team, clock.get_time_s())
         return connection
 
-    def update_available(self, team: str) -> None:
+    def _list_idle(
+        self, is_direct: bool, team: str | None
+    ) -> list[connections.Connection]:
+        """Return the idle connections that a team may use now."""
+        return [c for c in self._list_usable(is_direct, team) if c.is_idle]
+
+    def _has_idle(self, team: str) -> bool:
+        return bool(self._list_idle(True, team))
+
+    def update_available(
+        self, team: str, priority: int, may_wait: bool
+    ) -> None:
         """Store in the load how many statements of a team can be taken.
 
         A team whose holder is this host waits here rather than at the router,
-        as statements of other hosts do.
+        as statements of other hosts do. With load control the queue itself is
+        bounded and refuses what would wait for too long; its expected wait
+        then counts as part of the target's answer time.
+
+        Args:
+            team: name of the team.
+            priority: priority of the request that is to be placed.
+            may_wait: whether room in the queue of this host counts, too.
         """
-        usable = self._list_usable(False, team)
-        idle = sum(1 for connection in usable if connection.is_idle)
+        idle = len(self._list_idle(False, team))
+        self.load.wait_s = 0.0
         if (
-            not idle
+            may_wait
+            and not idle
             and self._holders.is_own(team)
             and self.has_direct_connection
         ):
-            waiting = self._wait_queues.count_waiting(team)
-            idle = int(waiting < MAX_WAITING_PER_TEAM)
+            if self._wait_queues.has_holder_queue:
+                self.load.wait_s = self._wait_queues.estimate_wait(
+                    team, priority
+                )
+                idle = 1
+            else:
+                waiting = self._wait_queues.count_waiting(team)
+                idle = int(waiting < MAX_WAITING_PER_TEAM)
         self.load.idle = idle
 
+    def record_start(
+        self, connection: connections.Connection, team: str, priority: int
+    ) -> None:
+        """Record that a request of this host's own callers was started."""
+        if not connection.relay_host:
+            self._wait_queues.record_start(connection, team, priority)
+
     def _has_current_path(self, connection: connections.Connection) -> bool:
         paths = self._holders.paths
         return paths.has_path(connection.relay_host or paths.own_host)
@@ -155,6 +187,8 @@
         deadline_s: float,
         team: str,
         priority: int,
+        on_refused: Callable[[bytes], None],
+        id_: bytes,
     ) -> bool:
         """Queue a request of this host's own callers with the relayed ones.
 
@@ -164,13 +198,19 @@
             deadline_s: when the wait ends.
             team: name of the team.
             priority: priority of the request; 0 is the most urgent.
+            on_refused: called in place of ``on_idle`` with the detail of the
+                refusal if the wait would take too long; only with load
+                control.
+            id_: id of the statement, for the log.
 
         Returns:
             Whether the request was queued.
         """
         if not self._holders.is_own(team):
             return False
-        self._add_waiting(values, on_idle, deadline_s, team, priority)
+        self._add_waiting(
+            values, on_idle, deadline_s, team, priority, on_refused, id_
+        )
         return True
 
     def call_when_idle(
@@ -180,6 +220,8 @@
         deadline_s: float,
         team: str = "",
         priority: int = 0,
+        on_refused: Callable[[bytes], None] | None = None,
+        id_: bytes = b"",
     ) -> None:
         """Call back with an idle direct connection of a team, or None.
 
@@ -190,18 +232,26 @@
             deadline_s: when the wait ends.
             team: name of the team.
             priority: priority of the statement; 0 is the most urgent.
+            on_refused: called in place of ``on_idle`` with the detail of the
+                refusal if the wait would take too long; only with load
+                control.
+            id_: id of the statement, for the log.
         """
         connection = self.find_idle_connection(values, True, team)
+        is_overdue = deadline_s <= clock.get_time_s()
         if connection is not None:
+            self._wait_queues.record_start(connection, team, priority)
             on_idle(connection)
             self.count_idle()
-        elif (
-            self.is_unreachable_for_others() or deadline_s <= clock.get_time_s()
+        elif self.is_unreachable_for_others() or (
+            is_overdue and not self._wait_queues.has_holder_queue
         ):
             # The refusal has to arrive before the sender stops waiting.
             on_idle(None)
         else:
-            self._add_waiting(values, on_idle, deadline_s, team, priority)
+            self._add_waiting(
+                values, on_idle, deadline_s, team, priority, on_refused, id_
+            )
 
     def _add_waiting(
         self,
@@ -210,9 +260,11 @@
         deadline_s: float,
         team: str,
         priority: int,
+        on_refused: Callable[[bytes], None] | None,
+        id_: bytes,
     ) -> None:
         self._wait_queues.add_relay_request(
-            values, on_idle, deadline_s, team, priority
+            values, on_idle, deadline_s, team, priority, on_refused, id_
         )
         self._open_waiting()
         reason = "opening" if self._opening_teams[team] else "busy"
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/wait_queues.py
@@ -1,7 +1,8 @@
 """Statements that wait for an idle connection to a target.
 
 These are the control statements of this host and the statements that it relays
-for other hosts. The statements of its own callers wait in the router.
+for other hosts. The statements of its own callers wait here, too, where callers
+belong to teams, and in the router otherwise.
 """
 
 import collections
@@ -9,6 +10,9 @@
 from typing import NamedTuple
 
 from knapweedtally.entry import connections
+from knapweedtally.entry import holder_queues
+from knapweedtally.entry import logs
+from knapweedtally.entry import metrics
 from knapweedtally.entry import supervision
 from knapweedtally.platform import line_protocol
 
@@ -33,11 +37,14 @@
     on_idle: Callable[[connections.Connection | None], None]
     deadline_s: float
     team: str
-    priority: int
 
 
 class WaitQueues:
-    """First-in, first-out queues for the idle connections of one pool."""
+    """Queues for the idle connections of one pool.
+
+    They are first in, first out. With load control, relayed statements wait in
+    the order of ``core.groups.holder_queue`` instead.
+    """
 
     def __init__(self, take_connection: TakeConnection) -> None:
         """Create empty queues.
@@ -49,6 +56,7 @@
                 one of that team.
         """
         self._take_connection = take_connection
+        self._holder_queues: holder_queues.HolderQueues | None = None
         self._control_statements: collections.deque[_ControlStatement] = (
             collections.deque()
         )
@@ -59,7 +67,60 @@
     @property
     def has_relay_requests(self) -> bool:
         """Return whether a relayed statement waits."""
-        return bool(self._relay_requests)
+        return bool(self._relay_requests or self._holder_queues)
+
+    @property
+    def relay_request_count(self) -> int:
+        """Return the number of relayed statements that wait."""
+        return len(self._relay_requests) + len(self._holder_queues or ())
+
+    def use_holder_queue(
+        self,
+        target: str,
+        log: logs.Log,
+        counters: metrics.Metrics,
+        is_free: Callable[[str], bool] | None = None,
+    ) -> None:
+        """Queue statements by priority, team and deadline.
+
+        Args:
+            target: id of the target.
+            log: the host's log.
+            counters: the host's counters.
+            is_free: returns whether a direct connection for a team is idle
+                without counting it as used, or None to take one for the
+                answer.
+        """
+
+        def take_team_connection(
+            team: str, values: dict[bytes, bytes]
+        ) -> connections.Connection | None:
+            return self._take_connection(values, True, team)
+
+        def has_team_connection(team: str) -> bool:
+            return take_team_connection(team, {}) is not None
+
+        self._holder_queues = holder_queues.HolderQueues(
+            target,
+            take_team_connection,
+            is_free or has_team_connection,
+            log,
+            counters,
+        )
+
+    @property
+    def has_holder_queue(self) -> bool:
+        """Return whether statements wait by priority, team and deadline."""
+        return self._holder_queues is not None
+
+    def estimate_wait(self, team: str, priority: int) -> float:
+        """Return the expected wait for a connection, in seconds.
+
+        It is known only with load control, and 0 otherwise.
+        """
+        if self._holder_queues is None:
+            return 0.0
+        return self._holder_queues.estimate_wait(team, priority)
 
     @property
     def has_control_statements(self) -> bool:
@@ -68,6 +129,8 @@
 
     def count_waiting_by_team(self) -> dict[str, int]:
         """Return how many relayed statements wait, in the order of teams."""
+        if self._holder_queues is not None:
+            return self._holder_queues.count_by_team()
         counts: dict[str, int] = {}
         for request in self._relay_requests:
             counts[request.team] = counts.get(request.team, 0) + 1
@@ -75,6 +138,8 @@
 
     def count_waiting(self, team: str) -> int:
         """Return how many relayed statements of a team wait."""
+        if self._holder_queues is not None:
+            return self._holder_queues.count_by_team().get(team, 0)
         return sum(1 for r in self._relay_requests if r.team == team)
 
     def add_control_statement(
@@ -101,8 +166,12 @@
         deadline_s: float,
         team: str = "",
         priority: int = 0,
+        on_refused: Callable[[bytes], None] | None = None,
+        id_: bytes = b"",
     ) -> None:
-        """Queue a request of another host for a connection.
+        """Queue a request for a connection.
+
+        The optional arguments have no effect without load control.
 
         Args:
             values: session values that the connection should hold.
@@ -111,14 +180,37 @@
             deadline_s: time at which the request is dropped.
             team: name of the team that the connection must belong to, empty
                 for none.
-            priority: priority of the request; 0 is the most urgent.
+            priority: priority of the statement; 0 is the most urgent.
+            on_refused: called in place of ``on_idle`` with the detail of the
+                refusal if the queue refuses the request, at once or later.
+            id_: id of the statement, for the log.
         """
-        self._relay_requests.append(
-            _RelayRequest(values, on_idle, deadline_s, team, priority)
+        if self._holder_queues is None:
+            request = _RelayRequest(values, on_idle, deadline_s, team)
+            self._relay_requests.append(request)
+            return
+        self._holder_queues.add(
+            holder_queues.Request(values, on_idle, on_refused, id_),
+            deadline_s,
+            team,
+            priority,
         )
 
+    def record_start(
+        self,
+        connection: connections.Connection,
+        team: str = "",
+        priority: int = 0,
+    ) -> None:
+        """Record that a relayed statement got a connection without waiting."""
+        if self._holder_queues is not None:
+            self._holder_queues.record_start(connection, team, priority)
+
     def serve_control_statements(self, now_s: float) -> None:
         """Send queued control statements while a connection is idle."""
+        if self._holder_queues is not None:
+            # What ended has to be seen before the connection is used again.
+            self._holder_queues.record_ends()
         while self._control_statements:
             connection = self._take_connection({}, False, None)
             if connection is None:
@@ -137,6 +229,9 @@
 
         A team without an idle connection doesn't delay the teams behind it.
         """
+        if self._holder_queues is not None:
+            self._holder_queues.serve()
+            return
         blocked: set[str] = set()
         is_served = True
         while is_served:
@@ -165,6 +260,9 @@
             and self._control_statements[0].deadline_s < now_s
         ):
             self._drop_control_statement(now_s, True)
+        if self._holder_queues is not None:
+            self._holder_queues.record_ends()
+            self._holder_queues.drop_overdue(now_s)
         # Deadlines of teams' statements differ, so any may be overdue.
         overdue = [r for r in self._relay_requests if r.deadline_s < now_s]
         for request in overdue:
@@ -174,6 +272,8 @@
 
     def drop_relay_requests(self) -> None:
         """Drop all relay requests, calling them back without a connection."""
+        if self._holder_queues is not None:
+            self._holder_queues.close()
         # A callback may queue its request again.
         for _ in range(len(self._relay_requests)):
             self._drop_relay_request()
@@ -182,6 +282,8 @@
         """Drop all entries, calling them back without a connection."""
         while self._control_statements:
             self._drop_control_statement(now_s, False)
+        if self._holder_queues is not None:
+            self._holder_queues.close()
         while self._relay_requests:
             self._drop_relay_request()
 
