Skip teams whose name or priority can't be used

Cause: hosts tell each other '-' for no team, so a holder ran the relayed statements of a team of that name on a connection without a team. A line break in a name splits the messages to targets. An infinite priority raised an error that isn't caught for one team, so that the whole version, with the keys it revokes, did not come into force.

Change: such teams are skipped, like other malformed ones.

Result: the extended test failed before and passes; tests/platform/test_records passes.

--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -106,14 +106,15 @@
 def _parse_team(item: Any) -> model.Team | None:
     """Return a team, or None if its name or its keys are malformed.
 
-    A name with a space can't be sent to a target. A text in place of the list
-    of keys would make each of its characters a key.
+    A name with a space or a line break can't be sent to a target, and hosts
+    tell each other ``-`` for no team. A text in place of the list of keys would
+    make each of its characters a key.
     """
     try:
         name = str(item["name"])
         api_keys = item.get("apiKeys") or []
         digests = item.get(KEY_DIGESTS) or []
-        if not name or " " in name:
+        if not name.isprintable() or name in ("", "-") or " " in name:
             return None
         if not isinstance(api_keys, list) or not isinstance(digests, list):
             return None
@@ -130,7 +131,7 @@
             rate_per_s=math.inf if rate_per_s is None else float(rate_per_s),
             burst=float(item.get("burst") or 0),
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -174,10 +174,20 @@
     def test_malformed_team_costs_only_itself(self) -> None:
         # One bad entry must not withdraw the keys of all other teams.
         good = {"name": "t1", "apiKeys": ["k1"]}
-        for bad in ({}, 7, {"name": "a b"}, {"name": "t2", "ratePerS": "x"}):
+        for bad in (
+            {},
+            7,
+            {"name": "a b"},
+            {"name": "a\r\nBYE"},
+            {"name": "-"},
+            {"name": "\ud800"},
+            {"name": "t2", "ratePerS": "x"},
+            {"name": "t2", "priority": float("inf")},
+        ):
             configuration = self.parse([bad, good])
             expected = {model.digest_key("k1"): "t1"}
             self.assertEqual(expected, configuration.key_teams)
+            self.assertEqual(["t1"], list(configuration.teams))
 
     # Guards against keys on the way between hosts.
     def test_passed_on_configuration_has_no_key(self) -> None:
