Limit concurrent statements to a target by how it answers

A target that has just started answers slowly, and hosts sent it as many statements as they had connections. A limit per target is now derived from its answers and shared between the hosts that connect to it. It is active only where the settings have has_load_control. A fixed limit was ruled out because it doesn't follow a target that becomes slower or faster.

Measured: lint and types are clean; the existing tests of pools, relays, connections, placement, crowding and compatibility pass. The decision has no tests of its own yet.

--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -59,6 +59,15 @@
         """Handle a connection that was closed."""
 
 
+class Meter(Protocol):
+    """Count the statements that are sent on a connection."""
+
+    def measure(
+        self, id_: bytes, text: bytes, on_end: OutcomeCallback | None
+    ) -> OutcomeCallback | None:
+        """Return what to call with a statement's outcome."""
+
+
 class Session(Protocol):
     """The session state that a connection has to provide to a caller.
 
@@ -85,6 +94,7 @@
         idle_since_s: when the last statement ended.
         relay_host: name of the host that relays the connection, empty if
             direct.
+        meter: counts the statements, or None.
         handshake_done: done once the target has accepted the connection or
             it was closed.
     """
@@ -107,6 +117,7 @@
         self.refusal: statements.Code | None = None
         self.idle_since_s = clock.get_time_s()
         self.relay_host = ""
+        self.meter: Meter | None = None
         self.handshake_done: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -300,7 +311,9 @@
     ) -> None:
         now_s = clock.get_time_s()
         deadline_s = now_s + timeout_s
-        for _, _, on_end in batch:
+        for id_, text, on_end in batch:
+            if self.meter is not None:
+                on_end = self.meter.measure(id_, text, on_end)
             self._pending.append(_PendingStatement(on_end, now_s, deadline_s))
         data = b"".join(
             line_protocol.encode_query(id_, text) for id_, text, _ in batch
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -12,6 +12,7 @@
 from knapweedtally.entry import member_probes
 from knapweedtally.entry import member_records
 from knapweedtally.entry import metrics
+from knapweedtally.entry import pacing
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import peers
 from knapweedtally.entry import pools
@@ -29,6 +30,10 @@
 # Interval of the periodic checks, in seconds.
 TICK_INTERVAL_S = 0.05
 
+# A target that is listed this long after its group started while this host was
+# running, in seconds.
+NEW_TARGET_AFTER_S = 5.0
+
 # Interval of the checks on callers' sessions, in seconds.
 SESSION_CHECK_INTERVAL_S = 0.5
 
@@ -101,6 +106,9 @@
         self._configuration_callbacks: list[Callable[[], None]] = []
         self.relay_sessions: set[relays.RelaySession] = set()
         self._path_keys: dict[str, tuple[int, int]] = {}
+        self._pacers: pacing.Pacers | None = None
+        if host_settings.has_load_control:
+            self._pacers = pacing.Pacers(host_settings.host, self.peers, log)
         self._settings = host_settings
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
@@ -131,6 +139,7 @@
             ("members", self._check_members),
             ("member records", self._check_records),
             ("peers", self.peers.tick),
+            ("pacing", self._check_pacing),
             ("group", self._check_groups),
             ("sharing", self._share_evidence),
             ("serving", self._check_serving),
@@ -327,6 +336,8 @@
         known = {member.entry.target for member in members}
         for target in [t for t in router.pools if t not in known]:
             router.remove_pool(target)
+            if self._pacers is not None:
+                self._pacers.remove(target)
             self._path_keys.pop(target, None)
             self._draining_since_s.pop(target, None)
 
@@ -346,6 +357,15 @@
         if old is not None:
             self.log.write("target_succeeded", target=target, old=old)
         pool = router.add_pool(member.entry, floor)
+        if self._pacers is not None:
+            now_s = clock.get_time_s()
+            pacer = self._pacers.add(
+                target,
+                member.entry.started_ms,
+                member.entry.slots,
+                now_s - router.created_s > NEW_TARGET_AFTER_S,
+            )
+            pool.set_pacer(pacer)
         pool.restart_count = member.restart_count
         return pool
 
@@ -388,6 +408,8 @@
             target, self._settings.host, live, held_by
         )
         pool.holder_count = max(1, len(held_by))
+        if self._pacers is not None:
+            self._pacers.set_holders(target, held_by)
         pool.path_selector.set_relay_hosts(self._find_relay_hosts(relay_names))
         fallback_names = connection_holders.list_relays(
             target, self._settings.host, live, held_by - {self._settings.host}
@@ -501,6 +523,18 @@
             ]
             self._probes.probe(released, now_s)
 
+    def _check_pacing(self, now_s: float) -> None:
+        if self._pacers is None:
+            return
+        self._pacers.check_suspension(now_s)
+        for router in self.routers.values():
+            primary = router.observer.leadership.target
+            for target, pool in router.pools.items():
+                if pool.pacer is not None:
+                    is_primary = target == primary
+                    pool.pacer.tick(now_s, pool.entry, is_primary)
+        self._pacers.publish(now_s)
+
     def _check_groups(self, now_s: float) -> None:
         for router in self.routers.values():
             supervision.contain("group", self._check_group, router, now_s)
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -9,6 +9,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
+from knapweedtally.entry import pacing
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import supervision
 from knapweedtally.entry import wait_queues
@@ -60,6 +61,7 @@
         reported_s: when that status was requested.
         holder_count: number of hosts that hold connections to the target.
         path_selector: chooses the network path of each connection.
+        pacer: limits the concurrent statements on direct connections, or None.
         failing_since_s: time of the first failure since the target's last
             answer, or None.
         failures: number of failures since the target's last answer.
@@ -88,7 +90,13 @@
         self.reported_s = 0.0
         self.holder_count = 1
         self.path_selector = path_selection.PathSelector()
-        self._wait_queues = wait_queues.WaitQueues(self.find_idle_connection)
+        self.pacer: pacing.TargetPacer | None = None
+        self._wait_queues = wait_queues.WaitQueues(
+            # Relayed statements use direct connections, control statements any.
+            lambda values, is_direct: self.find_idle_connection(
+                values, is_direct, is_paced=is_direct
+            )
+        )
         self._open_callbacks: list[Callable[[bool], None]] = []
         self._is_relay_turn = False
         self.failing_since_s: float | None = None
@@ -136,8 +144,26 @@
             for connection in self._connections
         )
 
+    def set_pacer(self, pacer: pacing.TargetPacer) -> None:
+        """Limit the concurrent statements on direct connections."""
+        self.pacer = pacer
+        pacer.on_room = self._handle_room
+
+    def _is_held_back(self) -> bool:
+        """Return whether the target's pace allows no further statement."""
+        return self.pacer is not None and not self.pacer.has_room()
+
+    def _handle_room(self) -> None:
+        """Serve what the target's pace has held back."""
+        self._serve_relay_requests()
+        self._on_change()
+        self.count_idle()
+
     def find_idle_connection(
-        self, values: dict[bytes, bytes], is_direct: bool = False
+        self,
+        values: dict[bytes, bytes],
+        is_direct: bool = False,
+        is_paced: bool = True,
     ) -> connections.Connection | None:
         """Return the idle connection that needs the least session setup.
 
@@ -145,13 +171,17 @@
             values: session values that the connection should have.
             is_direct: whether the connection must be direct, not through a
                 relay host.
+            is_paced: whether the target's pace limits a direct one.
 
         Returns:
             The connection, or None if no suitable one is idle.
         """
         best = None
         best_cost = 3
+        is_held_back = is_paced and self._is_held_back()
         for connection in self._connections:
+            if is_held_back and not connection.relay_host:
+                continue
             if connection.is_idle and not (is_direct and connection.relay_host):
                 cost = connection.get_setup_cost(values)
                 if cost < best_cost:
@@ -159,8 +189,13 @@
         return best
 
     def count_idle(self) -> int:
-        """Return the number of idle connections, and store it in the load."""
-        idle = sum(1 for c in self._connections if c.is_idle)
+        """Return the number of usable connections, stored in the load."""
+        is_held_back = self._is_held_back()
+        idle = sum(
+            1
+            for c in self._connections
+            if c.is_idle and (c.relay_host or not is_held_back)
+        )
         self.load.idle = idle
         return idle
 
@@ -181,7 +216,7 @@
                 on_end(connections.Outcome(None, now_s))
                 return
             self.open_connection()
-        connection = self.find_idle_connection({})
+        connection = self.find_idle_connection({}, is_paced=False)
         if connection is not None:
             connection.send(
                 line_protocol.HOST_STATEMENT_ID, text, on_end, timeout_s
@@ -190,11 +225,17 @@
             return
         self._wait_queues.add_control_statement(text, on_end, now_s + timeout_s)
         # Open transactions may hold every connection for a long time.
-        self.open_if_allowed()
+        self.open_if_allowed(is_paced=False)
+
+    def open_if_allowed(self, is_paced: bool = True) -> None:
+        """Open another connection if the limits allow one.
 
-    def open_if_allowed(self) -> None:
-        """Open another connection if the limits allow one."""
+        Args:
+            is_paced: whether the target's pace has to allow a statement on it.
+        """
         now_s = clock.get_time_s()
+        if is_paced and self._connections and self._is_held_back():
+            return
         if self._opening or self._retry_at_s > now_s or self._is_closed:
             return
         if (
@@ -258,7 +299,7 @@
             on_open(True)
             return
         self._open_callbacks.append(on_open)
-        self.open_if_allowed()
+        self.open_if_allowed(is_paced=False)
 
     def call_when_idle(
         self,
@@ -311,6 +352,7 @@
             self, entry.group, self._user, entry.target
         )
         connection.relay_host = relay_host.host if relay_host else ""
+        connection.meter = None if relay_host else self.pacer
         address = (relay_host or entry).address
         port = (relay_host or entry).port
         loop = asyncio.get_running_loop()
@@ -409,7 +451,10 @@
         """Clear the target's failures, since it has answered."""
         self.answered_s = clock.get_time_s()
         if self.failing_since_s is not None:
+            has_recovered = not self.load.is_responsive
             self.clear_failures()
+            if has_recovered and self.pacer is not None:
+                self.pacer.handle_recovered()
 
     def clear_failures(self) -> None:
         """Forget the failures since the target's last answer."""
@@ -488,6 +533,9 @@
         self.load.position = model.Position(0, 0)
         self.received = model.Position(0, 0)
         self.generation += 1
+        if self.pacer is not None:
+            self.pacer.life = entry.started_ms
+            self.pacer.handle_recovered()
         self._retry_at_s = 0.0
         for connection in tuple(self._connections):
             connection.abort()
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -205,6 +205,9 @@
             for target, pool in router.pools.items():
                 key = f'connections{{target="{target}"}}'
                 gauges[key] = pool.size
+                if pool.pacer is not None:
+                    key = f'pace_limit{{target="{target}"}}'
+                    gauges[key] = pool.pacer.limit
         return host.counters.format_text(gauges)
 
     def _handle_sighup(self) -> None:
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -57,6 +57,7 @@
         departed: ids of former members whose log may hold commits that no
             other member has.
         observer: the evidence about the primary.
+        created_s: when this host began to serve the group.
     """
 
     def __init__(
@@ -80,7 +81,7 @@
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
         )
-        self._created_s = clock.get_time_s()
+        self.created_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
@@ -248,7 +249,7 @@
         """Return whether the group is unavailable and waiting is futile."""
         if choice.reason is _Reason.NO_CONNECTION:
             return False
-        since_s = max(self.observer.leadership.valid_until_s, self._created_s)
+        since_s = max(self.observer.leadership.valid_until_s, self.created_s)
         return now_s - since_s > UNAVAILABLE_AFTER_S
 
     def _request_connections(
