Test pacing in virtual time, and compare it with simpler policies

bench.pacing simulates hosts, targets and callers and prints what callers get under each fault with no limit, a fixed ramp, AIMD, a latency gradient and the policy of the entry hosts. A test showed that the figure of a recovered target was sent as too old to be used.

--- /dev/null
+++ b/bench/pacing/__init__.py
@@ -0,0 +1,1 @@
+"""Compare policies of pacing in a simulation, without sockets."""
--- a/knapweedtally/core/groups/pace_sharing.py
+++ b/knapweedtally/core/groups/pace_sharing.py
@@ -29,7 +29,7 @@
         phase: phase of the limit.
         in_flight: number of the host's statements in flight.
         has_seen_healthy: whether the host has seen the target healthy.
-        measured_s: when the host had the last answer on which it is based.
+        measured_s: when the event occurred on which it is based.
     """
 
     life: int
