Explain where a running entry host would send a request

entry-explain asks a host on its metrics address. A begin now counts as in flight, without its time: several begins at once passed a limit of one.

--- a/knapweedtally/entry/pacing.py
+++ b/knapweedtally/entry/pacing.py
@@ -52,12 +52,10 @@
     _Code.TIMED_OUT: _Result.TIMED_OUT,
 }
 
-# Statements that take none of the target's slots.
-_FREE_STATEMENTS = (
-    line_protocol.BEGIN,
-    line_protocol.BEGIN_READ,
-    line_protocol.ROLLBACK,
-)
+# Statements that take none of the target's slots, so that the time of their
+# answers says nothing. A begin counts as in flight, because a statement of its
+# transaction follows at once and can't be held back.
+_BEGINS = (line_protocol.BEGIN, line_protocol.BEGIN_READ)
 
 
 class Peers(Protocol):
@@ -115,11 +113,27 @@
         """Return the limit for the statements of all hosts together."""
         return self._limit
 
+    @property
+    def is_below_limit(self) -> bool:
+        """Return whether fewer statements run than this host's part."""
+        return self.pace.in_flight < self.pace.share
+
+    def describe(self) -> dict[str, Any]:
+        """Return the limit and how much of it this host uses."""
+        return {
+            "limit": self._limit,
+            "share": self.pace.share,
+            "in_flight": self.pace.in_flight,
+            "phase": self.pace.phase.value,
+        }
+
     def has_room(self) -> bool:
-        """Return whether another statement may be sent now."""
-        has_room = self.pace.in_flight < self.pace.share
-        self._is_held_back |= not has_room
-        return has_room
+        """Return whether another statement may be sent now.
+
+        If not, ``on_room`` is called once one may.
+        """
+        self._is_held_back |= not self.is_below_limit
+        return self.is_below_limit
 
     def handle_recovered(self) -> None:
         """Begin a slow start."""
@@ -146,25 +160,31 @@
         if id_ == line_protocol.HOST_STATEMENT_ID:
             return on_end
         _, statement_text = line_protocol.split_required_position(text)
-        if statement_text in _FREE_STATEMENTS:
+        if statement_text == line_protocol.ROLLBACK:
             return on_end
         pacing.record_sent(self.pace)
-        return functools.partial(self._handle_outcome, on_end)
+        return functools.partial(
+            self._handle_outcome, on_end, statement_text in _BEGINS
+        )
 
     def _handle_outcome(
         self,
         on_end: connections.OutcomeCallback | None,
+        is_begin: bool,
         outcome: connections.Outcome,
     ) -> None:
-        supervision.contain("pacing", self._record_outcome, outcome)
+        supervision.contain("pacing", self._record_outcome, is_begin, outcome)
         if on_end is not None:
             on_end(outcome)
 
-    def _record_outcome(self, outcome: connections.Outcome) -> None:
+    def _record_outcome(
+        self, is_begin: bool, outcome: connections.Outcome
+    ) -> None:
         now_s = clock.get_time_s()
-        change = pacing.record_result(
-            self.pace, classify(outcome), outcome.asked_s, now_s
-        )
+        result = classify(outcome)
+        if is_begin and result is _Result.OK:
+            result = _Result.NEUTRAL
+        change = pacing.record_result(self.pace, result, outcome.asked_s, now_s)
         self._apply(change, now_s)
 
     def tick(
@@ -202,7 +222,7 @@
         self._limit, self.pace.share = pace_sharing.find_allowance(
             self.pace, self._host, self.life, self.figures, now_s
         )
-        if self._is_held_back and self.pace.in_flight < self.pace.share:
+        if self._is_held_back and self.is_below_limit:
             self._is_held_back = False
             # The connection of this answer isn't idle before its callback
             # returns.
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -188,6 +188,19 @@
                     best, best_cost = connection, cost
         return best
 
+    def list_idle_paths(self) -> list[str]:
+        """Return the relay hosts of the usable connections, empty if direct.
+
+        Changes nothing, unlike ``count_idle``.
+        """
+        pacer = self.pacer
+        is_full = pacer is not None and not pacer.is_below_limit
+        return [
+            connection.relay_host
+            for connection in self._connections
+            if connection.is_idle and (connection.relay_host or not is_full)
+        ]
+
     def count_idle(self) -> int:
         """Return the number of usable connections, stored in the load."""
         is_held_back = self._is_held_back()
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -12,6 +12,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import host as host_module
 from knapweedtally.entry import logs
+from knapweedtally.entry import placement_reports
 from knapweedtally.entry import relays
 from knapweedtally.entry import sessions
 from knapweedtally.entry import supervision
@@ -21,6 +22,7 @@
 
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
+EXPLAIN_PATH = "/explain"
 
 # Fraction of the grace time for which a stopping host accepts connections. The
 # load balancer needs two readiness checks, one second apart, to notice it.
@@ -183,6 +185,8 @@
             return http.Response(503)
 
     async def _handle_metrics(self, request: http.Request) -> http.Response:
+        if request.path == EXPLAIN_PATH and request.method == "GET":
+            return self._describe_placement(request)
         if request.path != METRICS_PATH:
             return http.Response(404)
         try:
@@ -192,6 +196,18 @@
             return http.Response(500)
         return http.Response(200, text.encode(), {"content-type": "text/plain"})
 
+    def _describe_placement(self, request: http.Request) -> http.Response:
+        try:
+            answer = placement_reports.describe(
+                self._host, self._settings.data_centre, request.query
+            )
+        except placement_reports.InvalidQuery as error:
+            return http.make_json_response(400, {"error": str(error)})
+        except Exception as error:
+            supervision.report("explain", error)
+            return http.make_json_response(500, {"error": repr(error)})
+        return http.make_json_response(200, answer)
+
     def _format_metrics(self) -> str:
         host = self._host
         gauges: dict[str, float] = {
--- a/knapweedtally/management/application.py
+++ b/knapweedtally/management/application.py
@@ -37,6 +37,7 @@
     "bundle validate": CommandEntry("bundle_validate", "BundleValidateCommand"),
     "check": CommandEntry("check", "CheckCommand"),
     "drain": CommandEntry("drain", "DrainCommand"),
+    "entry-explain": CommandEntry("entry_explain", "EntryExplainCommand"),
     "explain": CommandEntry("explain", "ExplainCommand"),
     "groups": CommandEntry("groups", "GroupsCommand"),
     "proxy": CommandEntry("proxy", "ProxyCommand"),
