Answer a cut-off host directly, and open connections after a hold

A host that was cut off from a target could wait for its turn among dozens of holders, so the figure that ends its slow start goes to it at once. A host without direct connections tells nothing. Relayed statements that the pace had held back opened no connection once there was room; they do now. trace shows pace_changed.

Measured: tests of pacing and compatibility pass; tests/management/ test_traces.py failed until its expectation had the added line.

--- a/knapweedtally/entry/pacing.py
+++ b/knapweedtally/entry/pacing.py
@@ -4,7 +4,6 @@
 import functools
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from typing import Any
 from typing import Protocol
 
@@ -105,6 +104,7 @@
         self._next_log_s = self._next_send_s = 0.0
         self._sent_measured_s = float("-inf")
         self._receiver_index = 0
+        self._contradicted: set[str] = set()
         self._is_held_back = False
         self._limit = self.pace.limit
 
@@ -210,7 +210,7 @@
             return
         self.figures[host] = figure
         if pace_sharing.is_contradicted(self.pace, figure, now_s):
-            self.is_telling = True
+            self._contradicted.add(host)
         change = pace_sharing.merge_figure(self.pace, figure, self.life, now_s)
         self._apply(change, now_s)
 
@@ -252,27 +252,32 @@
         has_news = pace.measured_s > self._sent_measured_s and (
             self._limit < pace.slots
         )
-        if now_s < self._next_send_s or not (self.is_telling or has_news):
+        is_telling = self.is_telling or has_news
+        if now_s < self._next_send_s or not (is_telling or self._contradicted):
             return
         self._next_send_s = now_s + SEND_INTERVAL_S
+        receivers = sorted(self._contradicted)
+        if is_telling:
+            receivers += self._choose_receivers()
+        self._contradicted.clear()
         self.is_telling = False
         self._sent_measured_s = pace.measured_s
         payload = pace_sharing.encode_figure(
             self.target, pace, self.life, now_s
         )
-        for host in self._choose_receivers():
+        for host in dict.fromkeys(receivers[:MAX_RECEIVERS]):
             peers.send_extension(host, MESSAGE_KIND, payload)
 
-    def _choose_receivers(self) -> Iterable[str]:
+    def _choose_receivers(self) -> list[str]:
         """Return the holders whose turn it is."""
         count = min(MAX_RECEIVERS, len(self.holders))
         first, self._receiver_index = (
             self._receiver_index,
             self._receiver_index + count,
         )
-        return (
+        return [
             self.holders[(first + i) % len(self.holders)] for i in range(count)
-        )
+        ]
 
 
 def _do_nothing() -> None:
@@ -310,10 +315,15 @@
         return pacer
 
     def set_holders(self, target: str, holders: Collection[str]) -> None:
-        """Set the hosts that have connections to a target."""
+        """Set the hosts that have connections to a target.
+
+        A host that isn't one of them neither tells nor uses figures.
+        """
         pacer = self._pacers.get(target)
         if pacer is not None:
-            pacer.holders = tuple(sorted(set(holders) - {self._host}))
+            is_holder = self._host in holders
+            others = sorted(set(holders) - {self._host})
+            pacer.holders = tuple(others) if is_holder else ()
 
     def remove(self, target: str) -> None:
         """Forget a target that has left."""
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -156,6 +156,10 @@
     def _handle_room(self) -> None:
         """Serve what the target's pace has held back."""
         self._serve_relay_requests()
+        if self._wait_queues.has_relay_requests:
+            # Transactions may hold every connection, and no new one was opened
+            # while the pace held the requests back.
+            self.open_if_allowed()
         self._on_change()
         self.count_idle()
 
--- a/knapweedtally/management/traces.py
+++ b/knapweedtally/management/traces.py
@@ -17,6 +17,7 @@
     "promotion_",
     "target_",
     "replica_",
+    "pace_",
 )
 
 # Prefixes of events about a host that may affect its requests.
--- a/tests/entry/test_pacing.py
+++ b/tests/entry/test_pacing.py
@@ -212,6 +212,26 @@
             self.assertEqual(4, other.pacer.limit)
         self.assertIs(_Phase.STEADY, cut_off.pacer.pace.phase)
 
+    def test_host_without_direct_connections_tells_nothing(self):
+        # It knows nothing of the target but what a relay host answers.
+        host = self.hosts[0]
+        host.pacers.set_holders("i-1", {"b", "c"})
+        host.pacer.handle_recovered()
+        self.tick(host)
+        self.assertEqual([], host.peers.sent)
+
+    def test_cut_off_host_is_answered_among_many_holders(self):
+        # Messages go to eight holders in turn, of which it may be the last.
+        host = self.hosts[0]
+        names = {"a", "z", *(f"h{i:02}" for i in range(50))}
+        host.pacers.set_holders("i-1", names)
+        for _ in range(100):
+            self.run_statement(host)
+            self.tick(host)
+        self.network["a"]("z", ["i-1", 7, 1, 0, 1, False, 0], self.now_s)
+        self.tick(host)
+        self.assertEqual(["z"], [item[0] for item in host.peers.sent])
+
     def test_frozen_host_and_its_old_figures_are_not_used(self):
         # Its messages and the answers that waited in sockets look new.
         frozen, other = self.hosts
--- a/tests/management/test_traces.py
+++ b/tests/management/test_traces.py
@@ -28,6 +28,7 @@
         total_ms=800,
     ),
     make_line(100.1, "statement_ended", id="77", group="g", outcome="DONE"),
+    make_line(100.2, "pace_changed", target="i-1", limit=1),
     make_line(100.4, "primary_known", group="g", target="i-2"),
     '{"time": 100.5, "host": "h1", "ev',
 ]
@@ -48,6 +49,7 @@
             (98.0, "dependency_lost"),
             (98.2, "change_started"),
             (100.0, "statement_ended"),
+            (100.2, "pace_changed"),
             (100.4, "primary_known"),
         ]
         self.assertEqual(self.find_lines("5c0e"), expected)
