--- a/tests/entry/test_pacing.py
+++ b/tests/entry/test_pacing.py
@@ -327,6 +327,15 @@
                 lambda: min(pool.answered_s for pool in pools) > answered_s
             )
             self.assertEqual(1, entry.host.routers["g"].queue_length)
+            # The same for a status request that had to wait for a connection.
+            ended = []
+            now_s = clock.get_time_s()
+            for pool in pools:
+                queues = pool._wait_queues
+                queues.add_control_statement(b"STATUS", ended.append, now_s + 5)
+                queues.serve_control_statements(now_s)
+            await harness.wait_for(lambda: len(ended) == len(pools))
+            self.assertNotIn(None, [outcome.answer for outcome in ended])
             for pool in pools:
                 pool.pacer.pace.in_flight -= 1000
             self.assertEqual("ROW 1", (await other.receive())[0])
