Merge the pacing of targets with teams and holders' queues

Pacing decided where idle direct connections of a pool are handed out; that place is now shared by pools without teams, team pools and the holder's queue.

A team's connection, and the queue's check whether one is free, ask the pace. Control statements (no team is asked for) and statements on connections that a transaction holds pass. The calls on send and outcome stay in Connection. A pool that is replaced when teams come or go keeps the target's pacer, and the holders of team pools share the target's figure.

While the pace holds statements back, a team without a connection still gets one, one at a time: otherwise the teams that have connections use all room. Connections of teams that wait for the pace are not closed for another team: otherwise two waiting teams take each other's connections.

With load control, a statement that waits in another holder's queue for more than a second is no longer recorded as a failure of the target. A long queue made a healthy target look unresponsive, and its next answer would have begun a slow start.

The explanation of a placement counts the connections of the named team.

Ruled out: holding back openings for all teams alike, and a parameter for whether a search for a connection is paced, as exactly control statements are searched for without a team.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -17,6 +17,7 @@
 from knapweedtally.entry import member_probes
 from knapweedtally.entry import member_records
 from knapweedtally.entry import metrics
+from knapweedtally.entry import pacing
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import peers
 from knapweedtally.entry import pools
@@ -37,6 +38,10 @@
 # Interval of the periodic checks, in seconds.
 TICK_INTERVAL_S = 0.05
 
+# A target that is listed this long after its group started while this host was
+# running, in seconds.
+NEW_TARGET_AFTER_S = 5.0
+
 # Interval of the checks on callers' sessions, in seconds.
 SESSION_CHECK_INTERVAL_S = 0.5
 
@@ -129,6 +134,9 @@
         )
         self.relay_sessions: set[relays.RelaySession] = set()
         self._path_keys: dict[str, tuple[int, int]] = {}
+        self._pacers: pacing.Pacers | None = None
+        if host_settings.has_load_control:
+            self._pacers = pacing.Pacers(host_settings.host, self.peers, log)
         self._settings = host_settings
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
@@ -163,6 +171,7 @@
             ("member records", self._check_records),
             ("peers", self.peers.tick),
             ("quotas", self.quotas.tick),
+            ("pacing", self._check_pacing),
             ("group", self._check_groups),
             ("configuration exchange", self.configuration.exchange.tick),
             ("sharing", self._share_evidence),
@@ -344,6 +353,8 @@
         known = {member.entry.target for member in members}
         for target in [t for t in router.pools if t not in known]:
             router.remove_pool(target)
+            if self._pacers is not None:
+                self._pacers.remove(target)
             self._path_keys.pop(target, None)
             self._draining_since_s.pop(target, None)
 
@@ -364,6 +375,15 @@
             self.log.write("target_succeeded", target=target, old=old)
             router.observer.replace_last_primary(old, target)
         pool = router.add_pool(member.entry, floor)
+        if self._pacers is not None:
+            now_s = clock.get_time_s()
+            pacer = self._pacers.add(
+                target,
+                member.entry.started_ms,
+                member.entry.slots,
+                now_s - router.created_s > NEW_TARGET_AFTER_S,
+            )
+            pool.set_pacer(pacer)
         pool.restart_count = member.restart_count
         return pool
 
@@ -401,7 +421,10 @@
             return
         self._path_keys[target] = key
         if isinstance(pool, team_pools.TeamPool):
-            pool.set_paths(self._find_team_paths(pool, live))
+            paths = self._find_team_paths(pool, live)
+            pool.set_paths(paths)
+            if self._pacers is not None:
+                self._pacers.set_holders(target, paths.holders.hosts)
             return
         usable = pools.get_usable_connections(pool.max_connections)
         held_by = connection_holders.list_holders(target, live, usable)
@@ -409,6 +432,8 @@
             target, self._settings.host, live, held_by
         )
         pool.holder_count = max(1, len(held_by))
+        if self._pacers is not None:
+            self._pacers.set_holders(target, held_by)
         pool.path_selector.set_relay_hosts(self._find_relay_hosts(relay_names))
         fallback_names = connection_holders.list_relays(
             target, self._settings.host, live, held_by - {self._settings.host}
@@ -533,6 +558,18 @@
             ]
             self._probes.probe(released, now_s)
 
+    def _check_pacing(self, now_s: float) -> None:
+        if self._pacers is None:
+            return
+        self._pacers.check_suspension(now_s)
+        for router in self.routers.values():
+            primary = router.observer.leadership.target
+            for target, pool in router.pools.items():
+                if pool.pacer is not None:
+                    is_primary = target == primary
+                    pool.pacer.tick(now_s, pool.entry, is_primary)
+        self._pacers.publish(now_s)
+
     def _check_groups(self, now_s: float) -> None:
         for router in self.routers.values():
             supervision.contain("group", self._check_group, router, now_s)
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools.py
@@ -1,11 +1,13 @@
 """Pool of this host's connections to one target."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 
 from knapweedtally.core.groups import model
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import metrics
+from knapweedtally.entry import pacing
 from knapweedtally.entry import pool_opening
 from knapweedtally.platform import line_protocol
 
@@ -68,6 +70,33 @@
             for connection in self._connections
         )
 
+    def set_pacer(self, pacer: pacing.TargetPacer) -> None:
+        """Limit the concurrent statements on direct connections."""
+        self.pacer = pacer
+        pacer.on_room = self._handle_room
+
+    def _is_held_back(self) -> bool:
+        """Return whether the target's pace allows no further statement."""
+        return self.pacer is not None and not self.pacer.has_room()
+
+    def _handle_room(self) -> None:
+        """Serve what the target's pace has held back."""
+        self._serve_relay_requests()
+        if self._wait_queues.has_relay_requests:
+            # Transactions may hold every connection, and no new one was opened
+            # while the pace held the requests back.
+            self.open_if_allowed()
+        self._on_change()
+        self.count_idle()
+
+    def _list_usable(
+        self, is_direct: bool, team: str | None
+    ) -> Iterator[connections.Connection]:
+        """Return the connections that may serve a team, idle or not."""
+        for connection in self._connections:
+            if not (is_direct and connection.relay_host):
+                yield connection
+
     def find_idle_connection(
         self,
         values: dict[bytes, bytes],
@@ -81,15 +110,19 @@
             is_direct: whether the connection must be direct, not through a
                 relay host.
             team: name of the team that the connection has to serve, or None
-                for control statements; all serve any team here.
+                for control statements, which the target's pace doesn't limit;
+                all serve any team here.
 
         Returns:
             The connection, or None if no suitable one is idle.
         """
         best = None
         best_cost = 3
-        for connection in self._connections:
-            if connection.is_idle and not (is_direct and connection.relay_host):
+        is_held_back = team is not None and self._is_held_back()
+        for connection in self._list_usable(is_direct, team):
+            if is_held_back and not connection.relay_host:
+                continue
+            if connection.is_idle:
                 cost = connection.get_setup_cost(values)
                 if cost < best_cost:
                     best, best_cost = connection, cost
@@ -99,9 +132,30 @@
         """Return the number of direct connections by team; empty without."""
         return {}
 
+    def list_idle_paths(self, team: str = "") -> list[str]:
+        """Return the relay hosts of the usable connections, empty if direct.
+
+        Changes nothing, unlike ``count_idle``.
+
+        Args:
+            team: name of the team that they have to serve.
+        """
+        pacer = self.pacer
+        is_full = pacer is not None and not pacer.is_below_limit
+        return [
+            connection.relay_host
+            for connection in self._list_usable(False, team)
+            if connection.is_idle and (connection.relay_host or not is_full)
+        ]
+
     def count_idle(self) -> int:
-        """Return the number of idle connections, and store it in the load."""
-        idle = sum(1 for c in self._connections if c.is_idle)
+        """Return the number of usable connections, stored in the load."""
+        is_held_back = self._is_held_back()
+        idle = sum(
+            1
+            for c in self._connections
+            if c.is_idle and (c.relay_host or not is_held_back)
+        )
         self.load.idle = idle
         return idle
 
@@ -187,15 +241,18 @@
 
     def _open_for_control(self) -> None:
         """Open a connection for a control statement that waits."""
-        self.open_if_allowed()
+        self.open_if_allowed(is_paced=False)
 
-    def open_if_allowed(self, team: str = "") -> None:
+    def open_if_allowed(self, team: str = "", is_paced: bool = True) -> None:
         """Open another connection if the limits allow one.
 
         Args:
             team: name of the team that needs a connection.
+            is_paced: whether the target's pace has to allow a statement on it.
         """
         now_s = clock.get_time_s()
+        if is_paced and self._connections and self._is_held_back():
+            return
         if self._opening or self._retry_at_s > now_s or self._is_closed:
             return
         if (
@@ -242,7 +299,7 @@
             on_open(True)
             return
         self._open_callbacks.append(on_open)
-        self.open_if_allowed()
+        self.open_if_allowed(is_paced=False)
 
     def call_when_idle(
         self,
@@ -385,6 +442,9 @@
         self.load.position = model.Position(0, 0)
         self.received = model.Position(0, 0)
         self.generation += 1
+        if self.pacer is not None:
+            self.pacer.life = entry.started_ms
+            self.pacer.handle_recovered()
         self._retry_at_s = 0.0
         for connection in tuple(self._connections):
             connection.abort()
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -64,6 +64,7 @@
         retry_budget: limit on the host's second attempts, or None without load
             control.
         has_teams: whether callers belong to teams.
+        created_s: when this host began to serve the group.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
         )
+        self.created_s = clock.get_time_s()
         self._data_centre = data_centre
         self._log = log
         self._counters = counters
@@ -139,6 +141,8 @@
         """
         old = self.pools[target]
         pool = self.add_pool(old.entry, old.get_newest_position())
+        if old.pacer is not None:
+            pool.set_pacer(old.pacer)
         old.close()
         return pool
 
--- a/knapweedtally/entry/team_openings.py
+++ b/knapweedtally/entry/team_openings.py
@@ -99,10 +99,15 @@
         )
 
     def _get_usage(self, now_s: float) -> team_connections.Usage:
+        # A team that only the pace holds back needs its connection next.
+        is_held_back = self.pacer is not None and not self.pacer.is_below_limit
+        waiting = (
+            self._wait_queues.count_waiting_by_team() if is_held_back else {}
+        )
         states = [
             team_connections.ConnectionState(
                 c.team,
-                c.is_idle,
+                c.is_idle and c.team not in waiting,
                 c.is_held,
                 c.idle_since_s,
                 self._use_rates.get(c.team, now_s),
@@ -127,11 +132,12 @@
     def _open_for_control(self) -> None:
         self.open_connection()
 
-    def open_if_allowed(self, team: str = "") -> None:
+    def open_if_allowed(self, team: str = "", is_paced: bool = True) -> None:
         """Open another connection for a team if the limits allow one.
 
         Args:
             team: name of the team that needs a connection.
+            is_paced: whether the target's pace has to allow a statement on it.
         """
         holder = self._holders.choose_holder(team)
         if self._is_closed or holder is None:
@@ -140,13 +146,33 @@
             self._open_relay(holder, MAX_RELAY_CONNECTIONS)
             return
         waiting = self._wait_queues.count_waiting_by_team().get(team, 0)
-        self._open_direct(team, max(1, waiting))
+        waiting = max(1, waiting)
+        if is_paced:
+            self._open_paced(team, waiting)
+        else:
+            self._open_direct(team, waiting)
 
     def _open_waiting(self) -> None:
         """Open connections for the teams that wait, in their order."""
         waiting = self._wait_queues.count_waiting_by_team()
         for team, count in waiting.items():
-            self._open_direct(team, count)
+            self._open_paced(team, count)
+
+    def _open_paced(self, team: str, waiting: int) -> None:
+        """Open connections for a team as far as the target's pace allows.
+
+        A team without a connection gets one even while the pace holds
+        statements back, or the teams that have one would use all room. Only
+        one is opened at a time then, since opening takes a slot.
+        """
+        if self._is_held_back():
+            has_own = any(
+                c.team == team and not c.is_held for c in self._list_direct()
+            )
+            if has_own or self._opening_teams.total():
+                return
+            waiting = 1
+        self._open_direct(team, waiting)
 
     def _open_relay(self, host: str, limit: int) -> None:
         """Open a relay connection; only one to each holder at a time."""
--- a/knapweedtally/entry/team_pools.py
+++ b/knapweedtally/entry/team_pools.py
@@ -106,7 +106,8 @@
         Args:
             values: session values that the connection should have.
             is_direct: whether the connection must be direct.
-            team: name of the team, or None for control statements.
+            team: name of the team, or None for control statements, which the
+                target's pace doesn't limit.
 
         Returns:
             The connection, or None if no suitable one is idle.
@@ -128,8 +129,16 @@
     def _list_idle(
         self, is_direct: bool, team: str | None
     ) -> list[connections.Connection]:
-        """Return the idle connections that a team may use now."""
-        return [c for c in self._list_usable(is_direct, team) if c.is_idle]
+        """Return the idle connections that a team may use now.
+
+        The target's pace limits direct ones, except for control statements.
+        """
+        is_held_back = team is not None and self._is_held_back()
+        return [
+            c
+            for c in self._list_usable(is_direct, team)
+            if c.is_idle and (c.relay_host or not is_held_back)
+        ]
 
     def _has_idle(self, team: str) -> bool:
         return bool(self._list_idle(True, team))
@@ -282,6 +291,12 @@
         self._on_change()
         self._open_waiting()
 
+    def _handle_room(self) -> None:
+        """Serve what the target's pace has held back."""
+        self._serve_relay_requests()
+        self._on_change()
+        self._open_waiting()
+
     def start_commit(self, commit: object) -> None:
         """Record that another host's commit is sent to the target."""
         self._commits.start_commit(commit)
@@ -337,18 +352,23 @@
         """Record failures when a holder or the target doesn't answer.
 
         A holder answers an announcement at once. The statement after it may
-        wait in the holder's queue.
+        wait in the holder's queue. With load control it may wait there until
+        its deadline, which proves nothing about the target.
         """
         overdue: list[float] = []
         for connection in tuple(self._connections):
             asked_s = connection.get_oldest_sent_s()
             host = connection.relay_host
             limit_s = pools.CONTROL_TIMEOUT_S
-            if host and connection.is_queued and not connection.announced_s:
+            is_queued = bool(
+                host and connection.is_queued and not connection.announced_s
+            )
+            if is_queued:
                 limit_s = QUEUED_TIMEOUT_S
             if asked_s is None or now_s - asked_s <= limit_s:
                 continue
-            overdue.append(asked_s)
+            if not (is_queued and self._wait_queues.has_holder_queue):
+                overdue.append(asked_s)
             if host and self._get_heard_s(host) < asked_s:
                 self._mark_failed(host)
         if not overdue or now_s < self._next_probe_at_s:
