--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/connections.py
@@ -63,6 +63,15 @@
         """Handle a connection that was closed."""
 
 
+class Meter(Protocol):
+    """Count the statements that are sent on a connection."""
+
+    def measure(
+        self, id_: bytes, text: bytes, on_end: OutcomeCallback | None
+    ) -> OutcomeCallback | None:
+        """Return what to call with a statement's outcome."""
+
+
 class Session(Protocol):
     """The session state that a connection has to provide to a caller.
 
@@ -101,6 +110,7 @@
         is_lost: whether the other side, or the network, closed the connection.
         is_timed_out: whether the connection was closed because an answer was
             overdue, in which case the target may still count it.
+        meter: counts the statements, or None.
         handshake_done: done once the target has accepted the connection or
             it was closed.
     """
@@ -130,6 +140,7 @@
         self.heard_s = float("-inf")
         self.is_lost = False
         self.is_timed_out = False
+        self.meter: Meter | None = None
         self.handshake_done: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -402,7 +413,9 @@
     ) -> None:
         now_s = clock.get_time_s()
         deadline_s = now_s + timeout_s
-        for _, _, on_end in batch:
+        for id_, text, on_end in batch:
+            if self.meter is not None:
+                on_end = self.meter.measure(id_, text, on_end)
             self._pending.append(_PendingStatement(on_end, now_s, deadline_s))
         data = b"".join(
             line_protocol.encode_query(id_, text) for id_, text, _ in batch
--- a/knapweedtally/entry/pool_opening.py
+++ b/knapweedtally/entry/pool_opening.py
@@ -11,6 +11,7 @@
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
 from knapweedtally.entry import logs
+from knapweedtally.entry import pacing
 from knapweedtally.entry import path_selection
 from knapweedtally.entry import supervision
 from knapweedtally.entry import wait_queues
@@ -53,6 +54,7 @@
         reported_s: when that status was requested.
         holder_count: number of hosts that hold connections to the target.
         path_selector: chooses the network path of each connection.
+        pacer: limits the concurrent statements on direct connections, or None.
         failing_since_s: time of the first failure since the target's last
             answer, or None.
         failures: number of failures since the target's last answer.
@@ -81,6 +83,7 @@
         self.reported_s = 0.0
         self.holder_count = 1
         self.path_selector = path_selection.PathSelector()
+        self.pacer: pacing.TargetPacer | None = None
         self._wait_queues = wait_queues.WaitQueues(self.find_idle_connection)
         self._open_callbacks: list[Callable[[bool], None]] = []
         self._is_relay_turn = False
@@ -195,6 +198,7 @@
         connection.team = path.team
         connection.has_announcements = path.has_announcements
         connection.relay_host = relay_host.host if relay_host else ""
+        connection.meter = None if relay_host else self.pacer
         address = (relay_host or entry).address
         port = (relay_host or entry).port
         loop = asyncio.get_running_loop()
@@ -267,7 +271,10 @@
         """Clear the target's failures, since it has answered."""
         self.answered_s = clock.get_time_s()
         if self.failing_since_s is not None:
+            has_recovered = not self.load.is_responsive
             self.clear_failures()
+            if has_recovered and self.pacer is not None:
+                self.pacer.handle_recovered()
 
     def clear_failures(self) -> None:
         """Forget the failures since the target's last answer."""
--- a/tests/entry/test_team_queues.py
+++ b/tests/entry/test_team_queues.py
@@ -10,11 +10,14 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
 from knapweedtally.entry import clock
+from knapweedtally.entry import connections
 from knapweedtally.entry import logs
 from knapweedtally.entry import metrics
 from knapweedtally.entry import requests
 from knapweedtally.entry import router as router_module
+from knapweedtally.entry import team_pools
 from knapweedtally.entry import wait_queues
+from knapweedtally.platform import line_protocol
 from tests.entry import harness
 from tests.entry import test_holder_queues
 from tests.entry import test_team_pools
@@ -24,6 +27,25 @@
 )
 
 
+async def wait_for_holder(
+    system: harness.System, entry: harness.EntryHost
+) -> None:
+    """Wait until a host uses the first holder of t0, which has a connection.
+
+    A busy machine answers late, so that the next holder is used for a second.
+    """
+    first = test_team_pools.rank_entries(system, "t0")[0]
+    primary = system.platform.groups["g"].get_primary().id
+    holders = test_team_pools.find_pool(entry, primary).holders
+    pool = test_team_pools.find_pool(first, primary)
+    await harness.wait_for(
+        lambda: (
+            holders.choose_holder("t0") == first.host.name
+            and "t0" in pool.count_by_team()
+        )
+    )
+
+
 class TeamOrderTest(testtools.TestCase):
     """The queue of one pool, with one connection for each of two teams."""
 
@@ -153,6 +175,7 @@
         answer = await caller.run("WRITE t0-item 1")
         self.assertTrue(answer[0].startswith("DONE "), answer)
         caller.close()
+        await wait_for_holder(system, entry)
         for connection in pool._list_direct():
             connection.is_held |= connection.team == "t0"
         return pool
@@ -222,3 +245,96 @@
             self.assertIsNone(entry.host.retry_budget)
             for pool in entry.host.routers["g"].pools.values():
                 self.assertFalse(pool._wait_queues.has_holder_queue)
+
+
+class PacedTeamTest(testtools.TestCase):
+    """The pace of a target with connections of teams."""
+
+    @with_load_control()
+    async def test_pace_holds_statements_back_but_not_transactions(
+        self, system: harness.System
+    ) -> None:
+        entry = test_team_pools.rank_entries(system, "t0")[0]
+        primary = system.platform.groups["g"].get_primary()
+        pool = test_team_pools.find_pool(entry, primary.id)
+        assert pool.pacer is not None
+        # A host without figures doesn't know the other holders' paces.
+        self.assertTrue(pool.pacer.holders)
+        held = await test_team_pools.start_caller(entry, "t0")
+        await held.run("BEGIN")
+        await held.run("WRITE t0-item 1")
+        other = next(
+            t for t in test_team_pools.SPARE_TEAMS if pool.holders.is_own(t)
+        )
+        callers = {
+            team: await test_team_pools.start_caller(entry, team)
+            for team in ("t0", other)
+        }
+        # The connection of t0 that the pace holds back is idle.
+        answer = await callers["t0"].run("READ t0-item")
+        self.assertEqual("ROW -", answer[0])
+        await wait_for_holder(system, entry)
+        pool.pacer.pace.in_flight += 1000
+        tasks = [
+            asyncio.create_task(caller.run(f"READ {team}-item"))
+            for team, caller in callers.items()
+        ]
+        await harness.wait_for(lambda: pool.relay_request_count == 2)
+        # Without a connection this team would never be served in time.
+        await harness.wait_for(lambda: pool.count_by_team().get(other, 0) == 1)
+        # Else waiting teams take each other's connections.
+        self.assertEqual(2, pool.count_by_team()["t0"])
+        self.assertFalse(any(task.done() for task in tasks))
+        answer = await held.run("COMMIT")
+        self.assertTrue(answer[0].startswith("DONE "), answer)
+        ended: list[connections.Outcome] = []
+        pool.send_control_statement(line_protocol.STATUS, ended.append, 5.0)
+        await harness.wait_for(lambda: bool(ended))
+        self.assertIsNotNone(ended[0].answer)
+        self.assertEqual(2, pool.relay_request_count)
+        pool.pacer.pace.in_flight -= 1000
+        answers = [await task for task in tasks]
+        self.assertEqual("ROW 1", answers[0][0])
+        self.assertEqual("ROW -", answers[1][0])
+
+    @with_load_control()
+    async def test_full_pace_protects_connections_of_waiting_teams(
+        self, system: harness.System
+    ) -> None:
+        entry = test_team_pools.rank_entries(system, "t0")[0]
+        primary = system.platform.groups["g"].get_primary()
+        pool = test_team_pools.find_pool(entry, primary.id)
+        assert pool.pacer is not None
+        caller = await test_team_pools.start_caller(entry, "t0")
+        await caller.run("READ t0-item")
+        await wait_for_holder(system, entry)
+        pool.pacer.pace.in_flight += 1000
+        task = asyncio.create_task(caller.run("READ t0-item"))
+        await harness.wait_for(lambda: pool.relay_request_count == 1)
+        states = pool._get_usage(clock.get_time_s()).connections
+        self.assertFalse(any(s.is_idle for s in states if s.team == "t0"))
+        pool.pacer.pace.in_flight -= 1000
+        self.assertEqual("ROW -", (await task)[0])
+
+    @with_load_control()
+    async def test_long_wait_at_a_holder_is_no_failure_of_the_target(
+        self, system: harness.System
+    ) -> None:
+        # Its next answer would begin a slow start of a healthy target.
+        first, second = test_team_pools.rank_entries(system, "t0")[:2]
+        primary = system.platform.groups["g"].get_primary()
+        pool = test_team_pools.find_pool(second, primary.id)
+        holder = test_team_pools.find_pool(first, primary.id)
+        caller = await test_team_pools.start_caller(second, "t0")
+        await caller.run("WRITE t0-item 1")
+        await wait_for_holder(system, second)
+        for connection in holder._list_direct():
+            connection.is_held |= connection.team == "t0"
+        with mock.patch.object(holder, "_open_direct"):
+            task = asyncio.create_task(caller.run("WRITE t0-item 2"))
+            await harness.wait_for(lambda: holder.relay_request_count == 1)
+            with mock.patch.object(pool, "record_failure") as failure:
+                await asyncio.sleep(team_pools.QUEUED_TIMEOUT_S + 0.5)
+            failure.assert_not_called()
+        self.assertTrue(pool.load.is_responsive)
+        await task
