Let a host that starts ask the listed hosts for tokens

Cause: a host chose allocators among the hosts that it had heard, so after its start it took itself for the allocator and refused operations of limited teams until heartbeats arrived, up to 1 s from its data centre and 3 s from others.

Ruled out: waiting for heartbeats before the host is ready, which lengthens each restart.

Change: for 3 s after the start listed hosts may be asked too, and the list is used as soon as it is read. Grants are unchanged, so the bound is too.

Result: the new test failed before the change and passes with it.

--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -49,11 +49,6 @@
 # More would be lost when the tokens expire.
 AHEAD_PART = 0.6
 
-# Hints for callers while no allocator has said when to retry, and the longest,
-# in seconds.
-UNKNOWN_RETRY_S = 0.3
-MAX_HINT_S = 2.0
-
 
 class Admitted(NamedTuple):
     """An operation got a token, which is valid until a time."""
@@ -103,6 +98,7 @@
         self._data_centre = data_centre
         self._tolerance = tolerance
         self._next_id = first_id
+        self._since_s: float | None = None
         self._fleet = slices.Fleet({host: data_centre}, {}, frozenset(), False)
         self._data_centres: list[str] = [data_centre]
         self._teams: dict[str, team_leases.TeamLeases] = {}
@@ -134,7 +130,12 @@
 
     def update_fleet(self, fleet: slices.Fleet, now_s: float) -> None:
         """Take over which hosts are known and live."""
-        self._ranking.update(fleet.live)
+        if self._since_s is None:
+            self._since_s = now_s
+        is_starting = now_s - self._since_s < rules.SETTLING_TIME_S
+        self._ranking.update(
+            slices.list_reachable(fleet) if is_starting else fleet.live
+        )
         is_known = (fleet.known, fleet.is_listed) == (
             self._fleet.known,
             self._fleet.is_listed,
@@ -376,20 +377,5 @@
                 state.record_use(now_s)
                 return Admitted(waiter.id, now_s + rules.LEASE_S)
         reason = "empty" if is_answered else "no allocator"
-        return Refused(waiter.id, self._compute_hint_s(state, now_s), reason)
-
-    def _compute_hint_s(
-        self, state: team_leases.TeamLeases, now_s: float
-    ) -> float:
-        """Return when a refused caller may retry, later for each refusal.
-
-        Each caller of this host is put behind the one refused before by the
-        time in which a slice gains a token.
-        """
-        times = [v.retry_at_s for v in state.views.values()]
-        first_s = min(times, default=now_s + UNKNOWN_RETRY_S)
-        rate_per_s = max(state.limit.rate_per_s, 1e-6)
-        gap_s = max(1, len(self._data_centres)) / rate_per_s
-        at_s = max(first_s, now_s, state.hint_at_s + gap_s)
-        state.hint_at_s = min(at_s, now_s + MAX_HINT_S)
-        return state.hint_at_s - now_s
+        hint_s = state.compute_hint_s(len(self._data_centres), now_s)
+        return Refused(waiter.id, hint_s, reason)
--- a/knapweedtally/core/quotas/slices.py
+++ b/knapweedtally/core/quotas/slices.py
@@ -65,6 +65,18 @@
     return sorted({name for name in known.values() if name})
 
 
+def list_reachable(fleet: Fleet) -> dict[str, str]:
+    """Return the hosts that a host which has just started may ask.
+
+    It hasn't heard the others yet, which grant all the same. A host that is
+    gone, or isn't the allocator, grants nothing, so the bound stays.
+    """
+    listed = {
+        name: fleet.known[name] for name in fleet.recent if name in fleet.known
+    }
+    return {**listed, **fleet.live}
+
+
 def split_limit(limit: Limit, count: int, share: float) -> Slice:
     """Return the slice of an allocator.
 
--- a/knapweedtally/core/quotas/team_leases.py
+++ b/knapweedtally/core/quotas/team_leases.py
@@ -11,6 +11,11 @@
 # Time over which a host's recent use of tokens is averaged, in seconds.
 USE_TIME_S = 1.0
 
+# Hints for callers while no allocator has said when to retry, and the longest,
+# in seconds.
+UNKNOWN_RETRY_S = 0.3
+MAX_HINT_S = 2.0
+
 
 @dataclasses.dataclass(slots=True)
 class SliceView:
@@ -147,3 +152,17 @@
             expires_s = rules.compute_expiry_s(pending.sent_s, now_s)
             if not rules.is_valid(expires_s, now_s):
                 del self.late[id_]
+
+    def compute_hint_s(self, slice_count: int, now_s: float) -> float:
+        """Return when a refused caller may retry, later for each refusal.
+
+        Each caller of this host is put behind the one refused before by the
+        time in which a slice gains a token.
+        """
+        times = [view.retry_at_s for view in self.views.values()]
+        first_s = min(times, default=now_s + UNKNOWN_RETRY_S)
+        rate_per_s = max(self.limit.rate_per_s, 1e-6)
+        gap_s = max(1, slice_count) / rate_per_s
+        at_s = max(first_s, now_s, self.hint_at_s + gap_s)
+        self.hint_at_s = min(at_s, now_s + MAX_HINT_S)
+        return self.hint_at_s - now_s
--- a/knapweedtally/entry/quotas.py
+++ b/knapweedtally/entry/quotas.py
@@ -78,6 +78,7 @@
         self._counters = counters
         self._configuration: object = None
         self._live_version = -1
+        self._was_listed = False
         self._next_fleet_s = 0.0
         self._counted_teams: set[str] = set()
         self._random = random.Random()
@@ -162,7 +163,10 @@
             return
         self._allocator.check(now_s)
         self._update_configuration(now_s)
-        is_due = now_s >= self._next_fleet_s
+        is_due = (
+            now_s >= self._next_fleet_s
+            or self._peers.is_listed != self._was_listed
+        )
         if is_due or self._peers.live_version != self._live_version:
             self._update_fleet(now_s)
 
@@ -184,6 +188,7 @@
     def _update_fleet(self, now_s: float) -> None:
         self._next_fleet_s = now_s + FLEET_INTERVAL_S
         self._live_version = self._peers.live_version
+        self._was_listed = self._peers.is_listed
         known = self._peers.list_known_data_centres()
         live = dict(self._peers.get_live_hosts())
         live[self._host] = known[self._host]
--- a/tests/quotas/test_service.py
+++ b/tests/quotas/test_service.py
@@ -1,5 +1,7 @@
 """Tests of what callers within and above a limit receive."""
 
+from unittest import mock
+
 import testtools
 
 from knapweedtally.core.quotas import messages
@@ -57,6 +59,18 @@
         self.assertGreater(len(fleet.ran[TEAM]), 130)
         self.assertLess(len(fleet.refused[TEAM]), 3)
 
+    def test_host_that_starts_asks_hosts_that_it_has_not_heard(self) -> None:
+        # It refused all operations until heartbeats of others had arrived.
+        fleet = make_fleet()
+        fleet.run(10.0)
+        fleet.kill("h4")
+        fleet.run(1.5)
+        with mock.patch.object(fleet, "_check"):
+            fleet.start("h4")
+            fleet.admit(fleet.hosts["h4"], TEAM)
+            fleet.run(0.1)
+        self.assertEqual(1, len(fleet.ran[TEAM]))
+
     def test_idle_team_costs_no_message(self) -> None:
         fleet = make_fleet()
         fleet.run(20.0)
