Ask the third allocator after two silent ones, and silent hosts last

Cause: an operation was refused after two silent allocators although the third one may grant, and each team of a host found out by itself, 60 ms for each, that the same host was silent.

Ruled out: not asking a host that was silent to another team, since a host that is merely slow still answers within the lease.

Change: up to three silent allocators, with a wait of at most 0.2 s; hosts that were silent to any team within 0.5 s are asked last.

--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -39,7 +39,7 @@
 # For how long a silent allocator isn't asked, in seconds, and how many silent
 # ones an operation waits for.
 AVOID_SILENT_S = 0.5
-MAX_SILENT = 2
+MAX_SILENT = 3
 
 # Shortest time for which an empty slice isn't asked again, in seconds. It
 # bounds the messages of a team far above its limit.
@@ -99,6 +99,7 @@
         self._tolerance = tolerance
         self._next_id = first_id
         self._since_s: float | None = None
+        self._silent_until_s: dict[str, float] = {}
         self._fleet = slices.Fleet({host: data_centre}, {}, frozenset(), False)
         self._data_centres: list[str] = [data_centre]
         self._teams: dict[str, team_leases.TeamLeases] = {}
@@ -132,6 +133,11 @@
         """Take over which hosts are known and live."""
         if self._since_s is None:
             self._since_s = now_s
+        self._silent_until_s = {
+            host: until_s
+            for host, until_s in self._silent_until_s.items()
+            if host in fleet.known
+        }
         is_starting = now_s - self._since_s < rules.SETTLING_TIME_S
         self._ranking.update(
             slices.list_reachable(fleet) if is_starting else fleet.live
@@ -243,6 +249,7 @@
             return []
         if lend.tokens > pending.ask.needed + pending.ask.ahead:
             return []
+        self._silent_until_s.pop(host, None)
         if pending is state.pending:
             state.pending = None
         state.late.pop(lend.id, None)
@@ -283,6 +290,7 @@
             state.views[pending.data_centre] = team_leases.SliceView(
                 pending.host, 0.0, now_s + AVOID_SILENT_S, "SILENT"
             )
+            self._silent_until_s[pending.host] = now_s + AVOID_SILENT_S
             state.late[pending.ask.id] = pending
             state.pending = None
             state.silent += 1
@@ -319,10 +327,14 @@
     def _choose_slice(
         self, team: str, state: team_leases.TeamLeases, now_s: float
     ) -> str | None:
-        """Return the data centre to ask next: the own one, then the fullest."""
+        """Return the data centre to ask next: the own one, then the fullest.
+
+        Hosts that were silent, to any team, come last: the first operations of
+        each small team would else wait for the same one.
+        """
         if state.silent >= MAX_SILENT:
             return None
-        best: tuple[tuple[bool, float], str] | None = None
+        best: tuple[tuple[bool, bool, float], str] | None = None
         for name in self._data_centres:
             host = self._ranking.find(team, name)
             if name in state.tried or host is None:
@@ -331,7 +343,8 @@
             if view is not None and now_s < view.retry_at_s:
                 continue
             fill = view.fill if view is not None else 0.5
-            key = (name != self._data_centre, -fill)
+            is_silent = now_s < self._silent_until_s.get(host, 0.0)
+            key = (is_silent, name != self._data_centre, -fill)
             if best is None or (key, name) < best:
                 best = (key, name)
         return best[1] if best else None
--- a/knapweedtally/core/quotas/rules.py
+++ b/knapweedtally/core/quotas/rules.py
@@ -26,8 +26,9 @@
 UNHEARD_MEMORY_S = 10.0
 
 # Longest wait of an operation for its token, in seconds and as a part of its
-# remaining time.
-MAX_WAIT_S = 0.12
+# remaining time. Two silent allocators take 0.12 s, after which the third is
+# still asked.
+MAX_WAIT_S = 0.2
 MAX_WAIT_PART = 1 / 3
 
 
--- a/tests/quotas/test_service.py
+++ b/tests/quotas/test_service.py
@@ -71,6 +71,42 @@
             fleet.run(0.1)
         self.assertEqual(1, len(fleet.ran[TEAM]))
 
+    def test_third_allocator_is_asked_after_two_silent_ones(self) -> None:
+        # A small team's first operation on a host was refused after these.
+        fleet = make_fleet()
+        fleet.run(10.0)
+        host = fleet.hosts["h4"]
+        for place in ("dc0", "dc1"):
+            fleet.kill(slices.find_allocator(TEAM, place, fleet.known) or "")
+        fleet.admit(host, TEAM)
+        fleet.run(0.3)
+        self.assertEqual(1, len(fleet.ran[TEAM]))
+        self.assertEqual([], fleet.refused[TEAM])
+
+    def test_host_silent_to_one_team_is_asked_last_for_another(self) -> None:
+        # Each team of a host waited 60 ms for the same killed allocator.
+        teams = {f"t{number}": LIMIT for number in range(40)}
+        fleet = model.Model(27, teams, 3)
+        fleet.run(10.0)
+        gone = slices.find_allocator("t0", "dc1", fleet.known) or ""
+        same = [
+            team
+            for team in teams
+            if slices.find_allocator(team, "dc1", fleet.known) == gone
+        ]
+        fleet.kill(gone)
+        name = next(n for n in fleet.hosts if fleet.places[n] == "dc1")
+        host = fleet.hosts[name]
+        fleet.admit(host, "t0")
+        fleet.run(0.2)
+        self.assertGreater(len(same), 1)
+        for team in same[1:]:
+            fleet.admit(host, team)
+        fleet.run(0.03)
+        states = [host.borrower.get_state(team) for team in same[1:]]
+        self.assertEqual(0, sum(len(state.waiters) for state in states))
+        self.assertEqual([], [t for t in same[1:] if fleet.refused[t]])
+
     def test_idle_team_costs_no_message(self) -> None:
         fleet = make_fleet()
         fleet.run(20.0)
