Return a token that comes after its operation was cancelled

Cause: a queued operation whose token expired asks for another. If its caller disconnected meanwhile, the token that came was kept by the released permit.

Change: a released permit returns it.

Result: the new test failed before the change and passes with it, as do the tests of quotas on entry hosts.

--- a/knapweedtally/entry/permits.py
+++ b/knapweedtally/entry/permits.py
@@ -19,6 +19,7 @@
     __slots__ = (
         "_expires_s",
         "_id",
+        "_is_released",
         "_is_sent",
         "_is_waiting",
         "_left_until_s",
@@ -52,6 +53,7 @@
         self._left_until_s = left_until_s
         self._is_sent = False
         self._is_waiting = False
+        self._is_released = False
         self._on_ready: Callable[[], None] = lambda: None
         self._on_refused: RefusalListener = lambda detail: None
 
@@ -106,6 +108,9 @@
             self._expires_s = math.inf
         else:
             self._expires_s = permit._expires_s
+        if self._is_released:
+            self.release()
+            return
         self._on_ready()
 
     def _handle_refused(self, detail: str) -> None:
@@ -123,6 +128,7 @@
 
     def release(self) -> None:
         """Return the token if nothing was sent to a target."""
+        self._is_released = True
         if not self._is_sent:
             self._quotas.give_back(self._team, self._expires_s)
             self._expires_s = -math.inf
