--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -39,7 +39,7 @@
 # For how long a silent allocator isn't asked, in seconds, and how many silent
 # ones an operation waits for.
 AVOID_SILENT_S = 0.5
-MAX_SILENT = 2
+MAX_SILENT = 3
 
 # Shortest time for which an empty slice isn't asked again, in seconds. It
 # bounds the messages of a team far above its limit.
@@ -49,11 +49,6 @@
 # More would be lost when the tokens expire.
 AHEAD_PART = 0.6
 
-# Hints for callers while no allocator has said when to retry, and the longest,
-# in seconds.
-UNKNOWN_RETRY_S = 0.3
-MAX_HINT_S = 2.0
-
 
 class Admitted(NamedTuple):
     """An operation got a token, which is valid until a time."""
@@ -103,6 +98,8 @@
         self._data_centre = data_centre
         self._tolerance = tolerance
         self._next_id = first_id
+        self._since_s: float | None = None
+        self._silent_until_s: dict[str, float] = {}
         self._fleet = slices.Fleet({host: data_centre}, {}, frozenset(), False)
         self._data_centres: list[str] = [data_centre]
         self._teams: dict[str, team_leases.TeamLeases] = {}
@@ -134,7 +131,17 @@
 
     def update_fleet(self, fleet: slices.Fleet, now_s: float) -> None:
         """Take over which hosts are known and live."""
-        self._ranking.update(fleet.live)
+        if self._since_s is None:
+            self._since_s = now_s
+        self._silent_until_s = {
+            host: until_s
+            for host, until_s in self._silent_until_s.items()
+            if host in fleet.known
+        }
+        is_starting = now_s - self._since_s < rules.SETTLING_TIME_S
+        self._ranking.update(
+            slices.list_reachable(fleet) if is_starting else fleet.live
+        )
         is_known = (fleet.known, fleet.is_listed) == (
             self._fleet.known,
             self._fleet.is_listed,
@@ -242,6 +249,7 @@
             return []
         if lend.tokens > pending.ask.needed + pending.ask.ahead:
             return []
+        self._silent_until_s.pop(host, None)
         if pending is state.pending:
             state.pending = None
         state.late.pop(lend.id, None)
@@ -282,6 +290,7 @@
             state.views[pending.data_centre] = team_leases.SliceView(
                 pending.host, 0.0, now_s + AVOID_SILENT_S, "SILENT"
             )
+            self._silent_until_s[pending.host] = now_s + AVOID_SILENT_S
             state.late[pending.ask.id] = pending
             state.pending = None
             state.silent += 1
@@ -318,10 +327,14 @@
     def _choose_slice(
         self, team: str, state: team_leases.TeamLeases, now_s: float
     ) -> str | None:
-        """Return the data centre to ask next: the own one, then the fullest."""
+        """Return the data centre to ask next: the own one, then the fullest.
+
+        Hosts that were silent, to any team, come last: the first operations of
+        each small team would else wait for the same one.
+        """
         if state.silent >= MAX_SILENT:
             return None
-        best: tuple[tuple[bool, float], str] | None = None
+        best: tuple[tuple[bool, bool, float], str] | None = None
         for name in self._data_centres:
             host = self._ranking.find(team, name)
             if name in state.tried or host is None:
@@ -330,7 +343,8 @@
             if view is not None and now_s < view.retry_at_s:
                 continue
             fill = view.fill if view is not None else 0.5
-            key = (name != self._data_centre, -fill)
+            is_silent = now_s < self._silent_until_s.get(host, 0.0)
+            key = (is_silent, name != self._data_centre, -fill)
             if best is None or (key, name) < best:
                 best = (key, name)
         return best[1] if best else None
@@ -376,20 +390,5 @@
                 state.record_use(now_s)
                 return Admitted(waiter.id, now_s + rules.LEASE_S)
         reason = "empty" if is_answered else "no allocator"
-        return Refused(waiter.id, self._compute_hint_s(state, now_s), reason)
-
-    def _compute_hint_s(
-        self, state: team_leases.TeamLeases, now_s: float
-    ) -> float:
-        """Return when a refused caller may retry, later for each refusal.
-
-        Each caller of this host is put behind the one refused before by the
-        time in which a slice gains a token.
-        """
-        times = [v.retry_at_s for v in state.views.values()]
-        first_s = min(times, default=now_s + UNKNOWN_RETRY_S)
-        rate_per_s = max(state.limit.rate_per_s, 1e-6)
-        gap_s = max(1, len(self._data_centres)) / rate_per_s
-        at_s = max(first_s, now_s, state.hint_at_s + gap_s)
-        state.hint_at_s = min(at_s, now_s + MAX_HINT_S)
-        return state.hint_at_s - now_s
+        hint_s = state.compute_hint_s(len(self._data_centres), now_s)
+        return Refused(waiter.id, hint_s, reason)
--- a/tests/quotas/test_service.py
+++ b/tests/quotas/test_service.py
@@ -1,5 +1,7 @@
 """Tests of what callers within and above a limit receive."""
 
+from unittest import mock
+
 import testtools
 
 from knapweedtally.core.quotas import messages
@@ -57,6 +59,54 @@
         self.assertGreater(len(fleet.ran[TEAM]), 130)
         self.assertLess(len(fleet.refused[TEAM]), 3)
 
+    def test_host_that_starts_asks_hosts_that_it_has_not_heard(self) -> None:
+        # It refused all operations until heartbeats of others had arrived.
+        fleet = make_fleet()
+        fleet.run(10.0)
+        fleet.kill("h4")
+        fleet.run(1.5)
+        with mock.patch.object(fleet, "_check"):
+            fleet.start("h4")
+            fleet.admit(fleet.hosts["h4"], TEAM)
+            fleet.run(0.1)
+        self.assertEqual(1, len(fleet.ran[TEAM]))
+
+    def test_third_allocator_is_asked_after_two_silent_ones(self) -> None:
+        # A small team's first operation on a host was refused after these.
+        fleet = make_fleet()
+        fleet.run(10.0)
+        host = fleet.hosts["h4"]
+        for place in ("dc0", "dc1"):
+            fleet.kill(slices.find_allocator(TEAM, place, fleet.known) or "")
+        fleet.admit(host, TEAM)
+        fleet.run(0.3)
+        self.assertEqual(1, len(fleet.ran[TEAM]))
+        self.assertEqual([], fleet.refused[TEAM])
+
+    def test_host_silent_to_one_team_is_asked_last_for_another(self) -> None:
+        # Each team of a host waited 60 ms for the same killed allocator.
+        teams = {f"t{number}": LIMIT for number in range(40)}
+        fleet = model.Model(27, teams, 3)
+        fleet.run(10.0)
+        gone = slices.find_allocator("t0", "dc1", fleet.known) or ""
+        same = [
+            team
+            for team in teams
+            if slices.find_allocator(team, "dc1", fleet.known) == gone
+        ]
+        fleet.kill(gone)
+        name = next(n for n in fleet.hosts if fleet.places[n] == "dc1")
+        host = fleet.hosts[name]
+        fleet.admit(host, "t0")
+        fleet.run(0.2)
+        self.assertGreater(len(same), 1)
+        for team in same[1:]:
+            fleet.admit(host, team)
+        fleet.run(0.03)
+        states = [host.borrower.get_state(team) for team in same[1:]]
+        self.assertEqual(0, sum(len(state.waiters) for state in states))
+        self.assertEqual([], [t for t in same[1:] if fleet.refused[t]])
+
     def test_idle_team_costs_no_message(self) -> None:
         fleet = make_fleet()
         fleet.run(20.0)
