Split the pools and the waits of a group off from its router

The pools of a group and the choice among them are now in group_pools.py, what waits for a team's connection in pool_waits.py.

tests/entry passed with two workers. One run before it, beside other load, had a failure in PacedTeamTest.test_pace_holds_statements_back_but_not_transactions whose output was not kept; 22 further runs of that test passed.

--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/router.py
@@ -1,26 +1,22 @@
 """Queueing, placement and attempts of the requests of one group."""
 
 import asyncio
-import random
-from collections.abc import Iterable
 
-from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
-from knapweedtally.core.groups import queue_refusals
 from knapweedtally.core.groups import retry_budget
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import attempts
 from knapweedtally.entry import clock
 from knapweedtally.entry import connections
+from knapweedtally.entry import group_pools
 from knapweedtally.entry import logs
 from knapweedtally.entry import metrics
-from knapweedtally.entry import observer
+from knapweedtally.entry import pool_waits
 from knapweedtally.entry import pools
 from knapweedtally.entry import requests
 from knapweedtally.entry import supervision
-from knapweedtally.entry import team_pools
 from knapweedtally.platform import line_protocol
 
 # A read without an answer is hedged with a second attempt after this delay, or
@@ -29,7 +25,7 @@
 HEDGE_RUN_TIME_FACTOR = 5.0
 
 # User name with which a host connects to targets.
-USER = "knapweedtally"
+USER = group_pools.USER
 
 # A group without valid evidence about its primary for this long counts as
 # unavailable, since a change of primary takes less. A request that no target
@@ -52,20 +48,8 @@
 _Kind = statements.Kind
 
 
-class Router:
-    """Serve the requests of one group.
-
-    Attributes:
-        settings: the group's settings.
-        pools: connection pools by id of the target.
-        departed: ids of former members whose log may hold commits that no
-            other member has.
-        observer: the evidence about the primary.
-        retry_budget: limit on the host's second attempts, or None without load
-            control.
-        has_teams: whether callers belong to teams.
-        created_s: when this host began to serve the group.
-    """
+class Router(pool_waits.PoolWaits):
+    """Serve the requests of one group."""
 
     def __init__(
         self,
@@ -85,84 +69,10 @@
             budget: limit on the host's second attempts with load control, or
                 None without it.
         """
-        self.settings = settings
-        self.pools: dict[str, pools.Pool] = {}
-        self.departed: tuple[str, ...] = ()
-        self.has_teams = False
-        self.observer = observer.Observer(
-            settings.name, self.pools, log, self.dispatch
-        )
-        self.created_s = clock.get_time_s()
-        self._data_centre = data_centre
-        self._log = log
-        self._counters = counters
-        self.retry_budget = budget
-        self._queue: list[requests.Request] = []
+        super().__init__(settings, data_centre, log, counters, budget)
         self._hedge_candidates: set[requests.Request] = set()
         self._is_dispatching = False
 
-    def add_pool(
-        self, entry: model.TargetEntry, floor: model.Position
-    ) -> pools.Pool:
-        """Add a target.
-
-        Args:
-            entry: the target's entry in the store.
-            floor: position that the target's predecessor had received. A log
-                that ends before it proves nothing about acknowledged commits.
-        """
-        pool = self._make_pool(entry)
-        pool.position_before_restart = floor
-        if self.retry_budget is not None:
-            pool.use_holder_queue(self._counters)
-        self.pools[entry.target] = pool
-        pool.open_connection()
-        return pool
-
-    def _make_pool(self, entry: model.TargetEntry) -> pools.Pool:
-        limit = self.settings.max_connections
-        if self.has_teams:
-            return team_pools.TeamPool(
-                entry,
-                limit,
-                USER,
-                self._log,
-                self.dispatch,
-                self._counters,
-                self.observer,
-            )
-        return pools.Pool(entry, limit, USER, self._log, self.dispatch)
-
-    def replace_pool(self, target: str) -> pools.Pool:
-        """Replace a pool after teams were added or all were removed.
-
-        Connections without a team may not be used for teams and the reverse,
-        so open transactions are rolled back.
-        """
-        old = self.pools[target]
-        pool = self.add_pool(old.entry, old.get_newest_position())
-        if old.pacer is not None:
-            pool.set_pacer(old.pacer)
-        old.close()
-        return pool
-
-    def remove_pool(self, target: str) -> pools.Pool | None:
-        """Close the pool of a target that has left the group.
-
-        Returns:
-            The closed pool, or None if the target has none.
-        """
-        pool = self.pools.pop(target, None)
-        if pool is not None:
-            pool.close()
-            evidence.remove_member(self.observer.leadership, target)
-        return pool
-
-    @property
-    def members(self) -> tuple[str, ...]:
-        """Return the ids of all targets that a promotion has to consider."""
-        return (*self.pools, *self.departed)
-
     @property
     def queue_length(self) -> int:
         """Return the number of queued requests."""
@@ -243,123 +153,6 @@
                 connection, request.session.team, request.priority
             )
 
-    def _wait_at_pool(
-        self, request: requests.Request, pool: pools.Pool, now_s: float
-    ) -> None:
-        """Let a request wait with those of other hosts for a connection."""
-        target = pool.entry.target
-
-        def handle_idle(connection: connections.Connection | None) -> None:
-            if request.is_done or request.waiting_target != target:
-                return
-            request.waiting_target = ""
-            idle_s = clock.get_time_s()
-            if connection is not None and request in self._queue:
-                choice = self._choose_among(
-                    request, [pool], idle_s, request.excluded
-                )
-                if choice.target is not None:
-                    if not supervision.contain(
-                        "placement",
-                        self._place_on_connection,
-                        request,
-                        pool,
-                        connection,
-                        choice,
-                        idle_s,
-                    ):
-                        self.fail(request)
-                    return
-            asyncio.get_running_loop().call_soon(self.dispatch)
-
-        def handle_refused(detail: bytes) -> None:
-            if request.is_done or request.waiting_target != target:
-                return
-            request.waiting_target = ""
-            self._handle_queue_refusal(request, pool, detail)
-
-        # Set before the call, which may serve the request at once.
-        request.waiting_target = target
-        is_queued = pool.wait_for_connection(
-            request.session.values,
-            handle_idle,
-            request.deadline_s,
-            request.session.team,
-            request.priority,
-            handle_refused,
-            request.statement.id,
-        )
-        if not is_queued:
-            request.waiting_target = ""
-
-    def _handle_queue_refusal(
-        self, request: requests.Request, pool: pools.Pool, detail: bytes
-    ) -> None:
-        """Answer a request that this host's own queue has refused.
-
-        Nothing of it was sent, unless another attempt of it still runs.
-        """
-        now_s = clock.get_time_s()
-        refusal = queue_refusals.parse_detail(detail)
-        if refusal is not None:
-            pool.load.queue_cost = queue_refusals.get_cost(refusal, now_s)
-        target = pool.entry.target
-        if self.retry_elsewhere(request, target, now_s):
-            return
-        if request.running_attempts:
-            self._queue.remove(request)
-            return
-        self.finish(
-            request,
-            requests.Result(
-                None,
-                _Code.BUSY,
-                detail.decode("utf-8", "replace"),
-                target=target,
-                waited_s=now_s - request.arrived_s,
-            ),
-        )
-
-    def retry_elsewhere(
-        self, request: requests.Request, target: str, now_s: float
-    ) -> bool:
-        """Queue a request for another target after a queue's refusal, once.
-
-        Args:
-            request: the request.
-            target: id of the target whose holder refused it.
-            now_s: the current time.
-
-        Returns:
-            Whether another target may serve it and the retry budget allows it.
-        """
-        was_refused = request.is_refused_by_queue
-        request.is_refused_by_queue = True
-        if (
-            was_refused
-            or request.attempts >= attempts.MAX_ATTEMPTS
-            or now_s >= request.deadline_s
-            or not self.has_alternative(request, target, now_s)
-            or not self.may_retry(now_s)
-        ):
-            return False
-        self.retry(request, target)
-        return True
-
-    def _keeps_waiting(self, request: requests.Request, now_s: float) -> bool:
-        """Return whether a request waits for a target that may serve it."""
-        if not request.waiting_target:
-            return False
-        pool = self.pools.get(request.waiting_target)
-        if pool is not None:
-            choice = self._choose_among(
-                request, [pool], now_s, request.excluded
-            )
-            if choice.target or choice.reason is _Reason.NO_CONNECTION:
-                return True
-        request.waiting_target = ""
-        return False
-
     def _place_on_connection(
         self,
         request: requests.Request,
@@ -383,93 +176,6 @@
             connection.abort()
             raise
 
-    def _choose_target(
-        self, request: requests.Request, now_s: float
-    ) -> placement.Choice:
-        """Choose a target, and apply admission control to new requests.
-
-        While the primary is overloaded, a share of the new requests for it goes
-        to another target or is refused.
-        """
-        choice = self._choose_target_except(request, request.excluded, now_s)
-        primary = self.observer.leadership.target
-        needs_primary = choice.target == primary or (
-            choice.reason is _Reason.NO_CONNECTION
-            and request.need.is_primary_only
-        )
-        is_new = not (request.is_admitted or request.attempts)
-        if primary is None or not needs_primary or not is_new:
-            return choice
-        is_refused = load_shedding.should_refuse(
-            self.observer.load_shedding,
-            request.priority,
-            random.random(),
-            now_s,
-        )
-        if not is_refused:
-            request.is_admitted = True
-            return choice
-        alternative = self._choose_target_except(
-            request, request.excluded | {primary}, now_s
-        )
-        if alternative.target or alternative.reason is _Reason.NO_CONNECTION:
-            return alternative
-        return placement.Choice(None, None, _Reason.CROWDED)
-
-    def _choose_target_except(
-        self,
-        request: requests.Request,
-        excluded: frozenset[str],
-        now_s: float,
-    ) -> placement.Choice:
-        return self._choose_among(request, self.pools.values(), now_s, excluded)
-
-    def _choose_among(
-        self,
-        request: requests.Request,
-        candidates: Iterable[pools.Pool],
-        now_s: float,
-        excluded: frozenset[str] = frozenset(),
-    ) -> placement.Choice:
-        candidates = list(candidates)
-        if self.retry_budget is None or not self.has_teams:
-            return self._choose_available(
-                request, candidates, now_s, excluded, True
-            )
-        # With load control, the queues of this host hold any number of
-        # requests, so a target that has a connection at once comes first.
-        choice = self._choose_available(
-            request, candidates, now_s, excluded, False
-        )
-        if choice.reason is not _Reason.NO_CONNECTION:
-            return choice
-        return self._choose_available(
-            request, candidates, now_s, excluded, True
-        )
-
-    def _choose_available(
-        self,
-        request: requests.Request,
-        candidates: list[pools.Pool],
-        now_s: float,
-        excluded: frozenset[str],
-        may_wait: bool,
-    ) -> placement.Choice:
-        """Choose a target by the connections that a team may use."""
-        if self.has_teams:
-            for pool in candidates:
-                pool.update_available(
-                    request.session.team, request.priority, may_wait
-                )
-        return placement.choose_target(
-            request.need,
-            [pool.load for pool in candidates],
-            self.observer.leadership,
-            self._data_centre,
-            now_s,
-            excluded,
-        )
-
     def _is_unavailable(self, choice: placement.Choice, now_s: float) -> bool:
         """Return whether the group is unavailable and waiting is futile."""
         if choice.reason is _Reason.NO_CONNECTION:
@@ -595,22 +301,6 @@
             self._queue.sort(key=_get_queue_key)
         asyncio.get_running_loop().call_soon(self.dispatch)
 
-    def may_retry(self, now_s: float) -> bool:
-        """Return whether the host may make a second attempt, and count it."""
-        if self.retry_budget is None or self.retry_budget.take(now_s):
-            return True
-        self._counters.increment("retries_withheld", self.settings.name)
-        return False
-
-    def has_alternative(
-        self, request: requests.Request, excluded: str, now_s: float
-    ) -> bool:
-        """Return whether a target except one may serve a request."""
-        choice = self._choose_target_except(
-            request, request.excluded | {excluded}, now_s
-        )
-        return choice.target is not None
-
     def tick(self, now_s: float) -> None:
         """Refuse overdue requests, hedge slow reads and renew evidence."""
         for pool in tuple(self.pools.values()):
