--- a/bench/commands.py
+++ b/bench/commands.py
@@ -17,6 +17,7 @@
 from bench import runs
 from bench import systems
 from bench import workload
+from bench.days import commands as days_commands
 from bench.placing import comparison
 from bench.placing import queue_comparison
 from bench.placing import scenarios
@@ -276,6 +277,7 @@
         ProfileCommand(),
         PlacingCommand(),
         QueuesCommand(),
+        days_commands.DaysCommand(),
     ):
         app.add(bench_command)
     return app
--- /dev/null
+++ b/bench/days/__init__.py
@@ -0,0 +1,1 @@
+"""Comparison of builds on days of the users' bench."""
--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -57,6 +57,7 @@
         is_settled: whether all other members are known.
         has_last_primary: whether no primary is known, and the last one
             answers and has every acknowledged commit.
+        is_relief_due: whether a change would end the lag of the replicas.
     """
 
     has_primary: bool
@@ -74,6 +75,7 @@
     other_members: int
     is_settled: bool
     has_last_primary: bool = False
+    is_relief_due: bool = False
 
 
 def find_cause(view: PrimaryView, now_s: float) -> steps.Cause | None:
@@ -95,7 +97,9 @@
         return steps.Cause.LEAVING
     if now_s - view.known_since_s < NEW_PRIMARY_GRACE_S:
         return None
-    return steps.Cause.STALLED if _is_stalled(view, now_s) else None
+    if _is_stalled(view, now_s):
+        return steps.Cause.STALLED
+    return steps.Cause.LAGGING if view.is_relief_due else None
 
 
 def explain_absence(view: PrimaryView, now_s: float) -> str:
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -14,6 +14,7 @@
     LEAVING = "the primary is leaving"
     STALLED = "the primary's commits reach no replica"
     ABSENT = "no target leads the group"
+    LAGGING = "all replicas lag, and the primary refuses requests"
 
 
 class Phase(enum.Enum):
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -5,6 +5,9 @@
 
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import detection
+from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import lag_relief
+from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import steps
 from knapweedtally.entry import clock
 from knapweedtally.entry import promoter as promoter_module
@@ -17,6 +20,11 @@
 CHANGE_RETRY_DELAY_PER_RANK_S = 0.1
 
 
+# A replica has a recent log if it has what the primary had reached this long
+# ago, in seconds: pollers request a status of each replica within this time.
+RECENT_LOG_S = 1.0
+
+
 class PrimaryChanges:
     """Detect causes to change primaries, and run the changes."""
 
@@ -41,6 +49,7 @@
         self._promoter = promoter
         self._rank_hosts = rank_hosts
         self._changing: set[str] = set()
+        self._relief: dict[str, lag_relief.LagRelief] = {}
         self._retry_at_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -53,6 +62,7 @@
     ) -> None:
         """Start to change a group's primary if there is a cause."""
         name = router.settings.name
+        self._update_relief(router, now_s)
         if name in self._changing:
             return
         if now_s < self._retry_at_s.get(name, 0.0):
@@ -64,6 +74,33 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _update_relief(
+        self, router: router_module.Router, now_s: float
+    ) -> None:
+        """Update what the lag of a group's replicas costs its callers."""
+        observer = router.observer
+        primary = observer.leadership.target
+        recent = evidence.find_position(
+            observer.leadership, now_s - RECENT_LOG_S
+        )
+        lag_relief.update(
+            self._get_relief(router),
+            [
+                lag_relief.Replica(
+                    pool.load.is_lagging,
+                    recent is not None and pool.received >= recent,
+                )
+                for target, pool in router.pools.items()
+                if target != primary and pool.is_answering
+            ],
+            load_shedding.get_refused_share(observer.load_shedding, now_s),
+            now_s,
+        )
+
+    def _get_relief(self, router: router_module.Router) -> lag_relief.LagRelief:
+        name = router.settings.name
+        return self._relief.setdefault(name, lag_relief.LagRelief())
+
     async def _run_change(self, router: router_module.Router) -> None:
         """Run a change; the next one begins anew if it fails by an error."""
         try:
@@ -139,4 +176,7 @@
             other_members=len(router.members) - (1 if pool else 0),
             is_settled=self._catalog.is_settled(now_s),
             has_last_primary=router.observer.find_last_primary() is not None,
+            is_relief_due=lag_relief.is_change_due(
+                self._get_relief(router), router.observer.known_since_s, now_s
+            ),
         )
