--- a/bench/commands.py
+++ b/bench/commands.py
@@ -278,6 +278,7 @@
         PlacingCommand(),
         QueuesCommand(),
         days_commands.DaysCommand(),
+        days_commands.LossesCommand(),
     ):
         app.add(bench_command)
     return app
--- a/bench/days/commands.py
+++ b/bench/days/commands.py
@@ -1,4 +1,4 @@
-"""Command that compares builds on days of the users' bench."""
+"""Commands that compare builds on days of the users' bench."""
 
 import pathlib
 
@@ -8,6 +8,7 @@
 
 from bench.days import comparison
 from bench.days import figures
+from bench.days import losses
 from bench.days import plays
 
 # Seeds to try a change, and seeds to conclude with: a change that was chosen
@@ -18,6 +19,42 @@
 }
 
 
+class LossesCommand(command.Command):
+    """Show where callers' statements were lost on a played day."""
+
+    name = "losses"
+    description = "Show where statements were lost, from a day's log lines."
+    arguments = [argument("log", "output of a play with the hosts' logs")]
+    options = [
+        option(
+            "by",
+            None,
+            "window, group, host, kind, outcome, reason or target",
+            flag=False,
+            multiple=True,
+        ),
+        option("window-s", None, "window in s", flag=False, default="2"),
+        option("rows", None, "rows to print", flag=False, default="30"),
+    ]
+
+    def handle(self) -> int:
+        """Print the statements that weren't served, most frequent first."""
+        with open(self.argument("log"), encoding="utf-8") as lines:
+            endings = losses.parse_lines(lines)
+        self.line(f"{len(endings)} statements")
+        rows = losses.tabulate(
+            endings,
+            self.option("by") or ("outcome", "reason"),
+            float(self.option("window-s")),
+        )
+        for row in rows[: int(self.option("rows"))]:
+            self.line(
+                f"{row.statements:7} {row.share:7.2%}"
+                f" {row.median_ms:9.1f} ms  {'  '.join(row.key)}"
+            )
+        return 0
+
+
 class DaysCommand(command.Command):
     """Compare builds on the same days and seeds of the users' bench."""
 
--- a/tests/bench/test_days.py
+++ b/tests/bench/test_days.py
@@ -4,6 +4,7 @@
 a difference that is smaller than its uncertainty.
 """
 
+import json
 import math
 import pathlib
 from typing import Any
@@ -12,6 +13,7 @@
 
 from bench.days import comparison
 from bench.days import figures
+from bench.days import losses
 from bench.days import plays
 
 
@@ -108,3 +110,40 @@
             [(play.seed, play.build) for play in planned],
             [(1, "before"), (1, "after"), (2, "before"), (2, "after")],
         )
+
+
+class LossesTest(testtools.TestCase):
+    """Which statements are counted, and under which reason."""
+
+    def make_line(self, at_s: float, outcome: str, reason: str) -> str:
+        fields = {
+            "host": "front-1",
+            "event": "statement_ended",
+            "group": "g",
+            "kind": "READ",
+            "outcome": outcome,
+            "reason": reason,
+            "target": "",
+            "total_ms": 5.0,
+        }
+        return f"  {at_s:.4f} front-1 {json.dumps(fields)}\n"
+
+    def test_reasons_that_differ_in_numbers_are_one(self) -> None:
+        lines = [
+            self.make_line(4.1, "BUSY", "retry after 400 ms; 85% refused"),
+            self.make_line(5.9, "BUSY", "retry after 500 ms; 9% refused"),
+            self.make_line(6.1, "DONE", ""),
+            self.make_line(6.2, "BUSY", "no connection"),
+            "  6.3000 front-1 {cut off",
+            "built in 0.1 s",
+        ]
+        rows = losses.tabulate(
+            losses.parse_lines(lines), ("window", "reason"), 2.0
+        )
+        self.assertEqual(
+            [(row.key, row.statements, row.share) for row in rows],
+            [
+                (("4 s", "retry after # ms; #% refused"), 2, 0.5),
+                (("6 s", "no connection"), 1, 0.25),
+            ],
+        )
