--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -6,6 +6,9 @@
 import testtools
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import lag_relief
+from knapweedtally.core.groups import load_shedding
+from knapweedtally.core.groups import steps
 from knapweedtally.entry import acknowledgements
 from knapweedtally.entry import clock
 from knapweedtally.entry import evidence_sharing
@@ -39,6 +42,10 @@
     )
 
 
+def host_of(system: harness.System) -> harness.EntryHost:
+    return system.entry_hosts[0]
+
+
 class ChangeTest(testtools.TestCase):
     """Answers to callers, and the return of service, in a primary change."""
 
@@ -134,6 +141,40 @@
                 await asyncio.sleep(0.05)
         self.assertEqual((await caller.run("READ item"))[0], "ROW 2")
 
+    # Guards against a group that refuses most requests while its replicas lag.
+    @harness.with_system()
+    async def test_overloaded_primary_whose_replicas_lag_is_replaced(
+        self, system: harness.System
+    ) -> None:
+        group = system.platform.groups["g"]
+        old = group.get_primary()
+        entry_host = system.entry_hosts[0]
+        entry_host.attach_changes(self)
+        router = entry_host.host.routers["g"]
+        caller = harness.Caller(entry_host.port)
+        await caller.start("g-primary")
+        await caller.run("WRITE item 1")
+        for target, pool in router.pools.items():
+            pool.load.lag_s = 0.0 if target == old.id else 9.0
+        with (
+            mock.patch.object(lag_relief, "MIN_LEAD_S", 0.0),
+            mock.patch.object(lag_relief, "CHANGE_COST_S", 0.2),
+            mock.patch.object(
+                load_shedding, "get_refused_share", return_value=0.6
+            ),
+        ):
+            await harness.wait_for(lambda: has_step(entry_host, "wait"))
+        await harness.wait_for(
+            lambda: router.observer.leadership.target not in (None, old.id)
+        )
+        self.assertIsNot(group.find_primary(), old)
+        started = entry_host.find_lines("change_started")[0]
+        self.assertEqual(started["cause"], steps.Cause.LAGGING.value)
+        async with asyncio.timeout(harness.WAIT_TIMEOUT_S):
+            while (await caller.run("WRITE item 2"))[0].startswith("ERROR"):
+                await asyncio.sleep(0.05)
+        self.assertEqual((await caller.run("READ item"))[0], "ROW 2")
+
 
 class MissingMemberTest(testtools.TestCase):
     """Changes of primary while a replica has no entry in the store.
