--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -198,6 +198,7 @@
         if pool is None:
             return
         pool.reported_connections = status.connections
+        pool.reported_lag_s = status.lag_s
         pool.reported_s = asked_s
         pool.received = max(pool.received, status.received)
         self.known_term = max(self.known_term, status.term)
--- a/knapweedtally/entry/pool_opening.py
+++ b/knapweedtally/entry/pool_opening.py
@@ -51,7 +51,8 @@
         max_connections: connections that the target accepts from all hosts.
         reported_connections: number of connections in the target's last
             status.
-        reported_s: when that status was requested.
+        reported_lag_s: how far reads lagged behind the log in that status.
+        reported_s: when it was requested.
         holder_count: number of hosts that hold connections to the target.
         path_selector: chooses the network path of each connection.
         pacer: limits the concurrent statements on direct connections, or None.
@@ -80,6 +81,7 @@
         self.entry = entry
         self.max_connections = max_connections
         self.reported_connections = 0
+        self.reported_lag_s = 0.0
         self.reported_s = 0.0
         self.holder_count = 1
         self.path_selector = path_selection.PathSelector()
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -10,6 +10,7 @@
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import steps
 from knapweedtally.entry import clock
+from knapweedtally.entry import pools as pools_module
 from knapweedtally.entry import promoter as promoter_module
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import supervision
@@ -24,6 +25,9 @@
 # ago, in seconds: pollers request a status of each replica within this time.
 RECENT_LOG_S = 1.0
 
+# A replica's report of its lag is used for this long, in seconds.
+MAX_LAG_REPORT_AGE_S = 3.0
+
 
 class PrimaryChanges:
     """Detect causes to change primaries, and run the changes."""
@@ -88,6 +92,7 @@
             [
                 lag_relief.Replica(
                     pool.load.is_lagging,
+                    _get_remaining_lag_s(pool, now_s),
                     recent is not None and pool.received >= recent,
                 )
                 for target, pool in router.pools.items()
@@ -180,3 +185,11 @@
                 self._get_relief(router), router.observer.known_since_s, now_s
             ),
         )
+
+
+def _get_remaining_lag_s(pool: pools_module.Pool, now_s: float) -> float:
+    """Return how much longer a replica lags by its last status."""
+    age_s = now_s - pool.reported_s
+    if age_s > MAX_LAG_REPORT_AGE_S:
+        return 0.0
+    return max(0.0, pool.reported_lag_s - age_s)
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -72,6 +72,7 @@
         self.received = model.Position(0, 0)
         self.position_before_restart = model.Position(0, 0)
         self.reported_connections = 0
+        self.reported_lag_s = 0.0
         self.reported_s = 0.0
         self.load = placement.TargetLoad(entry.target)
         self.answered_s = 0.0
