--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -30,6 +30,11 @@
 # primary that was already running has ended by then.
 NO_PRIMARY_TIMEOUT_S = 1.6
 
+# A primary isn't replaced within this time after a member has answered this host
+# again. A host that was cut off reaches some targets before others, and hears of
+# the primary from other hosts a little later: two pollers' intervals.
+RECOVERY_SETTLING_S = 0.7
+
 # A new primary isn't replaced because of stalled commits for this long, so that
 # two hosts with different views don't switch a group back and forth.
 NEW_PRIMARY_GRACE_S = 2.0
@@ -57,6 +62,7 @@
         is_settled: whether all other members are known.
         has_last_primary: whether no primary is known, and the last one
             answers and has every acknowledged commit.
+        recovered_s: when a member last answered after it had been unresponsive.
         is_relief_due: whether a change would end the lag of the replicas.
     """
 
@@ -75,6 +81,7 @@
     other_members: int
     is_settled: bool
     has_last_primary: bool = False
+    recovered_s: float = float("-inf")
     is_relief_due: bool = False
 
 
@@ -87,6 +94,8 @@
     if not view.has_primary:
         is_due = not explain_absence(view, now_s)
         return steps.Cause.ABSENT if is_due else None
+    if now_s - view.recovered_s < RECOVERY_SETTLING_S:
+        return steps.Cause.LEAVING if view.is_leaving else None
     if is_unseen and _is_unreachable(view, now_s):
         # A host that doesn't reach all other members leaves the change to a
         # host that does.
--- a/knapweedtally/entry/pool_opening.py
+++ b/knapweedtally/entry/pool_opening.py
@@ -61,6 +61,7 @@
         failures: number of failures since the target's last answer.
         is_refusing: whether the last failure was a refused connection.
         answered_s: when the target last answered.
+        recovered_s: when it last answered after it had been unresponsive.
         generation: changes when the target may have restarted.
         received: newest log position seen since the target's last restart.
         position_before_restart: newest log position that the target held before
@@ -104,6 +105,7 @@
         self._retry_at_s = 0.0
         self._next_probe_at_s = 0.0
         self.answered_s = 0.0
+        self.recovered_s = float("-inf")
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
 
@@ -275,6 +277,8 @@
         if self.failing_since_s is not None:
             has_recovered = not self.load.is_responsive
             self.clear_failures()
+            if has_recovered:
+                self.recovered_s = self.answered_s
             if has_recovered and self.pacer is not None:
                 self.pacer.handle_recovered()
 
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -181,6 +181,10 @@
             other_members=len(router.members) - (1 if pool else 0),
             is_settled=self._catalog.is_settled(now_s),
             has_last_primary=router.observer.find_last_primary() is not None,
+            recovered_s=max(
+                (other.recovered_s for other in router.pools.values()),
+                default=float("-inf"),
+            ),
             is_relief_due=lag_relief.is_change_due(
                 self._get_relief(router), router.observer.known_since_s, now_s
             ),
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -76,6 +76,7 @@
         self.reported_s = 0.0
         self.load = placement.TargetLoad(entry.target)
         self.answered_s = 0.0
+        self.recovered_s = float("-inf")
         self.restart_count = 0
         self._next_probe_s = 0.0
 
@@ -113,6 +114,8 @@
 
     def record_answer(self) -> None:
         self.answered_s = self.host.world.now_s
+        if self.failures >= 2:
+            self.recovered_s = self.answered_s
         self.failing_since_s, self.failures = None, 0
 
     def record_failure(self, since_s: float, is_refused: bool) -> None:
--- a/tests/groups/test_detection.py
+++ b/tests/groups/test_detection.py
@@ -64,6 +64,29 @@
         view = view._replace(answering_members=4)
         self.assertEqual(detection.explain_absence(view, NOW_S), "")
 
+    # Guards against a needless change by a host whose data centre was cut off
+    # and that reaches the replicas a moment before the primary.
+    def test_host_that_was_cut_off_waits_until_its_view_has_settled(
+        self,
+    ) -> None:
+        unreachable = {"failing_since_s": NOW_S - 6.0, "failures": 9}
+        stalled = {"member_seen_s": NOW_S - 6.0}
+        for changes, cause in (
+            (unreachable, _Cause.UNREACHABLE),
+            (stalled, _Cause.STALLED),
+        ):
+            self.assertEqual(self.find_cause_for(**changes), cause)
+            changes["recovered_s"] = NOW_S - 0.1
+            self.assertIsNone(self.find_cause_for(**changes))
+            changes["recovered_s"] = NOW_S - 1.0
+            self.assertEqual(self.find_cause_for(**changes), cause)
+        leaving = self.find_cause_for(is_leaving=True, recovered_s=NOW_S - 0.1)
+        self.assertEqual(leaving, _Cause.LEAVING)
+
+    def test_lag_is_relieved_if_nothing_else_is_wrong(self) -> None:
+        found = self.find_cause_for(is_relief_due=True)
+        self.assertEqual(found, _Cause.LAGGING)
+
     def test_healthy_primary_is_kept(self) -> None:
         self.assertIsNone(self.find_cause_for())
 
