--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -30,9 +30,9 @@
 # primary that was already running has ended by then.
 NO_PRIMARY_TIMEOUT_S = 1.6
 
-# A primary isn't replaced within this time after a member has answered this host
-# again. A host that was cut off reaches some targets before others, and hears of
-# the primary from other hosts a little later: two pollers' intervals.
+# A primary isn't replaced until this long after a member has answered this host
+# again, in seconds: two intervals of the pollers. A host that was cut off
+# reaches some targets before others, and hears of the primary a little later.
 RECOVERY_SETTLING_S = 0.7
 
 # A new primary isn't replaced because of stalled commits for this long, so that
