--- a/knapweedtally/core/groups/lag_relief.py
+++ b/knapweedtally/core/groups/lag_relief.py
@@ -111,6 +111,15 @@
     return replica.is_lagging or replica.remaining_lag_s > LAGGING_THRESHOLD_S
 
 
+def needs_reports(state: LagRelief) -> bool:
+    """Return whether a host has to request the replicas' reports itself.
+
+    Pollers have the reports and act before that, unless they can't reach the
+    store.
+    """
+    return state.lost_s >= CHANGE_COST_S
+
+
 def is_change_due(state: LagRelief, known_since_s: float, now_s: float) -> bool:
     """Return whether a change of primary is worth what it costs.
 
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -22,12 +22,16 @@
 
 
 # A replica has a recent log if it has what the primary had reached this long
-# ago, in seconds: pollers request a status of each replica within this time.
-RECENT_LOG_S = 1.0
+# ago, in seconds: the status of each replica is requested within this time.
+RECENT_LOG_S = 1.5
 
 # A replica's report of its lag is used for this long, in seconds.
 MAX_LAG_REPORT_AGE_S = 3.0
 
+# Interval at which a host that isn't a poller requests these reports if the
+# pollers don't act on theirs, in seconds. Replicas that lag have free slots.
+LAG_REPORT_INTERVAL_S = 1.0
+
 
 class PrimaryChanges:
     """Detect causes to change primaries, and run the changes."""
@@ -87,20 +91,29 @@
         recent = evidence.find_position(
             observer.leadership, now_s - RECENT_LOG_S
         )
+        replicas = {
+            target: pool
+            for target, pool in router.pools.items()
+            if target != primary and pool.is_answering
+        }
+        relief = self._get_relief(router)
         lag_relief.update(
-            self._get_relief(router),
+            relief,
             [
                 lag_relief.Replica(
                     pool.load.is_lagging,
                     _get_remaining_lag_s(pool, now_s),
                     recent is not None and pool.received >= recent,
                 )
-                for target, pool in router.pools.items()
-                if target != primary and pool.is_answering
+                for pool in replicas.values()
             ],
             load_shedding.get_refused_share(observer.load_shedding, now_s),
             now_s,
         )
+        if lag_relief.needs_reports(relief):
+            for target, pool in replicas.items():
+                if now_s - pool.reported_s > LAG_REPORT_INTERVAL_S:
+                    observer.request_status(target)
 
     def _get_relief(self, router: router_module.Router) -> lag_relief.LagRelief:
         name = router.settings.name
--- a/tests/groups/test_lag_relief.py
+++ b/tests/groups/test_lag_relief.py
@@ -145,3 +145,15 @@
         for now_s in (100.0, 130.0, 160.0):
             lag_relief.update(state, lagging, 0.9, now_s)
         self.assertFalse(lag_relief.is_change_due(state, 0.0, 160.0))
+
+    # Guards against a lag that goes on because only pollers know how long it
+    # takes, and these can't reach the store.
+    def test_host_without_reports_requests_them(self) -> None:
+        state = lag_relief.LagRelief()
+        for step in range(80):
+            now_s = 100.0 + step * _STEP_S
+            unreported = [lag_relief.Replica(True, 0.0, False)]
+            lag_relief.update(state, unreported, 0.8, now_s)
+            if step < 20:
+                self.assertFalse(lag_relief.needs_reports(state))
+        self.assertTrue(lag_relief.needs_reports(state))
