Keep commits held for a requested promotion that a second promoter ends

Cause: found by reading. A promoter that takes over for the same term and gives up, or fences members at a later position, replaced the notice of the first promoter's request, which can still take effect.

Change: while such a request may take effect, only another request renews the notice, with the lower position.

--- a/knapweedtally/core/groups/change_notices.py
+++ b/knapweedtally/core/groups/change_notices.py
@@ -91,11 +91,17 @@
     if notice.stage is Stage.OBJECTION:
         state.objected_position = max(state.objected_position, notice.position)
         return None
-    known_term = state.notice.term if state.notice is not None else 0
-    if notice.term < known_term:
-        return None
-    if notice.term == known_term and known_s <= state.known_s:
-        return None
+    known = state.notice
+    if known is not None and notice.term <= known.term:
+        if notice.term < known.term or known_s <= state.known_s:
+            return None
+        if _is_requested(state, known_s):
+            # Another promoter may have taken over. The first promotion can
+            # still take effect, whatever the second one does.
+            if notice.stage is not Stage.REQUESTED:
+                return None
+            position = min(notice.position, known.position)
+            notice = notice._replace(position=position)
     state.notice = notice
     state.known_s = known_s
     is_uncovered = notice.position < state.told_position
@@ -116,6 +122,11 @@
     return notice if now_s < state.known_s + HOLD_S else None
 
 
+def _is_requested(state: ChangeState, now_s: float) -> bool:
+    notice = get_active_notice(state, now_s)
+    return notice is not None and notice.stage is Stage.REQUESTED
+
+
 def is_commit_held(
     state: ChangeState, position: model.Position, answered_s: float
 ) -> bool:
--- a/tests/groups/test_change_notices.py
+++ b/tests/groups/test_change_notices.py
@@ -69,6 +69,18 @@
         self.assertTrue(self.is_held(51, end_s - 0.1))
         self.assertFalse(self.is_held(51, end_s + 0.1))
 
+    # Guards against a second promoter that lifts what the first one's request,
+    # which may still take effect, holds back.
+    def test_second_promoter_does_not_end_the_hold_of_a_request(self) -> None:
+        self.record(make_notice(_Stage.REQUESTED), 10.0)
+        self.record(make_notice(_Stage.FENCED, 60), 11.0)
+        self.assertTrue(self.is_held(55, 11.1))
+        self.record(make_notice(_Stage.GIVEN_UP, 60), 11.5)
+        self.assertTrue(self.is_held(55, 11.6))
+        self.record(make_notice(_Stage.REQUESTED, 60), 12.0)
+        self.assertTrue(self.is_held(55, 10.1 + change_notices.HOLD_S))
+        self.assertFalse(self.is_held(55, 12.1 + change_notices.HOLD_S))
+
     def test_notice_of_an_earlier_change_is_ignored(self) -> None:
         self.record(make_notice(_Stage.GIVEN_UP, term=3), 10.0)
         self.record(make_notice(_Stage.FENCED, term=2), 11.0)
