--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/primary_changes.py
@@ -5,8 +5,12 @@
 
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import detection
+from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import lag_relief
+from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import steps
 from knapweedtally.entry import clock
+from knapweedtally.entry import pools as pools_module
 from knapweedtally.entry import promoter as promoter_module
 from knapweedtally.entry import router as router_module
 from knapweedtally.entry import supervision
@@ -17,6 +21,18 @@
 CHANGE_RETRY_DELAY_PER_RANK_S = 0.1
 
 
+# A replica has a recent log if it has what the primary had reached this long
+# ago, in seconds: the status of each replica is requested within this time.
+RECENT_LOG_S = 1.5
+
+# A replica's report of its lag is used for this long, in seconds.
+MAX_LAG_REPORT_AGE_S = 3.0
+
+# Interval at which a host that isn't a poller requests these reports if the
+# pollers don't act on theirs, in seconds. Replicas that lag have free slots.
+LAG_REPORT_INTERVAL_S = 1.0
+
+
 class PrimaryChanges:
     """Detect causes to change primaries, and run the changes."""
 
@@ -41,6 +57,7 @@
         self._promoter = promoter
         self._rank_hosts = rank_hosts
         self._changing: set[str] = set()
+        self._relief: dict[str, lag_relief.LagRelief] = {}
         self._retry_at_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -53,6 +70,7 @@
     ) -> None:
         """Start to change a group's primary if there is a cause."""
         name = router.settings.name
+        supervision.contain("lag relief", self._update_relief, router, now_s)
         if name in self._changing:
             return
         if now_s < self._retry_at_s.get(name, 0.0):
@@ -64,6 +82,43 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _update_relief(
+        self, router: router_module.Router, now_s: float
+    ) -> None:
+        """Update what the lag of a group's replicas costs its callers."""
+        observer = router.observer
+        primary = observer.leadership.target
+        recent = evidence.find_position(
+            observer.leadership, now_s - RECENT_LOG_S
+        )
+        replicas = {
+            target: pool
+            for target, pool in router.pools.items()
+            if target != primary and pool.is_answering
+        }
+        relief = self._get_relief(router)
+        lag_relief.update(
+            relief,
+            [
+                lag_relief.Replica(
+                    pool.load.is_lagging,
+                    _get_remaining_lag_s(pool, now_s),
+                    recent is not None and pool.received >= recent,
+                )
+                for pool in replicas.values()
+            ],
+            load_shedding.get_refused_share(observer.load_shedding, now_s),
+            now_s,
+        )
+        if lag_relief.needs_reports(relief):
+            for target, pool in replicas.items():
+                if now_s - pool.reported_s > LAG_REPORT_INTERVAL_S:
+                    observer.request_status(target)
+
+    def _get_relief(self, router: router_module.Router) -> lag_relief.LagRelief:
+        name = router.settings.name
+        return self._relief.setdefault(name, lag_relief.LagRelief())
+
     async def _run_change(self, router: router_module.Router) -> None:
         """Run a change; the next one begins anew if it fails by an error."""
         try:
@@ -139,4 +194,19 @@
             other_members=len(router.members) - (1 if pool else 0),
             is_settled=self._catalog.is_settled(now_s),
             has_last_primary=router.observer.find_last_primary() is not None,
+            recovered_s=max(
+                (other.recovered_s for other in router.pools.values()),
+                default=float("-inf"),
+            ),
+            is_relief_due=lag_relief.is_change_due(
+                self._get_relief(router), router.observer.known_since_s, now_s
+            ),
         )
+
+
+def _get_remaining_lag_s(pool: pools_module.Pool, now_s: float) -> float:
+    """Return how much longer a replica lags by its last status."""
+    age_s = now_s - pool.reported_s
+    if age_s > MAX_LAG_REPORT_AGE_S:
+        return 0.0
+    return max(0.0, pool.reported_lag_s - age_s)
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -72,9 +72,11 @@
         self.received = model.Position(0, 0)
         self.position_before_restart = model.Position(0, 0)
         self.reported_connections = 0
+        self.reported_lag_s = 0.0
         self.reported_s = 0.0
         self.load = placement.TargetLoad(entry.target)
         self.answered_s = 0.0
+        self.recovered_s = float("-inf")
         self.restart_count = 0
         self._next_probe_s = 0.0
 
@@ -112,6 +114,8 @@
 
     def record_answer(self) -> None:
         self.answered_s = self.host.world.now_s
+        if self.failures >= 2:
+            self.recovered_s = self.answered_s
         self.failing_since_s, self.failures = None, 0
 
     def record_failure(self, since_s: float, is_refused: bool) -> None:
