--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -23,7 +23,7 @@
 
 from collections.abc import Collection
 
-from knapweedtally.core.groups import change_notices
+from knapweedtally.core.groups import attempt_notices
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import steps
@@ -67,16 +67,6 @@
 # Phases in which members are fenced, or have to stay fenced.
 _FENCING_PHASES = _FENCED_PHASES | {steps.Phase.FENCE}
 
-# What the other hosts are told in the phases in which commits of the old
-# primary may be about to be dropped.
-_NOTICE_STAGES = {
-    steps.Phase.WAIT: change_notices.Stage.FENCED,
-    steps.Phase.CONFIRM: change_notices.Stage.FENCED,
-    steps.Phase.PROMOTE: change_notices.Stage.REQUESTED,
-    steps.Phase.EFFECT: change_notices.Stage.REQUESTED,
-    steps.Phase.GIVEN_UP: change_notices.Stage.GIVEN_UP,
-}
-
 
 def begin_attempt(
     group: str,
@@ -263,31 +253,6 @@
     )
 
 
-def make_notice(attempt: steps.Attempt) -> change_notices.Notice | None:
-    """Return the notice that the other hosts need in this phase, or None.
-
-    Unlike ``find_safe_position`` it doesn't wait until all targets are listed:
-    it withholds commits and allows nothing.
-    """
-    stage = _NOTICE_STAGES.get(attempt.phase)
-    if attempt.is_promotion_requested:
-        stage = change_notices.Stage.REQUESTED
-    if stage is None or attempt.phase is steps.Phase.DONE:
-        return None
-    # The position is that of the first request: a member that was fenced later
-    # may have more, but its promotion wasn't requested.
-    position = attempt.requested_position or _find_covered_position(attempt)
-    return change_notices.Notice(stage, attempt.term, position)
-
-
-def _find_covered_position(attempt: steps.Attempt) -> model.Position:
-    received = [report.status.received for report in attempt.fenced.values()]
-    position = attempt.final_position if attempt.stepped_down_s else None
-    if position is None:
-        position = max(received, default=model.Position(0, 0))
-    return position
-
-
 def _is_listed_since_fenced(attempt: steps.Attempt) -> bool:
     """Return whether all targets were listed after the members were fenced."""
     return attempt.listed_s >= max(
@@ -318,23 +283,7 @@
 
 def get_wait_end_s(attempt: steps.Attempt) -> float:
     """Return when all evidence about the old primary will have expired."""
-    since_s = attempt.stepped_down_s
-    if not since_s:
-        since_s = max(
-            (report.answered_s for report in attempt.fenced.values()),
-            default=attempt.phase_since_s,
-        )
-    return since_s + evidence.EVIDENCE_VALIDITY_S
-
-
-def record_change_state(
-    attempt: steps.Attempt, state: change_notices.ChangeState, now_s: float
-) -> None:
-    """Record whether a host objects to what the fenced members cover."""
-    fenced_s = get_wait_end_s(attempt) - evidence.EVIDENCE_VALIDITY_S
-    attempt.has_objection = change_notices.has_objection(
-        state, attempt.term, _find_covered_position(attempt), fenced_s, now_s
-    )
+    return attempt_notices.get_proof_s(attempt) + evidence.EVIDENCE_VALIDITY_S
 
 
 def _plan_wait(attempt: steps.Attempt, now_s: float) -> steps.Step:
@@ -375,7 +324,9 @@
 def _plan_promotion(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.candidate is not None
     if attempt.requested_position is None:
-        attempt.requested_position = _find_covered_position(attempt)
+        attempt.requested_position = attempt_notices.find_covered_position(
+            attempt
+        )
     attempt.is_promotion_requested = True
     return steps.Promote(attempt.candidate)
 
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/promoter.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from knapweedtally.core.groups import attempt_notices
 from knapweedtally.core.groups import change_notices
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
@@ -383,11 +384,11 @@
             primary_change.record_member_evidence(
                 attempt, router.observer.leadership.member_seen_s, now_s
             )
-            primary_change.record_change_state(
+            attempt_notices.record_objections(
                 attempt, router.observer.leadership.change, now_s
             )
             step = primary_change.next_step(attempt, now_s)
-            notice = primary_change.make_notice(attempt)
+            notice = attempt_notices.make_notice(attempt)
             if notice is not None:
                 self._on_notice(router, notice)
             if attempt.phase is not phase:
