Hold commits back whose answer has no position

Cause: found by reading. Such a commit counted as covered by any notice. Change: it counts as later than any position; a notice with an unknown stage is a malformed message.

--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/observer.py
@@ -1,6 +1,7 @@
 """This host's evidence about the primary of one group."""
 
 import functools
+import sys
 from collections.abc import Callable
 from typing import Concatenate
 from typing import ParamSpec
@@ -370,7 +371,8 @@
         evidence.record_commit(self.leadership, target, asked_s, is_replicated)
         position = line_protocol.parse_position(answer.position)
         if position is None:
-            position = model.Position(self.leadership.term, 0)
+            # Later than any position, so that a notice holds it back.
+            position = model.Position(self.leadership.term, sys.maxsize)
         pending = acknowledgements.PendingCommit(
             position, now_s, deadline_s, on_settled
         )
--- a/tests/groups/test_change_notices.py
+++ b/tests/groups/test_change_notices.py
@@ -119,6 +119,18 @@
         data = peer_messages.encode_message(message)
         self.assertEqual(peer_messages.decode_message(data).shared[0], shared)
 
+    # Guards against a host that ends by a notice of a later build.
+    def test_unknown_stage_is_a_malformed_message(self) -> None:
+        shared = sharing.make_shared_notice("g", make_notice(_Stage.FENCED), 0)
+        message = peer_messages.PeerMessage(
+            "h", "dc", 1, 10.0, None, 0.0, (shared._replace(change=99),)
+        )
+        self.assertRaises(
+            peer_messages.MalformedMessage,
+            peer_messages.decode_message,
+            peer_messages.encode_message(message),
+        )
+
 
 class RuleTest(testtools.TestCase):
     """Each rule is needed: without it, a seed loses commits."""
