Make fewer watch calls in a series of changes and while nothing changes

After 25 s without a change the watched revision has left the store's history of 20 s, so that each host gets 410, lists again, reads the members' record and watches again: four calls in place of one.

Change: the delay after a change doubles up to 1 s while changes keep coming; a single change is followed at once as before. A watch ends within three quarters of the history that the settings state.

Ruled out: "serializable" calls, which cost a tenth. A list that is seconds old would let a host that restarts use a withdrawn key or miss a member.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -100,7 +100,9 @@
         )
         self.routers: dict[str, router_module.Router] = {}
         self.sessions: set[sessions.CallerSession] = set()
-        self.store = store.StoreClient(host_settings.store, log)
+        self.store = store.StoreClient(
+            host_settings.store, log, host_settings.store_history_s
+        )
         self.peers = peers.Peers(
             host_settings,
             self.store,
--- a/knapweedtally/entry/host_configuration.py
+++ b/knapweedtally/entry/host_configuration.py
@@ -175,7 +175,7 @@
         """Return how long ago the configuration in force was confirmed.
 
         It is confirmed by a response of the store, or by being fetched from
-        another host. A watch without changes confirms it every 25 s.
+        another host. A watch without changes confirms it when it ends.
         """
         times = (
             self._watcher.succeeded_s if self._watcher else None,
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from knapweedtally.core import watching
 from knapweedtally.entry import clock
 from knapweedtally.entry import logs
 from knapweedtally.entry import supervision
@@ -15,16 +16,6 @@
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
 
-# Longest wait of a watch call for a change, in seconds. It is long because
-# each call is paid for; a dead connection is detected by keep-alive probes,
-# not by the end of the wait.
-WATCH_WAIT_S = 25.0
-
-# Delay after a watch call that returned a change, in seconds. Changes come in
-# groups, and the next call returns all of them at once. The delay is a tenth
-# of the users' smallest bound for a change.
-BATCH_DELAY_S = 0.3
-
 # Time without traffic after which the connection to the store is probed, in
 # seconds. Three probes take less than the bound for a configuration.
 KEEP_ALIVE_S = 1
@@ -52,10 +43,23 @@
     Attributes:
         is_unavailable: whether the last call had no usable response.
         call_count: number of calls made.
+        watch_wait_s: how long a watch call waits for a change.
     """
 
-    def __init__(self, address: settings.Address, log: logs.Log) -> None:
-        """Create a client without connecting."""
+    def __init__(
+        self,
+        address: settings.Address,
+        log: logs.Log,
+        history_s: float = 0.0,
+    ) -> None:
+        """Create a client without connecting.
+
+        Args:
+            address: address of the store.
+            log: where losses of the store are written.
+            history_s: how long the store keeps changes, or 0 if unknown.
+        """
+        self.watch_wait_s = watching.compute_wait_s(history_s)
         self._client = http_client.Client(
             address.host,
             address.port,
@@ -183,6 +187,7 @@
     async def run(self) -> None:
         """List the objects and watch for changes, forever."""
         revision: int | None = None
+        delay = watching.BatchDelay()
         retry_backoff = backoff.Backoff(
             MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, random.Random()
         )
@@ -190,13 +195,17 @@
             try:
                 if revision is None:
                     revision = await self._list_objects()
-                    self._record_success(WATCH_WAIT_S)
+                    self._record_success(self._client.watch_wait_s)
                 else:
+                    asked_s = clock.get_time_s()
                     changes = await self._watch_changes(revision)
                     revision = changes.revision if changes else None
-                    self._record_success(WATCH_WAIT_S if changes else 0.0)
+                    self._record_success(
+                        self._client.watch_wait_s if changes else 0.0
+                    )
                     if changes and changes.changes:
-                        await asyncio.sleep(BATCH_DELAY_S)
+                        waited_s = clock.get_time_s() - asked_s
+                        await asyncio.sleep(delay.compute_next_s(waited_s))
                 retry_backoff.reset()
             except (StoreError, store_calls.MalformedResponse) as error:
                 self._log.write(
@@ -242,12 +251,9 @@
         Raises:
             StoreError: the call failed or was refused.
         """
-        request = store_calls.make_watch_request(
-            self._kind, revision, WATCH_WAIT_S
-        )
-        response = await self._client.send(
-            request, WATCH_WAIT_S + CALL_TIMEOUT_S
-        )
+        wait_s = self._client.watch_wait_s
+        request = store_calls.make_watch_request(self._kind, revision, wait_s)
+        response = await self._client.send(request, wait_s + CALL_TIMEOUT_S)
         if response.status == 410:
             self._log.write("watch_expired", kind=self._kind)
             return None
--- a/knapweedtally/platform/settings.py
+++ b/knapweedtally/platform/settings.py
@@ -61,6 +61,8 @@
             order.
         cores: processor cores that the process may use; may be a fraction.
         link_mbps: bandwidth of the machine's link, or 0 if it isn't known.
+        store_history_s: how long the store keeps changes, or 0 if it isn't
+            known.
     """
 
     host: str
@@ -78,6 +80,7 @@
     has_load_control: bool = False
     cores: float = 1.0
     link_mbps: float = 0.0
+    store_history_s: float = 0.0
 
 
 def parse_address(text: object) -> Address:
@@ -142,6 +145,7 @@
             has_load_control="pressure" in contracts,
             cores=cores,
             link_mbps=float(limits.get("linkMbps") or 0),
+            store_history_s=float(content["platform"].get("historyS") or 0),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise SettingsError(
--- a/tests/entry/listing.py
+++ b/tests/entry/listing.py
@@ -68,6 +68,7 @@
 
     def __init__(self, store: store_module.Store) -> None:
         self._store = store
+        self.watch_wait_s = 20.0
         self.is_unavailable = False
         self.call_count = 0
 
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -5,8 +5,8 @@
 
 import testtools
 
+from knapweedtally.core import watching
 from knapweedtally.entry import clock
-from knapweedtally.entry import store
 from tests.entry import harness
 
 
@@ -89,7 +89,7 @@
             lambda: store_server.waiting_watches["servers"] > 0
         )
         with mock.patch.object(
-            store, "BATCH_DELAY_S", harness.WAIT_TIMEOUT_S / 10
+            watching, "MIN_DELAY_S", harness.WAIT_TIMEOUT_S / 10
         ):
             store_server.put("servers", "stranger-0", {"backend": "g"})
             await harness.wait_for(
@@ -130,8 +130,9 @@
         watcher = system.entry_hosts[0].host.configuration._watcher
         assert watcher is not None
         now_s = clock.get_time_s()
-        self.assertFalse(watcher.is_overdue(now_s + store.WATCH_WAIT_S))
-        self.assertTrue(watcher.is_overdue(now_s + store.WATCH_WAIT_S + 2))
+        wait_s = system.entry_hosts[0].host.store.watch_wait_s
+        self.assertFalse(watcher.is_overdue(now_s + wait_s))
+        self.assertTrue(watcher.is_overdue(now_s + wait_s + 2))
         system.platform.store.is_down = True
         system.platform.store.abort_watches()
         await harness.wait_for(
