Let operations wait for a token that is expected in their time

Cause: an operation for which no slice had a token was refused at once, also if a token was expected some milliseconds later, and while allocators start. The caller returned 50 ms later at the earliest and had one retry less.

Change: it waits if a slice is expected to have a token, or an allocator may have started, before its wait ends (0.2 s, 0.8 s while the host starts, and a third of its time).

--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -74,6 +74,12 @@
     reason: str
 
 
+class CheckLater(NamedTuple):
+    """The team's operations are to be checked again after a time."""
+
+    delay_s: float
+
+
 class Sent(NamedTuple):
     """A question goes to a host, which may be the own one."""
 
@@ -81,7 +87,17 @@
     ask: messages.Ask
 
 
-Effect = Admitted | Refused | Sent
+Effect = Admitted | Refused | Sent | CheckLater
+
+
+def is_wait_worthwhile(expected_s: float, until_s: float) -> bool:
+    """Return whether an operation waits for a token that isn't there yet.
+
+    Args:
+        expected_s: when a token is expected.
+        until_s: until when the operation may wait.
+    """
+    return expected_s < until_s
 
 
 class Borrower:
@@ -147,9 +163,10 @@
             for host, until_s in self._silent_until_s.items()
             if host in fleet.known
         }
-        is_starting = now_s - self._since_s < rules.SETTLING_TIME_S
         self._ranking.update(
-            slices.list_reachable(fleet) if is_starting else fleet.live
+            slices.list_reachable(fleet)
+            if self.is_starting(now_s)
+            else fleet.live
         )
         is_known = (fleet.known, fleet.is_listed) == (
             self._fleet.known,
@@ -166,6 +183,11 @@
             if not is_known:
                 state.is_allowance_due = True
 
+    def is_starting(self, now_s: float) -> bool:
+        """Return whether the host has just started."""
+        since_s = now_s if self._since_s is None else self._since_s
+        return now_s - since_s < rules.SETTLING_TIME_S
+
     def _update_allowance(
         self, team: str, state: team_leases.TeamLeases
     ) -> None:
@@ -232,7 +254,8 @@
             now_s: the current time.
         """
         state = self._teams[team]
-        until_s = now_s + rules.compute_wait_s(left_s)
+        wait_s = rules.compute_wait_s(left_s, self.is_starting(now_s))
+        until_s = now_s + wait_s
         state.waiters.append(team_leases.Waiter(id_, until_s))
         return self._proceed(team, state, now_s)
 
@@ -326,13 +349,35 @@
             if data_centre is not None:
                 effects.append(self._ask(team, state, data_centre, now_s))
             else:
-                while state.waiters:
-                    effects.append(self._end_wait(team, state, now_s))
+                effects += self._wait_or_end(team, state, now_s)
         if not state.waiters and state.pending is None:
             state.tried.clear()
             state.silent = 0
         return effects
 
+    def _wait_or_end(
+        self, team: str, state: team_leases.TeamLeases, now_s: float
+    ) -> list[Effect]:
+        """Let operations wait for which a token is expected in their time.
+
+        The others are refused at once. A refused caller that returns gets its
+        token later than one that waits, and has one retry less.
+        """
+        effects: list[Effect] = []
+        expected_s = state.get_expected_s()
+        kept: list[team_leases.Waiter] = []
+        while state.waiters:
+            if is_wait_worthwhile(expected_s, state.waiters[0].until_s):
+                kept.append(state.waiters.popleft())
+            else:
+                effects.append(self._end_wait(team, state, now_s))
+        if kept:
+            state.waiters.extend(kept)
+            state.tried.clear()
+            state.silent = 0
+            effects.append(CheckLater(max(0.0, expected_s - now_s)))
+        return effects
+
     def _choose_slice(
         self, team: str, state: team_leases.TeamLeases, now_s: float
     ) -> str | None:
@@ -389,10 +434,7 @@
         that is known to be empty rules it out.
         """
         waiter = state.waiters.popleft()
-        is_answered = any(
-            view.reply == messages.Reply.EMPTY.name and now_s < view.retry_at_s
-            for view in state.views.values()
-        )
+        is_answered = state.is_known_empty(now_s)
         if not is_answered:
             self._update_allowance(team, state)
             if state.take_allowed(now_s):
--- a/knapweedtally/core/quotas/rules.py
+++ b/knapweedtally/core/quotas/rules.py
@@ -40,6 +40,11 @@
 MAX_WAIT_S = 0.2
 MAX_WAIT_PART = 1 / 3
 
+# Longest wait while the host starts, in seconds. After a restart of all hosts,
+# no allocator grants for some tenths of a second; callers that are refused at
+# once have used their retries by then.
+MAX_START_WAIT_S = 0.8
+
 
 def was_suspended(last_s: float, now_s: float) -> bool:
     """Return whether a host has not run for a while."""
@@ -109,6 +114,12 @@
     return ask == last
 
 
-def compute_wait_s(left_s: float) -> float:
-    """Return how long an operation with this time left waits for a token."""
-    return max(0.0, min(MAX_WAIT_S, left_s * MAX_WAIT_PART))
+def compute_wait_s(left_s: float, is_starting: bool = False) -> float:
+    """Return how long an operation with this time left waits for a token.
+
+    Args:
+        left_s: time that the operation has left.
+        is_starting: whether its host has just started.
+    """
+    longest_s = MAX_START_WAIT_S if is_starting else MAX_WAIT_S
+    return max(0.0, min(longest_s, left_s * MAX_WAIT_PART))
--- a/knapweedtally/core/quotas/team_leases.py
+++ b/knapweedtally/core/quotas/team_leases.py
@@ -134,6 +134,19 @@
         self.allowed -= 1
         return True
 
+    def is_known_empty(self, now_s: float) -> bool:
+        """Return whether a slice is known to have no token yet."""
+        return any(
+            view.reply == messages.Reply.EMPTY.name and now_s < view.retry_at_s
+            for view in self.views.values()
+        )
+
+    def get_expected_s(self) -> float:
+        """Return when a slice is expected to have a token, at the earliest."""
+        return min(
+            (view.retry_at_s for view in self.views.values()), default=math.inf
+        )
+
     def record_use(self, now_s: float) -> None:
         """Count an operation."""
         self.use = self.use * self._get_decay(now_s) + 1
--- a/knapweedtally/entry/quotas.py
+++ b/knapweedtally/entry/quotas.py
@@ -144,7 +144,9 @@
             team, self._borrower.admit(team, number, left_s, now_s), now_s
         )
         if number in self._waiting:
-            self._call_check_later(team, rules.compute_wait_s(left_s))
+            is_starting = self._borrower.is_starting(now_s)
+            wait_s = rules.compute_wait_s(left_s, is_starting)
+            self._call_check_later(team, wait_s)
 
     def take_at_hand(self, team: str, now_s: float) -> float | None:
         """Return the expiry time of a token that is at hand, or None."""
@@ -251,6 +253,8 @@
         for effect in effects:
             if isinstance(effect, borrower.Sent):
                 self._send(team, effect, now_s)
+            elif isinstance(effect, borrower.CheckLater):
+                self._call_check_later(team, effect.delay_s)
             else:
                 supervision.contain("quota", self._end_wait, effect, now_s)
 
--- a/tests/quotas/model.py
+++ b/tests/quotas/model.py
@@ -97,6 +97,7 @@
             self.start(name)
             self.hosts[name].started_s -= 60.0
             self.hosts[name].allocator._since_s -= 60.0
+            self.hosts[name].borrower._since_s -= 60.0
             self.hosts[name].heard_s = dict.fromkeys(self.known, self.now_s)
             self.hosts[name].met = set(self.known)
             self._update(self.hosts[name])
@@ -258,7 +259,9 @@
         self._operations[number] = (host.name, team)
         now_s = self.now_s
         effects = host.borrower.admit(team, number, TIMEOUT_S, now_s)
-        self.at(rules.MAX_WAIT_S + 0.001, self._check_team, host, team)
+        is_starting = host.borrower.is_starting(now_s)
+        wait_s = rules.compute_wait_s(TIMEOUT_S, is_starting)
+        self.at(wait_s + 0.001, self._check_team, host, team)
         self._apply(host, team, effects)
 
     def _check_team(self, host: Host, team: str) -> None:
@@ -272,6 +275,9 @@
                 self._use(host, team, effect.expires_s)
             elif isinstance(effect, borrower.Refused):
                 self.refused[team].append(self.now_s)
+            elif isinstance(effect, borrower.CheckLater):
+                delay_s = effect.delay_s + 0.001
+                self.at(delay_s, self._check_team, host, team)
             elif effect.host == host.name:
                 lend = host.allocator.answer(host.name, effect.ask, self.now_s)
                 self._receive(host, host.name, lend)
--- a/tests/quotas/test_service.py
+++ b/tests/quotas/test_service.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from knapweedtally.core.quotas import borrower
 from knapweedtally.core.quotas import messages
 from knapweedtally.core.quotas import slices
 from tests.quotas import model
@@ -95,6 +96,31 @@
         )
         return served, refused
 
+    # Guards against callers that are refused until the slowest host has
+    # started. 75 hosts start within 0.45 s, with callers from the first one on.
+    def test_operations_wait_until_the_allocators_have_started(self) -> None:
+        refused = self.count_refused_during_start()
+        self.assertLess(refused, 30)
+        with mock.patch.object(
+            borrower, "is_wait_worthwhile", return_value=False
+        ):
+            self.assertGreater(self.count_refused_during_start(), 3 * refused)
+
+    def count_refused_during_start(self) -> int:
+        limit = slices.Limit(1, 160.0, 160.0)
+        fleet = model.Model(75, {TEAM: limit}, 5)
+        names = list(fleet.known)
+        for name in names:
+            fleet.kill(name)
+        fleet.run(1.6)
+        for number, name in enumerate(names):
+            fleet.at(0.006 * number, fleet.start, name)
+        fleet.offer(TEAM, 100.0, 1.5, names)
+        fleet.run(2.5)
+        excess = model.find_excess(fleet.ran[TEAM], limit)
+        self.assertLessEqual(excess, 0)
+        return len(fleet.refused[TEAM])
+
     def test_host_that_starts_asks_hosts_that_it_has_not_heard(self) -> None:
         # It refused all operations until heartbeats of others had arrived.
         fleet = make_fleet()
