--- a/bench/placing/model.py
+++ b/bench/placing/model.py
@@ -14,7 +14,7 @@
 
 from bench.placing import operations
 from bench.placing import teams
-from knapweedtally.entry import transactions
+from knapweedtally.entry.statements import transactions
 
 # Attempts of a caller at one operation, and the range of the delay between them
 # in seconds.
--- a/bench/placing/policies.py
+++ b/bench/placing/policies.py
@@ -11,7 +11,7 @@
 from bench.placing import scenarios
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import status_polling
-from knapweedtally.entry import attempts
+from knapweedtally.entry.pools import requests
 
 # Time that a status poll of a target occupies a slot.
 POLL_SERVICE_TIME_S = 0.0005
@@ -46,7 +46,7 @@
 
     def record_rejection(self, request: operations.Request) -> None:
         """Retry a request that the target rejected, or refuse it."""
-        is_last = request.attempts >= attempts.MAX_ATTEMPTS
+        is_last = request.attempts >= requests.MAX_ATTEMPTS
         (self._refused if is_last else self._sent).append(request)
 
     def record_end(self, request: operations.Request, now_s: float) -> None:
--- a/bench/placing/queue_policies.py
+++ b/bench/placing/queue_policies.py
@@ -15,7 +15,7 @@
 from bench.placing import operations
 from knapweedtally.core.groups import holder_queue
 from knapweedtally.core.groups import team_turns
-from knapweedtally.entry import relays
+from knapweedtally.entry.pools import relays
 
 # Waiting time after which a statement ranks with new ones of the next higher
 # priority, for the order with aging.
--- a/knapweedtally/entry/supervision.py
+++ b/knapweedtally/entry/common/supervision.py
@@ -13,8 +13,8 @@
 from typing import Any
 from typing import ParamSpec
 
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
 
 # Longest traceback in a log line, in characters. The end is kept, which names
 # the error.
--- a/knapweedtally/entry/configuration_check.py
+++ b/knapweedtally/entry/fleet/configuration_check.py
@@ -4,8 +4,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from knapweedtally.entry import store
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import store
 from knapweedtally.platform import store_calls
 
 # Standstill after which callers wait for a confirmation, in seconds. A shorter
--- a/knapweedtally/entry/configuration_exchange.py
+++ b/knapweedtally/entry/fleet/configuration_exchange.py
@@ -8,9 +8,9 @@
 
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.teams import version_exchange
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import peers as peers_module
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import peers as peers_module
 from knapweedtally.platform import line_protocol
 from knapweedtally.platform import records
 from knapweedtally.platform import store_calls
--- a/knapweedtally/entry/extension_messages.py
+++ b/knapweedtally/entry/fleet/extension_messages.py
@@ -9,7 +9,7 @@
 
 import cbor2
 
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import supervision
 
 # Version of the format; those of evidence and of heard hosts are lower.
 VERSION = 7
--- a/knapweedtally/entry/heard_hosts.py
+++ b/knapweedtally/entry/fleet/heard_hosts.py
@@ -5,8 +5,8 @@
 
 from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import logs
-from knapweedtally.entry import peer_messages
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import peer_messages
 
 # A host is live until it has missed this many heartbeats.
 MAX_MISSED_HEARTBEATS = 3
--- a/knapweedtally/entry/host_configuration.py
+++ b/knapweedtally/entry/fleet/host_configuration.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 from knapweedtally.core.groups import catalog as catalog_module
-from knapweedtally.entry import clock
-from knapweedtally.entry import configuration_check
-from knapweedtally.entry import configuration_exchange
-from knapweedtally.entry import logs
-from knapweedtally.entry import peers as peers_module
-from knapweedtally.entry import store
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import configuration_check
+from knapweedtally.entry.fleet import configuration_exchange
+from knapweedtally.entry.fleet import peers as peers_module
+from knapweedtally.entry.fleet import store
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
--- a/knapweedtally/entry/peers.py
+++ b/knapweedtally/entry/fleet/peers.py
@@ -10,13 +10,13 @@
 
 from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import clock
-from knapweedtally.entry import extension_messages
-from knapweedtally.entry import heard_hosts
-from knapweedtally.entry import logs
-from knapweedtally.entry import peer_messages
-from knapweedtally.entry import store
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import extension_messages
+from knapweedtally.entry.fleet import heard_hosts
+from knapweedtally.entry.fleet import peer_messages
+from knapweedtally.entry.fleet import store
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from knapweedtally.utils import backoff
--- a/knapweedtally/entry/store.py
+++ b/knapweedtally/entry/fleet/store.py
@@ -7,9 +7,9 @@
 from typing import NamedTuple
 
 from knapweedtally.core import watching
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from knapweedtally.utils import backoff
--- a/knapweedtally/entry/permits.py
+++ b/knapweedtally/entry/limits/permits.py
@@ -2,15 +2,33 @@
 
 import asyncio
 import math
-import typing
 from collections.abc import Callable
+from typing import Protocol
 
 from knapweedtally.core.quotas import rules
 
-if typing.TYPE_CHECKING:
-    from knapweedtally.entry import quotas as quotas_module
-
 RefusalListener = Callable[[str], None]
+AdmissionListener = Callable[["Permit | None"], None]
+
+
+class TokenSource(Protocol):
+    """Where permits get tokens and return them."""
+
+    def admit(
+        self,
+        team: str,
+        id_: bytes,
+        left_s: float,
+        on_admitted: AdmissionListener,
+        on_refused: RefusalListener,
+    ) -> None:
+        """Admit an operation, and call one of the listeners once."""
+
+    def take_at_hand(self, team: str, now_s: float) -> float | None:
+        """Return the expiry time of a token that is at hand, or None."""
+
+    def give_back(self, team: str, expires_s: float) -> None:
+        """Take back a token that wasn't used."""
 
 
 class Permit:
@@ -31,7 +49,7 @@
 
     def __init__(
         self,
-        quotas: "quotas_module.Quotas",
+        quotas: TokenSource,
         team: str,
         id_: bytes,
         expires_s: float,
--- a/knapweedtally/entry/quotas.py
+++ b/knapweedtally/entry/limits/quotas.py
@@ -7,7 +7,6 @@
 import itertools
 import math
 import random
-from collections.abc import Callable
 from typing import Any
 
 from knapweedtally.core.groups import catalog as catalog_module
@@ -16,13 +15,13 @@
 from knapweedtally.core.quotas import messages
 from knapweedtally.core.quotas import rules
 from knapweedtally.core.quotas import slices
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import peers as peers_module
-from knapweedtally.entry import permits
-from knapweedtally.entry import quota_messages
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import peers as peers_module
+from knapweedtally.entry.limits import permits
+from knapweedtally.entry.limits import quota_messages
 from knapweedtally.platform import settings
 
 # Interval at which the known hosts are read while none comes or goes, in
@@ -47,7 +46,7 @@
 }
 
 RefusalListener = permits.RefusalListener
-AdmissionListener = Callable[[permits.Permit | None], None]
+AdmissionListener = permits.AdmissionListener
 
 
 class Quotas:
--- a/knapweedtally/entry/acknowledgements.py
+++ b/knapweedtally/entry/members/acknowledgements.py
@@ -6,7 +6,7 @@
 from knapweedtally.core.groups import change_notices
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import supervision
 
 # Error detail of a commit that is not confirmed before its deadline, or whose
 # primary was replaced.
--- a/knapweedtally/entry/evidence_sharing.py
+++ b/knapweedtally/entry/members/evidence_sharing.py
@@ -1,6 +1,7 @@
 """Exchange of evidence about groups with the other hosts."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from knapweedtally.core.groups import change_notices
@@ -8,9 +9,9 @@
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import clock
-from knapweedtally.entry import peers as peers_module
-from knapweedtally.entry import router as router_module
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.fleet import peers as peers_module
+from knapweedtally.entry.members import group as group_module
 
 # Evidence is shared again when it is newer than the evidence that was last
 # shared by this much, in seconds.
@@ -58,7 +59,7 @@
         self,
         host: str,
         peers: peers_module.Peers,
-        routers: dict[str, router_module.Router],
+        routers: Mapping[str, group_module.Group],
     ) -> None:
         """Start without having shared evidence.
 
@@ -155,7 +156,7 @@
 
     def share_fenced_position(
         self,
-        router: router_module.Router,
+        router: group_module.Group,
         term: int,
         position: model.Position,
     ) -> None:
@@ -180,7 +181,7 @@
         self._peers.share_locally((shared,), now_s)
 
     def share_change_notice(
-        self, router: router_module.Router, notice: change_notices.Notice
+        self, router: group_module.Group, notice: change_notices.Notice
     ) -> None:
         """Record and share how far a change of primary has got.
 
@@ -197,7 +198,7 @@
 
     def _record_notice(
         self,
-        router: router_module.Router,
+        router: group_module.Group,
         notice: change_notices.Notice,
         known_s: float,
     ) -> None:
@@ -208,9 +209,7 @@
         if objection is not None:
             self._share_notice(router.settings.name, objection, 0.0)
 
-    def _repeat_notice(
-        self, router: router_module.Router, now_s: float
-    ) -> None:
+    def _repeat_notice(self, router: group_module.Group, now_s: float) -> None:
         """Share the latest notice again if it is due.
 
         Datagrams get lost, and hosts start while a promotion may be about to
@@ -323,7 +322,7 @@
         self._peers.share_locally(tuple(updates), now_s)
 
 
-def _get_shared(router: router_module.Router) -> _Shared:
+def _get_shared(router: group_module.Group) -> _Shared:
     leadership = router.observer.leadership
     return _Shared(
         leadership.term, leadership.primary_seen_s, leadership.member_seen_s
@@ -331,7 +330,7 @@
 
 
 def _make_newer(
-    router: router_module.Router,
+    router: group_module.Group,
     last: _Shared,
     interval_s: float,
     now_s: float,
--- a/knapweedtally/entry/member_probes.py
+++ b/knapweedtally/entry/members/member_probes.py
@@ -2,9 +2,9 @@
 
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import model
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import pools
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
 from knapweedtally.platform import line_protocol
 
 # Interval at which each released member is asked for its status, in seconds.
--- a/knapweedtally/entry/member_records.py
+++ b/knapweedtally/entry/members/member_records.py
@@ -10,10 +10,10 @@
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import member_records
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import store
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import store
 from knapweedtally.platform import store_calls
 
 MEMBERS_KIND = "knapweedtally-members"
--- a/knapweedtally/entry/observer.py
+++ b/knapweedtally/entry/members/observer.py
@@ -15,13 +15,13 @@
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import statements
 from knapweedtally.core.groups import status_polling
-from knapweedtally.entry import acknowledgements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import pools as pools_module
-from knapweedtally.entry import requests
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.members import acknowledgements
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools as pools_module
+from knapweedtally.entry.pools import requests
 from knapweedtally.platform import line_protocol
 
 # Interval at which all members are polled while one has no entry in the store,
--- a/knapweedtally/entry/primary_absence.py
+++ b/knapweedtally/entry/members/primary_absence.py
@@ -1,9 +1,9 @@
 """Reports of groups that have no primary, and what a change waits for."""
 
 from knapweedtally.core.groups import detection
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import router as router_module
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.members import group as group_module
 
 # Interval at which a group without a primary is reported, in seconds.
 REPORT_INTERVAL_S = 1.0
@@ -25,7 +25,7 @@
 
     def report_if_due(
         self,
-        router: router_module.Router,
+        router: group_module.Group,
         view: detection.PrimaryView,
         now_s: float,
     ) -> None:
--- a/knapweedtally/entry/primary_changes.py
+++ b/knapweedtally/entry/members/primary_changes.py
@@ -9,11 +9,11 @@
 from knapweedtally.core.groups import lag_relief
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import steps
-from knapweedtally.entry import clock
-from knapweedtally.entry import pools as pools_module
-from knapweedtally.entry import promoter as promoter_module
-from knapweedtally.entry import router as router_module
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.members import group as group_module
+from knapweedtally.entry.members import promoter as promoter_module
+from knapweedtally.entry.pools import pools as pools_module
 
 # Delay before another change of the same group's primary, in seconds, and the
 # part that is added for each rank of this host in the group's order.
@@ -65,9 +65,7 @@
         """Return whether this host is changing a group's primary."""
         return group in self._changing
 
-    def start_if_needed(
-        self, router: router_module.Router, now_s: float
-    ) -> None:
+    def start_if_needed(self, router: group_module.Group, now_s: float) -> None:
         """Start to change a group's primary if there is a cause."""
         name = router.settings.name
         supervision.contain("lag relief", self._update_relief, router, now_s)
@@ -82,9 +80,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _update_relief(
-        self, router: router_module.Router, now_s: float
-    ) -> None:
+    def _update_relief(self, router: group_module.Group, now_s: float) -> None:
         """Update what the lag of a group's replicas costs its callers."""
         observer = router.observer
         primary = observer.leadership.target
@@ -115,11 +111,11 @@
                 if now_s - pool.reported_s > LAG_REPORT_INTERVAL_S:
                     observer.request_status(target)
 
-    def _get_relief(self, router: router_module.Router) -> lag_relief.LagRelief:
+    def _get_relief(self, router: group_module.Group) -> lag_relief.LagRelief:
         name = router.settings.name
         return self._relief.setdefault(name, lag_relief.LagRelief())
 
-    async def _run_change(self, router: router_module.Router) -> None:
+    async def _run_change(self, router: group_module.Group) -> None:
         """Run a change; the next one begins anew if it fails by an error."""
         try:
             await self._change_primary(router)
@@ -128,7 +124,7 @@
         finally:
             self._changing.discard(router.settings.name)
 
-    async def _change_primary(self, router: router_module.Router) -> None:
+    async def _change_primary(self, router: group_module.Group) -> None:
         name = router.settings.name
         leaving = frozenset(
             target
@@ -159,12 +155,12 @@
             member, now_s
         )
 
-    def _find_cause(self, router: router_module.Router) -> steps.Cause | None:
+    def _find_cause(self, router: group_module.Group) -> steps.Cause | None:
         now_s = clock.get_time_s()
         return detection.find_cause(self.make_view(router, now_s), now_s)
 
     def make_view(
-        self, router: router_module.Router, now_s: float
+        self, router: group_module.Group, now_s: float
     ) -> detection.PrimaryView:
         """Return this host's view of a group's primary."""
         primary = router.observer.leadership.target
--- a/knapweedtally/entry/promoter.py
+++ b/knapweedtally/entry/members/promoter.py
@@ -12,11 +12,11 @@
 from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import promotion_lease
 from knapweedtally.core.groups import steps
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import router as router_module
-from knapweedtally.entry import store
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import store
+from knapweedtally.entry.members import group as group_module
+from knapweedtally.entry.pools import connections
 from knapweedtally.platform import line_protocol
 from knapweedtally.platform import promotion_call
 from knapweedtally.platform import settings
@@ -199,8 +199,8 @@
         )
 
 
-FenceListener = Callable[[router_module.Router, int, model.Position], None]
-NoticeListener = Callable[[router_module.Router, change_notices.Notice], None]
+FenceListener = Callable[[group_module.Group, int, model.Position], None]
+NoticeListener = Callable[[group_module.Group, change_notices.Notice], None]
 
 
 class Promoter:
@@ -243,7 +243,7 @@
 
     async def change_primary(
         self,
-        router: router_module.Router,
+        router: group_module.Group,
         find_cause: Callable[[], steps.Cause | None],
         is_settled: Callable[[float], bool],
         leaving: frozenset[str],
@@ -298,7 +298,7 @@
             if not self._attempt_count:
                 await self._lease_manager.release()
 
-    async def _refresh_statuses(self, router: router_module.Router) -> None:
+    async def _refresh_statuses(self, router: group_module.Group) -> None:
         """Request the status of the members that answer.
 
         The cause of the change is then judged by current evidence.
@@ -317,7 +317,7 @@
 
     async def _run_attempt(
         self,
-        router: router_module.Router,
+        router: group_module.Group,
         cause: steps.Cause,
         is_settled: Callable[[float], bool],
         leaving: frozenset[str],
@@ -372,7 +372,7 @@
         return finish.is_done
 
     async def _run_steps(
-        self, attempt: steps.Attempt, router: router_module.Router
+        self, attempt: steps.Attempt, router: group_module.Group
     ) -> steps.Finish:
         phase = None
         while True:
@@ -418,7 +418,7 @@
         self,
         step: steps.Step,
         attempt: steps.Attempt,
-        router: router_module.Router,
+        router: group_module.Group,
     ) -> None:
         if isinstance(step, steps.Wait):
             await asyncio.sleep(min(step.delay_s, RENEW_AFTER_S))
@@ -453,7 +453,7 @@
         primary_change.record_listing(attempt, clock.get_time_s())
 
     async def _resume_members(
-        self, attempt: steps.Attempt, router: router_module.Router
+        self, attempt: steps.Attempt, router: group_module.Group
     ) -> None:
         """Let fenced members receive again if a primary leads."""
         targets = primary_change.list_members_to_resume(attempt)
@@ -469,7 +469,7 @@
         self,
         step: steps.SendOrder,
         attempt: steps.Attempt,
-        router: router_module.Router,
+        router: group_module.Group,
     ) -> dict[str, steps.OrderReport]:
         reports = await asyncio.gather(
             *(
@@ -488,7 +488,7 @@
         target: str,
         order: steps.Order,
         term: int,
-        router: router_module.Router,
+        router: group_module.Group,
     ) -> steps.OrderReport | None:
         pool = router.pools.get(target)
         if pool is None:
@@ -575,7 +575,7 @@
 
 
 def _find_log_proof(
-    router: router_module.Router, requested_term: int
+    router: group_module.Group, requested_term: int
 ) -> last_primary.LastPrimary | None:
     """Return the last primary if its log has to be the proof.
 
@@ -594,7 +594,7 @@
     return last
 
 
-def _get_known_term(router: router_module.Router) -> int:
+def _get_known_term(router: group_module.Group) -> int:
     return max(router.observer.known_term, router.observer.leadership.term)
 
 
--- a/knapweedtally/entry/connections.py
+++ b/knapweedtally/entry/pools/connections.py
@@ -10,8 +10,8 @@
 from typing import Protocol
 
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import clock
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import supervision
 from knapweedtally.platform import line_protocol
 from knapweedtally.utils import sockets
 
--- a/knapweedtally/entry/holder_queues.py
+++ b/knapweedtally/entry/pools/holder_queues.py
@@ -11,11 +11,11 @@
 from knapweedtally.core.groups import holder_queue
 from knapweedtally.core.groups import queue_refusals
 from knapweedtally.core.groups import team_turns
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
 
 WAIT_HISTOGRAM = "holder_wait_seconds"
 
--- a/knapweedtally/entry/holder_selection.py
+++ b/knapweedtally/entry/pools/holder_selection.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from knapweedtally.core.groups import team_connections
-from knapweedtally.entry import path_selection
+from knapweedtally.entry.pools import path_selection
 
 # A holder that failed is tried again at this interval, in seconds; the second
 # one applies while all holders have failed.
--- a/knapweedtally/entry/pacing.py
+++ b/knapweedtally/entry/pools/pacing.py
@@ -11,10 +11,10 @@
 from knapweedtally.core.groups import pace_sharing
 from knapweedtally.core.groups import pacing
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
 from knapweedtally.platform import line_protocol
 
 # Kind of the messages that carry a target's figure.
--- a/knapweedtally/entry/pool_opening.py
+++ b/knapweedtally/entry/pools/pool_opening.py
@@ -8,13 +8,13 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import pacing
-from knapweedtally.entry import path_selection
-from knapweedtally.entry import supervision
-from knapweedtally.entry import wait_queues
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pacing
+from knapweedtally.entry.pools import path_selection
+from knapweedtally.entry.pools import wait_queues
 
 # Timeout for opening a connection, in seconds. A lost SYN packet is
 # retransmitted after one second, which is too long to wait for.
--- a/knapweedtally/entry/pools.py
+++ b/knapweedtally/entry/pools/pools.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterator
 
 from knapweedtally.core.groups import model
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pacing
-from knapweedtally.entry import pool_opening
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pacing
+from knapweedtally.entry.pools import pool_opening
 from knapweedtally.platform import line_protocol
 
 # Timeout of a control statement, such as a status request, in seconds.
--- a/knapweedtally/entry/relays.py
+++ b/knapweedtally/entry/pools/relays.py
@@ -14,10 +14,10 @@
 from typing import ParamSpec
 
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import pools
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
 from knapweedtally.platform import line_protocol
 
 # Time that a statement may wait for a connection to the target, in seconds.
--- a/knapweedtally/entry/requests.py
+++ b/knapweedtally/entry/pools/requests.py
@@ -7,7 +7,10 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import connections
+from knapweedtally.entry.pools import connections
+
+# Maximum number of attempts to run one request.
+MAX_ATTEMPTS = 4
 
 
 class Permit(Protocol):
--- a/knapweedtally/entry/team_openings.py
+++ b/knapweedtally/entry/pools/team_openings.py
@@ -10,14 +10,14 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import statements
 from knapweedtally.core.groups import team_connections
-from knapweedtally.entry import clock
-from knapweedtally.entry import connection_share
-from knapweedtally.entry import connections
-from knapweedtally.entry import holder_selection
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pool_opening
-from knapweedtally.entry import pools
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.pools import connection_share
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import holder_selection
+from knapweedtally.entry.pools import pool_opening
+from knapweedtally.entry.pools import pools
 from knapweedtally.platform import line_protocol
 
 # Relay connections to one holder. Each transaction keeps one until it ends.
--- a/knapweedtally/entry/team_pools.py
+++ b/knapweedtally/entry/pools/team_pools.py
@@ -11,12 +11,12 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import team_connections
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pools
-from knapweedtally.entry import team_openings
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import team_openings
 
 # Statements of one team of this host's own callers that may wait at this host
 # as the team's holder. Further ones wait in the router's queue.
--- a/knapweedtally/entry/wait_queues.py
+++ b/knapweedtally/entry/pools/wait_queues.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from knapweedtally.entry import connections
-from knapweedtally.entry import holder_queues
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import holder_queues
 from knapweedtally.platform import line_protocol
 
 # Minimum time for the answer to a control statement that has waited.
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -9,13 +9,13 @@
 
 import uvloop
 
-from knapweedtally.entry import clock
 from knapweedtally.entry import host as host_module
-from knapweedtally.entry import logs
-from knapweedtally.entry import placement_reports
-from knapweedtally.entry import relays
-from knapweedtally.entry import sessions
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import relays
+from knapweedtally.entry.statements import placement_reports
+from knapweedtally.entry.statements import sessions
 from knapweedtally.platform import settings
 from knapweedtally.utils import http
 from knapweedtally.utils import http_server
--- a/knapweedtally/entry/answers.py
+++ b/knapweedtally/entry/statements/answers.py
@@ -2,8 +2,8 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import requests
-from knapweedtally.entry import services as services_module
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.statements import services as services_module
 from knapweedtally.platform import line_protocol
 
 
--- a/knapweedtally/entry/attempts.py
+++ b/knapweedtally/entry/statements/attempts.py
@@ -1,25 +1,18 @@
 """Attempts to run a request on a target, and their retries."""
 
-import typing
-
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import queue_refusals
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import acknowledgements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import pools
-from knapweedtally.entry import requests
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.members import acknowledgements
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.statements import pool_waits
 from knapweedtally.platform import line_protocol
 
-if typing.TYPE_CHECKING:
-    from knapweedtally.entry import router as router_module
-
-# Maximum number of attempts to run one request.
-MAX_ATTEMPTS = 4
-
 _Code = statements.Code
 
 # Errors that show where a request belongs. The target has done no work for
@@ -48,7 +41,7 @@
 
     def __init__(
         self,
-        router: "router_module.Router",
+        router: pool_waits.PoolWaits,
         request: requests.Request,
         pool: pools.Pool,
         connection: connections.Connection,
@@ -215,7 +208,7 @@
         request = self._request
         request.attempts -= 1 if answer.code is _Code.BEHIND else 0
         if (
-            request.attempts < MAX_ATTEMPTS
+            request.attempts < requests.MAX_ATTEMPTS
             and now_s < request.deadline_s
             and (
                 answer.code in _REDIRECTING_CODES
@@ -256,7 +249,7 @@
             code = _Code.TIMED_OUT if outcome.is_timeout else None
             self._finish_request(None, code or _Code.UNKNOWN_OUTCOME)
         elif (
-            request.attempts < MAX_ATTEMPTS
+            request.attempts < requests.MAX_ATTEMPTS
             and now_s < request.deadline_s
             and self._router.may_retry(now_s)
         ):
--- a/knapweedtally/entry/group_pools.py
+++ b/knapweedtally/entry/statements/group_pools.py
@@ -9,13 +9,13 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import retry_budget
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import observer
-from knapweedtally.entry import pools
-from knapweedtally.entry import requests
-from knapweedtally.entry import team_pools
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.members import observer
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.pools import team_pools
 
 # User name with which a host connects to targets.
 USER = "knapweedtally"
--- a/knapweedtally/entry/placement_reports.py
+++ b/knapweedtally/entry/statements/placement_reports.py
@@ -11,9 +11,9 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import placement_report
-from knapweedtally.entry import clock
-from knapweedtally.entry import pools
-from knapweedtally.entry import router as router_module
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.statements import router as router_module
 from knapweedtally.platform import line_protocol
 
 # Python refuses to convert texts of thousands of digits.
--- a/knapweedtally/entry/pool_waits.py
+++ b/knapweedtally/entry/statements/pool_waits.py
@@ -8,15 +8,14 @@
 from knapweedtally.core.groups import queue_refusals
 from knapweedtally.core.groups import retry_budget
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import attempts
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import group_pools
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pools
-from knapweedtally.entry import requests
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.statements import group_pools
 
 _Code = statements.Code
 _Reason = placement.Reason
@@ -131,7 +130,7 @@
         request.is_refused_by_queue = True
         if (
             was_refused
-            or request.attempts >= attempts.MAX_ATTEMPTS
+            or request.attempts >= requests.MAX_ATTEMPTS
             or now_s >= request.deadline_s
             or not self.has_alternative(request, target, now_s)
             or not self.may_retry(now_s)
--- a/knapweedtally/entry/router.py
+++ b/knapweedtally/entry/statements/router.py
@@ -7,16 +7,16 @@
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import retry_budget
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import attempts
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import group_pools
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pool_waits
-from knapweedtally.entry import pools
-from knapweedtally.entry import requests
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.statements import attempts
+from knapweedtally.entry.statements import group_pools
+from knapweedtally.entry.statements import pool_waits
 from knapweedtally.platform import line_protocol
 
 # A read without an answer is hedged with a second attempt after this delay, or
@@ -363,7 +363,7 @@
             self._hedge_candidates.discard(request)
         elif (
             request.hedge_at_s <= now_s
-            and request.attempts < attempts.MAX_ATTEMPTS
+            and request.attempts < requests.MAX_ATTEMPTS
         ):
             if not self.may_retry(now_s):
                 request.hedge_at_s = now_s + 10.0
--- a/knapweedtally/entry/services.py
+++ b/knapweedtally/entry/statements/services.py
@@ -5,11 +5,11 @@
 from typing import Protocol
 
 from knapweedtally.core.groups import catalog
-from knapweedtally.entry import host_configuration
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import quotas
-from knapweedtally.entry import router as router_module
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.fleet import host_configuration
+from knapweedtally.entry.limits import quotas
+from knapweedtally.entry.statements import router as router_module
 
 
 class Services(Protocol):
--- a/knapweedtally/entry/session_identity.py
+++ b/knapweedtally/entry/statements/session_identity.py
@@ -2,8 +2,8 @@
 
 from knapweedtally.core.groups import statements
 from knapweedtally.core.teams import identification
-from knapweedtally.entry import clock
-from knapweedtally.entry import services as services_module
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.statements import services as services_module
 
 _Code = statements.Code
 
--- a/knapweedtally/entry/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -9,15 +9,15 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import answers
-from knapweedtally.entry import clock
-from knapweedtally.entry import message_queue
-from knapweedtally.entry import requests
-from knapweedtally.entry import router as router_module
-from knapweedtally.entry import services as services_module
-from knapweedtally.entry import session_identity
-from knapweedtally.entry import supervision
-from knapweedtally.entry import transactions
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import message_queue
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.statements import answers
+from knapweedtally.entry.statements import router as router_module
+from knapweedtally.entry.statements import services as services_module
+from knapweedtally.entry.statements import session_identity
+from knapweedtally.entry.statements import transactions
 from knapweedtally.platform import line_protocol
 
 # Unsent bytes beyond which a caller that doesn't read is disconnected.
--- a/knapweedtally/entry/transactions.py
+++ b/knapweedtally/entry/statements/transactions.py
@@ -6,11 +6,11 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import acknowledgements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import requests
-from knapweedtally.entry import services as services_module
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.members import acknowledgements
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.statements import services as services_module
 from knapweedtally.platform import line_protocol
 
 # Delay before the retry of a statement in a transaction that the target refused
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -27,7 +27,7 @@
 from knapweedtally.core.membership import registers
 from knapweedtally.core.membership import state as membership_state
 from knapweedtally.core.sessions import token
-from knapweedtally.entry import peer_messages as datagrams
+from knapweedtally.entry.fleet import peer_messages as datagrams
 from knapweedtally.management import bundle_files
 from knapweedtally.peers import codec as peer_codec
 from knapweedtally.peers import messages as peer_messages
--- a/tests/compatibility/test_recorded.py
+++ b/tests/compatibility/test_recorded.py
@@ -10,7 +10,7 @@
 import testtools
 
 from knapweedtally.core.bundles import signatures
-from knapweedtally.entry import promoter
+from knapweedtally.entry.members import promoter
 from knapweedtally.peers import codec as peer_codec
 from tests.compatibility import samples
 
@@ -30,7 +30,7 @@
     Only calls of ``write`` with literal events are found.
     """
     events: dict[str, list[list[str]]] = {}
-    for path in sorted(folder.glob("*.py")):
+    for path in sorted(folder.rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             if getattr(getattr(node, "func", None), "attr", "") != "write":
                 continue
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -16,10 +16,10 @@
 
 from bench import cluster
 from knapweedtally.entry import host as host_module
-from knapweedtally.entry import logs
-from knapweedtally.entry import member_records
-from knapweedtally.entry import relays
-from knapweedtally.entry import sessions
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.members import member_records
+from knapweedtally.entry.pools import relays
+from knapweedtally.entry.statements import sessions
 from knapweedtally.platform import settings
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
--- a/tests/entry/listing.py
+++ b/tests/entry/listing.py
@@ -7,9 +7,9 @@
 from unittest import mock
 
 from knapweedtally.entry import host as host_module
-from knapweedtally.entry import logs
-from knapweedtally.entry import pools
-from knapweedtally.entry import router as router_module
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.statements import router as router_module
 from knapweedtally.platform import settings
 from knapweedtally.utils import http
 from standins.line_platform import store as store_module
--- a/tests/entry/simulated_peers.py
+++ b/tests/entry/simulated_peers.py
@@ -11,10 +11,10 @@
 from unittest import mock
 
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import clock
-from knapweedtally.entry import heard_hosts
-from knapweedtally.entry import logs
-from knapweedtally.entry import peers
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import heard_hosts
+from knapweedtally.entry.fleet import peers
 from knapweedtally.platform import settings
 
 TICK_INTERVAL_S = 0.05
--- a/tests/entry/test_acknowledgements.py
+++ b/tests/entry/test_acknowledgements.py
@@ -4,7 +4,7 @@
 
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
-from knapweedtally.entry import acknowledgements
+from knapweedtally.entry.members import acknowledgements
 
 
 class AcknowledgementsTest(testtools.TestCase):
--- a/tests/entry/test_configuration_exchange.py
+++ b/tests/entry/test_configuration_exchange.py
@@ -8,8 +8,8 @@
 import testtools
 
 from knapweedtally.core.groups import catalog
-from knapweedtally.entry import configuration_exchange
 from knapweedtally.entry import host as host_module
+from knapweedtally.entry.fleet import configuration_exchange
 from knapweedtally.platform import records
 from knapweedtally.utils import http
 from standins.line_platform import platform as platform_module
--- a/tests/entry/test_connection_share.py
+++ b/tests/entry/test_connection_share.py
@@ -6,10 +6,10 @@
 
 import testtools
 
-from knapweedtally.entry import clock
-from knapweedtally.entry import connection_share
-from knapweedtally.entry import connections
-from knapweedtally.entry import pools
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.pools import connection_share
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
 from standins.line_platform import platform
 from tests.entry import harness
 from tests.entry import test_team_pools
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from knapweedtally.entry import connections
+from knapweedtally.entry.pools import connections
 from knapweedtally.platform import line_protocol
 
 
--- a/tests/entry/test_crowding.py
+++ b/tests/entry/test_crowding.py
@@ -7,7 +7,7 @@
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
-from knapweedtally.entry import clock
+from knapweedtally.entry.common import clock
 from tests.entry import harness
 
 
--- a/tests/entry/test_distribution.py
+++ b/tests/entry/test_distribution.py
@@ -11,9 +11,9 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import status_polling
-from knapweedtally.entry import evidence_sharing
-from knapweedtally.entry import heard_hosts
-from knapweedtally.entry import observer
+from knapweedtally.entry.fleet import heard_hosts
+from knapweedtally.entry.members import evidence_sharing
+from knapweedtally.entry.members import observer
 from tests.entry import simulated_peers
 
 HOSTS = 60
--- a/tests/entry/test_entries.py
+++ b/tests/entry/test_entries.py
@@ -17,7 +17,7 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import steps
-from knapweedtally.entry import clock
+from knapweedtally.entry.common import clock
 from tests.entry import listing as listing_module
 
 _Scenario = Callable[[Any, listing_module.ListingHost], Awaitable[None]]
--- a/tests/entry/test_extension_messages.py
+++ b/tests/entry/test_extension_messages.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from knapweedtally.entry import extension_messages
+from knapweedtally.entry.fleet import extension_messages
 
 
 class ExtensionMessageTests(testtools.TestCase):
--- a/tests/entry/test_holder_queues.py
+++ b/tests/entry/test_holder_queues.py
@@ -8,11 +8,11 @@
 
 from knapweedtally.core.groups import holder_queue
 from knapweedtally.core.groups import queue_refusals
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pools
-from knapweedtally.entry import wait_queues
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import wait_queues
 from tests.entry import harness
 from tests.entry import test_relays
 
--- a/tests/entry/test_identification.py
+++ b/tests/entry/test_identification.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from knapweedtally.entry import configuration_check
+from knapweedtally.entry.fleet import configuration_check
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
 from tests.entry import harness
--- a/tests/entry/test_listing_fuzz.py
+++ b/tests/entry/test_listing_fuzz.py
@@ -17,8 +17,8 @@
 
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import model
-from knapweedtally.entry import clock
-from knapweedtally.entry import supervision
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import supervision
 from knapweedtally.platform import records
 from knapweedtally.platform import store_calls
 from tests.entry import listing
--- a/tests/entry/test_member_records.py
+++ b/tests/entry/test_member_records.py
@@ -6,7 +6,7 @@
 import testtools
 
 from knapweedtally.core.groups import catalog
-from knapweedtally.entry import member_records
+from knapweedtally.entry.members import member_records
 from standins.line_platform import targets
 from tests.entry import harness
 from tests.entry import test_primary_changes
--- a/tests/entry/test_members.py
+++ b/tests/entry/test_members.py
@@ -7,7 +7,7 @@
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import model
-from knapweedtally.entry import clock
+from knapweedtally.entry.common import clock
 from tests.entry import harness
 from tests.entry import test_primary_changes
 
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from knapweedtally.entry import metrics
+from knapweedtally.entry.common import metrics
 
 
 class TeamCounterTest(testtools.TestCase):
--- a/tests/entry/test_pacing.py
+++ b/tests/entry/test_pacing.py
@@ -9,11 +9,11 @@
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import pacing as core_pacing
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import pacing
-from knapweedtally.entry import placement_reports
 from knapweedtally.entry import process as process_module
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pacing
+from knapweedtally.entry.statements import placement_reports
 from knapweedtally.management import exit_codes
 from knapweedtally.platform import settings
 from knapweedtally.utils import http_server
--- a/tests/entry/test_peer_messages.py
+++ b/tests/entry/test_peer_messages.py
@@ -9,7 +9,7 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import peer_messages
+from knapweedtally.entry.fleet import peer_messages
 
 # Largest UDP payload of one Ethernet frame, in bytes: 1,500 less the headers of
 # IP and UDP.
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -6,10 +6,10 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import peer_messages
-from knapweedtally.entry import peers
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import peer_messages
+from knapweedtally.entry.fleet import peers
 from knapweedtally.platform import settings
 
 ADDRESS = ("127.0.0.1", 9)
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from knapweedtally.entry import permits
+from knapweedtally.entry.limits import permits
 
 
 class ReleaseTest(testtools.TestCase):
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -6,10 +6,10 @@
 import testtools
 
 from knapweedtally.core.groups import model
-from knapweedtally.entry import clock
-from knapweedtally.entry import logs
-from knapweedtally.entry import path_selection
-from knapweedtally.entry import pools
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.pools import path_selection
+from knapweedtally.entry.pools import pools
 from tests.entry import harness
 
 
--- a/tests/entry/test_primary_changes.py
+++ b/tests/entry/test_primary_changes.py
@@ -9,9 +9,9 @@
 from knapweedtally.core.groups import lag_relief
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import steps
-from knapweedtally.entry import acknowledgements
-from knapweedtally.entry import clock
-from knapweedtally.entry import evidence_sharing
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.members import acknowledgements
+from knapweedtally.entry.members import evidence_sharing
 from standins.line_platform import targets
 from tests.entry import harness
 
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -18,10 +18,10 @@
 
 from knapweedtally.core.groups import promotion_lease
 from knapweedtally.entry import host as host_module
-from knapweedtally.entry import logs
 from knapweedtally.entry import process as process_module
-from knapweedtally.entry import promoter
-from knapweedtally.entry import store as store_module
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import store as store_module
+from knapweedtally.entry.members import promoter
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from standins.line_platform import platform as platform_module
--- a/tests/entry/test_quotas.py
+++ b/tests/entry/test_quotas.py
@@ -10,8 +10,8 @@
 from knapweedtally.core.quotas import messages
 from knapweedtally.core.quotas import rules
 from knapweedtally.core.quotas import slices
-from knapweedtally.entry import clock
-from knapweedtally.entry import quota_messages
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.limits import quota_messages
 from tests.entry import harness
 
 TEAM = "t1"
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from knapweedtally.entry import clock
 from knapweedtally.entry import host as host_module
+from knapweedtally.entry.common import clock
 from standins.line_platform import targets
 from tests.entry import harness
 
--- a/tests/entry/test_store.py
+++ b/tests/entry/test_store.py
@@ -6,7 +6,7 @@
 import testtools
 
 from knapweedtally.core import watching
-from knapweedtally.entry import clock
+from knapweedtally.entry.common import clock
 from tests.entry import harness
 
 
--- a/tests/entry/test_supervision.py
+++ b/tests/entry/test_supervision.py
@@ -10,19 +10,19 @@
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
-from knapweedtally.entry import acknowledgements
-from knapweedtally.entry import attempts
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import pools
-from knapweedtally.entry import primary_changes
-from knapweedtally.entry import promoter as promoter_module
-from knapweedtally.entry import router as router_module
-from knapweedtally.entry import sessions
-from knapweedtally.entry import supervision
-from knapweedtally.entry import wait_queues
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.common import supervision
+from knapweedtally.entry.members import acknowledgements
+from knapweedtally.entry.members import primary_changes
+from knapweedtally.entry.members import promoter as promoter_module
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools
+from knapweedtally.entry.pools import wait_queues
+from knapweedtally.entry.statements import attempts
+from knapweedtally.entry.statements import router as router_module
+from knapweedtally.entry.statements import sessions
 from tests.entry import harness
 from tests.entry import listing as listing_module
 
--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -11,10 +11,10 @@
 import testtools
 
 from knapweedtally.core.groups import team_connections
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import relays
-from knapweedtally.entry import team_pools
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import relays
+from knapweedtally.entry.pools import team_pools
 from knapweedtally.platform import line_protocol
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
--- a/tests/entry/test_team_queues.py
+++ b/tests/entry/test_team_queues.py
@@ -9,14 +9,14 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
-from knapweedtally.entry import clock
-from knapweedtally.entry import connections
-from knapweedtally.entry import logs
-from knapweedtally.entry import metrics
-from knapweedtally.entry import requests
-from knapweedtally.entry import router as router_module
-from knapweedtally.entry import team_pools
-from knapweedtally.entry import wait_queues
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import metrics
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import requests
+from knapweedtally.entry.pools import team_pools
+from knapweedtally.entry.pools import wait_queues
+from knapweedtally.entry.statements import router as router_module
 from knapweedtally.platform import line_protocol
 from tests.entry import harness
 from tests.entry import test_holder_queues
--- a/tests/entry/test_transactions.py
+++ b/tests/entry/test_transactions.py
@@ -5,8 +5,8 @@
 
 import testtools
 
-from knapweedtally.entry import connections
-from knapweedtally.entry import transactions
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.statements import transactions
 from tests.entry import harness
 
 
--- a/tests/groups/multi_host_simulation.py
+++ b/tests/groups/multi_host_simulation.py
@@ -13,8 +13,8 @@
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import model
-from knapweedtally.entry import clock
-from knapweedtally.entry import promoter
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.members import promoter
 from knapweedtally.utils import http
 from tests.groups import simulated_hosts
 from tests.groups import simulated_targets
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -16,13 +16,13 @@
 from knapweedtally.core.groups import promotion_lease
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import connections
-from knapweedtally.entry import evidence_sharing
-from knapweedtally.entry import member_records
-from knapweedtally.entry import observer
-from knapweedtally.entry import pools as pools_module
-from knapweedtally.entry import primary_changes
-from knapweedtally.entry import promoter
+from knapweedtally.entry.members import evidence_sharing
+from knapweedtally.entry.members import member_records
+from knapweedtally.entry.members import observer
+from knapweedtally.entry.members import primary_changes
+from knapweedtally.entry.members import promoter
+from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import pools as pools_module
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from tests.groups import simulated_targets
--- a/tests/groups/simulated_targets.py
+++ b/tests/groups/simulated_targets.py
@@ -14,7 +14,7 @@
 from knapweedtally.core.groups import member_records
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import statements
-from knapweedtally.entry import store as store_module
+from knapweedtally.entry.fleet import store as store_module
 from knapweedtally.utils import http
 from tests.groups import virtual_loop
 
--- a/tests/groups/test_change_notices.py
+++ b/tests/groups/test_change_notices.py
@@ -12,7 +12,7 @@
 from knapweedtally.core.groups import change_notices
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import peer_messages
+from knapweedtally.entry.fleet import peer_messages
 from tests.groups import multi_host_simulation
 
 _Stage = change_notices.Stage
--- a/tests/groups/test_last_primary_log.py
+++ b/tests/groups/test_last_primary_log.py
@@ -7,8 +7,8 @@
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import sharing
-from knapweedtally.entry import clock
-from knapweedtally.entry import observer
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.members import observer
 
 EMPTY = model.Position(0, 0)
 REACHED = model.Position(3, 7)
--- a/tests/platform/test_requirements.py
+++ b/tests/platform/test_requirements.py
@@ -15,7 +15,7 @@
 _LIST_MODULES = (
     "import pkgutil, sys, knapweedtally.entry as e;"
     "[__import__(m.name) for m in"
-    " pkgutil.iter_modules(e.__path__, e.__name__ + '.')];"
+    " pkgutil.walk_packages(e.__path__, e.__name__ + '.')];"
     "print(*{name.partition('.')[0] for name in sys.modules})"
 )
 
--- a/tests/quotas/comparison.py
+++ b/tests/quotas/comparison.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from knapweedtally.core.quotas import slices
-from knapweedtally.entry import extension_messages
-from knapweedtally.entry import quota_messages
+from knapweedtally.entry.fleet import extension_messages
+from knapweedtally.entry.limits import quota_messages
 from tests.quotas import model
 
 TEAM = "t"
