--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -18,6 +18,7 @@
 from knapweedtally.entry.fleet import store
 from knapweedtally.entry.limits import quotas
 from knapweedtally.entry.members import evidence_sharing
+from knapweedtally.entry.members import lease_manager
 from knapweedtally.entry.members import member_probes
 from knapweedtally.entry.members import member_records
 from knapweedtally.entry.members import primary_absence
@@ -143,7 +144,7 @@
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
             primary_promoter = promoter.Promoter(
-                promoter.LeaseManager(self.store, host_settings.host, log),
+                lease_manager.LeaseManager(self.store, host_settings.host, log),
                 host_settings.promotion_api,
                 host_settings.host,
                 log,
--- /dev/null
+++ b/knapweedtally/entry/members/lease_manager.py
@@ -0,0 +1,174 @@
+"""The promotion lease of this host, an object in the store."""
+
+import random
+
+from knapweedtally.core.groups import promotion_lease
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import logs
+from knapweedtally.entry.fleet import store
+from knapweedtally.platform import store_calls
+
+LEASE_KIND = "knapweedtally-duties"
+LEASE_NAME = "promotion"
+
+# The lease is renewed when its last claim or renewal is this old, in seconds.
+RENEW_AFTER_S = 0.5
+
+
+class LeaseLost(Exception):  # noqa: N818 - named after the cause
+    """The lease is held by another host, or the store can't be reached."""
+
+
+class LeaseManager:
+    """Claim, renew and release the promotion lease in the store.
+
+    Attributes:
+        claimed_s: when the claim or the last renewal was sent.
+    """
+
+    def __init__(
+        self, client: store.StoreClient, host: str, log: logs.Log
+    ) -> None:
+        """Create a manager that doesn't hold the lease."""
+        self.claimed_s = 0.0
+        self._lease = promotion_lease.Lease(host, "", 0, False, 0)
+        self._client = client
+        self._host = host
+        self._incarnation = f"{random.getrandbits(48):x}"
+        self._log = log
+        self._revision_seen = promotion_lease.LeaseRevision()
+        self._revision = 0
+
+    @property
+    def fence(self) -> int:
+        """Return the fencing token of the held lease."""
+        return self._lease.fence
+
+    async def claim(self) -> None:
+        """Claim the lease.
+
+        Raises:
+            LeaseLost: another host holds the lease, or the store doesn't
+                answer.
+        """
+        try:
+            lease = await self._read()
+            now_s = clock.get_time_s()
+            if lease is not None:
+                claimable_at_s = promotion_lease.get_claimable_at_s(
+                    lease, self._revision_seen, self._host
+                )
+                if claimable_at_s > now_s:
+                    raise LeaseLost(
+                        f"{lease.holder} holds the lease with fencing token"
+                        f" {lease.fence}"
+                    )
+            claimed = promotion_lease.make_next_lease(
+                lease, self._host, self._incarnation
+            )
+            await self._write(claimed, lease is None)
+        except (store.StoreError, store_calls.MalformedResponse) as error:
+            raise LeaseLost(str(error)) from error
+        self._lease = claimed
+        self._log.write("duty_claimed", fence=self.fence)
+
+    async def renew(self) -> None:
+        """Renew the held lease if a renewal is due.
+
+        A failed call to the store is tolerated until the lease expires.
+
+        Raises:
+            LeaseLost: another host replaced the lease, or it expired while
+                the store didn't answer.
+        """
+        if clock.get_time_s() - self.claimed_s < RENEW_AFTER_S:
+            return
+        lease = promotion_lease.renew_lease(self._lease)
+        try:
+            await self._write(lease, False)
+            self._lease = lease
+        except (store.StoreError, store_calls.MalformedResponse) as error:
+            if not promotion_lease.may_act(self.claimed_s, clock.get_time_s()):
+                raise LeaseLost(str(error)) from error
+
+    def get_requested_term(self, group: str) -> int:
+        """Return the highest term requested for a group, or 0."""
+        return self._lease.requested_terms.get(group, 0)
+
+    async def record_request(self, group: str, term: int) -> None:
+        """Name the term of a promotion that is about to be requested.
+
+        If the store doesn't answer, the promotion is requested all the same:
+        a group without a primary is worse than a proof that rests on memory.
+
+        Raises:
+            LeaseLost: another host replaced the lease.
+        """
+        if self.get_requested_term(group) >= term:
+            return
+        lease = promotion_lease.record_request(self._lease, group, term)
+        try:
+            await self._write(lease, False)
+            self._lease = lease
+        except (store.StoreError, store_calls.MalformedResponse) as error:
+            self._log.write(
+                "store_call_failed", kind=LEASE_KIND, reason=str(error)
+            )
+
+    async def release(self) -> None:
+        """Release the lease, so that other hosts may claim it at once."""
+        lease = self._lease._replace(is_held=False)
+        try:
+            await self._write(lease, False)
+        except (
+            store.StoreError,
+            store_calls.MalformedResponse,
+            LeaseLost,
+        ) as error:
+            # The lease expires without a release.
+            self._log.write("duty_not_given_back", reason=str(error))
+
+    async def _read(self) -> promotion_lease.Lease | None:
+        request = store_calls.make_read_request(LEASE_KIND, LEASE_NAME)
+        response = await self._client.send(request)
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            raise store.StoreError(
+                f"store answered the lease's read with {response.status}"
+            )
+        answer = store_calls.parse_answer(response)
+        stored = store_calls.parse_object(answer)
+        self._record_revision(stored)
+        lease = promotion_lease.parse_lease(stored.spec)
+        if lease is None:
+            raise store_calls.MalformedResponse(
+                "the lease's object in the store can't be parsed"
+            )
+        return lease
+
+    async def _write(self, lease: promotion_lease.Lease, is_new: bool) -> None:
+        spec = promotion_lease.format_lease(lease)
+        request = (
+            store_calls.make_create_request(LEASE_KIND, LEASE_NAME, spec)
+            if is_new
+            else store_calls.make_replace_request(
+                LEASE_KIND, LEASE_NAME, spec, self._revision
+            )
+        )
+        sent_s = clock.get_time_s()
+        response = await self._client.send(request)
+        if response.status not in (200, 201):
+            raise LeaseLost(
+                "the store rejected the write of the lease: status"
+                f" {response.status}"
+            )
+        answer = store_calls.parse_answer(response)
+        self._record_revision(store_calls.parse_object(answer))
+        self.claimed_s = sent_s
+
+    def _record_revision(self, stored: store_calls.StoredObject) -> None:
+        self._revision = stored.revision
+        promotion_lease.record_revision(
+            self._revision_seen, stored.revision, clock.get_time_s()
+        )
--- a/tests/compatibility/test_recorded.py
+++ b/tests/compatibility/test_recorded.py
@@ -10,7 +10,7 @@
 import testtools
 
 from knapweedtally.core.bundles import signatures
-from knapweedtally.entry.members import promoter
+from knapweedtally.entry.members import lease_manager
 from knapweedtally.peers import codec as peer_codec
 from tests.compatibility import samples
 
@@ -99,7 +99,7 @@
     def test_object_of_the_lease_has_the_recorded_name(self) -> None:
         self.assertEqual(
             (samples.LEASE_KIND, samples.LEASE_NAME),
-            (promoter.LEASE_KIND, promoter.LEASE_NAME),
+            (lease_manager.LEASE_KIND, lease_manager.LEASE_NAME),
         )
 
     def test_log_events_have_the_recorded_names(self) -> None:
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -21,7 +21,7 @@
 from knapweedtally.entry import process as process_module
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.fleet import store as store_module
-from knapweedtally.entry.members import promoter
+from knapweedtally.entry.members import lease_manager
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from standins.line_platform import platform as platform_module
@@ -355,7 +355,7 @@
         stores: list[store_standin.Store] = []
         run_faulty_process(host_module.Host, "run_ticks", scenario)
         request = store_calls.make_read_request(
-            promoter.LEASE_KIND, promoter.LEASE_NAME
+            lease_manager.LEASE_KIND, lease_manager.LEASE_NAME
         )
         answer = asyncio.run(stores[0].answer(request))
         stored = store_calls.parse_object(store_calls.parse_answer(answer))
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -17,6 +17,7 @@
 from knapweedtally.core.groups import sharing
 from knapweedtally.core.groups import statements
 from knapweedtally.entry.members import evidence_sharing
+from knapweedtally.entry.members import lease_manager
 from knapweedtally.entry.members import member_records
 from knapweedtally.entry.members import observer
 from knapweedtally.entry.members import primary_changes
@@ -195,7 +196,7 @@
         self._on_end(connections.Outcome(answer, self._asked_s))
 
 
-class LeaseManager(promoter.LeaseManager):
+class LeaseManager(lease_manager.LeaseManager):
     """Read and write the lease in the simulated store."""
 
     def __init__(
@@ -218,7 +219,7 @@
         stored = self._store.lease
         known = None if stored is None else stored[1]
         if known != (None if is_new else self._revision):
-            raise promoter.LeaseLost("the lease was replaced")
+            raise lease_manager.LeaseLost("the lease was replaced")
         self._store.revision += 1
         self._store.lease = (
             promotion_lease.format_lease(lease),
