Mark hosts that their data centre no longer hears

Cause: entries of hosts in the store never end, and a host that starts waits for an answer of each listed one before it grants tokens. So once a host had been removed, each later start of its data centre took 3 s again.

Change: one live host of a data centre marks the entries of those that it hasn't heard for 6 s, and removes the mark if it hears one again; a host that starts removes its own. A marked host isn't waited for. The proof in core/quotas/borrower.py: one that runs all the same grants its own part at most, and the new allocator leaves that part to it. Active where limits are. The entries' reading and writing move to a module of their own.

Ruled out: removing the entries (a host that is only cut off and its part would be unknown to hosts that start).

--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -25,9 +25,12 @@
 A host that starts grants once every host of its data centre that the store
 lists has answered it, as each of these then takes it for live and grants
 nothing from the slices for which it comes first. A host that doesn't answer may
-still grant, so the start then takes ``rules.SETTLING_TIME_S``. Hosts act on
-what they have heard within a periodic check, so two grant at once for less than
-0.1 s.
+still grant, so the start then takes ``rules.SETTLING_TIME_S``. One that its
+data centre hasn't heard for 6 s is marked in the list and not waited for: if it
+runs, it hasn't heard the others either and grants its own part at most, which
+the new allocator leaves to it, as it counts the listed hosts as heard. Hosts
+act on what they have heard within a periodic check, so two grant at once for
+less than 0.1 s.
 """
 
 import collections
--- a/knapweedtally/entry/fleet/heard_hosts.py
+++ b/knapweedtally/entry/fleet/heard_hosts.py
@@ -31,6 +31,11 @@
 INTRODUCTION_INTERVAL_S = 0.2
 INTRODUCTION_TIME_S = 3.0
 
+# Time after which a host of the data centre that isn't heard is marked in the
+# store, in seconds. It is longer than hosts take to start again, and than they
+# count as live, so that a host which is only cut off grants its part by then.
+SILENT_AFTER_S = 6.0
+
 # For how long hosts count as part of the fleet after they were last heard, and
 # the listed hosts after this host started, in seconds.
 FLEET_MEMORY_S = 60.0
@@ -47,6 +52,8 @@
     Attributes:
         address: where the host receives datagrams and connections.
         data_centre: the host's data centre.
+        is_marked: whether its entry in the store says that its data centre no
+            longer hears it.
         clock: offset between the host's clock and this host's.
         received_s: when the host's last message arrived, or None.
         heard_s: when this host, or one that passed it on, last received a
@@ -64,6 +71,7 @@
 
     address: tuple[str, int]
     data_centre: str = ""
+    is_marked: bool = False
     clock: sharing.PeerClock = dataclasses.field(
         default_factory=sharing.PeerClock
     )
@@ -254,15 +262,34 @@
     def has_met_data_centre(self) -> bool:
         """Return whether each host of the data centre has answered.
 
-        At that moment each of them took this host for live, and this host it.
+        Marked hosts aren't waited for. At that moment each of the others took
+        this host for live, and this host it.
         """
         self._has_met = self._has_met or all(
             peer.clock.updated_s is not None and name in self.live_hosts
             for name, peer in self.peers.items()
-            if peer.data_centre == self._data_centre
+            if peer.data_centre == self._data_centre and not peer.is_marked
         )
         return self._has_met
 
+    def list_wrong_marks(self, now_s: float) -> dict[str, bool]:
+        """Return the marks of the data centre's hosts that have to change.
+
+        Returns:
+            By name of the host, whether it is to be marked as silent.
+        """
+        marks = {}
+        for name, peer in self.peers.items():
+            if peer.data_centre != self._data_centre:
+                continue
+            heard_s = self._started_s if peer.heard_s is None else peer.heard_s
+            is_silent = now_s - heard_s > SILENT_AFTER_S
+            # Not having heard a marked host since the start says nothing.
+            is_heard = peer.heard_s is not None and not is_silent
+            if is_heard if peer.is_marked else is_silent:
+                marks[name] = not peer.is_marked
+        return marks
+
     def update_soon(self) -> None:
         """Update the live hosts at the next check, as a host has started."""
         self._next_check_s = 0.0
--- a/knapweedtally/entry/fleet/peers.py
+++ b/knapweedtally/entry/fleet/peers.py
@@ -15,14 +15,13 @@
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.fleet import extension_messages
 from knapweedtally.entry.fleet import heard_hosts
+from knapweedtally.entry.fleet import host_registration
 from knapweedtally.entry.fleet import peer_messages
 from knapweedtally.entry.fleet import store
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from knapweedtally.utils import backoff
 
-HOSTS_KIND = "knapweedtally-hosts"
-
 # Body of a message without evidence.
 _NO_BODY = peer_messages.encode_body(())
 
@@ -100,8 +99,15 @@
         while True:
             try:
                 await self._open_socket()
-                await self._register_host()
-                await self._list_hosts()
+                await host_registration.register_host(
+                    self._client,
+                    self._host,
+                    host_registration.make_spec(
+                        self._address, self._data_centre
+                    ),
+                )
+                listed = await host_registration.list_hosts(self._client)
+                self._add_listed_hosts(listed)
                 self._listed.set()
                 return
             except (store.StoreError, store_calls.MalformedResponse) as error:
@@ -125,11 +131,20 @@
         return self._listed.is_set()
 
     def has_met_data_centre(self) -> bool:
-        """Return whether each known host of this data centre has answered.
+        """Return whether each listed host of this data centre has answered.
 
-        Each of them has then heard that this host runs since its start.
+        Each of them has then heard that this host runs, since its start.
         """
-        return self._heard.has_met_data_centre()
+        return self.is_listed and self._heard.has_met_data_centre()
+
+    def list_wrong_marks(self, now_s: float) -> dict[str, bool]:
+        """Return which hosts of this data centre to mark as silent or not."""
+        return self._heard.list_wrong_marks(now_s)
+
+    def record_mark(self, name: str, is_silent: bool) -> None:
+        """Record that a host's entry was marked, or the mark removed."""
+        if name in self._peers:
+            self._peers[name].is_marked = is_silent
 
     def list_known_data_centres(self) -> dict[str, str]:
         """Return the data centres of all hosts ever known here, by name.
@@ -170,50 +185,15 @@
             lambda: self, local_addr=(self._address.host, self._address.port)
         )
 
-    async def _register_host(self) -> None:
-        assert self._address is not None
-        spec = {
-            "host": self._address.host,
-            "port": self._address.port,
-            "data_centre": self._data_centre,
-        }
-        request = store_calls.make_create_request(HOSTS_KIND, self._host, spec)
-        response = await self._client.send(request)
-        if response.status != 409:
-            return
-        # The object was created before a restart of this host, whose address
-        # may have changed since.
-        stored = store_calls.parse_object(store_calls.parse_answer(response))
-        if stored.spec != spec:
-            request = store_calls.make_replace_request(
-                HOSTS_KIND, self._host, spec, stored.revision
-            )
-            await self._client.send(request)
-
-    async def _list_hosts(self) -> None:
-        after = None
-        while True:
-            request = store_calls.make_list_request(HOSTS_KIND, after)
-            page = store_calls.parse_page(await self._client.send(request))
-            for stored in page.objects:
-                self._add_listed_host(stored)
-            if not page.has_more or not page.objects:
-                return
-            after = page.objects[-1].name
-
-    def _add_listed_host(self, stored: store_calls.StoredObject) -> None:
-        spec = stored.spec
-        if stored.name == self._host or not isinstance(spec, dict):
-            return
-        host, port = spec.get("host"), spec.get("port")
-        data_centre = spec.get("data_centre")
-        if not isinstance(host, str) or not isinstance(port, int):
-            return
-        if not peer_messages.is_address(host, port):
-            return
-        if isinstance(data_centre, str):
-            peer = heard_hosts.Peer((host, port), data_centre)
-            self._peers.setdefault(stored.name, peer)
+    def _add_listed_hosts(
+        self, listed: list[host_registration.ListedHost]
+    ) -> None:
+        for found in listed:
+            if found.name != self._host:
+                peer = heard_hosts.Peer(
+                    found.address, found.data_centre, found.is_silent
+                )
+                self._peers.setdefault(found.name, peer)
 
     def close(self) -> None:
         """Close the socket."""
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -15,6 +15,7 @@
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.fleet import host_configuration
 from knapweedtally.entry.fleet import peers
+from knapweedtally.entry.fleet import silent_hosts
 from knapweedtally.entry.fleet import store
 from knapweedtally.entry.limits import quotas
 from knapweedtally.entry.members import evidence_sharing
@@ -113,6 +114,15 @@
         self.quotas = quotas.Quotas(
             host_settings, self.peers, self.catalog, log, self.counters
         )
+        self._silent_hosts: silent_hosts.SilentHosts | None = None
+        if host_settings.quota is not None:
+            self._silent_hosts = silent_hosts.SilentHosts(
+                host_settings.host,
+                host_settings.data_centre,
+                self.peers,
+                self.store,
+                log,
+            )
         self._sharer = evidence_sharing.EvidenceSharer(
             host_settings.host, self.peers, self.routers
         )
@@ -175,6 +185,7 @@
             ("member records", self._check_records),
             ("peers", self.peers.tick),
             ("quotas", self.quotas.tick),
+            ("silent hosts", self._check_silent_hosts),
             ("pacing", self._check_pacing),
             ("group", self._check_groups),
             ("configuration exchange", self.configuration.exchange.tick),
@@ -585,6 +596,10 @@
                     pool.pacer.tick(now_s, pool.entry, is_primary)
         self._pacers.publish(now_s)
 
+    def _check_silent_hosts(self, now_s: float) -> None:
+        if self._silent_hosts is not None and not self.is_draining:
+            self._silent_hosts.check(now_s)
+
     def _check_groups(self, now_s: float) -> None:
         for router in self.routers.values():
             supervision.contain("group", self._check_group, router, now_s)
--- a/knapweedtally/entry/limits/quotas.py
+++ b/knapweedtally/entry/limits/quotas.py
@@ -171,7 +171,7 @@
         is_due = (
             now_s >= self._next_fleet_s
             or self._peers.is_listed != self._was_listed
-            or self._has_met() != self._had_met
+            or self._peers.has_met_data_centre() != self._had_met
         )
         if is_due or self._peers.live_version != self._live_version:
             self._update_fleet(now_s)
@@ -195,7 +195,7 @@
         self._next_fleet_s = now_s + FLEET_INTERVAL_S
         self._live_version = self._peers.live_version
         self._was_listed = self._peers.is_listed
-        self._had_met = self._has_met()
+        self._had_met = self._peers.has_met_data_centre()
         known = self._peers.list_known_data_centres()
         live = dict(self._peers.get_live_hosts())
         live[self._host] = known[self._host]
@@ -211,9 +211,6 @@
         self._allocator.update_fleet(fleet, now_s)
         self._borrower.update_fleet(fleet, now_s)
 
-    def _has_met(self) -> bool:
-        return self._peers.is_listed and self._peers.has_met_data_centre()
-
     # Messages.
 
     def _receive_ask(self, host: str, payload: Any, now_s: float) -> None:
--- a/tests/quotas/model.py
+++ b/tests/quotas/model.py
@@ -22,6 +22,7 @@
 # what it has heard, in seconds.
 INTRODUCTION_INTERVAL_S = 0.2
 NOTICE_DELAY_S = 0.05
+SILENT_AFTER_S = 6.0
 # Heartbeats and times after which a silent host isn't live, in seconds: in the
 # own data centre, and in others.
 HEARTBEATS_S = (1.0, 3.0)
@@ -42,6 +43,7 @@
         )
         self.heard_s: dict[str, float] = {}
         self.met: set[str] = set()
+        self.marked: frozenset[str] = frozenset()
         self.has_met = False
         self.is_listed = True
         self.frozen_until_s = 0.0
@@ -93,6 +95,7 @@
         self._queue: list[tuple[float, int, Callable[[], Any]]] = []
         self._numbers = itertools.count()
         self._operations: dict[int, tuple[str, str]] = {}
+        self._marked: set[str] = set()
         for name in self.known:
             self.start(name)
             self.hosts[name].started_s -= 60.0
@@ -101,6 +104,7 @@
             self.hosts[name].heard_s = dict.fromkeys(self.known, self.now_s)
             self.hosts[name].met = set(self.known)
             self._update(self.hosts[name])
+        self.at(0.0, self._mark_silent_hosts)
 
     # Faults.
 
@@ -109,6 +113,7 @@
         host = Host(name, self.known[name], self.now_s)
         self.hosts[name] = host
         host.is_listed = self.has_store
+        host.marked = frozenset(self._marked)
         host.allocator.update_limits(self.limits, self.now_s)
         host.borrower.update_limits(self.limits, self.now_s)
         self._update(host)
@@ -200,6 +205,25 @@
         self._update(host)
         self.at(CHECK_INTERVAL_S, self._check, host)
 
+    def _mark_silent_hosts(self) -> None:
+        """Let one live host of each data centre mark those that it misses."""
+        for place in sorted(set(self.known.values())):
+            running = [
+                host
+                for host in self.hosts.values()
+                if host.data_centre == place
+                and self.now_s >= host.frozen_until_s
+            ]
+            if not self.has_store or not running:
+                continue
+            for name in self._list_local(running[0]):
+                default_s = running[0].started_s
+                heard_s = running[0].heard_s.get(name, default_s)
+                is_silent = self.now_s - heard_s > SILENT_AFTER_S
+                change = self._marked.add if is_silent else self._marked.discard
+                change(name)
+        self.at(1.0, self._mark_silent_hosts)
+
     def _introduce(self, host: Host) -> None:
         """Let a host that starts send to those that haven't answered it."""
         if self.now_s - host.started_s > rules.SETTLING_TIME_S:
@@ -224,7 +248,8 @@
     def _meet(self, host: Host, sender: str) -> None:
         host.met.add(sender)
         host.heard_s[sender] = self.now_s
-        host.has_met = host.has_met or self._list_local(host) <= host.met
+        awaited = self._list_local(host) - host.marked
+        host.has_met = host.has_met or awaited <= host.met
         self.at(self.random.uniform(0.0, NOTICE_DELAY_S), self._update, host)
 
     def _update(self, host: Host) -> None:
--- a/tests/quotas/test_service.py
+++ b/tests/quotas/test_service.py
@@ -74,11 +74,25 @@
         self.assertEqual(0, served)
         self.assertGreater(refused, 100)
 
-    def count_after_restart(self, rate_per_s: float) -> tuple[int, int]:
+    # Guards against limits that grant nothing for seconds after each restart
+    # once a host has been removed, as it never answers.
+    def test_removed_host_delays_no_start(self) -> None:
+        served, refused = self.count_after_restart(100.0, removed=("h0", "h4"))
+        self.assertGreater(served, 0.85 * (served + refused))
+        with mock.patch.object(model.Model, "_mark_silent_hosts"):
+            found = self.count_after_restart(100.0, removed=("h0", "h4"))
+        self.assertLess(found[0], 0.75 * served)
+
+    def count_after_restart(
+        self, rate_per_s: float, removed: tuple[str, ...] = ()
+    ) -> tuple[int, int]:
         """Return what is served and refused in 3 s after a restart of all."""
         limit = slices.Limit(1, rate_per_s, rate_per_s)
         fleet = model.Model(75, {TEAM: limit}, 5)
-        names = list(fleet.known)
+        for name in removed:
+            fleet.kill(name)
+        fleet.run(8.0)
+        names = list(fleet.hosts)
         fleet.offer(TEAM, rate_per_s / 1.6, 10.0, names)
         fleet.run(5.0)
         for name in names:
