Let test targets listen below the ephemeral port range

Ruled out: TIME_WAIT, as the server sets SO_REUSEADDR.

Change: it takes a port below that range, by the function that the cluster of the load tool used; that one moves to standins, and two copies of it go.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -24,12 +24,11 @@
 from knapweedtally.store import client as platform_client
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
+from standins import ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM_HOST = "127.0.0.1"
 SIGNER = "demo"
-MIN_PORT = 10_000
-MAX_PORT = 32_000
 STOP_TIMEOUT_S = 10.0
 READY_TIMEOUT_S = 20.0
 ADMIN_TIMEOUT_S = 5.0
@@ -98,7 +97,7 @@
         self.targets: dict[str, Member] = {}
         self.groups: dict[str, list[str]] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.platform_port = find_free_port(PLATFORM_HOST)
+        self.platform_port = ports.find_free_port(PLATFORM_HOST)
         self.admin_token = secrets.token_hex(16)
         self.token_keys = "k1:" + secrets.token_hex(32)
         self.signing_key = secrets.token_bytes(32)
@@ -281,7 +280,7 @@
                 host = f"127.0.{centre_number}.{11 + number}"
                 target_id = f"{group}-{'abcdefghi'[centre_number - 1]}"
                 self.targets[target_id] = Member(
-                    target_id, host, find_free_port(host), data_centre
+                    target_id, host, ports.find_free_port(host), data_centre
                 )
                 self.groups[group].append(target_id)
 
@@ -295,10 +294,10 @@
                 self.proxies[proxy_name] = Member(
                     proxy_name,
                     host,
-                    find_free_port(host),
+                    ports.find_free_port(host),
                     data_centre,
-                    find_free_port(host),
-                    find_free_port(host),
+                    ports.find_free_port(host),
+                    ports.find_free_port(host),
                 )
 
     def _describe_target(self, target_id: str) -> dict[str, str]:
@@ -335,22 +334,6 @@
         )
 
 
-def find_free_port(host: str) -> int:
-    """Return a port that is free on an address at present.
-
-    The port is below the ephemeral port range, so that no outgoing connection
-    occupies it before the process that it is meant for listens.
-    """
-    while True:
-        port = MIN_PORT + secrets.randbelow(MAX_PORT - MIN_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind((host, port))
-            except OSError:
-                continue
-            return port
-
-
 def wait_for_port(host: str, port: int) -> None:
     """Wait until a process listens on a port.
 
--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -2,12 +2,13 @@
 
 import contextlib
 import json
-import socket
 import subprocess
 import sys
 from collections.abc import Iterator
 from typing import Any
 
+from standins import ports
+
 DATA_CENTRES = 3
 EXIT_TIMEOUT_S = 20.0
 
@@ -37,7 +38,7 @@
         f"127.0.{number % DATA_CENTRES + 1}.{100 + number // DATA_CENTRES}"
         for number in range(count)
     ]
-    ports = [find_free_port(address) for address in addresses]
+    ports = [ports.find_free_port(address) for address in addresses]
     processes: list[subprocess.Popen[str]] = []
     try:
         for number, address in enumerate(addresses):
@@ -77,10 +78,3 @@
     except subprocess.TimeoutExpired:
         process.kill()
         process.wait()
-
-
-def find_free_port(address: str) -> int:
-    """Return a port that is free on an address at present."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return int(probe.getsockname()[1])
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import Any
 
+from standins import ports
 from standins.line_platform import monitor as monitor_module
 
 # Duration of one statement on a target, in seconds.
@@ -85,10 +86,11 @@
         """
         if self.term < self.group.get_newest_term():
             self.is_primary = False
+        if not self.port:
+            self.port = ports.find_free_port("127.0.0.1")
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, limit=2 * 1024 * 1024
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def reconnect(self) -> None:
         """Reconnect to the other targets after a partition or a crash."""
--- a/tests/callers/test_fuzz.py
+++ b/tests/callers/test_fuzz.py
@@ -14,10 +14,10 @@
 from hypothesis import strategies as st
 from pygwire import messages
 
-from bench import cluster
 from knapweedtally.callers import adapter as callers_adapter
 from knapweedtally.core.sessions import token
 from knapweedtally.targets import adapter as targets_adapter
+from standins import ports
 from tests import factories
 
 HOST = "127.0.0.1"
@@ -49,7 +49,7 @@
         """Send bytes and check that another caller can still connect."""
         state = factories.make_state()
         events: list[Any] = []
-        port = cluster.find_free_port(HOST)
+        port = ports.find_free_port(HOST)
         targets = targets_adapter.TargetsAdapter(events.append, state, None)
         adapter = callers_adapter.CallersAdapter(
             events.append, state, targets, (HOST, port), KEYS, mock.Mock()
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -14,7 +14,6 @@
 from testtools import content
 from testtools import content_type
 
-from bench import cluster
 from knapweedtally.entry import host as host_module
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.members import member_records
@@ -217,7 +216,7 @@
     """Return ports of an address that are currently free."""
     ports: list[int] = []
     while len(ports) < count:
-        port = cluster.find_free_port(address)
+        port = ports.find_free_port(address)
         if port not in ports:
             ports.append(port)
     return ports
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -13,6 +13,8 @@
 import psycopg
 import pygwire.messages
 
+from standins import ports
+
 ROOT = pathlib.Path(__file__).parents[2]
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
@@ -32,7 +34,7 @@
     def __init__(self, *arguments: str) -> None:
         """Start the processes; the first instance is the first primary."""
         self.addresses = {
-            name: (host, _find_free_port(host))
+            name: (host, ports.find_free_port(host))
             for name, host in _choose_host_addresses().items()
         }
         self.processes = {
@@ -127,10 +129,3 @@
         name: f"127.0.{number}.{last}"
         for number, name in enumerate("abc", start=101)
     }
-
-
-def _find_free_port(host: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return port
