--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -38,7 +38,7 @@
         f"127.0.{number % DATA_CENTRES + 1}.{100 + number // DATA_CENTRES}"
         for number in range(count)
     ]
-    ports = [ports.find_free_port(address) for address in addresses]
+    free_ports = [ports.find_free_port(address) for address in addresses]
     processes: list[subprocess.Popen[str]] = []
     try:
         for number, address in enumerate(addresses):
@@ -46,8 +46,8 @@
                 "name": f"h{number}",
                 "data-centre": f"dc{number % DATA_CENTRES + 1}",
                 "address": address,
-                "port": ports[number],
-                "seed": f"{addresses[0]}:{ports[0]}",
+                "port": free_ports[number],
+                "seed": f"{addresses[0]}:{free_ports[0]}",
                 "hosts": count,
                 "seconds": seconds,
             }
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 
 from knapweedtally.core.groups import catalog
-from knapweedtally.core.groups import connection_holders
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
-from knapweedtally.core.groups import team_connections
+from knapweedtally.entry import target_paths
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import metrics
@@ -25,12 +24,9 @@
 from knapweedtally.entry.members import primary_absence
 from knapweedtally.entry.members import primary_changes
 from knapweedtally.entry.members import promoter
-from knapweedtally.entry.pools import holder_selection
 from knapweedtally.entry.pools import pacing
-from knapweedtally.entry.pools import path_selection
 from knapweedtally.entry.pools import pools
 from knapweedtally.entry.pools import relays
-from knapweedtally.entry.pools import team_pools
 from knapweedtally.entry.statements import router as router_module
 from knapweedtally.entry.statements import sessions
 from knapweedtally.platform import records
@@ -84,6 +80,7 @@
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
         configuration: reads, confirms and exchanges the configuration.
+        paths: how each target is reached.
     """
 
     def __init__(
@@ -146,10 +143,12 @@
             self._handle_configuration,
         )
         self.relay_sessions: set[relays.RelaySession] = set()
-        self._path_keys: dict[str, tuple[int, int]] = {}
         self._pacers: pacing.Pacers | None = None
         if host_settings.has_load_control:
             self._pacers = pacing.Pacers(host_settings.host, self.peers, log)
+        self.paths = target_paths.TargetPaths(
+            host_settings.host, self.peers, self._pacers
+        )
         self._settings = host_settings
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
@@ -359,20 +358,20 @@
                 pool = router.replace_pool(target)
                 self._close_relays(replaced)
                 pool.restart_count = member.restart_count
-                self._path_keys.pop(target, None)
+                self.paths.forget(target)
             elif pool.restart_count != member.restart_count:
                 pool.restart(member.entry)
                 pool.restart_count = member.restart_count
             pool.entry = member.entry
             pool.max_connections = router.settings.max_connections
-            self._sync_paths(target, pool)
+            self.paths.sync(target, pool)
             self._sync_accepts_new_work(router, pool, member, now_s)
         known = {member.entry.target for member in members}
         for target in [t for t in router.pools if t not in known]:
             router.remove_pool(target)
             if self._pacers is not None:
                 self._pacers.remove(target)
-            self._path_keys.pop(target, None)
+            self.paths.forget(target)
             self._draining_since_s.pop(target, None)
 
     def _close_relays(self, pool: pools.Pool) -> None:
@@ -439,63 +438,6 @@
         member = self.catalog.members.get(target)
         return member is not None and member.missing_since_s is None
 
-    def _sync_paths(self, target: str, pool: pools.Pool) -> None:
-        """Set whether a pool connects directly or through relay hosts."""
-        live = self.peers.get_live_hosts()
-        key = (self.peers.live_version, pool.max_connections)
-        if self._path_keys.get(target) == key:
-            return
-        self._path_keys[target] = key
-        if isinstance(pool, team_pools.TeamPool):
-            paths = self._find_team_paths(pool, live)
-            pool.set_paths(paths)
-            if self._pacers is not None:
-                self._pacers.set_holders(target, paths.holders.hosts)
-            return
-        usable = pools.get_usable_connections(pool.max_connections)
-        held_by = connection_holders.list_holders(target, live, usable)
-        relay_names = connection_holders.list_relays(
-            target, self._settings.host, live, held_by
-        )
-        pool.holder_count = max(1, len(held_by))
-        if self._pacers is not None:
-            self._pacers.set_holders(target, held_by)
-        pool.path_selector.set_relay_hosts(self._find_relay_hosts(relay_names))
-        fallback_names = connection_holders.list_relays(
-            target, self._settings.host, live, held_by - {self._settings.host}
-        )
-        pool.path_selector.fallback_hosts = self._find_relay_hosts(
-            fallback_names
-        )
-
-    def _find_team_paths(
-        self, pool: team_pools.TeamPool, live: dict[str, str]
-    ) -> holder_selection.TeamPaths:
-        own_host = self._settings.host
-        holders = team_connections.list_holders(
-            pool.entry.target,
-            pool.entry.data_centre,
-            live,
-            pool.max_connections,
-        )
-        others = [host for host in holders.hosts if host != own_host]
-        relay_hosts = self._find_relay_hosts(others)
-        return holder_selection.TeamPaths(
-            own_host, holders, {relay.host: relay for relay in relay_hosts}
-        )
-
-    def _find_relay_hosts(
-        self, names: list[str]
-    ) -> tuple[path_selection.RelayHost, ...]:
-        addresses = [
-            (name, self.peers.find_host_address(name)) for name in names
-        ]
-        return tuple(
-            path_selection.RelayHost(name, *address)
-            for name, address in addresses
-            if address
-        )
-
     def find_direct_pool(self, group: str, target: str) -> pools.Pool | None:
         """Return the pool of a target that this host connects to directly.
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -20,6 +20,7 @@
 from knapweedtally.entry.pools import relays
 from knapweedtally.entry.statements import sessions
 from knapweedtally.platform import settings
+from standins import ports
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
 
@@ -214,12 +215,12 @@
 
 def find_ports(count: int, address: str = "127.0.0.1") -> list[int]:
     """Return ports of an address that are currently free."""
-    ports: list[int] = []
-    while len(ports) < count:
+    found: list[int] = []
+    while len(found) < count:
         port = ports.find_free_port(address)
-        if port not in ports:
-            ports.append(port)
-    return ports
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class System(NamedTuple):
--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -39,7 +39,7 @@
         await harness.wait_for(
             lambda host=entry.host: all(
                 version == host.peers.live_version
-                for version, _ in host._path_keys.values()
+                for version in host.paths.list_versions()
             )
         )
         for pool in entry.host.routers["g"].pools.values():
@@ -390,7 +390,7 @@
         *_, wrong, sender = rank_entries(system, "t0")
         primary = system.platform.groups["g"].get_primary().id
         pool = find_pool(sender, primary)
-        (relay_host,) = sender.host._find_relay_hosts([wrong.host.name])
+        (relay_host,) = sender.host.paths.find_relay_hosts([wrong.host.name])
         paths = pool.holders.paths
         names = (wrong.host.name, *paths.holders.hosts[1:])
         holders = paths.holders._replace(hosts=names)
