Let a host that was cut off wait for the others' evidence of replicas

Ruled out: paused replicas (their status says that they receive), the primary (it answered), other hosts' views (they served through it until then).

Change: evidence of replicas counts as old only 2.5 s after a member has answered this host again. Commits that get no answer are judged as before.

--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -152,7 +152,6 @@
     oldest_s = view.oldest_commit_s
     if oldest_s is not None and now_s - oldest_s > COMMIT_STALL_TIMEOUT_S:
         return view.last_commit_s < oldest_s
-    return (
-        now_s - max(view.member_seen_s, view.known_since_s)
-        > MEMBERS_PAUSED_TIMEOUT_S
-    )
+    # A host that was cut off has old evidence until others share theirs.
+    since_s = max(view.member_seen_s, view.known_since_s, view.recovered_s)
+    return now_s - since_s > MEMBERS_PAUSED_TIMEOUT_S
