--- a/bench/days/commands.py
+++ b/bench/days/commands.py
@@ -1,5 +1,6 @@
 """Commands that compare builds on days of the users' bench."""
 
+import math
 import pathlib
 
 from cleo.commands import command
@@ -74,6 +75,7 @@
         option("seeds", None, "trial or conclusion", flag=False),
         option("first-seeds", None, "use only the first N", flag=False),
         option("jobs", None, "days at a time", flag=False, default="2"),
+        option("small", None, "play the small twins of large days"),
         option("why", None, "line for the journal", flag=False, default=""),
     ]
 
@@ -87,7 +89,11 @@
         ]
         sites = [pathlib.Path(p).resolve() for p in self.option("site")]
         planned = plays.list_plays(
-            builds, sites, self.option("day"), self._list_seeds()
+            builds,
+            sites,
+            self.option("day"),
+            self._list_seeds(),
+            self.option("small"),
         )
         played = plays.play_all(
             pathlib.Path(self.argument("bench")).resolve(),
@@ -126,4 +132,12 @@
             self.line(
                 f"  {found.name:14} {found.before:10.4f} {found.after:10.4f}"
                 f" {found.mean:+10.4f} +- {found.margin:.4f} {mark}"
+                f" {_describe_pairs(found)}"
             )
+
+
+def _describe_pairs(found: comparison.Difference) -> str:
+    """Return how many pairs would decide a difference that isn't clear."""
+    if found.is_clear or not found.mean or found.margin == math.inf:
+        return ""
+    return f"needs {found.pairs_needed or 'too many'} pairs"
--- a/bench/days/plays.py
+++ b/bench/days/plays.py
@@ -25,6 +25,7 @@
         site: path of the site file.
         day: name of a day, or path of a file with one.
         seed: seed of the day, or None for its own.
+        is_small: whether the small twin of a large day is played.
     """
 
     build: str
@@ -32,6 +33,7 @@
     site: pathlib.Path
     day: str
     seed: int | None
+    is_small: bool = False
 
 
 class PlayFailed(Exception):  # noqa: N818 - named after the cause
@@ -43,6 +45,7 @@
     sites: Iterable[pathlib.Path],
     days: Iterable[str],
     seeds: Iterable[int | None],
+    is_small: bool = False,
 ) -> list[Play]:
     """Return the plays in the order in which they run.
 
@@ -50,7 +53,7 @@
     machine's load hit all builds alike.
     """
     return [
-        Play(build, checkout, site, day, seed)
+        Play(build, checkout, site, day, seed, is_small)
         for site, day, seed, (build, checkout) in itertools.product(
             sites, days, seeds, tuple(builds)
         )
@@ -67,6 +70,7 @@
         path = pathlib.Path(folder, "report.json")
         seed = [] if play.seed is None else ["--seed", str(play.seed)]
         command = [str(bench), "run", str(play.site), play.day, *seed]
+        command += ["--small"] if play.is_small else []
         command += ["--jobs", "1", "--report", str(path), "--why", why]
         ended = subprocess.run(
             command,
--- a/tests/bench/test_days.py
+++ b/tests/bench/test_days.py
@@ -89,6 +89,13 @@
         found = self.compare_worth([0.8, 0.8, 0.8], [0.85, 0.78, 0.8])
         self.assertFalse(found.is_clear)
 
+    # Guards against intervals that are too narrow for few pairs.
+    def test_interval_is_that_of_students_t(self) -> None:
+        found = self.compare_worth([0.8, 0.8, 0.8], [0.81, 0.82, 0.84])
+        self.assertAlmostEqual(found.margin, 0.0379, 4)
+        self.assertFalse(found.is_clear)
+        self.assertEqual(found.pairs_needed, 5)
+
     def test_single_pair_shows_nothing(self) -> None:
         found = self.compare_worth([0.5], [0.9])
         self.assertEqual(found.margin, math.inf)
