--- a/knapweedtally/core/quotas/borrower.py
+++ b/knapweedtally/core/quotas/borrower.py
@@ -1,44 +1,14 @@
 """One host's tokens of all teams: whom to ask, and when to refuse.
 
-The bound. Let a team have the rate r and the burst b, split into n slices, and
-let the lease be l. Within a window w, targets receive operations
-
-* whose tokens were granted in the window or up to l before it. A slice's bucket
-  holds at most max(c, b / n) tokens, where c is ``slices.MIN_CAPACITY``, and
-  gains r / n a second, so all slices grant at most r (w + l) + b + c n. This
-  holds also where a data centre is divided: the shares of the parts add up to
-  one (``rules.compute_share``). A bucket that a host takes over starts empty,
-  so it grants only what flowed in since, and its predecessor is gone or grants
-  nothing any more;
-* of the a tokens with which a slice starts whose allocator has just started
-  (``slices.compute_start_level``), a n m in all for m starts of each slice;
-* that used the allowance, at most the spare s over all hosts.
-
-Let t be what r l + c n leaves of the tolerance w r e + b e + k, where e is the
-excess and k the slack. a n m is at most 0.8 t, and s is half of what is left
-then (``slices.compute_spare``). The sum is at most (r w + b) (1 + e) + k if
-t >= 0, which holds for l = 0.25 s, w = 5 s, e = 0.1, k = 20 and n <= 6. For
-each second in which two allocators grant from one slice, r / n comes on top;
-the other half, at least r / 8 + 1 for n = 3, covers it for 0.375 s at any rate,
-and for longer the lower r is.
-
-A host that starts grants once every host of its data centre that the store
-lists has answered it, as each of these then takes it for live and grants
-nothing from the slices for which it comes first. A host that doesn't answer may
-still grant, so the start then takes ``rules.SETTLING_TIME_S``. One that its
-data centre hasn't heard for 6 s is marked in the list and not waited for: if it
-runs, it hasn't heard the others either and grants its own part at most, which
-the new allocator leaves to it, as it counts the listed hosts as heard. Hosts
-act on what they have heard within a periodic check, so two grant at once for
-less than 0.1 s.
+The proof of the bound stands in the doc comment of the package.
 """
 
 import collections
 import math
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from knapweedtally.core.quotas import messages
+from knapweedtally.core.quotas import outcomes
 from knapweedtally.core.quotas import rules
 from knapweedtally.core.quotas import slices
 from knapweedtally.core.quotas import team_leases
@@ -62,37 +32,6 @@
 AHEAD_PART = 0.6
 
 
-class Admitted(NamedTuple):
-    """An operation got a token, which is valid until a time."""
-
-    id: int
-    expires_s: float
-
-
-class Refused(NamedTuple):
-    """An operation got none, and why; its caller may retry after a time."""
-
-    id: int
-    retry_s: float
-    reason: str
-
-
-class CheckLater(NamedTuple):
-    """The team's operations are to be checked again after a time."""
-
-    delay_s: float
-
-
-class Sent(NamedTuple):
-    """A question goes to a host, which may be the own one."""
-
-    host: str
-    ask: messages.Ask
-
-
-Effect = Admitted | Refused | Sent | CheckLater
-
-
 def is_wait_worthwhile(expected_s: float, until_s: float) -> bool:
     """Return whether an operation waits for a token that isn't there yet.
 
@@ -135,15 +74,15 @@
 
     def update_limits(
         self, limits: Mapping[str, slices.Limit], now_s: float
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         """Take over the limits of a configuration.
 
         Operations that wait although their team has no limit any more are
         admitted.
         """
         removed = [team for team in self._teams if team not in limits]
-        effects: list[Effect] = [
-            Admitted(waiter.id, math.inf)
+        effects: list[outcomes.Effect] = [
+            outcomes.Admitted(waiter.id, math.inf)
             for team in removed
             for waiter in self._teams.pop(team).waiters
         ]
@@ -237,7 +176,7 @@
 
     def give_back(
         self, team: str, expires_s: float, now_s: float
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         """Take back a token whose operation was never sent to a target."""
         state = self._teams.get(team)
         if state is None or not rules.is_valid(expires_s, now_s):
@@ -247,7 +186,7 @@
 
     def admit(
         self, team: str, id_: int, left_s: float, now_s: float
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         """Admit or refuse an operation, or let it wait.
 
         Args:
@@ -272,7 +211,7 @@
 
     def handle_lend(
         self, host: str, lend: messages.Lend, now_s: float
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         """Handle an answer; one that wasn't asked for changes nothing."""
         state = self._teams.get(lend.team)
         if state is None:
@@ -303,13 +242,13 @@
         state.views[pending.data_centre] = view
         return self._proceed(lend.team, state, now_s)
 
-    def check(self, team: str, now_s: float) -> list[Effect]:
+    def check(self, team: str, now_s: float) -> list[outcomes.Effect]:
         """Repeat questions, give up silent allocators and end long waits."""
         state = self._teams.get(team)
         if state is None:
             return []
         state.drop_late(now_s)
-        effects: list[Effect] = []
+        effects: list[outcomes.Effect] = []
         if state.pending is not None:
             effects += self._check_pending(state, state.pending, now_s)
         return effects + self._proceed(team, state, now_s)
@@ -319,7 +258,7 @@
         state: team_leases.TeamLeases,
         pending: team_leases.PendingAsk,
         now_s: float,
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         waited_s = now_s - pending.sent_s
         if waited_s >= SILENT_AFTER_S:
             state.views[pending.data_centre] = team_leases.SliceView(
@@ -331,20 +270,22 @@
             state.silent += 1
         elif waited_s >= REPEAT_AFTER_S and not pending.is_repeated:
             pending.is_repeated = True
-            return [Sent(pending.host, pending.ask)]
+            return [outcomes.Sent(pending.host, pending.ask)]
         return []
 
     def _proceed(
         self, team: str, state: team_leases.TeamLeases, now_s: float
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         """Serve the waiting operations as far as possible, and ask for more."""
-        effects: list[Effect] = []
+        effects: list[outcomes.Effect] = []
         while state.waiters:
             expires_s = state.take(now_s)
             if expires_s is None:
                 break
             state.record_use(now_s)
-            effects.append(Admitted(state.waiters.popleft().id, expires_s))
+            effects.append(
+                outcomes.Admitted(state.waiters.popleft().id, expires_s)
+            )
         while state.waiters and state.waiters[0].until_s <= now_s:
             effects.append(self._end_wait(team, state, now_s))
         if state.waiters and state.pending is None:
@@ -360,13 +301,13 @@
 
     def _wait_or_end(
         self, team: str, state: team_leases.TeamLeases, now_s: float
-    ) -> list[Effect]:
+    ) -> list[outcomes.Effect]:
         """Let operations wait for which a token is expected in their time.
 
         The others are refused at once. A refused caller that returns gets its
         token later than one that waits, and has one retry less.
         """
-        effects: list[Effect] = []
+        effects: list[outcomes.Effect] = []
         expected_s = state.get_expected_s()
         kept: list[team_leases.Waiter] = []
         while state.waiters:
@@ -378,7 +319,7 @@
             state.waiters.extend(kept)
             state.tried.clear()
             state.silent = 0
-            effects.append(CheckLater(max(0.0, expected_s - now_s)))
+            effects.append(outcomes.CheckLater(max(0.0, expected_s - now_s)))
         return effects
 
     def _choose_slice(
@@ -412,7 +353,7 @@
         state: team_leases.TeamLeases,
         data_centre: str,
         now_s: float,
-    ) -> Effect:
+    ) -> outcomes.Effect:
         host = self._ranking.find(team, data_centre)
         assert host is not None
         use = state.get_use_per_s(now_s) * rules.LEASE_S * AHEAD_PART
@@ -426,11 +367,11 @@
         )
         state.tried.add(data_centre)
         state.pending = team_leases.PendingAsk(ask, host, data_centre, now_s)
-        return Sent(host, ask)
+        return outcomes.Sent(host, ask)
 
     def _end_wait(
         self, team: str, state: team_leases.TeamLeases, now_s: float
-    ) -> Admitted | Refused:
+    ) -> outcomes.Admitted | outcomes.Refused:
         """Refuse the first waiting operation, or use the allowance for it.
 
         The allowance is for hosts to which no allocator grants, so a slice
@@ -442,7 +383,7 @@
             self._update_allowance(team, state)
             if state.take_allowed(now_s):
                 state.record_use(now_s)
-                return Admitted(waiter.id, now_s + rules.LEASE_S)
+                return outcomes.Admitted(waiter.id, now_s + rules.LEASE_S)
         reason = "empty" if is_answered else "no allocator"
         hint_s = state.compute_hint_s(len(self._data_centres), now_s)
-        return Refused(waiter.id, hint_s, reason)
+        return outcomes.Refused(waiter.id, hint_s, reason)
--- a/knapweedtally/entry/limits/quotas.py
+++ b/knapweedtally/entry/limits/quotas.py
@@ -13,6 +13,7 @@
 from knapweedtally.core.quotas import allocator
 from knapweedtally.core.quotas import borrower
 from knapweedtally.core.quotas import messages
+from knapweedtally.core.quotas import outcomes
 from knapweedtally.core.quotas import rules
 from knapweedtally.core.quotas import slices
 from knapweedtally.entry.common import clock
@@ -244,17 +245,17 @@
     # Effects.
 
     def _apply(
-        self, team: str, effects: list[borrower.Effect], now_s: float
+        self, team: str, effects: list[outcomes.Effect], now_s: float
     ) -> None:
         for effect in effects:
-            if isinstance(effect, borrower.Sent):
+            if isinstance(effect, outcomes.Sent):
                 self._send(team, effect, now_s)
-            elif isinstance(effect, borrower.CheckLater):
+            elif isinstance(effect, outcomes.CheckLater):
                 self._call_check_later(team, effect.delay_s)
             else:
                 supervision.contain("quota", self._end_wait, effect, now_s)
 
-    def _send(self, team: str, sent: borrower.Sent, now_s: float) -> None:
+    def _send(self, team: str, sent: outcomes.Sent, now_s: float) -> None:
         if sent.host == self._host:
             lend = self._allocator.answer(self._host, sent.ask, now_s)
             self._handle_lend(self._host, lend, now_s)
@@ -274,11 +275,11 @@
         self._apply(team, effects, now_s)
 
     def _end_wait(
-        self, effect: borrower.Admitted | borrower.Refused, now_s: float
+        self, effect: outcomes.Admitted | outcomes.Refused, now_s: float
     ) -> None:
         waiting = self._waiting.pop(effect.id)
         team, id_, deadline_s, on_admitted, on_refused = waiting
-        if isinstance(effect, borrower.Admitted):
+        if isinstance(effect, outcomes.Admitted):
             self._count("quota_used", team)
             on_admitted(
                 permits.Permit(self, team, id_, effect.expires_s, deadline_s)
@@ -294,7 +295,7 @@
         )
 
     def _log_refusal(
-        self, team: str, id_: bytes, effect: borrower.Refused, now_s: float
+        self, team: str, id_: bytes, effect: outcomes.Refused, now_s: float
     ) -> None:
         state = self._borrower.get_state(team)
         if state is None:
--- a/tests/quotas/model.py
+++ b/tests/quotas/model.py
@@ -12,6 +12,7 @@
 from knapweedtally.core.quotas import allocator
 from knapweedtally.core.quotas import borrower
 from knapweedtally.core.quotas import messages
+from knapweedtally.core.quotas import outcomes
 from knapweedtally.core.quotas import rules
 from knapweedtally.core.quotas import slices
 
@@ -293,14 +294,14 @@
         self._apply(host, team, host.borrower.check(team, self.now_s))
 
     def _apply(
-        self, host: Host, team: str, effects: list[borrower.Effect]
+        self, host: Host, team: str, effects: list[outcomes.Effect]
     ) -> None:
         for effect in effects:
-            if isinstance(effect, borrower.Admitted):
+            if isinstance(effect, outcomes.Admitted):
                 self._use(host, team, effect.expires_s)
-            elif isinstance(effect, borrower.Refused):
+            elif isinstance(effect, outcomes.Refused):
                 self.refused[team].append(self.now_s)
-            elif isinstance(effect, borrower.CheckLater):
+            elif isinstance(effect, outcomes.CheckLater):
                 delay_s = effect.delay_s + 0.001
                 self.at(delay_s, self._check_team, host, team)
             elif effect.host == host.name:
