Divide the change of primary by steps, answers and fences

What an attempt does next stays there; what answers mean moves to change_reports.py, how many fences prove enough to fences.py. No change of behaviour; tests are unchanged but for names, the mutant of one fence too few among them.

--- a/knapweedtally/core/groups/detection.py
+++ b/knapweedtally/core/groups/detection.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from knapweedtally.core.groups import primary_change
+from knapweedtally.core.groups import fences
 from knapweedtally.core.groups import steps
 
 # A primary whose machine refuses connections counts as failed after this time,
@@ -118,7 +118,7 @@
         An empty text if a change is due.
     """
     since_s = view.no_primary_since_s
-    needed = primary_change.count_fences_without_primary(view.other_members)
+    needed = fences.count_fences_without_primary(view.other_members)
     has_log_proof = view.has_last_primary and view.answering_members > 1
     conditions = (
         (
--- a/knapweedtally/core/groups/primary_change.py
+++ b/knapweedtally/core/groups/primary_change.py
@@ -24,6 +24,7 @@
 from collections.abc import Collection
 
 from knapweedtally.core.groups import attempt_notices
+from knapweedtally.core.groups import change_reports
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import steps
@@ -32,8 +33,6 @@
 # delay of a busy target.
 ORDER_TIMEOUT_S = 0.4
 
-# Time limit for a target to reach the last position of the old primary.
-CATCH_UP_TIMEOUT_S = 0.3
 
 # Interval at which an order is repeated.
 ORDER_INTERVAL_S = 0.05
@@ -46,18 +45,11 @@
 # another host that may reach more members can start its own attempt.
 FENCE_TIMEOUT_S = 1.5
 
-# Without a known primary, at least this many members have to be fenced. A
-# commit is on two members, and one of them may not be listed.
-MIN_FENCES_WITHOUT_PRIMARY = 2
 
 # An attempt is given up after this time unless the platform has accepted its
 # promotion.
 ATTEMPT_TIMEOUT_S = 8.0
 
-# Phases in which a later term may be the attempt's own.
-_FINAL_PHASES = frozenset(
-    (steps.Phase.EFFECT, steps.Phase.DONE, steps.Phase.GIVEN_UP)
-)
 
 # Phases in which members have to stay fenced.
 _FENCED_PHASES = frozenset(
@@ -123,30 +115,7 @@
         del attempt.fenced[target]
     is_proof_by_fences = not attempt.stepped_down_s
     if has_joined and is_proof_by_fences:
-        _enter_phase(attempt, steps.Phase.FENCE, now_s)
-
-
-def count_fences_needed(attempt: steps.Attempt) -> int:
-    """Return how many of the other members have to be fenced.
-
-    Each acknowledged commit is on at least two members. All members but one
-    together therefore have every acknowledged commit, and the remaining member
-    can't get another commit acknowledged on its own.
-    """
-    if attempt.old_primary is not None:
-        return len(attempt.others)
-    return count_fences_without_primary(len(attempt.others))
-
-
-def count_fences_without_primary(members: int) -> int:
-    """Return how many members to fence if none is known to be the primary."""
-    return max(MIN_FENCES_WITHOUT_PRIMARY, members - 1)
-
-
-def has_fenced_enough(attempt: steps.Attempt) -> bool:
-    """Return whether the fenced members have every acknowledged commit."""
-    needed_fences = max(1, count_fences_needed(attempt))
-    return attempt.is_settled and len(attempt.fenced) >= needed_fences
+        steps.enter_phase(attempt, steps.Phase.FENCE, now_s)
 
 
 def next_step(attempt: steps.Attempt, now_s: float) -> steps.Step:
@@ -155,20 +124,13 @@
         return steps.Finish(True, "")
     is_late = now_s - attempt.started_s > ATTEMPT_TIMEOUT_S
     if is_late and attempt.phase is not steps.Phase.EFFECT:
-        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+        steps.enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
         attempt.reason = attempt.reason or "safety was not proven in time"
     if attempt.phase is steps.Phase.GIVEN_UP:
         return steps.Finish(False, attempt.reason)
     return _PLANNERS[attempt.phase](attempt, now_s)
 
 
-def _enter_phase(
-    attempt: steps.Attempt, phase: steps.Phase, now_s: float
-) -> None:
-    attempt.phase = phase
-    attempt.phase_since_s = now_s
-
-
 def record_known_term(
     attempt: steps.Attempt, known_term: int, now_s: float
 ) -> None:
@@ -179,8 +141,11 @@
         known_term: highest known term of any member.
         now_s: the current time.
     """
-    if known_term >= attempt.term and attempt.phase not in _FINAL_PHASES:
-        _give_up_for_successor(attempt, now_s)
+    if (
+        known_term >= attempt.term
+        and attempt.phase not in change_reports.FINAL_PHASES
+    ):
+        change_reports.give_up_for_successor(attempt, now_s)
 
 
 def record_member_evidence(
@@ -204,16 +169,10 @@
         return
     fenced_s = max(report.answered_s for report in attempt.fenced.values())
     if member_seen_s > fenced_s:
-        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+        steps.enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
         attempt.reason = "a member received the log after the fencing"
 
 
-def _give_up_for_successor(attempt: steps.Attempt, now_s: float) -> None:
-    _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
-    attempt.has_successor = True
-    attempt.reason = "a target is already the primary of this or a later term"
-
-
 def _plan_step_down(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.old_primary is not None
     return steps.SendOrder(steps.Order.STEP_DOWN, (attempt.old_primary,))
@@ -225,7 +184,7 @@
 
 def _plan_fence(attempt: steps.Attempt, now_s: float) -> steps.Step:
     if now_s - attempt.phase_since_s > FENCE_TIMEOUT_S:
-        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
+        steps.enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
         attempt.reason = "too few members could be fenced"
         return steps.Finish(False, attempt.reason)
     unfenced = tuple(t for t in attempt.others if t not in attempt.fenced)
@@ -302,7 +261,7 @@
         return steps.Wait(remaining_s)
     if attempt.has_objection:
         return steps.Wait(ORDER_INTERVAL_S)
-    _enter_phase(attempt, steps.Phase.CONFIRM, now_s)
+    steps.enter_phase(attempt, steps.Phase.CONFIRM, now_s)
     return _plan_confirmation(attempt, now_s)
 
 
@@ -335,7 +294,7 @@
 def _plan_effect_check(attempt: steps.Attempt, now_s: float) -> steps.Step:
     assert attempt.candidate is not None
     if now_s - attempt.phase_since_s > EFFECT_TIMEOUT_S:
-        _enter_phase(attempt, steps.Phase.CONFIRM, now_s)
+        steps.enter_phase(attempt, steps.Phase.CONFIRM, now_s)
         return _plan_confirmation(attempt, now_s)
     return steps.SendOrder(
         steps.Order.STATUS, (attempt.candidate,), ORDER_INTERVAL_S
@@ -367,288 +326,3 @@
 def record_listing(attempt: steps.Attempt, now_s: float) -> None:
     """Record that all targets were listed."""
     attempt.listed_s = now_s
-
-
-def record_reports(
-    attempt: steps.Attempt,
-    order: steps.Order,
-    reports: dict[str, steps.OrderReport],
-    now_s: float,
-) -> None:
-    """Record the answers to an order and enter the phase that follows."""
-    new_primaries = [
-        target
-        for target, report in reports.items()
-        if report.status.is_primary and report.status.term >= attempt.term
-    ]
-    if new_primaries and attempt.phase not in _FINAL_PHASES:
-        is_own = attempt.is_promotion_requested
-        if is_own and new_primaries == [attempt.candidate]:
-            _enter_phase(attempt, steps.Phase.DONE, now_s)
-        else:
-            _give_up_for_successor(attempt, now_s)
-        return
-    if _is_log_lost(attempt, reports):
-        _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
-        attempt.reason = "the last primary lacks entries that another has"
-        return
-    _REPORT_HANDLERS.get(attempt.phase, _ignore_reports)(
-        attempt, reports, now_s
-    )
-
-
-def _is_log_lost(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport]
-) -> bool:
-    """Return whether the last primary, which is the proof, lost its log.
-
-    A target that starts again with nothing answers under the same id or takes
-    the place of its former life. The other members' logs are never ahead of an
-    intact one.
-    """
-    if attempt.log_floor is None or attempt.is_promotion_requested:
-        return False
-    floor = max(attempt.log_floor, attempt.final_position or attempt.log_floor)
-    last = reports.get(attempt.old_primary or "")
-    if last is not None and last.status.received < floor:
-        return True
-    return attempt.final_position is not None and any(
-        report.status.received > attempt.final_position
-        for report in reports.values()
-    )
-
-
-def _ignore_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    """Ignore the reports, which the current phase doesn't need."""
-
-
-def _handle_step_down_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    report = reports.get(attempt.old_primary or "")
-    if report is None or report.status.is_primary:
-        _enter_phase(attempt, steps.Phase.FENCE, now_s)
-        return
-    attempt.final_position = report.status.received
-    attempt.stepped_down_s = report.answered_s
-    _enter_phase(attempt, steps.Phase.CATCH_UP, now_s)
-
-
-def _handle_catch_up_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    assert attempt.final_position is not None
-    caught_up = [
-        target
-        for target, report in reports.items()
-        if report.status.received >= attempt.final_position
-    ]
-    most_advanced = choose_candidate(
-        attempt, {t: reports[t] for t in caught_up}
-    )
-    if most_advanced is not None and most_advanced not in attempt.leaving:
-        attempt.candidate = most_advanced
-        _enter_phase(attempt, steps.Phase.WAIT, now_s)
-    elif now_s - attempt.phase_since_s > CATCH_UP_TIMEOUT_S:
-        _enter_phase(attempt, steps.Phase.FENCE, now_s)
-
-
-def _record_fences(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport]
-) -> None:
-    for target, report in reports.items():
-        if report.status.paused_for >= attempt.term:
-            attempt.fenced[target] = report
-
-
-def _handle_wait_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    _record_fences(attempt, reports)
-
-
-def _handle_fence_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    _record_fences(attempt, reports)
-    if has_fenced_enough(attempt):
-        attempt.candidate = choose_candidate(attempt, attempt.fenced)
-        attempt.stepped_down_s = 0.0
-        _enter_phase(attempt, steps.Phase.WAIT, now_s)
-        _check_requested_candidate(attempt, now_s)
-    elif attempt.stepped_down_s and now_s - attempt.phase_since_s > 1.0:
-        _choose_by_final_position(attempt, now_s)
-
-
-def _choose_by_final_position(attempt: steps.Attempt, now_s: float) -> None:
-    """Choose a candidate by the old primary's final position.
-
-    Used if a member can't be fenced after the old primary stepped down.
-    """
-    assert attempt.final_position is not None
-    if attempt.log_floor is not None and not attempt.fenced:
-        # Without another member's answer, a log that was lost can't be told
-        # from a complete one.
-        return
-    caught_up = {
-        target: report
-        for target, report in attempt.fenced.items()
-        if report.status.received >= attempt.final_position
-    }
-    attempt.candidate = (
-        choose_candidate(attempt, caught_up) or attempt.old_primary
-    )
-    _enter_phase(attempt, steps.Phase.WAIT, now_s)
-    _check_requested_candidate(attempt, now_s)
-
-
-def _check_requested_candidate(attempt: steps.Attempt, now_s: float) -> None:
-    """Keep to the target whose promotion may still take effect.
-
-    If it took effect after that of another target, commits of that one would be
-    lost.
-    """
-    requested = attempt.requested
-    if requested is None or attempt.candidate == requested:
-        return
-    assert attempt.candidate is not None
-    report = attempt.fenced.get(requested)
-    best = attempt.fenced.get(attempt.candidate)
-    if (
-        report is not None
-        and best is not None
-        and report.status.received >= best.status.received
-    ):
-        attempt.candidate = requested
-        return
-    _enter_phase(attempt, steps.Phase.GIVEN_UP, now_s)
-    attempt.reason = "the promotion of another target was requested before"
-
-
-def _handle_confirmation_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    if attempt.stepped_down_s:
-        _handle_step_down_confirmation(attempt, reports, now_s)
-        return
-    for target, known in list(attempt.fenced.items()):
-        if not _is_still_fenced(attempt, known, reports.get(target)):
-            del attempt.fenced[target]
-    if has_fenced_enough(attempt):
-        # The candidate may not have answered.
-        attempt.candidate = choose_candidate(attempt, attempt.fenced)
-        _enter_phase(attempt, steps.Phase.PROMOTE, now_s)
-        _check_requested_candidate(attempt, now_s)
-    else:
-        attempt.fenced.clear()
-        _enter_phase(attempt, steps.Phase.FENCE, now_s)
-
-
-def _is_still_fenced(
-    attempt: steps.Attempt,
-    known: steps.OrderReport,
-    report: steps.OrderReport | None,
-) -> bool:
-    """Return whether a member has received nothing since it was fenced."""
-    if report is None or report.status.paused_for < attempt.term:
-        return False
-    return report.status.received == known.status.received
-
-
-def _handle_step_down_confirmation(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    """Enter the promotion if the old primary is still not the primary.
-
-    If it restarted, it may have led and committed since. In this case, or
-    without the candidate's answer, all other members are fenced instead.
-    Members that restarted are paused again.
-    """
-    old = reports.get(attempt.old_primary or "")
-    has_stepped_down = (
-        old is not None
-        and not old.status.is_primary
-        and old.status.received == attempt.final_position
-    )
-    if not has_stepped_down or attempt.candidate not in reports:
-        attempt.stepped_down_s = 0.0
-        attempt.fenced.clear()
-        _enter_phase(attempt, steps.Phase.FENCE, now_s)
-        return
-    restarted = [
-        target
-        for target in attempt.fenced
-        if target in reports
-        and reports[target].status.paused_for < attempt.term
-    ]
-    for target in restarted:
-        del attempt.fenced[target]
-    if restarted:
-        attempt.is_pause_sent = False
-        _enter_phase(attempt, steps.Phase.WAIT, now_s)
-    else:
-        _enter_phase(attempt, steps.Phase.PROMOTE, now_s)
-
-
-def _handle_effect_reports(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport], now_s: float
-) -> None:
-    report = reports.get(attempt.candidate or "")
-    if report is None or not report.status.is_primary:
-        return
-    if report.status.term >= attempt.term:
-        # The promotion also resumes replication at the other members, from the
-        # new primary.
-        _enter_phase(attempt, steps.Phase.DONE, now_s)
-
-
-_REPORT_HANDLERS = {
-    steps.Phase.STEP_DOWN: _handle_step_down_reports,
-    steps.Phase.CATCH_UP: _handle_catch_up_reports,
-    steps.Phase.FENCE: _handle_fence_reports,
-    steps.Phase.WAIT: _handle_wait_reports,
-    steps.Phase.CONFIRM: _handle_confirmation_reports,
-    steps.Phase.EFFECT: _handle_effect_reports,
-}
-
-
-def record_promotion_response(
-    attempt: steps.Attempt, status: int, now_s: float
-) -> None:
-    """Record the platform's response to a promotion request.
-
-    Args:
-        attempt: the attempt.
-        status: HTTP status, or 0 if no response arrived.
-        now_s: the current time.
-    """
-    if status != 409:
-        attempt.requested = attempt.candidate
-    if status == 200:
-        _enter_phase(attempt, steps.Phase.EFFECT, now_s)
-    elif status == 409:
-        attempt.fenced.clear()
-        attempt.stepped_down_s = 0.0
-        _enter_phase(attempt, steps.Phase.FENCE, now_s)
-    else:
-        # The call may have been executed, and the members may have restarted
-        # since.
-        _enter_phase(attempt, steps.Phase.CONFIRM, now_s)
-
-
-def choose_candidate(
-    attempt: steps.Attempt, reports: dict[str, steps.OrderReport]
-) -> str | None:
-    """Return the most advanced target; among equals, one that isn't leaving."""
-    if not reports:
-        return None
-    return max(
-        reports,
-        key=lambda target: (
-            reports[target].status.received,
-            target not in attempt.leaving,
-            target,
-        ),
-    )
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -121,6 +121,12 @@
     log_floor: model.Position | None = None
 
 
+def enter_phase(attempt: Attempt, phase: Phase, now_s: float) -> None:
+    """Enter a phase of an attempt."""
+    attempt.phase = phase
+    attempt.phase_since_s = now_s
+
+
 class SendOrder(NamedTuple):
     """Step: send an order to targets and record their answers.
 
--- a/knapweedtally/entry/members/promoter.py
+++ b/knapweedtally/entry/members/promoter.py
@@ -6,6 +6,8 @@
 
 from knapweedtally.core.groups import attempt_notices
 from knapweedtally.core.groups import change_notices
+from knapweedtally.core.groups import change_reports
+from knapweedtally.core.groups import fences
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
@@ -264,14 +266,14 @@
                 attempt.group, attempt.term
             )
             status = await self._promote(attempt, step.target)
-            primary_change.record_promotion_response(
+            change_reports.record_promotion_response(
                 attempt, status, clock.get_time_s()
             )
             if status != 200:
                 await asyncio.sleep(primary_change.ORDER_INTERVAL_S)
         elif isinstance(step, steps.SendOrder):
             reports = await self._send_orders(step, attempt, router)
-            primary_change.record_reports(
+            change_reports.record_reports(
                 attempt, step.order, reports, clock.get_time_s()
             )
             await asyncio.sleep(step.pause_s)
@@ -422,7 +424,7 @@
         requested_term: highest term for which a promotion was requested.
     """
     answering = sum(1 for pool in router.pools.values() if pool.is_answering)
-    needed = primary_change.count_fences_without_primary(len(router.members))
+    needed = fences.count_fences_without_primary(len(router.members))
     last = router.observer.find_last_primary()
     if answering >= needed or last is None or last.term < requested_term:
         return None
--- a/tests/groups/simulation.py
+++ b/tests/groups/simulation.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 
+from knapweedtally.core.groups import change_reports
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import steps
@@ -155,12 +156,12 @@
             primary_change.record_listing(attempt, group.now_s)
         elif isinstance(step, steps.Promote):
             status = group.promote(step.target)
-            primary_change.record_promotion_response(
+            change_reports.record_promotion_response(
                 attempt, status, group.now_s
             )
         else:
             reports = group.run_order(step, attempt.term)
-            primary_change.record_reports(
+            change_reports.record_reports(
                 attempt, step.order, reports, group.now_s
             )
             group.now_s += step.pause_s
--- a/tests/groups/test_last_primary.py
+++ b/tests/groups/test_last_primary.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from knapweedtally.core.groups import change_reports
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
@@ -33,7 +34,7 @@
         self, attempt: steps.Attempt, number: int
     ) -> model.Position | None:
         report = test_primary_change.make_report(number)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, steps.Order.STEP_DOWN, {"p": report}, NOW_S
         )
         return attempt.final_position
@@ -44,7 +45,7 @@
         expected = steps.SendOrder(steps.Order.STEP_DOWN, ("p",))
         self.assertEqual(step, expected)
         self.step_down(attempt, 9)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt,
             steps.Order.STATUS,
             {"a": test_primary_change.make_report(9)},
@@ -62,7 +63,7 @@
     def test_log_behind_another_member_was_lost(self) -> None:
         attempt = begin_attempt()
         self.step_down(attempt, 6)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt,
             steps.Order.STATUS,
             {"a": test_primary_change.make_report(7)},
@@ -76,7 +77,7 @@
         self.step_down(attempt, 9)
         attempt.phase = steps.Phase.FENCE
         attempt.phase_since_s = NOW_S
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, steps.Order.PAUSE, {}, NOW_S + 1.1
         )
         self.assertIs(attempt.phase, steps.Phase.FENCE)
--- a/tests/groups/test_members.py
+++ b/tests/groups/test_members.py
@@ -5,6 +5,7 @@
 import testtools
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import change_reports
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import steps
@@ -40,12 +41,12 @@
             False, 1, model.Position(1, 5), 2, 0.0, 0, 0
         )
         report = {"a": steps.OrderReport(status, 0.0)}
-        primary_change.record_reports(attempt, steps.Order.PAUSE, report, 0.0)
+        change_reports.record_reports(attempt, steps.Order.PAUSE, report, 0.0)
         primary_change.next_step(attempt, 1.0)
         primary_change.record_listing(attempt, 1.0)
-        primary_change.record_reports(attempt, steps.Order.STATUS, report, 1.0)
+        change_reports.record_reports(attempt, steps.Order.STATUS, report, 1.0)
         step = primary_change.next_step(attempt, 1.0)
         self.assertIsInstance(step, steps.Promote)
-        primary_change.record_promotion_response(attempt, 409, 1.1)
+        change_reports.record_promotion_response(attempt, 409, 1.1)
         primary_change.update_members(attempt, ("p", "a", "b"), 1.1)
         self.assertIn("b", attempt.others)
--- a/tests/groups/test_primary_change.py
+++ b/tests/groups/test_primary_change.py
@@ -4,7 +4,9 @@
 
 import testtools
 
+from knapweedtally.core.groups import change_reports
 from knapweedtally.core.groups import evidence
+from knapweedtally.core.groups import fences
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
 from knapweedtally.core.groups import steps
@@ -41,11 +43,11 @@
 
     def test_every_other_member_is_fenced(self) -> None:
         attempt = make_attempt()
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, {"a": make_report(5)}, 100.0
         )
         self.assertEqual(attempt.phase, _Phase.FENCE)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, {"b": make_report(7)}, 100.1
         )
         self.assertEqual(attempt.phase, _Phase.WAIT)
@@ -53,11 +55,11 @@
 
     def test_unknown_primary_needs_all_members_but_one(self) -> None:
         attempt = make_attempt(_Cause.ABSENT)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, {"a": make_report(5)}, 100.0
         )
         self.assertEqual(attempt.phase, _Phase.FENCE)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, {"p": make_report(6)}, 100.0
         )
         self.assertEqual(attempt.candidate, "p")
@@ -66,7 +68,7 @@
         attempt = make_attempt()
         attempt.is_settled = False
         reports = {"a": make_report(5), "b": make_report(7)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
     def test_unknown_primary_needs_two_members(self) -> None:
@@ -74,19 +76,19 @@
             attempt = primary_change.begin_attempt(
                 "g", _Cause.ABSENT, None, tuple(others), frozenset(), 1, 100.0
             )
-            found = primary_change.count_fences_needed(attempt)
+            found = fences.count_fences_needed(attempt)
             self.assertEqual(found, needed)
 
     def test_member_that_still_receives_is_not_fenced(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5, paused_for=0), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         self.assertEqual(list(attempt.fenced), ["b"])
 
     def test_member_that_restarted_is_fenced_again(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
         step = primary_change.next_step(attempt, wait_end_s)
         self.assertEqual(step, steps.ListTargets())
@@ -95,7 +97,7 @@
         # Pausing it again would hide that it received the log in between.
         self.assertEqual(step, steps.SendOrder(_Order.STATUS, ("a", "b"), 0.05))
         new_reports = {"a": make_report(5), "b": make_report(5, paused_for=0)}
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, new_reports, wait_end_s
         )
         self.assertEqual(attempt.phase, _Phase.FENCE)
@@ -103,11 +105,11 @@
     def test_member_that_received_since_is_fenced_again(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
         primary_change.next_step(attempt, wait_end_s)
         new_reports = {"a": make_report(5), "b": make_report(6)}
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, new_reports, wait_end_s
         )
         self.assertEqual(attempt.phase, _Phase.FENCE)
@@ -115,10 +117,10 @@
     def test_members_that_stayed_paused_allow_promotion(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
         primary_change.next_step(attempt, wait_end_s)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, reports, wait_end_s
         )
         self.assertEqual(attempt.phase, _Phase.PROMOTE)
@@ -127,11 +129,11 @@
         attempt = make_attempt(_Cause.ABSENT)
         reports = {name: make_report(5) for name in ("a", "b")}
         reports["p"] = make_report(6)
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         self.assertEqual(attempt.candidate, "p")
         primary_change.next_step(attempt, 101.0)
         del reports["p"]
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 101.0)
         step = primary_change.next_step(attempt, 101.0)
         self.assertEqual(step, steps.Promote("b"))
 
@@ -145,7 +147,7 @@
     def test_member_that_joins_is_fenced_before_the_promotion(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         self.assertEqual(attempt.phase, _Phase.WAIT)
         primary_change.update_members(attempt, ("p", "a", "b", "c"), 100.2)
         step = primary_change.next_step(attempt, 100.2)
@@ -153,10 +155,10 @@
 
     def test_member_that_joins_a_step_down_is_not_fenced(self) -> None:
         attempt = make_attempt(_Cause.LEAVING)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
         )
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, {"a": make_report(9)}, 100.1
         )
         primary_change.update_members(attempt, ("p", "a", "b", "c"), 100.2)
@@ -165,7 +167,7 @@
     def test_promotion_waits_until_evidence_has_expired(self) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         step = primary_change.next_step(attempt, 100.1)
         assert isinstance(step, steps.Wait)
         self.assertAlmostEqual(
@@ -176,7 +178,7 @@
         attempt = make_attempt()
         primary_change.record_member_evidence(attempt, 100.5, 100.6)
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         primary_change.record_member_evidence(attempt, 100.0, 100.6)
         self.assertEqual(attempt.phase, _Phase.WAIT)
         primary_change.record_member_evidence(attempt, 100.1, 100.6)
@@ -191,9 +193,9 @@
     ) -> None:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         primary_change.next_step(attempt, 101.0)
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 101.0)
         self.assertEqual(attempt.phase, _Phase.PROMOTE)
         primary_change.record_member_evidence(attempt, 100.9, 101.0)
         step = primary_change.next_step(attempt, 101.0)
@@ -203,7 +205,7 @@
         attempt = make_attempt()
         status = model.TargetStatus(True, 2, model.Position(2, 9), 0, 0.0, 0, 1)
         report = steps.OrderReport(status, 100.0)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, {"a": report}, 100.0
         )
         step = primary_change.next_step(attempt, 100.0)
@@ -218,52 +220,52 @@
         attempt = make_attempt(_Cause.LEAVING)
         step = primary_change.next_step(attempt, 100.0)
         self.assertEqual(step, steps.SendOrder(_Order.STEP_DOWN, ("p",)))
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
         )
         behind = {"a": make_report(8), "b": make_report(7)}
-        primary_change.record_reports(attempt, _Order.STATUS, behind, 100.1)
+        change_reports.record_reports(attempt, _Order.STATUS, behind, 100.1)
         self.assertEqual(attempt.phase, _Phase.CATCH_UP)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, {"a": make_report(9)}, 100.2
         )
         self.assertEqual(attempt.candidate, "a")
 
     def test_fences_all_members_if_none_catches_up(self) -> None:
         attempt = make_attempt(_Cause.STALLED)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
         )
         behind = {"a": make_report(8), "b": make_report(7)}
-        timeout_s = 100.1 + primary_change.CATCH_UP_TIMEOUT_S
-        primary_change.record_reports(attempt, _Order.STATUS, behind, timeout_s)
+        timeout_s = 100.1 + change_reports.CATCH_UP_TIMEOUT_S
+        change_reports.record_reports(attempt, _Order.STATUS, behind, timeout_s)
         self.assertEqual(attempt.phase, _Phase.FENCE)
-        primary_change.record_reports(attempt, _Order.PAUSE, behind, timeout_s)
+        change_reports.record_reports(attempt, _Order.PAUSE, behind, timeout_s)
         self.assertEqual(attempt.candidate, "a")
 
     def test_fences_if_the_primary_does_not_answer(self) -> None:
         attempt = make_attempt(_Cause.LEAVING)
-        primary_change.record_reports(attempt, _Order.STEP_DOWN, {}, 100.4)
+        change_reports.record_reports(attempt, _Order.STEP_DOWN, {}, 100.4)
         self.assertEqual(attempt.phase, _Phase.FENCE)
 
     def test_fences_if_the_old_primary_is_primary_again(self) -> None:
         attempt = make_attempt(_Cause.LEAVING)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STEP_DOWN, {"p": make_report(9)}, 100.0
         )
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, {"a": make_report(9)}, 100.1
         )
         wait_end_s = 100.1 + evidence.EVIDENCE_VALIDITY_S
         pauses = {"a": make_report(9), "b": make_report(9)}
-        primary_change.record_reports(attempt, _Order.PAUSE, pauses, 100.2)
+        change_reports.record_reports(attempt, _Order.PAUSE, pauses, 100.2)
         primary_change.next_step(attempt, wait_end_s)
         self.assertEqual(attempt.phase, _Phase.CONFIRM)
         new_reports = {
             "a": make_report(9),
             "p": make_report(9, is_primary=True),
         }
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.STATUS, new_reports, wait_end_s
         )
         self.assertEqual(attempt.phase, _Phase.FENCE)
@@ -274,15 +276,15 @@
 
     def make_confirming(self) -> steps.Attempt:
         attempt = make_attempt(_Cause.LEAVING)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt,
             _Order.STEP_DOWN,
             {"p": make_report(9, paused_for=0)},
             100.0,
         )
         reports = {"a": make_report(9), "b": make_report(8)}
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 100.1)
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.2)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 100.1)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.2)
         step = primary_change.next_step(attempt, 101.0)
         assert isinstance(step, steps.SendOrder)
         self.assertEqual(step.order, _Order.STATUS)
@@ -292,7 +294,7 @@
     def confirm(self, **reports: steps.OrderReport) -> steps.Step:
         """Return the step that follows reports of a confirmation."""
         attempt = self.make_confirming()
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 101.0)
         return primary_change.next_step(attempt, 101.0)
 
     def run_until_promotion(
@@ -319,7 +321,7 @@
                 t: make_report(9, paused_for=2 if t in paused else 0)
                 for t in answering
             }
-            primary_change.record_reports(attempt, step.order, reports, now_s)
+            change_reports.record_reports(attempt, step.order, reports, now_s)
             now_s += step.pause_s
         raise AssertionError(attempt)
 
@@ -377,7 +379,7 @@
     def make_fenced(self) -> steps.Attempt:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(7)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         return attempt
 
     def test_members_resume_before_the_promotion_is_requested(self) -> None:
@@ -391,12 +393,12 @@
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
         primary_change.next_step(attempt, wait_end_s)
         reports = {"a": make_report(5), "b": make_report(7)}
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, reports, wait_end_s
         )
         step = primary_change.next_step(attempt, wait_end_s)
         self.assertEqual(step, steps.Promote("b"))
-        primary_change.record_promotion_response(attempt, 0, wait_end_s)
+        change_reports.record_promotion_response(attempt, 0, wait_end_s)
         self.assertEqual(primary_change.list_members_to_resume(attempt), ())
 
     def test_no_orders_once_the_promotion_has_taken_effect(self) -> None:
@@ -404,7 +406,7 @@
         attempt.phase = _Phase.EFFECT
         status = model.TargetStatus(True, 2, model.Position(2, 7), 0, 0.0, 0, 1)
         reports = {"b": steps.OrderReport(status, 101.0)}
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 101.0)
         step = primary_change.next_step(attempt, 101.0)
         self.assertEqual(step, steps.Finish(True, ""))
 
@@ -415,9 +417,9 @@
     def make_requested(self) -> steps.Attempt:
         attempt = make_attempt()
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         primary_change.next_step(attempt, 101.0)
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.0)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 101.0)
         step = primary_change.next_step(attempt, 101.0)
         self.assertEqual(step, steps.Promote("b"))
         return attempt
@@ -432,12 +434,12 @@
     def test_members_are_confirmed_after_a_call_without_answer(self) -> None:
         for status in (0, 429, 503):
             attempt = self.make_requested()
-            primary_change.record_promotion_response(attempt, status, 101.7)
+            change_reports.record_promotion_response(attempt, status, 101.7)
             self.assert_confirms(attempt, 101.7)
 
     def test_members_are_confirmed_after_a_call_without_effect(self) -> None:
         attempt = self.make_requested()
-        primary_change.record_promotion_response(attempt, 200, 101.1)
+        change_reports.record_promotion_response(attempt, 200, 101.1)
         now_s = 101.2 + primary_change.EFFECT_TIMEOUT_S
         self.assert_confirms(attempt, now_s)
 
@@ -445,18 +447,18 @@
         self,
     ) -> None:
         attempt = self.make_requested()
-        primary_change.record_promotion_response(attempt, 0, 101.7)
+        change_reports.record_promotion_response(attempt, 0, 101.7)
         status = model.TargetStatus(True, 2, model.Position(2, 5), 0, 0.0, 0, 1)
         reports = {"b": steps.OrderReport(status, 101.8)}
-        primary_change.record_reports(attempt, _Order.STATUS, reports, 101.8)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, 101.8)
         step = primary_change.next_step(attempt, 101.8)
         self.assertEqual(step, steps.Finish(True, ""))
         self.assertEqual(primary_change.list_members_to_resume(attempt), ())
 
     def test_members_that_were_paused_after_the_call_resume(self) -> None:
         attempt = self.make_requested()
-        primary_change.record_promotion_response(attempt, 0, 101.7)
-        primary_change.record_reports(attempt, _Order.STATUS, {}, 101.8)
+        change_reports.record_promotion_response(attempt, 0, 101.7)
+        change_reports.record_reports(attempt, _Order.STATUS, {}, 101.8)
         step = primary_change.next_step(attempt, 101.8)
         self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("a", "b"), 0.05))
         primary_change.record_known_term(attempt, 2, 101.9)
@@ -468,7 +470,7 @@
         self,
     ) -> None:
         attempt = self.make_requested()
-        primary_change.record_promotion_response(attempt, 0, 101.7)
+        change_reports.record_promotion_response(attempt, 0, 101.7)
         primary_change.update_members(attempt, ("p", "a", "b", "c"), 101.8)
         step = primary_change.next_step(attempt, 101.8)
         self.assertEqual(step, steps.SendOrder(_Order.PAUSE, ("c",), 0.05))
@@ -476,9 +478,9 @@
     def test_no_other_candidate_is_promoted_after_a_call(self) -> None:
         for other in (make_report(5), make_report(6)):
             attempt = self.make_requested()
-            primary_change.record_promotion_response(attempt, 0, 101.7)
+            change_reports.record_promotion_response(attempt, 0, 101.7)
             primary_change.update_members(attempt, ("p", "a", "b", "c"), 101.8)
-            primary_change.record_reports(
+            change_reports.record_reports(
                 attempt, _Order.PAUSE, {"c": other}, 101.9
             )
             step = primary_change.next_step(attempt, 101.9)
@@ -492,7 +494,7 @@
         for status in (None, 0):
             attempt = self.make_requested()
             if status is not None:
-                primary_change.record_promotion_response(attempt, 0, 101.7)
+                change_reports.record_promotion_response(attempt, 0, 101.7)
             primary_change.record_known_term(attempt, 1, 101.8)
             self.assertNotEqual(attempt.phase, _Phase.GIVEN_UP)
             primary_change.record_known_term(attempt, 2, 101.8)
@@ -503,7 +505,7 @@
         self,
     ) -> None:
         attempt = self.make_requested()
-        primary_change.record_promotion_response(attempt, 200, 101.1)
+        change_reports.record_promotion_response(attempt, 200, 101.1)
         primary_change.record_known_term(attempt, 2, 101.8)
         self.assertEqual(attempt.phase, _Phase.EFFECT)
 
@@ -515,7 +517,7 @@
         attempt = make_attempt()
         self.assertIsNone(primary_change.find_safe_position(attempt))
         reports = {"a": make_report(5), "b": make_report(7)}
-        primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+        change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
         # A target that isn't listed yet may receive further commits.
         self.assertTrue(primary_change.needs_listing(attempt))
         self.assertIsNone(primary_change.find_safe_position(attempt))
@@ -525,14 +527,14 @@
         self.assertEqual(found, model.Position(1, 7))
         wait_end_s = 100.0 + evidence.EVIDENCE_VALIDITY_S
         primary_change.next_step(attempt, wait_end_s)
-        primary_change.record_reports(
+        change_reports.record_reports(
             attempt, _Order.PAUSE, reports, wait_end_s
         )
         self.assertEqual(attempt.phase, _Phase.PROMOTE)
         self.assertIsNotNone(primary_change.find_safe_position(attempt))
         primary_change.next_step(attempt, wait_end_s)
         self.assertIsNone(primary_change.find_safe_position(attempt))
-        primary_change.record_promotion_response(attempt, 0, wait_end_s)
+        change_reports.record_promotion_response(attempt, 0, wait_end_s)
         self.assertIsNone(primary_change.find_safe_position(attempt))
 
     def test_fenced_position_of_another_term_is_ignored(self) -> None:
@@ -571,8 +573,6 @@
         def count_one(attempt: steps.Attempt) -> int:
             return 1
 
-        with mock.patch.object(
-            primary_change, "count_fences_needed", count_one
-        ):
+        with mock.patch.object(fences, "count_fences_needed", count_one):
             _, lost = self.count_done_and_lost(_Cause.UNREACHABLE)
         self.assertNotEqual(lost, [])
--- a/tests/groups/test_promotion_safety.py
+++ b/tests/groups/test_promotion_safety.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from knapweedtally.core.groups import change_reports
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
@@ -39,7 +40,7 @@
         "g", _Cause.UNREACHABLE, "p", ("a", "b"), frozenset(), 1, 100.0
     )
     reports = {"a": make_report(5), "b": make_report(5)}
-    primary_change.record_reports(attempt, _Order.PAUSE, reports, 100.0)
+    change_reports.record_reports(attempt, _Order.PAUSE, reports, 100.0)
     return attempt
 
 
@@ -48,7 +49,7 @@
     now_s = 100.0 + SPAN_S
     primary_change.next_step(attempt, now_s)
     reports = {"a": make_report(5), "b": make_report(5)}
-    primary_change.record_reports(attempt, _Order.STATUS, reports, now_s)
+    change_reports.record_reports(attempt, _Order.STATUS, reports, now_s)
     return primary_change.next_step(attempt, now_s)
 
 
@@ -110,7 +111,7 @@
         now_s = 100.0 + SPAN_S
         primary_change.next_step(attempt, now_s)
         reports = {"a": make_report(5), "b": make_report(5)}
-        primary_change.record_reports(attempt, _Order.STATUS, reports, now_s)
+        change_reports.record_reports(attempt, _Order.STATUS, reports, now_s)
         self.assertEqual(attempt.phase, _Phase.PROMOTE)
         primary_change.update_members(
             attempt, ("p", "a", "b", "c"), 100.0 + SPAN_S
