--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -7,6 +7,7 @@
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
+from knapweedtally.entry import readiness
 from knapweedtally.entry import target_paths
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -40,9 +41,6 @@
 # running, in seconds.
 NEW_TARGET_AFTER_S = 5.0
 
-# Interval of the checks on callers' sessions, in seconds.
-SESSION_CHECK_INTERVAL_S = 0.5
-
 # A draining primary gets no more work from this long before the drain time
 # ends, in seconds.
 DRAIN_MARGIN_S = 1.5
@@ -51,16 +49,6 @@
 # machine was suspended, and that failures recorded before prove nothing.
 SUSPENSION_S = 0.5
 
-# A host is isolated when it has no evidence about half of the groups, and
-# reaches less than half of the targets, for this long, in seconds. It then
-# reports that it isn't ready. A primary that fails alone leaves the other
-# targets reachable.
-ISOLATION_S = 0.3
-
-# Idle sessions are closed this long after the host stopped being ready, in
-# seconds. New connections reach other hosts by then.
-IDLE_SESSION_CLOSE_DELAY_S = 2.2
-
 
 class Host:
     """The state of one entry host.
@@ -131,6 +119,13 @@
             self._find_last_primary,
             log,
         )
+        self._readiness = readiness.Readiness(
+            self.catalog,
+            self.routers,
+            self.sessions,
+            self._records.is_settled,
+            log,
+        )
         self._probes = member_probes.MemberProbes(
             self.catalog, router_module.USER, log
         )
@@ -173,9 +168,6 @@
         self._draining_since_s: dict[str, float] = {}
         self._departed_positions: dict[str, model.Position] = {}
         self._last_tick_s = clock.get_time_s()
-        self._next_session_check_s = 0.0
-        self._unserved_since_s: float | None = None
-        self._was_ready = False
         # Each check is contained by itself; the order matters.
         self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
             ("suspension", self._check_suspension),
@@ -189,8 +181,8 @@
             ("group", self._check_groups),
             ("configuration exchange", self.configuration.exchange.tick),
             ("sharing", self._share_evidence),
-            ("serving", self._check_serving),
-            ("session", self._check_sessions),
+            ("serving", self._readiness.check_serving),
+            ("session", self._readiness.check_sessions),
         )
 
     def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
@@ -575,68 +567,8 @@
                 router.observer.no_primary_since_s = now_s
             router.observer.commits_in_flight.clear()
 
-    def _check_serving(self, now_s: float) -> None:
-        """Record since when this host can't serve most groups."""
-        routers = self.routers.values()
-        served = sum(
-            1
-            for router in routers
-            if router.observer.is_primary_confirmed(now_s)
-        )
-        all_pools = [p for router in routers for p in router.pools.values()]
-        failing = sum(
-            1 for pool in all_pools if pool.failing_since_s is not None
-        )
-        has_seen_primary = any(
-            router.observer.known_since_s for router in routers
-        )
-        is_isolated = not has_seen_primary or failing * 2 > len(all_pools)
-        if is_isolated and served * 2 <= len(self.routers):
-            if self._unserved_since_s is None:
-                self._unserved_since_s = now_s
-                self.log.write("groups_unserved", served=served)
-        elif self._unserved_since_s is not None:
-            self._unserved_since_s = None
-            self.log.write("groups_served", served=served)
-
-    def _check_sessions(self, now_s: float) -> None:
-        if now_s < self._next_session_check_s:
-            return
-        self._next_session_check_s = now_s + SESSION_CHECK_INTERVAL_S
-        configuration = self.catalog.configuration
-        limit_s = configuration.transaction_idle_s if configuration else 0.0
-        unserved_s = 0.0
-        if self._unserved_since_s is not None:
-            unserved_s = now_s - self._unserved_since_s
-        # A host that just started has never reported that it is ready, so no
-        # sessions have to move to other hosts.
-        has_seen_primary = any(
-            r.observer.known_since_s for r in self.routers.values()
-        )
-        closes_idle_sessions = (
-            has_seen_primary
-            and unserved_s > ISOLATION_S + IDLE_SESSION_CLOSE_DELAY_S
-        )
-        for session in tuple(self.sessions):
-            if not supervision.contain("session", session.tick, now_s, limit_s):
-                session.abort()
-            elif closes_idle_sessions and session.is_idle():
-                session.close()
-
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
-        if self.is_draining or self.catalog.listed_s is None:
-            return False
-        if self.catalog.configuration is None:
-            return False
-        if not self._records.is_settled():
-            return False
-        now_s = clock.get_time_s()
-        since_s = self._unserved_since_s
-        is_ready = since_s is None or (
-            self._was_ready and now_s - since_s < ISOLATION_S
+        return not self.is_draining and self._readiness.is_ready(
+            clock.get_time_s()
         )
-        if is_ready != self._was_ready:
-            self._was_ready = is_ready
-            self.log.write("ready_changed", is_ready=is_ready)
-        return is_ready
--- a/tests/entry/test_rooms.py
+++ b/tests/entry/test_rooms.py
@@ -45,7 +45,13 @@
 
     def test_each_module_belongs_to_a_part(self) -> None:
         modules = {path.stem for path in ENTRY.glob("*.py")}
-        expected = {"__init__", "host", "process", "target_paths"}
+        expected = {
+            "__init__",
+            "host",
+            "process",
+            "readiness",
+            "target_paths",
+        }
         self.assertEqual(expected, modules)
 
     def test_no_circle_of_modules(self) -> None:
