Show when the store last answered, and when a target leaves

The gauge store_answer_age_seconds has the age of the last answer by kind of object, store_call_failed says whether a watch failed and how long it had waited, and target_leaving when a host learns that a target leaves. No decision changes.

--- a/knapweedtally/entry/fleet/store.py
+++ b/knapweedtally/entry/fleet/store.py
@@ -180,6 +180,11 @@
         self.succeeded_s = clock.get_time_s()
         self._expected_s = self.succeeded_s
 
+    @property
+    def kind(self) -> str:
+        """Return the kind of the objects."""
+        return self._kind
+
     def is_overdue(self, now_s: float) -> bool:
         """Return whether no call succeeded for longer than one may take."""
         return now_s - self._expected_s > OVERDUE_S
@@ -192,12 +197,13 @@
             MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, random.Random()
         )
         while True:
+            asked_s = clock.get_time_s()
+            is_watch = revision is not None
             try:
                 if revision is None:
                     revision = await self._list_objects()
                     self._record_success(self._client.watch_wait_s)
                 else:
-                    asked_s = clock.get_time_s()
                     changes = await self._watch_changes(revision)
                     revision = changes.revision if changes else None
                     self._record_success(
@@ -209,7 +215,11 @@
                 retry_backoff.reset()
             except (StoreError, store_calls.MalformedResponse) as error:
                 self._log.write(
-                    "store_call_failed", kind=self._kind, reason=str(error)
+                    "store_call_failed",
+                    kind=self._kind,
+                    reason=str(error),
+                    is_watch=is_watch,
+                    waited_s=round(clock.get_time_s() - asked_s, 2),
                 )
                 # The store may have dropped changes from its history during
                 # the failure, which a watch from the last revision would
--- a/knapweedtally/entry/group_members.py
+++ b/knapweedtally/entry/group_members.py
@@ -165,7 +165,12 @@
     ) -> None:
         target = member.entry.target
         if member.entry.is_draining:
-            since_s = self._draining_since_s.setdefault(target, now_s)
+            if target not in self._draining_since_s:
+                self._draining_since_s[target] = now_s
+                self._log.write(
+                    "target_leaving", target=target, group=router.settings.name
+                )
+            since_s = self._draining_since_s[target]
             is_primary = router.observer.leadership.target == target
             limit_s = self._drain_s - DRAIN_MARGIN_S
             pool.load.accepts_new_work = (
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -62,6 +62,7 @@
         relay_sessions: open connections of other hosts.
         configuration: reads, confirms and exchanges the configuration.
         paths: how each target is reached.
+        watchers: watchers of the store, once they were made.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.store = store.StoreClient(
             host_settings.store, log, host_settings.store_history_s
         )
+        self.watchers: tuple[store.Watcher, ...] = ()
         self.peers = peers.Peers(
             host_settings,
             self.store,
@@ -184,9 +186,9 @@
             ("session", self._readiness.check_sessions),
         )
 
-    def make_watchers(self) -> tuple[store.Watcher, store.Watcher]:
+    def make_watchers(self) -> tuple[store.Watcher, ...]:
         """Return the watchers of the configuration and of the targets."""
-        return (
+        self.watchers = (
             self.configuration.make_watcher(),
             store.Watcher(
                 self.store,
@@ -197,6 +199,7 @@
                 self._records.refresh,
             ),
         )
+        return self.watchers
 
     async def refresh_targets(self) -> None:
         """List targets and members in the store and add the unknown ones.
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -217,6 +217,9 @@
             "store_calls": host.store.call_count,
             "log_lines_left_out": self._log.dropped_lines,
         }
+        for watcher in host.watchers:
+            key = f'store_answer_age_seconds{{kind="{watcher.kind}"}}'
+            gauges[key] = clock.get_time_s() - watcher.succeeded_s
         for router in host.routers.values():
             name = router.settings.name
             gauges[f'queue{{group="{name}"}}'] = router.queue_length
