--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -16,23 +16,27 @@
 
     Attributes:
         is_down: whether every call is answered with 503.
+        is_silent: whether calls that arrive are never answered, also not later.
         is_withholding_events: whether watches receive no events, and no error
             for dropped history, before their wait ends.
         answer_delay_s: additional delay of each answer.
         is_dropping_answers: whether writes take effect without an answer.
         oldest_watch_revision: oldest revision that a watch may start from.
         calls: number of calls received.
+        unanswered_calls: number of calls by kind that are never answered.
         waiting_watches: number of waiting watches by kind.
     """
 
     def __init__(self) -> None:
         """Create an empty store without faults."""
         self.is_down = False
+        self.is_silent = False
         self.is_withholding_events = False
         self.answer_delay_s = 0.0
         self.is_dropping_answers = False
         self.oldest_watch_revision = 0
         self.calls = 0
+        self.unanswered_calls: collections.Counter[str] = collections.Counter()
         self.waiting_watches: collections.Counter[str] = collections.Counter()
         self._aborted_watch_rounds = 0
         self._revision = 1
@@ -96,8 +100,12 @@
         self.calls += 1
         if self.is_down:
             return http.Response(503)
-        await asyncio.sleep(self.answer_delay_s)
         kind, name = [*request.segments[1:], "", ""][:2]
+        if self.is_silent:
+            self.unanswered_calls[kind] += 1
+            # Lasts until the caller closes the connection.
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.answer_delay_s)
         if request.method == "GET":
             return await self._read(request, kind, name)
         if request.method == "DELETE":
