Abandon a watch of the store that nothing confirms

Cause: after a change each host asks for the next one. Sent while the store is silent, the call is never answered; keep-alive probes are answered all the same, and the host learns of no change of that kind until the call's own end, 16 s later. Fault class: a wait that only its own end bounds.

Change: one host of each data centre asks with waits of 1 s and tells the others what the store has shown it; a watch that nothing confirms for 2.5 s, or that lacks what another host knows, is abandoned for a list. A host that nobody confirms asks with short waits. Decided in core/watch_confirmation.py.

--- a/knapweedtally/entry/fleet/peers.py
+++ b/knapweedtally/entry/fleet/peers.py
@@ -42,7 +42,11 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Exchange datagrams with the other hosts."""
+    """Exchange datagrams with the other hosts.
+
+    Attributes:
+        incarnation: identifies this start of the process.
+    """
 
     def __init__(
         self,
@@ -67,7 +71,7 @@
         self._client = client
         self._log = log
         self._on_evidence = on_evidence
-        self._incarnation = random.getrandbits(32)
+        self.incarnation = random.getrandbits(32)
         self._started_s = clock.get_time_s()
         self._heard = heard_hosts.HeardHosts(
             self._host, self._data_centre, log, self._started_s
@@ -349,6 +353,22 @@
         peer = self._peers.get(host)
         return peer.address if peer is not None else None
 
+    def convert_time(
+        self, host: str, incarnation: int, time_s: float, now_s: float
+    ) -> float | None:
+        """Return the earliest time on this host's clock for another host's.
+
+        Returns:
+            The time, or None if the other host's clock, since the start that
+            the incarnation identifies, isn't known.
+        """
+        peer = self._peers.get(host)
+        if peer is None or peer.clock.updated_s is None:
+            return None
+        if peer.clock.incarnation != incarnation:
+            return None
+        return time_s + sharing.get_offset_s(peer.clock, now_s)
+
     def tick(self, now_s: float) -> None:
         """Update the live hosts and send the heartbeats that are due."""
         self._answers_left = MAX_ANSWERS_AT_ONCE
@@ -501,7 +521,7 @@
         message = peer_messages.PeerMessage(
             self._host,
             self._data_centre,
-            self._incarnation,
+            self.incarnation,
             now_s,
             echoed_s,
             age_s,
--- a/knapweedtally/entry/fleet/store.py
+++ b/knapweedtally/entry/fleet/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from knapweedtally.core import watch_confirmation
 from knapweedtally.core import watching
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -149,6 +150,8 @@
 
     Attributes:
         succeeded_s: time of the last successful call, or of the creation.
+        state: what is known of the objects, and how it was confirmed.
+        is_confirming: whether this host asks the store for other hosts.
     """
 
     def __init__(
@@ -179,6 +182,10 @@
         self._log = log
         self.succeeded_s = clock.get_time_s()
         self._expected_s = self.succeeded_s
+        self.state = watch_confirmation.State()
+        self.is_confirming = True
+        self._asked_s = self.succeeded_s
+        self._watch_timeout: asyncio.Timeout | None = None
 
     @property
     def kind(self) -> str:
@@ -189,6 +196,27 @@
         """Return whether no call succeeded for longer than one may take."""
         return now_s - self._expected_s > OVERDUE_S
 
+    def record_confirmation(
+        self, changed_revision: int, shown_s: float, now_s: float
+    ) -> None:
+        """Record what another host has said, and when this watch ends by it.
+
+        The arguments are those of ``watch_confirmation.record_confirmation``.
+        """
+        watch_confirmation.record_confirmation(
+            self.state, changed_revision, shown_s, now_s
+        )
+        timeout = self._watch_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(self._compute_timeout_s(now_s))
+
+    def _compute_timeout_s(self, now_s: float) -> float:
+        """Return the event loop's time at which the watch is abandoned."""
+        deadline_s = watch_confirmation.compute_deadline_s(
+            self.state, self._asked_s
+        )
+        return asyncio.get_running_loop().time() + deadline_s - now_s
+
     async def run(self) -> None:
         """List the objects and watch for changes, forever."""
         revision: int | None = None
@@ -197,7 +225,7 @@
             MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, random.Random()
         )
         while True:
-            asked_s = clock.get_time_s()
+            self._asked_s = clock.get_time_s()
             is_watch = revision is not None
             try:
                 if revision is None:
@@ -210,7 +238,7 @@
                         self._client.watch_wait_s if changes else 0.0
                     )
                     if changes and changes.changes:
-                        waited_s = clock.get_time_s() - asked_s
+                        waited_s = clock.get_time_s() - self._asked_s
                         await asyncio.sleep(delay.compute_next_s(waited_s))
                 retry_backoff.reset()
             except (StoreError, store_calls.MalformedResponse) as error:
@@ -219,7 +247,7 @@
                     kind=self._kind,
                     reason=str(error),
                     is_watch=is_watch,
-                    waited_s=round(clock.get_time_s() - asked_s, 2),
+                    waited_s=round(clock.get_time_s() - self._asked_s, 2),
                 )
                 # The store may have dropped changes from its history during
                 # the failure, which a watch from the last revision would
@@ -246,8 +274,10 @@
 
     async def _list_objects(self) -> int:
         await self._prepare()
+        asked_s = clock.get_time_s()
         listing = await list_objects(self._client, self._kind)
         self._on_list(listing.objects)
+        self._record_answer(listing.revision, listing.objects, asked_s)
         return listing.revision
 
     async def _watch_changes(
@@ -259,11 +289,15 @@
             The changes, or None if the store no longer keeps all of them.
 
         Raises:
-            StoreError: the call failed or was refused.
+            StoreError: the call failed or was refused, or nothing confirmed
+                for too long that it waits for a change.
         """
-        wait_s = self._client.watch_wait_s
+        now_s = clock.get_time_s()
+        wait_s = watch_confirmation.compute_wait_s(
+            self.state, self._client.watch_wait_s, self.is_confirming, now_s
+        )
         request = store_calls.make_watch_request(self._kind, revision, wait_s)
-        response = await self._client.send(request, wait_s + CALL_TIMEOUT_S)
+        response = await self._send_watch(request, wait_s + CALL_TIMEOUT_S)
         if response.status == 410:
             self._log.write("watch_expired", kind=self._kind)
             return None
@@ -272,4 +306,40 @@
         changes = store_calls.parse_changes(response)
         for change in changes.changes:
             self._on_change(change)
+        # The store answers without a change only once the wait is over.
+        shown_s = self._asked_s + (0.0 if changes.changes else wait_s)
+        self._record_answer(
+            changes.revision,
+            [change.stored for change in changes.changes],
+            min(shown_s, clock.get_time_s()),
+        )
         return changes
+
+    async def _send_watch(
+        self, request: http.Request, timeout_s: float
+    ) -> http.Response:
+        """Send a watch call that is abandoned if nothing confirms it."""
+        limit_s = self._compute_timeout_s(clock.get_time_s())
+        try:
+            async with asyncio.timeout_at(limit_s) as self._watch_timeout:
+                return await self._client.send(request, timeout_s)
+        except TimeoutError as error:
+            reason = (
+                "another host knows a later change"
+                if self.state.awaited_revision
+                else "no answer of the store to any host confirmed the watch"
+            )
+            raise StoreError(reason) from error
+        finally:
+            self._watch_timeout = None
+
+    def _record_answer(
+        self,
+        position: int,
+        objects: list[store_calls.StoredObject],
+        shown_s: float,
+    ) -> None:
+        changed_revision = max((o.revision for o in objects), default=0)
+        watch_confirmation.record_answer(
+            self.state, position, changed_revision, shown_s
+        )
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -18,6 +18,7 @@
 from knapweedtally.entry.fleet import peers
 from knapweedtally.entry.fleet import silent_hosts
 from knapweedtally.entry.fleet import store
+from knapweedtally.entry.fleet import watch_confirmations
 from knapweedtally.entry.limits import quotas
 from knapweedtally.entry.members import evidence_sharing
 from knapweedtally.entry.members import lease_manager
@@ -91,6 +92,9 @@
             log,
             lambda *received: self._sharer.receive(*received),
         )
+        self._confirmations = watch_confirmations.WatchConfirmations(
+            host_settings.host, host_settings.data_centre, self.peers, log
+        )
         self.quotas = quotas.Quotas(
             host_settings, self.peers, self.catalog, log, self.counters
         )
@@ -176,6 +180,7 @@
             ("members", self._check_members),
             ("member records", self._check_records),
             ("peers", self.peers.tick),
+            ("watch confirmations", self._confirmations.tick),
             ("quotas", self.quotas.tick),
             ("silent hosts", self._check_silent_hosts),
             ("pacing", self._check_pacing),
@@ -199,6 +204,7 @@
                 self._records.refresh,
             ),
         )
+        self._confirmations.add_watchers(self.watchers)
         return self.watchers
 
     async def refresh_targets(self) -> None:
--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -23,6 +23,7 @@
         is_dropping_answers: whether writes take effect without an answer.
         oldest_watch_revision: oldest revision that a watch may start from.
         calls: number of calls received.
+        calls_by_kind: the same by kind of the objects.
         unanswered_calls: number of calls by kind that are never answered.
         waiting_watches: number of waiting watches by kind.
     """
@@ -36,6 +37,7 @@
         self.is_dropping_answers = False
         self.oldest_watch_revision = 0
         self.calls = 0
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self.unanswered_calls: collections.Counter[str] = collections.Counter()
         self.waiting_watches: collections.Counter[str] = collections.Counter()
         self._aborted_watch_rounds = 0
@@ -97,10 +99,11 @@
 
     async def answer(self, request: http.Request) -> http.Response:
         """Answer one call."""
+        kind, name = [*request.segments[1:], "", ""][:2]
         self.calls += 1
+        self.calls_by_kind[kind] += 1
         if self.is_down:
             return http.Response(503)
-        kind, name = [*request.segments[1:], "", ""][:2]
         if self.is_silent:
             self.unanswered_calls[kind] += 1
             # Lasts until the caller closes the connection.
