Close all idle connections of an HTTP client after a lost response

A response that didn't come in time now closes the other idle connections too, since they are as old. The test's second call failed with a timeout of 20 s before and gets a connection of its own now.

--- a/knapweedtally/utils/http_client.py
+++ b/knapweedtally/utils/http_client.py
@@ -72,6 +72,8 @@
                 response = await connection.exchange(request)
             is_reusable = connection.is_reusable
         except TimeoutError as error:
+            # Connections that are as old may have gone silent with this one.
+            await self.close()
             raise http.ResponseLost(
                 f"no answer from {self._host}:{self._port} in {timeout_s} s"
             ) from error
--- a/tests/utils/test_http.py
+++ b/tests/utils/test_http.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server and client, together and with invalid input."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from unittest import mock
@@ -181,3 +182,64 @@
             await client.close()
 
         run_with_server(body)
+
+
+class AgeingServer:
+    """A server whose open connections can go silent while new ones work.
+
+    Attributes:
+        silent: connections that are not answered any more.
+    """
+
+    def __init__(self) -> None:
+        self.silent: set[asyncio.StreamWriter] = set()
+        self._open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> int:
+        """Start to serve and return the port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    def silence_connections(self) -> None:
+        self.silent |= self._open
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._open.add(writer)
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                if writer not in self.silent:
+                    await asyncio.sleep(0.05)
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                    )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def close(self) -> None:
+        self._server.close()
+        for writer in self._open:
+            writer.close()
+
+
+class SilentConnectionTest(testtools.TestCase):
+    def test_one_lost_response_ends_all_idle_connections(self) -> None:
+        # Guards against a timeout for each idle connection in turn.
+        async def run() -> None:
+            server = AgeingServer()
+            client = http_client.Client("127.0.0.1", await server.start())
+            request = http.Request("GET", "/")
+            await asyncio.gather(
+                *(client.send(request, TIMEOUT_S) for _ in range(4))
+            )
+            server.silence_connections()
+            with testtools.ExpectedException(http.ResponseLost):
+                await client.send(request, 0.2)
+            response = await client.send(request, TIMEOUT_S)
+            self.assertEqual(200, response.status)
+            await client.close()
+            server.close()
+
+        asyncio.run(run())
