Count a primary's drain time from its report, not from when a host learns of it

A primary that leaves gets new work for the drain time less 1.5 s, since a group without a primary is worse. A host that was cut off from the store, or that started meanwhile, began that time when it saw the entry, up to seconds after the report, and sent statements past the users' bound as long as no other primary took over (DRAIN). The time now counts from when the store last showed this host another entry; a host that has just started can't tell and gives such a primary 3 s, more than a change of primary takes.

--- a/knapweedtally/entry/group_members.py
+++ b/knapweedtally/entry/group_members.py
@@ -20,6 +20,10 @@
 # ends, in seconds.
 DRAIN_MARGIN_S = 1.5
 
+# How long a draining primary gets work from a host that can't tell when it
+# reported that it leaves, in seconds. A change of primary takes less.
+UNKNOWN_DRAIN_S = 3.0
+
 
 class GroupMembers:
     """Keep the routers' members as the catalog has them."""
@@ -57,6 +61,32 @@
         """Remember the position that a member had reached when it left."""
         self._departed_positions[target] = position
 
+    def record_leaving(
+        self, target: str, listed_s: float | None, now_s: float
+    ) -> None:
+        """Record since when a target may have reported that it leaves.
+
+        Args:
+            target: id of the target.
+            listed_s: when the store last had another entry of it, as far as
+                this host knows, or None if it has just started.
+            now_s: the current time.
+        """
+        if target in self._draining_since_s:
+            return
+        if listed_s is None:
+            listed_s = now_s - self._drain_limit_s + UNKNOWN_DRAIN_S
+        self._draining_since_s[target] = listed_s
+        self._log.write(
+            "target_leaving",
+            target=target,
+            reported_up_to_s=round(now_s - listed_s, 2),
+        )
+
+    @property
+    def _drain_limit_s(self) -> float:
+        return max(0.0, self._drain_s - DRAIN_MARGIN_S)
+
     def sync_pools(self, router: router_module.Router, now_s: float) -> None:
         """Give each member of a group one pool, and no other target one.
 
@@ -165,16 +195,10 @@
     ) -> None:
         target = member.entry.target
         if member.entry.is_draining:
-            if target not in self._draining_since_s:
-                self._draining_since_s[target] = now_s
-                self._log.write(
-                    "target_leaving", target=target, group=router.settings.name
-                )
-            since_s = self._draining_since_s[target]
+            since_s = self._draining_since_s.setdefault(target, now_s)
             is_primary = router.observer.leadership.target == target
-            limit_s = self._drain_s - DRAIN_MARGIN_S
             pool.load.accepts_new_work = (
-                is_primary and now_s - since_s < limit_s
+                is_primary and now_s - since_s < self._drain_limit_s
             )
         else:
             self._draining_since_s.pop(target, None)
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import last_primary
@@ -151,6 +152,14 @@
             host_settings.drain_s,
             log,
         )
+        self._target_watcher = store.Watcher(
+            self.store,
+            records.TARGETS_KIND,
+            self._apply_entries,
+            self._apply_entry_change,
+            log,
+            self._records.refresh,
+        )
         self._settings = host_settings
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
@@ -195,14 +204,7 @@
         """Return the watchers of the configuration and of the targets."""
         self.watchers = (
             self.configuration.make_watcher(),
-            store.Watcher(
-                self.store,
-                records.TARGETS_KIND,
-                self._apply_entries,
-                self._apply_entry_change,
-                self.log,
-                self._records.refresh,
-            ),
+            self._target_watcher,
         )
         self._confirmations.add_watchers(self.watchers)
         return self.watchers
@@ -269,6 +271,7 @@
             [name for name, entry in parsed if not entry],
         )
         self._log_listed(update)
+        self._record_leaving([entry for _, entry in parsed if entry])
         self._sync_routers()
 
     def _apply_entry_change(self, change: store_calls.Change) -> None:
@@ -283,8 +286,19 @@
             if entry is None:
                 return
             self._log_listed(catalog.update_entry(self.catalog, entry))
+            self._record_leaving([entry])
         self._sync_routers()
 
+    def _record_leaving(self, entries: Sequence[model.TargetEntry]) -> None:
+        """Record since when targets may have reported that they leave."""
+        # The answer that is being applied isn't recorded yet, so this is the
+        # time of which an earlier one shows the entries.
+        listed_s = self._target_watcher.state.confirmed_s
+        now_s = clock.get_time_s()
+        for entry in entries:
+            if entry.is_draining and entry.target in self.catalog.members:
+                self._members.record_leaving(entry.target, listed_s, now_s)
+
     def _parse_entry(
         self, stored: store_calls.StoredObject
     ) -> model.TargetEntry | None:
