Read a list although one value in it is nested too deeply or too long a number

The host took the whole page for unreadable and asked again and again, so it learned of no target any more. Such a value is now read as null: bounded_json decodes as usual and only after a failure replaces what is too deep or too long. It serves lists, watches, single objects and the configuration that another host passes on.

--- a/knapweedtally/entry/fleet/configuration_exchange.py
+++ b/knapweedtally/entry/fleet/configuration_exchange.py
@@ -14,6 +14,7 @@
 from knapweedtally.platform import line_protocol
 from knapweedtally.platform import records
 from knapweedtally.platform import store_calls
+from knapweedtally.utils import bounded_json
 
 # Kinds of the datagrams; their payload is the sender's version.
 QUESTION_KIND = "configuration-ask"
@@ -214,7 +215,7 @@
 
     def _decode(self, data: bytes) -> Any:
         try:
-            return json.loads(data)
-        except (ValueError, RecursionError):
+            return bounded_json.decode(data)
+        except ValueError:
             # The context would quote what was received.
             raise FetchError("the configuration is not JSON") from None
--- a/knapweedtally/platform/store_calls.py
+++ b/knapweedtally/platform/store_calls.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 from urllib import parse
 
+from knapweedtally.utils import bounded_json
 from knapweedtally.utils import http
 
 # Covers the largest page of a list and the largest value, with room for the
@@ -138,7 +139,7 @@
         MalformedResponse: the body is not JSON.
     """
     try:
-        return json.loads(response.body)
+        return bounded_json.decode(response.body)
     except ValueError as error:
         raise MalformedResponse(
             f"response body is not JSON: {error}"
