Refuse odd values in entries and in the configuration one by one

Seen with inputs of our own: a port of 99,999 or 0, a host name in place of an address, 0 slots or a group's name with a line break were taken from an entry. A route, group or idle time with an infinite or huge number raised OverflowError or ValueError past the parser, and the whole configuration was dropped; a version of 400 digits would have made each later configuration an older one. An entry with a value out of range is unreadable now, a route or group is passed over alone, an odd idle time means none, and a version must fit in 63 bits.

--- a/knapweedtally/core/groups/member_records.py
+++ b/knapweedtally/core/groups/member_records.py
@@ -122,7 +122,7 @@
             str(target): _parse_member(group, str(target), fields)
             for target, fields in spec["members"].items()
         }
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -28,6 +28,17 @@
 # Used for a route without ``timeoutMs``.
 DEFAULT_STATEMENT_TIMEOUT_S = 1.0
 
+# Largest integer that is taken: what the store's revisions and counters fit in.
+# A larger version would make each later configuration an older one.
+MAX_INTEGER = 2**63 - 1
+
+# Largest time that is taken, in milliseconds: a year.
+MAX_TIME_MS = 366 * 24 * 3600 * 1000
+
+# Largest number of statements that a target runs at once, of its connections,
+# and of replicas.
+MAX_COUNT = 1_000_000
+
 
 class InvalidRecord(ValueError):  # noqa: N818 - named after the cause
     """Raised for an object that doesn't have the expected schema."""
@@ -50,16 +61,18 @@
         tenants = spec.get("tenants") or ()
         teams = [_parse_team(item) for item in tenants]
         known_teams = {team.name: team for team in teams if team}
-        idle_ms = (spec.get("limits") or {}).get("txIdleMs") or 0
-        if not isinstance(version, int):
-            raise InvalidRecord(f"version must be an integer, not {version!r}")
+        if type(version) is not int or not 0 <= version <= MAX_INTEGER:
+            raise InvalidRecord(
+                f"version must be an integer from 0 to {MAX_INTEGER}, not "
+                f"{str(version)[:80]!r}"
+            )
         if tenants and not known_teams:
             raise InvalidRecord("tenants must contain a valid team")
         return model.Configuration(
             version,
             {route.database: route for route in routes if route},
             {group.name: group for group in groups if group},
-            float(idle_ms) / 1000,
+            _parse_idle_time(spec.get("limits")),
             known_teams,
             {
                 key: team.name
@@ -71,24 +84,53 @@
         raise InvalidRecord(f"configuration: {error!r}") from error
 
 
+def _parse_time(value: Any) -> float:
+    """Return a time in seconds that is given in milliseconds, 0 for none.
+
+    Raises:
+        ValueError: the value isn't a time.
+    """
+    time_ms = float(value or 0)
+    if not 0 <= time_ms <= MAX_TIME_MS:
+        raise ValueError(f"time must be from 0 to {MAX_TIME_MS} ms")
+    return time_ms / 1000
+
+
+def _parse_count(value: Any) -> int:
+    """Return a number of things.
+
+    Raises:
+        ValueError: the value isn't one.
+    """
+    count = int(value)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f"count must be from 0 to {MAX_COUNT}")
+    return count
+
+
+def _parse_idle_time(limits: Any) -> float:
+    """Return how long a transaction may be idle, or 0 for no limit."""
+    try:
+        return _parse_time((limits or {}).get("txIdleMs"))
+    except (AttributeError, OverflowError, TypeError, ValueError):
+        return 0.0
+
+
 def _parse_route(item: Any) -> model.Route | None:
     try:
         # "host" is the name of the database that callers connect to, and
         # "backend" is the service, which is a group of targets here.
-        timeout_ms = item.get("timeoutMs")
-        timeout_s = DEFAULT_STATEMENT_TIMEOUT_S
-        if timeout_ms:
-            timeout_s = float(timeout_ms) / 1000
+        timeout_s = _parse_time(item.get("timeoutMs"))
         return model.Route(
             database=str(item["host"]),
             group=str(item["backend"]),
             consistency=_CONSISTENCIES[item["type"]],
-            max_age_s=float(item.get("maxStalenessMs") or 0) / 1000,
-            statement_timeout_s=timeout_s,
+            max_age_s=_parse_time(item.get("maxStalenessMs")),
+            statement_timeout_s=timeout_s or DEFAULT_STATEMENT_TIMEOUT_S,
             priority=int(item.get("priority") or 0),
             is_public=item.get("public") is True,
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
@@ -96,10 +138,10 @@
     try:
         return model.GroupSettings(
             name=str(item["name"]),
-            max_connections=int(item.get("maxConns") or 8),
-            acknowledging_replicas=int(item.get("syncReplicas") or 0),
+            max_connections=_parse_count(item.get("maxConns") or 8),
+            acknowledging_replicas=_parse_count(item.get("syncReplicas") or 0),
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
@@ -157,6 +199,16 @@
     return {**kept, KEY_DIGESTS: sorted(team.keys)}
 
 
+def _is_word(text: Any) -> bool:
+    """Return whether a text can be sent as one word of a line."""
+    return (
+        isinstance(text, str)
+        and bool(text)
+        and text.isprintable()
+        and " " not in text
+    )
+
+
 def parse_target(name: str, revision: int, spec: Any) -> model.TargetEntry:
     """Return the target that an entry in the store describes.
 
@@ -171,16 +223,22 @@
         update = spec["seq"]
         address = settings.parse_address(spec["addr"])
         is_known = state in _TARGET_STATES and role in _TARGET_ROLES
-        texts = (spec["backend"], spec["zone"], spec["addr"], spec["version"])
-        numbers = (started_ms, update, spec["slots"], spec["coldLeftMs"])
-        is_typed = all(
-            isinstance(text, str) and text for text in texts
-        ) and all(type(number) is int for number in numbers[:3])
-        is_typed = is_typed and type(numbers[3]) in (int, float)
-        if not is_known or not is_typed:
+        texts = (spec["backend"], spec["zone"], spec["version"])
+        is_typed = all(_is_word(text) for text in (name, *texts))
+        is_typed = is_typed and isinstance(spec["addr"], str)
+        is_typed = is_typed and type(spec["coldLeftMs"]) in (int, float)
+        is_in_range = all(
+            type(number) is int and low <= number <= high
+            for number, low, high in (
+                (started_ms, 0, MAX_INTEGER),
+                (update, 0, MAX_INTEGER),
+                (spec["slots"], 1, MAX_COUNT),
+            )
+        )
+        if not is_known or not is_typed or not is_in_range:
             raise InvalidRecord(
-                f"entry {name!r}: a field is empty or has the wrong type, "
-                "or state or dbRole is unknown"
+                f"entry {name!r}: a field is empty, out of range or has the "
+                "wrong type, or state or dbRole is unknown"
             )
         return model.TargetEntry(
             target=name,
--- a/knapweedtally/platform/settings.py
+++ b/knapweedtally/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings file that the platform provides for each process."""
 
+import ipaddress
 import json
 import os
 from typing import Any
@@ -8,6 +9,8 @@
 SETTINGS_VARIABLE = "KNAPWEEDTALLY_SETTINGS"
 _DEFAULT_PATH = "/etc/knapweedtally/local.yaml"
 
+MAX_PORT = 65535
+
 
 class SettingsError(ValueError):
     """Raised for a settings file that is missing or invalid."""
@@ -87,14 +90,27 @@
     """Return the address in a text of the form ``IP:PORT``.
 
     Raises:
-        SettingsError: the text has another form.
+        SettingsError: the text has another form, or the port is not from 1 to
+            65535.
     """
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"address must be IP:PORT, not {text!r}")
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not _is_ip(host) or not is_number or not 0 < int(port) <= MAX_PORT:
+        raise SettingsError(
+            f"address must be IP:PORT with a port from 1 to {MAX_PORT}, not "
+            f"{str(text)[:80]!r}"
+        )
     return Address(host, int(port))
 
 
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def load_settings() -> HostSettings:
     """Read the settings file that the environment variable names.
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -10,6 +10,8 @@
 from knapweedtally.core.groups import model
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
+from knapweedtally.platform import store_calls
+from knapweedtally.utils import http
 
 ENTRY: dict[str, Any] = {
     "backend": "g",
@@ -256,3 +258,69 @@
             settings.parse_settings(content)
         except settings.SettingsError:
             pass
+
+
+class OddValueTest(testtools.TestCase):
+    """One odd value in what another writer has written."""
+
+    def test_odd_entry_in_a_list_or_watch_hides_no_other(self) -> None:
+        deep = "[" * 100_000 + "]" * 100_000
+        for odd in (deep, "9" * 5_000, "1e999"):
+            objects = [
+                f'{{"meta": {{"name": "i-{number}", "rev": 5}}, '
+                f'"spec": {{"x": {odd if number == 1 else 1}}}}}'
+                for number in range(3)
+            ]
+            events = [f'{{"object": {o}, "deleted": false}}' for o in objects]
+            body = (
+                f'{{"items": [{",".join(objects)}], "asOf": 9, '
+                f'"events": [{",".join(events)}]}}'
+            )
+            response = http.Response(200, body.encode())
+            listed = store_calls.parse_page(response).objects
+            watched = store_calls.parse_changes(response).changes
+            names = ["i-0", "i-1", "i-2"]
+            self.assertEqual(names, [stored.name for stored in listed])
+            self.assertEqual(names, [c.stored.name for c in watched])
+
+    def test_entry_with_a_value_out_of_range_is_refused(self) -> None:
+        for field, value in (
+            ("addr", "10.128.0.9:65536"),
+            ("addr", "10.128.0.9:0"),
+            ("addr", "10.128.0.9:" + "9" * 5_000),
+            ("addr", "name:8080"),
+            ("slots", 0),
+            ("slots", 10**400),
+            ("seq", 10**400),
+            ("born", -1),
+            ("backend", "g\r\nQUERY"),
+            ("zone", "d c"),
+        ):
+            self.assertRaises(
+                records.InvalidRecord,
+                records.parse_target,
+                "i-1",
+                1,
+                {**ENTRY, field: value},
+            )
+
+    def test_odd_field_of_the_configuration_costs_only_its_part(self) -> None:
+        route = {**CONFIGURATION["routes"][0], "host": "odd"}
+        group = {**CONFIGURATION["backends"][0], "name": "odd"}
+        for value in (float("inf"), float("nan"), 10**400, "x", [], -1):
+            odd = copy.deepcopy(CONFIGURATION)
+            odd["routes"].append({**route, "timeoutMs": value or [0]})
+            odd["backends"].append({**group, "maxConns": value or [0]})
+            odd["limits"]["txIdleMs"] = value
+            parsed = records.parse_configuration(odd)
+            self.assertEqual(["db"], list(parsed.routes))
+            self.assertEqual(["g"], list(parsed.groups))
+            self.assertEqual(0.0, parsed.transaction_idle_s)
+
+    def test_version_that_would_hide_all_later_ones_is_refused(self) -> None:
+        for version in (10**400, True, -1, 7.0, "7"):
+            self.assertRaises(
+                records.InvalidRecord,
+                records.parse_configuration,
+                {**CONFIGURATION, "version": version},
+            )
