Drop messages of other hosts whose times are no whole microseconds

A time that is not a number, infinite or of 400 digits raised OverflowError in the decoder, which was contained as a failed handler with a traceback for each datagram, or became the offset of the sender's clock. It is a malformed message now, and the test failed before.

--- a/knapweedtally/entry/fleet/peer_messages.py
+++ b/knapweedtally/entry/fleet/peer_messages.py
@@ -35,6 +35,9 @@
 # and the age of evidence that was never seen is infinite.
 MAX_AGE_S = 1000.0
 
+# Largest time in a message, in microseconds.
+MAX_TIME_US = 2**63
+
 
 class HeardHost(NamedTuple):
     """A host that the sender of a message has heard, or heard of.
@@ -217,6 +220,9 @@
         elif version != EVIDENCE_VERSION:
             raise MalformedMessage(f"unsupported format version: {version!r}")
         incarnation, sent_us, echoed_us, echo_age_us, shared = rest
+        _check_times(
+            sent_us, echo_age_us, 0 if echoed_us is None else echoed_us
+        )
         return PeerMessage(
             host,
             str(data_centre),
@@ -229,10 +235,22 @@
             _decode_ages(ages),
             bool(lacks_names),
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise MalformedMessage(repr(error)) from error
 
 
+def _check_times(*times_us: Any) -> None:
+    """Raise MalformedMessage unless all are whole microseconds."""
+    for time_us in times_us:
+        if type(time_us) is not int or abs(time_us) > MAX_TIME_US:
+            raise MalformedMessage("times must be whole microseconds")
+
+
 def _decode_heard(item: Any) -> HeardHost:
     host, data_centre, address, port, age_tenths = item
     if not isinstance(host, str) or not isinstance(data_centre, str):
--- a/knapweedtally/entry/fleet/watch_confirmations.py
+++ b/knapweedtally/entry/fleet/watch_confirmations.py
@@ -102,22 +102,25 @@
     def _receive(self, host: str, payload: Any, now_s: float) -> None:
         try:
             incarnation, sent_us, items = payload
-            sent_s = sent_us / 1e6
+            is_time = type(sent_us) is int and abs(sent_us) < 2**63
             parsed = [
                 watch_confirmation.parse_confirmation(item) for item in items
             ]
-        except (OverflowError, TypeError, ValueError):
-            parsed = [None]
-        if None in parsed:
+        except (TypeError, ValueError):
+            is_time, parsed = False, []
+        if not is_time or None in parsed:
             self._log.write(
                 "peer_message_broken",
                 reason=f"{CONFIRMATION_KIND}: expected incarnation, time and "
                 "confirmations",
             )
             return
-        sent_here_s = self._peers.convert_time(host, incarnation, sent_s, now_s)
+        sent_here_s = self._peers.convert_time(
+            host, incarnation, sent_us / 1e6, now_s
+        )
         if sent_here_s is None:
             return
+        sent_here_s = min(sent_here_s, now_s)
         for item in parsed:
             watcher = self._watchers.get(item.kind) if item else None
             if item is not None and watcher is not None:
--- a/tests/entry/test_peer_messages.py
+++ b/tests/entry/test_peer_messages.py
@@ -115,6 +115,17 @@
             with self.assertRaises(peer_messages.MalformedMessage):
                 peer_messages.decode_message(data)
 
+    def test_times_that_are_no_whole_microseconds_are_rejected(self) -> None:
+        # Guards against a clock offset that isn't a number.
+        for time_us in (float("nan"), float("inf"), 10**400, "1", 1.5):
+            for header in (
+                [5, "front-1", "dc", 7, time_us, None, 0, []],
+                [5, "front-1", "dc", 7, 1, time_us, 0, []],
+                [5, "front-1", "dc", 7, 1, None, time_us, []],
+            ):
+                with self.assertRaises(peer_messages.MalformedMessage):
+                    peer_messages.decode_message(cbor2.dumps(header))
+
     @hypothesis.given(strategies.binary(max_size=120))
     def test_any_bytes_are_decoded_or_rejected(self, data: bytes) -> None:
         try:
