Let the soak leave calls to the store without an answer

A new kind of fault at the end of the list changes a watched object and then keeps the store silent, and each run ends with a new route that every host has to serve 7 s after it was written.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -350,6 +350,24 @@
         store.abort_watches()
 
 
+async def silence_store(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Change objects that are watched, then leave calls without an answer.
+
+    Each host asks for the next change while the store is silent.
+    """
+    platform = system.platform
+    if rng.random() < 0.5:
+        platform.write_configuration()
+    else:
+        platform.store.put("servers", "stranger", {"backend": "g"})
+    await asyncio.sleep(rng.uniform(0.0, 0.3))
+    platform.store.is_silent = True
+    await asyncio.sleep(duration_s)
+    platform.store.is_silent = False
+
+
 async def write_configuration(
     system: System, rng: random.Random, duration_s: float
 ) -> None:
@@ -623,6 +641,7 @@
     "rotate_key": team_faults.rotate_key,
     "lower_limit": team_faults.lower_limit,
     "send_surge": team_faults.send_surge,
+    "silence_store": silence_store,
 }
 
 # Number of the kinds from before callers belonged to teams.
--- a/tests/soak/reachability.py
+++ b/tests/soak/reachability.py
@@ -54,6 +54,7 @@
             is_disturbed = (
                 host.is_paused
                 or store.is_down
+                or store.is_silent
                 or store.is_withholding_events
                 or host.store_link.fault != links.LinkFault()
             )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,6 +29,10 @@
 # platform's recovery bound.
 RECOVERY_TIMEOUT_S = 15.0
 
+# Time limit for a configuration to be in force on each host after the last
+# fault, in seconds: ``stableMs`` and ``configApplyMs`` of the users' rules.
+CONFIGURATION_TIMEOUT_S = 7.0
+
 # Timeout of the start of all processes, in seconds.
 START_TIMEOUT_S = 60.0
 
@@ -93,6 +97,7 @@
             keepers = self._start_keepers() + self._start_watches()
             await self._inject_faults(plan)
             await self._check_recovery()
+            await self._check_configuration()
             await self._stop_callers(tasks)
             for keeper in keepers:
                 keeper.cancel()
@@ -226,7 +231,9 @@
             for host in self.hosts:
                 try:
                     async with asyncio.timeout(RECOVERY_TIMEOUT_S):
-                        while not await self._can_write(host, group):
+                        while not await self._can_write(
+                            host, f"{group}-primary"
+                        ):
                             await asyncio.sleep(0.1)
                 except TimeoutError:
                     self.problems.append(
@@ -235,7 +242,25 @@
                         "fault"
                     )
 
-    async def _can_write(self, host: hosts_module.Host, group: str) -> bool:
+    async def _check_configuration(self) -> None:
+        """Check that each host serves a new route in time."""
+        platform = self.platform
+        route = {**platform.routes[0], "host": "added", "name": "r-added"}
+        platform.routes.append(route)
+        platform.write_configuration()
+        for host in self.hosts:
+            try:
+                async with asyncio.timeout(CONFIGURATION_TIMEOUT_S):
+                    while not await self._can_write(host, "added"):
+                        await asyncio.sleep(0.1)
+            except TimeoutError:
+                self.problems.append(
+                    f"configuration: {host.name} ({host.describe()}) doesn't "
+                    f"serve a new route {CONFIGURATION_TIMEOUT_S} s after it "
+                    "was written"
+                )
+
+    async def _can_write(self, host: hosts_module.Host, database: str) -> bool:
         try:
             reader, writer = await asyncio.open_connection(
                 host.address, host.callers_port
@@ -244,7 +269,7 @@
             return False
         try:
             key = teams_module.PROBE_KEY
-            writer.write(f"START {group}-primary {key}\r\n".encode())
+            writer.write(f"START {database} {key}\r\n".encode())
             id_ = teams_module.PROBE_OPERATION
             writer.write(f"QUERY {id_} WRITE probe 1\r\n".encode())
             await reader.readline()
