--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from knapweedtally.core import model
+from knapweedtally.core import watch_confirmation
 from knapweedtally.core.bundles import codec as bundle_codec
 from knapweedtally.core.bundles import signatures
 from knapweedtally.core.explanations import state as explanations_state
@@ -27,7 +28,9 @@
 from knapweedtally.core.membership import registers
 from knapweedtally.core.membership import state as membership_state
 from knapweedtally.core.sessions import token
+from knapweedtally.entry.fleet import extension_messages
 from knapweedtally.entry.fleet import peer_messages as datagrams
+from knapweedtally.entry.fleet import watch_confirmations
 from knapweedtally.management import bundle_files
 from knapweedtally.peers import codec as peer_codec
 from knapweedtally.peers import messages as peer_messages
@@ -85,6 +88,23 @@
     ]
 
 
+def _list_extension_messages() -> list[Sample]:
+    confirmation = watch_confirmation.Confirmation("servers", 41, 0.25)
+    payload = [
+        2**31,
+        12_500_000,
+        [watch_confirmation.encode_confirmation(confirmation)],
+    ]
+    return [
+        Sample(
+            "extension store-confirmed",
+            ("host-1", watch_confirmations.CONFIRMATION_KIND, payload),
+            lambda value: extension_messages.encode_message(*value).hex(),
+            lambda text: extension_messages.decode_message(bytes.fromhex(text)),
+        )
+    ]
+
+
 def make_registers() -> tuple[model.Register, ...]:
     """Return a register of each kind; the one of a group has a record."""
     host = membership_state.Host(
@@ -476,6 +496,7 @@
     """Return all samples."""
     return [
         *_list_datagrams(),
+        *_list_extension_messages(),
         *_list_peer_messages(),
         *_list_tokens(),
         *_list_bundles(),
