--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -87,6 +87,7 @@
             host_settings.store, log, host_settings.store_history_s
         )
         self.watchers: tuple[store.Watcher, ...] = ()
+        self._target_watcher: store.Watcher | None = None
         self.peers = peers.Peers(
             host_settings,
             self.store,
@@ -152,14 +153,6 @@
             host_settings.drain_s,
             log,
         )
-        self._target_watcher = store.Watcher(
-            self.store,
-            records.TARGETS_KIND,
-            self._apply_entries,
-            self._apply_entry_change,
-            log,
-            self._records.refresh,
-        )
         self._settings = host_settings
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
@@ -202,6 +195,14 @@
 
     def make_watchers(self) -> tuple[store.Watcher, ...]:
         """Return the watchers of the configuration and of the targets."""
+        self._target_watcher = store.Watcher(
+            self.store,
+            records.TARGETS_KIND,
+            self._apply_entries,
+            self._apply_entry_change,
+            self.log,
+            self._records.refresh,
+        )
         self.watchers = (
             self.configuration.make_watcher(),
             self._target_watcher,
@@ -293,7 +294,8 @@
         """Record since when targets may have reported that they leave."""
         # The answer that is being applied isn't recorded yet, so this is the
         # time of which an earlier one shows the entries.
-        listed_s = self._target_watcher.state.confirmed_s
+        watcher = self._target_watcher
+        listed_s = watcher.state.confirmed_s if watcher else None
         now_s = clock.get_time_s()
         for entry in entries:
             if entry.is_draining and entry.target in self.catalog.members:
