--- a/knapweedtally/entry/fleet/extension_messages.py
+++ b/knapweedtally/entry/fleet/extension_messages.py
@@ -10,10 +10,18 @@
 import cbor2
 
 from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import peer_messages
 
 # Version of the format; those of evidence and of heard hosts are lower.
 VERSION = 7
 
+# Versions of the messages between hosts that this build reads.
+READ_VERSIONS = (
+    peer_messages.EVIDENCE_VERSION,
+    peer_messages.HEARD_VERSION,
+    VERSION,
+)
+
 # First bytes of an encoded message: an array of four, and the version.
 PREFIX = bytes((0x84, VERSION))
 
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -13,6 +13,7 @@
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import supervision
+from knapweedtally.entry.fleet import extension_messages
 from knapweedtally.entry.pools import relays
 from knapweedtally.entry.statements import placement_reports
 from knapweedtally.entry.statements import sessions
@@ -98,7 +99,11 @@
                 self._settings.peers.port,
                 backlog=BACKLOG,
             )
-        self._log.write("started", data_centre=self._settings.data_centre)
+        self._log.write(
+            "started",
+            data_centre=self._settings.data_centre,
+            message_versions=extension_messages.READ_VERSIONS,
+        )
         discovery_task = loop.create_task(self._host.peers.run())
         tasks = self._start_background_tasks()
         stop_task = loop.create_task(self._stop_requested.wait())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 import time
 import traceback
 
+from tests.soak import builds
 from tests.soak import run
 
 # Without --first, the first seed is drawn from the time and lies below this.
@@ -28,26 +29,32 @@
     parser.add_argument(
         "--kinds", type=int, help="draw only from the first kinds of faults"
     )
+    parser.add_argument(
+        "--production",
+        metavar="COMMIT",
+        help="build that runs first; its hosts are replaced one by one",
+    )
     return parser.parse_args()
 
 
 def run_and_report(
-    options: tuple[int, float, int, int | None],
+    options: tuple[int, float, int, int | None, pathlib.Path | None],
 ) -> tuple[int, run.Result, str]:
     """Run a seed, and keep its logs and a report if it found a problem.
 
     Args:
         options: the seed, the duration of the faults in seconds, the number
-            of hosts and the number of the first kinds of faults to draw from.
+            of hosts, the number of the first kinds of faults to draw from, and
+            the folder of the build in production.
 
     Returns:
         The seed, its result and the folder of its logs.
     """
-    seed, seconds, hosts, kind_count = options
+    seed, seconds, hosts, kind_count, production = options
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     try:
         result = run.run_seed(
-            seed, seconds, hosts, pathlib.Path(folder), kind_count
+            seed, seconds, hosts, pathlib.Path(folder), kind_count, production
         )
     except Exception:
         # An error in one seed must not stop the others, which still have to
@@ -71,8 +78,13 @@
     if first is None:
         first = time.time_ns() // 1000 % SEED_RANGE
     seeds = range(first, first + options.seeds)
+    production = None
+    if options.production is not None:
+        folder = tempfile.mkdtemp(prefix="soak-build-")
+        production = builds.extract(options.production, pathlib.Path(folder))
     arguments = [
-        (seed, options.seconds, options.hosts, options.kinds) for seed in seeds
+        (seed, options.seconds, options.hosts, options.kinds, production)
+        for seed in seeds
     ]
     failed = requests = done = promotions = 0
     with multiprocessing.Pool(options.processes) as pool:
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -13,6 +13,7 @@
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
 from tests.entry import harness
+from tests.soak import builds
 from tests.soak import links
 
 # Signals that ask a process to end.
@@ -36,6 +37,7 @@
         process: the process; None while it is stopped.
         start_count: number of times that the process was started.
         is_paused: whether the process is suspended by SIGSTOP.
+        build: folder of the program that its next start runs.
         unasked_ends: description of each end of a process that no signal asked
             for.
     """
@@ -53,6 +55,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.start_count = 0
         self.is_paused = False
+        self.build = builds.ROOT
         self.unasked_ends: list[str] = []
         self._sent_signals: set[signal.Signals] = set()
         self._platform = platform
@@ -115,6 +118,7 @@
                 "-m",
                 "knapweedtally",
                 "entry",
+                cwd=self.build,
                 env={**os.environ, settings.SETTINGS_VARIABLE: str(path)},
                 stdout=log,
                 stderr=log,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,11 +4,13 @@
 import math
 import pathlib
 import random
+import signal
 from typing import NamedTuple
 
 from standins.line_platform import platform as platform_module
 from tests.history import checker
 from tests.history import model
+from tests.soak import builds
 from tests.soak import callers
 from tests.soak import faults
 from tests.soak import hosts as hosts_module
@@ -64,6 +66,7 @@
         host_count: int,
         folder: pathlib.Path,
         kind_count: int | None,
+        production: pathlib.Path | None = None,
     ) -> None:
         self.seed = seed
         self.platform = platform_module.Platform(GROUPS)
@@ -74,6 +77,7 @@
         self._host_count = host_count
         self._kind_count = kind_count
         self._folder = folder
+        self._production = production
         self._reachabilities: dict[str, reachability.Reachability] = {}
         self._surge_count = 0
         # Concurrent runs and their hosts have addresses of their own, so that
@@ -95,7 +99,9 @@
             await self._start_hosts()
             tasks = self._start_callers()
             keepers = self._start_keepers() + self._start_watches()
-            await self._inject_faults(plan)
+            await asyncio.gather(
+                self._inject_faults(plan), self._replace_hosts()
+            )
             await self._check_recovery()
             await self._check_configuration()
             await self._stop_callers(tasks)
@@ -127,6 +133,7 @@
                 self.platform,
                 self._folder,
             )
+            host.build = self._production or host.build
             self.hosts.append(host)
             await host.start_links()
         await asyncio.gather(*(host.start() for host in self.hosts))
@@ -225,6 +232,21 @@
             )
         await asyncio.gather(*tasks)
 
+    async def _replace_hosts(self) -> None:
+        """Replace the build in production, one host after the other."""
+        if self._production is None:
+            return
+        for replacement in builds.draw_replacements(self.seed, len(self.hosts)):
+            await asyncio.sleep(replacement.pause_s)
+            host = self.hosts[replacement.host]
+            while host.is_paused:
+                await asyncio.sleep(0.05)
+            host.build = builds.ROOT if replacement.is_new else self._production
+            # One that a fault has stopped starts with this build by itself.
+            if host.process is not None:
+                await host.stop(signal.SIGTERM)
+                await host.start()
+
     async def _check_recovery(self) -> None:
         """Check that each host serves writes to each group again in time."""
         for group in GROUPS:
@@ -363,7 +385,8 @@
     host_count: int,
     folder: pathlib.Path,
     kind_count: int | None,
+    production: pathlib.Path | None = None,
 ) -> Result:
     """Run a seed in an event loop of its own."""
-    soak_run = SoakRun(seed, host_count, folder, kind_count)
+    soak_run = SoakRun(seed, host_count, folder, kind_count, production)
     return asyncio.run(soak_run.run(duration_s))
