Refuse odd numbers in records of members and in limits' messages

An infinite term in a group's record, or an integer of 400 digits in a question for tokens of another host, raised OverflowError past the parser: a failed check or handler with a traceback each time. A member that an earlier build had recorded with a port of 99,999 stayed one, to which no connection can be opened; it is passed over now and the others are read. Both tests failed before.

--- a/knapweedtally/core/groups/last_primary.py
+++ b/knapweedtally/core/groups/last_primary.py
@@ -68,5 +68,5 @@
             int(fields["term"]),
             model.Position(int(term), int(number)),
         )
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, OverflowError, TypeError, ValueError):
         return None
--- a/knapweedtally/core/groups/member_records.py
+++ b/knapweedtally/core/groups/member_records.py
@@ -17,6 +17,8 @@
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 
+MAX_PORT = 65535
+
 # Number of hosts that keep a group's record up to date. With two, a change is
 # still recorded if one is killed or can't reach the store.
 RECORDERS_PER_GROUP = 2
@@ -116,11 +118,20 @@
 
 
 def parse_record(group: str, spec: Any) -> Members | None:
-    """Return the members in a stored record, or None if it is invalid."""
+    """Return the members in a stored record, or None if it is invalid.
+
+    Earlier builds recorded targets whose entry named an impossible port.
+    Nothing runs there, so these are no members.
+    """
     try:
-        return {
-            str(target): _parse_member(group, str(target), fields)
+        members = (
+            _parse_member(group, str(target), fields)
             for target, fields in spec["members"].items()
+        )
+        return {
+            member.target: member
+            for member in members
+            if 0 < member.port <= MAX_PORT
         }
     except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
--- a/knapweedtally/entry/limits/quota_messages.py
+++ b/knapweedtally/entry/limits/quota_messages.py
@@ -1,6 +1,5 @@
 """Payloads of the extension messages that ask for tokens and lend them."""
 
-import math
 from typing import Any
 
 from knapweedtally.core.quotas import messages
@@ -104,7 +103,8 @@
 
 
 def _parse_amount(name: str, value: Any) -> float:
-    is_number = type(value) in (int, float) and math.isfinite(value)
+    # A comparison is safe for any number; a huge integer has no float.
+    is_number = type(value) in (int, float)
     if not is_number or not 0 <= value <= MAX_RATE_PER_S:
         raise MalformedPayload(f"{name} must be a number from 0")
     return float(value)
--- a/tests/entry/test_quotas.py
+++ b/tests/entry/test_quotas.py
@@ -161,7 +161,18 @@
 
     def test_malformed_payloads_are_refused(self) -> None:
         # A wrong type would fail later, in the midst of a change.
-        values = (None, -1, True, math.nan, math.inf, "", [], 2**70, b"x")
+        values = (
+            None,
+            -1,
+            True,
+            math.nan,
+            math.inf,
+            "",
+            [],
+            2**70,
+            b"x",
+            10**400,
+        )
         for encoded, decode in (
             (quota_messages.encode_ask(self.ASK), quota_messages.decode_ask),
             (quota_messages.encode_lend(self.LEND), quota_messages.decode_lend),
--- a/tests/groups/test_member_records.py
+++ b/tests/groups/test_member_records.py
@@ -127,6 +127,18 @@
         ):
             self.assertIsNone(member_records.parse_record("g", spec), spec)
 
+    def test_odd_values_cost_only_their_member_or_are_not_read(self) -> None:
+        fields = {"address": "a", "port": 1, "data_centre": "d", "slots": 1}
+        odd = {**fields, "port": 99_999}
+        record = {"members": {"i-1": fields, "i-2": odd}}
+        self.assertEqual(
+            ["i-1"], list(member_records.parse_record("g", record) or ())
+        )
+        infinite = {"members": {"i-1": {**fields, "slots": float("inf")}}}
+        self.assertIsNone(member_records.parse_record("g", infinite))
+        primary = {"target": "i-1", "term": float("inf"), "position": [1, 2]}
+        self.assertIsNone(member_records.parse_primary({"primary": primary}))
+
 
 class RecordedMemberTest(testtools.TestCase):
     """Members that are known only from the record."""
