--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -96,7 +96,7 @@
 
     def test_seeds(self) -> None:
         arguments = [
-            (seed, seconds, run.HOST_COUNT, kind_count)
+            (seed, seconds, run.HOST_COUNT, kind_count, None)
             for seed, seconds, kind_count in (*REGRESSION_SEEDS, *SEEDS)
         ]
         with multiprocessing.Pool(WORKER_COUNT) as pool:
