Await a transaction's begin before its keyed write (PostgreSQL side)

Callers saw, with a target that refuses the begin of the transaction in which a write and its idempotency key are recorded: an error for a write that had been committed, and for their next try with the same key the recorded success of a write that they had been told had failed.

Cause: BEGIN, the insert of the key and the write were sent in one batch. In the simple query protocol a refused BEGIN doesn't stop what follows: key and write were committed each on its own.

Change: the answer to BEGIN is awaited; an error ends the attempt.

test_refused_begin_leaves_neither_the_write_nor_its_key failed before.

--- a/knapweedtally/targets/attempt.py
+++ b/knapweedtally/targets/attempt.py
@@ -117,17 +117,25 @@
 
     The unique index on the key fails a second run at the insert of the key,
     before the statement runs: an aborted transaction refuses every statement
-    until it ends.
+    until it ends. That holds inside of a transaction only, so the answer to its
+    begin is awaited. Outside of one, the key and the write would each be
+    committed on their own.
     """
-    opening_messages = wire.encode_query("BEGIN")
-    opening_messages += _encode_key_insert(effect.key, caller, batch)
+    (begin_section,) = await connection.exchange(wire.encode_query("BEGIN"), 1)
+    if begin_section.sqlstate:
+        return AttemptResult(
+            begin_section,
+            wire.parse_report(effect.target, begin_section.report),
+            None,
+            False,
+            False,
+            begin_section.status,
+        )
+    opening_messages = _encode_key_insert(effect.key, caller, batch)
     opening_messages += batch.render(connection.prepared)
-    begin_section, insert_section, section = await connection.exchange(
-        opening_messages, 3
-    )
+    insert_section, section = await connection.exchange(opening_messages, 2)
     outcome_section = next(
-        (s for s in (begin_section, insert_section, section) if s.sqlstate),
-        section,
+        (s for s in (insert_section, section) if s.sqlstate), section
     )
     if outcome_section.sqlstate:
         closing_messages = wire.encode_query("ROLLBACK") + _encode_key_lookup(
--- a/standins/target/execution.py
+++ b/standins/target/execution.py
@@ -39,6 +39,12 @@
     sqlstate = "0A000"
 
 
+class OutOfMemoryError(errors.TargetError):
+    """The instance has no memory for another transaction."""
+
+    sqlstate = "53200"
+
+
 class Outcome(NamedTuple):
     """Result and command tag of a statement."""
 
@@ -135,6 +141,8 @@
         self, statement: sql.ParsedStatement, parameters: Sequence[logs.Value]
     ) -> Outcome:
         self.transaction.check_usable()
+        if self._target.faults.consume_refused_begin():
+            raise OutOfMemoryError("out of memory")
         self.transaction.is_explicit = True
         return _make_outcome("BEGIN")
 
--- a/standins/target/faults.py
+++ b/standins/target/faults.py
@@ -24,6 +24,7 @@
     service_time_ms: float
     refuse_connections: bool
     lose_answers: int
+    refuse_begins: int
 
 
 class Faults:
@@ -37,6 +38,7 @@
         service_time_ms: time for which a statement occupies its slot.
         refuse_connections: whether new connections are closed immediately.
         lose_answers: number of commits that take effect but are not answered.
+        refuse_begins: number of transactions whose begin is refused.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.service_time_ms = service_time_ms
         self.refuse_connections = False
         self.lose_answers = 0
+        self.refuse_begins = 0
         self._changed = signals.Signal()
 
     def update(self, settings: Settings) -> None:
@@ -78,6 +81,13 @@
         self.lose_answers -= 1
         return True
 
+    def consume_refused_begin(self) -> bool:
+        """Return whether to refuse the next begin, and count it as refused."""
+        if self.refuse_begins <= 0:
+            return False
+        self.refuse_begins -= 1
+        return True
+
     async def wait_until_reachable(self, host: str) -> None:
         """Wait until an address is not cut off."""
         while self.is_cut_off(host):
--- a/tests/targets/test_keys.py
+++ b/tests/targets/test_keys.py
@@ -77,6 +77,18 @@
         self.assertEqual(1, self.count_rows())
         self.assertTrue(second.is_key_reused)
 
+    def test_refused_begin_leaves_neither_the_write_nor_its_key(self) -> None:
+        # Sent ahead of the begin's answer, both were committed on their own:
+        # the caller was told that the write had failed, and its next try with
+        # the key that it had succeeded.
+        self.group.set_faults("a", refuse_begins=1)
+        first, second = anyio.run(self.run_twice, INSERT, INSERT)
+        self.assertEqual("53200", first.section.sqlstate)
+        self.assertEqual("I", first.status)
+        self.assertFalse(second.is_replayed)
+        self.assertEqual("INSERT 0 1", wire.read_tag(second.section))
+        self.assertEqual(1, self.count_rows())
+
     def test_retry_without_the_record_runs_again(self) -> None:
         """Show that the checks above fail if the key isn't recorded."""
         with mock.patch.object(attempt, "_encode_key_insert", encode_no_insert):
