Send a caller's statement only after its session is set up

Cause: RESET, SET, PREPARE and the statement went out in one write. A target that refuses a setup statement runs what follows it. Ruled out: connections that change hands during a statement; a target that forgets.

Change: core/groups/session_setup.py knows a connection's session by the target's answers alone; a statement is sent when they show its caller's. A statement that wasn't sent is tried again, and refused as "not run" in the end. The setup of a transaction goes with its begin. Connections are chosen so that those without values serve callers without values, and the caller's other prepared statements are prepared along. The module of connections is divided into the line protocol's (line_connections) and the callers' part.

--- a/knapweedtally/entry/members/member_probes.py
+++ b/knapweedtally/entry/members/member_probes.py
@@ -3,7 +3,7 @@
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import model
 from knapweedtally.entry.common import logs
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pools
 from knapweedtally.platform import line_protocol
 
@@ -74,7 +74,7 @@
         pool = pools.Pool(entry, 1, self._user, self._log, lambda: None)
         self._pools[entry.target] = pool
 
-        def handle_status(outcome: connections.Outcome) -> None:
+        def handle_status(outcome: line_connections.Outcome) -> None:
             if outcome.answer is None or not line_protocol.parse_status(
                 outcome.answer
             ):
--- a/knapweedtally/entry/members/observer.py
+++ b/knapweedtally/entry/members/observer.py
@@ -19,7 +19,7 @@
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.members import acknowledgements
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pools as pools_module
 from knapweedtally.entry.pools import requests
 from knapweedtally.platform import line_protocol
@@ -144,7 +144,7 @@
         pool = self._pools[target]
         generation = pool.generation
 
-        def handle_status(outcome: connections.Outcome) -> None:
+        def handle_status(outcome: line_connections.Outcome) -> None:
             self._status_requests.discard(target)
             if self._pools.get(target) is not pool:
                 return
--- a/knapweedtally/entry/members/promoter.py
+++ b/knapweedtally/entry/members/promoter.py
@@ -18,7 +18,7 @@
 from knapweedtally.entry.fleet import store
 from knapweedtally.entry.members import group as group_module
 from knapweedtally.entry.members import lease_manager
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.platform import line_protocol
 from knapweedtally.platform import promotion_call
 from knapweedtally.platform import settings
@@ -330,11 +330,11 @@
         pool = router.pools.get(target)
         if pool is None:
             return None
-        outcome_future: asyncio.Future[connections.Outcome] = (
+        outcome_future: asyncio.Future[line_connections.Outcome] = (
             asyncio.get_running_loop().create_future()
         )
 
-        def set_outcome(outcome: connections.Outcome) -> None:
+        def set_outcome(outcome: line_connections.Outcome) -> None:
             if not outcome_future.done():
                 outcome_future.set_result(outcome)
 
--- a/knapweedtally/entry/pools/holder_queues.py
+++ b/knapweedtally/entry/pools/holder_queues.py
@@ -10,6 +10,7 @@
 
 from knapweedtally.core.groups import holder_queue
 from knapweedtally.core.groups import queue_refusals
+from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import team_turns
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -19,9 +20,10 @@
 
 WAIT_HISTOGRAM = "holder_wait_seconds"
 
-# Returns an idle direct connection for a team and session values, or None.
+# Returns an idle direct connection for a team and a statement's needs,
+# or None.
 TakeTeamConnection = Callable[
-    [str, dict[bytes, bytes]], connections.Connection | None
+    [str, session_setup.Needs], connections.Connection | None
 ]
 
 
@@ -29,7 +31,7 @@
     """A statement that needs a connection.
 
     Attributes:
-        values: session values that the connection should hold.
+        needs: what the statement needs of the connection's session.
         on_idle: called once with the connection, or with None if the queue
             closes; not called after ``on_refused``.
         on_refused: called with the detail of the refusal, or None to call
@@ -37,7 +39,7 @@
         id: id of the statement, for the log.
     """
 
-    values: dict[bytes, bytes]
+    needs: session_setup.Needs
     on_idle: Callable[[connections.Connection | None], None]
     on_refused: Callable[[bytes], None] | None
     id: bytes
@@ -65,7 +67,7 @@
         Args:
             target: id of the target.
             take_connection: returns an idle direct connection for a team and
-                session values, or None.
+                a statement's needs, or None.
             is_free: returns whether it would return one for a team. It is
                 asked for each waiting team, so it must not count as a use.
             log: the host's log.
@@ -111,7 +113,7 @@
             if entry is None:
                 return
             request: Request = entry.payload
-            connection = self._take_connection(entry.team, request.values)
+            connection = self._take_connection(entry.team, request.needs)
             self._counters.observe(
                 f"priority {entry.priority}",
                 now_s - entry.arrived_s,
--- a/knapweedtally/entry/pools/pacing.py
+++ b/knapweedtally/entry/pools/pacing.py
@@ -14,7 +14,7 @@
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import supervision
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.platform import line_protocol
 
 # Kind of the messages that carry a target's figure.
@@ -69,7 +69,7 @@
         """Send a message that may be lost."""
 
 
-def classify(outcome: connections.Outcome) -> pacing.Result:
+def classify(outcome: line_connections.Outcome) -> pacing.Result:
     """Return what the end of a statement says about its target."""
     if outcome.answer is not None:
         return _RESULTS.get(outcome.answer.code, _Result.NEUTRAL)
@@ -145,8 +145,8 @@
         self,
         id_: bytes,
         text: bytes,
-        on_end: connections.OutcomeCallback | None,
-    ) -> connections.OutcomeCallback | None:
+        on_end: line_connections.OutcomeCallback | None,
+    ) -> line_connections.OutcomeCallback | None:
         """Count a statement that is sent on a direct connection.
 
         Args:
@@ -169,16 +169,16 @@
 
     def _handle_outcome(
         self,
-        on_end: connections.OutcomeCallback | None,
+        on_end: line_connections.OutcomeCallback | None,
         is_begin: bool,
-        outcome: connections.Outcome,
+        outcome: line_connections.Outcome,
     ) -> None:
         supervision.contain("pacing", self._record_outcome, is_begin, outcome)
         if on_end is not None:
             on_end(outcome)
 
     def _record_outcome(
-        self, is_begin: bool, outcome: connections.Outcome
+        self, is_begin: bool, outcome: line_connections.Outcome
     ) -> None:
         now_s = clock.get_time_s()
         result = classify(outcome)
--- a/knapweedtally/entry/pools/pool_opening.py
+++ b/knapweedtally/entry/pools/pool_opening.py
@@ -7,6 +7,7 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import statements
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -291,7 +292,7 @@
     @abc.abstractmethod
     def find_idle_connection(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         is_direct: bool = False,
         team: str | None = "",
     ) -> connections.Connection | None:
--- a/knapweedtally/entry/pools/pools.py
+++ b/knapweedtally/entry/pools/pools.py
@@ -4,9 +4,11 @@
 from collections.abc import Iterator
 
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import session_setup
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import metrics
 from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pacing
 from knapweedtally.entry.pools import pool_opening
 from knapweedtally.platform import line_protocol
@@ -55,7 +57,10 @@
 
     def _has_idle(self, team: str) -> bool:
         """Return whether a direct connection of a team may be used now."""
-        return self.find_idle_connection({}, True, team) is not None
+        return (
+            self.find_idle_connection(session_setup.NO_NEEDS, True, team)
+            is not None
+        )
 
     def _handle_open_end(self, path: pool_opening.Path) -> None:
         """Handle that a connection is no longer being opened."""
@@ -99,14 +104,17 @@
 
     def find_idle_connection(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         is_direct: bool = False,
         team: str | None = "",
     ) -> connections.Connection | None:
         """Return the idle connection that needs the least session setup.
 
+        Of several, the least recently used one is returned: the session on it
+        is the least likely to be needed again.
+
         Args:
-            values: session values that the connection should have.
+            needs: what the statement needs of the connection's session.
             is_direct: whether the connection must be direct, not through a
                 relay host.
             team: name of the team that the connection has to serve, or None
@@ -116,17 +124,25 @@
         Returns:
             The connection, or None if no suitable one is idle.
         """
-        best = None
-        best_cost = 3
+        return min(
+            self._list_idle(is_direct, team),
+            key=lambda c: (c.get_setup_cost(needs), c.idle_since_s),
+            default=None,
+        )
+
+    def _list_idle(
+        self, is_direct: bool, team: str | None
+    ) -> list[connections.Connection]:
+        """Return the idle connections that a team may use now.
+
+        The target's pace limits direct ones, except for control statements.
+        """
         is_held_back = team is not None and self._is_held_back()
-        for connection in self._list_usable(is_direct, team):
-            if is_held_back and not connection.relay_host:
-                continue
-            if connection.is_idle:
-                cost = connection.get_setup_cost(values)
-                if cost < best_cost:
-                    best, best_cost = connection, cost
-        return best
+        return [
+            c
+            for c in self._list_usable(is_direct, team)
+            if c.is_idle and (c.relay_host or not is_held_back)
+        ]
 
     def count_by_team(self) -> dict[str, int]:
         """Return the number of direct connections by team; empty without."""
@@ -172,7 +188,7 @@
 
     def wait_for_connection(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
         team: str,
@@ -218,7 +234,10 @@
         """Handle that another host's commit ended or was given up."""
 
     def send_control_statement(
-        self, text: bytes, on_end: connections.OutcomeCallback, timeout_s: float
+        self,
+        text: bytes,
+        on_end: line_connections.OutcomeCallback,
+        timeout_s: float,
     ) -> None:
         """Send a control statement on the next idle connection.
 
@@ -231,10 +250,12 @@
         now_s = clock.get_time_s()
         if not self._connections and not self._opening:
             if self._retry_at_s > now_s:
-                on_end(connections.Outcome(None, now_s))
+                on_end(line_connections.Outcome(None, now_s))
                 return
             self.open_connection()
-        connection = self.find_idle_connection({}, False, None)
+        connection = self.find_idle_connection(
+            session_setup.NO_NEEDS, False, None
+        )
         if connection is not None:
             connection.send(
                 line_protocol.HOST_STATEMENT_ID, text, on_end, timeout_s
@@ -309,7 +330,7 @@
 
     def call_when_idle(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
         team: str = "",
@@ -320,7 +341,7 @@
         """Call back with an idle direct connection, or None at a deadline.
 
         Args:
-            values: session values that the connection should have.
+            needs: what the statement needs of the connection's session.
             on_idle: called once.
             deadline_s: when the wait ends.
             team: name of the team that the connection has to serve.
@@ -332,10 +353,10 @@
         """
         connection = None
         if not self._wait_queues.has_relay_requests:
-            connection = self.find_idle_connection(values, is_direct=True)
+            connection = self.find_idle_connection(needs, is_direct=True)
         if connection is None:
             self._wait_queues.add_relay_request(
-                values, on_idle, deadline_s, team, priority, on_refused, id_
+                needs, on_idle, deadline_s, team, priority, on_refused, id_
             )
             self.open_if_allowed()
             return
--- a/knapweedtally/entry/pools/relays.py
+++ b/knapweedtally/entry/pools/relays.py
@@ -13,10 +13,12 @@
 from collections.abc import Callable
 from typing import ParamSpec
 
+from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import statements
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pools
 from knapweedtally.platform import line_protocol
 
@@ -92,7 +94,7 @@
         sock.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
-            connections.TCP_USER_TIMEOUT_MS,
+            line_connections.TCP_USER_TIMEOUT_MS,
         )
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         self._sessions.add(self)
@@ -237,9 +239,18 @@
         elif statement.kind in _LOCAL_HANDLERS:
             _LOCAL_HANDLERS[statement.kind](self, statement)
             self._write_done()
+            self._prepare_transaction(statement)
         else:
             self._forward_statement(statement, position)
 
+    def _prepare_transaction(self, statement: statements.Statement) -> None:
+        """Set up the session of an open transaction ahead of its statement."""
+        if self._held_connection is not None:
+            is_prepare = statement.kind is _Kind.PREPARE
+            definition = statement.arguments if is_prepare else None
+            needs = session_setup.Needs(self.values, definition, self.prepared)
+            self._held_connection.prepare(needs)
+
     def _set_team(self, text: bytes) -> None:
         """Remember the team, priority and deadline of what follows."""
         announcement = line_protocol.parse_announcement(text)
@@ -270,7 +281,7 @@
         assert self._pool is not None
         self._is_busy = True
 
-        def handle_outcome(outcome: connections.Outcome) -> None:
+        def handle_outcome(outcome: line_connections.Outcome) -> None:
             self._is_busy = False
             if outcome.answer is None:
                 self.abort()
@@ -299,7 +310,7 @@
             self._run_statement(self._held_connection, statement, position)
             return
         self._pool.call_when_idle(
-            self.values,
+            connections.find_needs(self, statement),
             self._guard(
                 lambda connection: self._run_or_reject(
                     connection, statement, position
@@ -381,12 +392,18 @@
             )
 
     def _handle_outcome(
-        self, connection: connections.Connection, outcome: connections.Outcome
+        self,
+        connection: connections.Connection,
+        outcome: line_connections.Outcome,
     ) -> None:
         self._is_busy = False
         self._running_connection = None
         answer = outcome.answer
         self._end_commit(answer)
+        is_begun = self._held_connection is not None
+        if answer is None and not outcome.is_sent and not is_begun:
+            self._refuse_statement(b"the session wasn't set up")
+            return
         if answer is None:
             self._held_connection = None
             self.abort()
--- a/knapweedtally/entry/pools/requests.py
+++ b/knapweedtally/entry/pools/requests.py
@@ -6,6 +6,7 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import statements
 from knapweedtally.entry.pools import connections
 
@@ -60,6 +61,7 @@
         is_refused_by_queue: whether a holder's queue has refused it once.
         reason: outcome of the last placement; why the request is queued.
         permit: its right to be sent, or None if its team has no limit.
+        next_statement: the statement that follows a begin, or None.
     """
 
     session: connections.Session
@@ -81,6 +83,12 @@
     is_refused_by_queue: bool = False
     reason: placement.Reason = placement.Reason.CHOSEN
     permit: Permit | None = None
+    next_statement: statements.Statement | None = None
+
+    def find_needs(self) -> session_setup.Needs:
+        """Return what the request needs of the session of its connection."""
+        statement = self.next_statement if self.is_begin else self.statement
+        return connections.find_needs(self.session, statement)
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +104,7 @@
         connection: connection that the transaction now owns, or None.
         position: log position that the target had to hold, or None.
         waited_s: time in the queue.
+        setup_s: time for which the last attempt waited for its session's setup.
         attempts: number of attempts made.
         evidence_age_s: age of the evidence about the primary.
         member_age_s: age of the evidence from the group's other members.
@@ -109,6 +118,7 @@
     connection: connections.Connection | None = None
     position: model.Position | None = None
     waited_s: float = 0.0
+    setup_s: float = 0.0
     attempts: int = 0
     evidence_age_s: float = 0.0
     member_age_s: float = 0.0
--- a/knapweedtally/entry/pools/team_openings.py
+++ b/knapweedtally/entry/pools/team_openings.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import statements
 from knapweedtally.core.groups import team_connections
 from knapweedtally.entry.common import clock
@@ -16,6 +17,7 @@
 from knapweedtally.entry.pools import connection_share
 from knapweedtally.entry.pools import connections
 from knapweedtally.entry.pools import holder_selection
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pool_opening
 from knapweedtally.entry.pools import pools
 from knapweedtally.platform import line_protocol
@@ -266,12 +268,14 @@
 
     def _request_count(self, now_s: float) -> None:
         """Request the number of the target's connections."""
-        connection = self.find_idle_connection({}, False, None)
+        connection = self.find_idle_connection(
+            session_setup.NO_NEEDS, False, None
+        )
         if now_s < self._next_count_s or connection is None:
             return
         self._next_count_s = now_s + COUNT_INTERVAL_S
 
-        def handle_status(outcome: connections.Outcome) -> None:
+        def handle_status(outcome: line_connections.Outcome) -> None:
             answer = outcome.answer
             status = line_protocol.parse_status(answer) if answer else None
             if status is not None:
--- a/knapweedtally/entry/pools/team_pools.py
+++ b/knapweedtally/entry/pools/team_pools.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import team_connections
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -94,7 +95,7 @@
 
     def find_idle_connection(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         is_direct: bool = False,
         team: str | None = "",
     ) -> connections.Connection | None:
@@ -104,7 +105,7 @@
         connections become the least recently used ones.
 
         Args:
-            values: session values that the connection should have.
+            needs: what the statement needs of the connection's session.
             is_direct: whether the connection must be direct.
             team: name of the team, or None for control statements, which the
                 target's pace doesn't limit.
@@ -117,7 +118,7 @@
             idle,
             key=lambda c: (
                 bool(c.relay_host),
-                c.get_setup_cost(values),
+                c.get_setup_cost(needs),
                 -c.idle_since_s,
             ),
             default=None,
@@ -126,20 +127,6 @@
             self._use_rates.record(team, clock.get_time_s())
         return connection
 
-    def _list_idle(
-        self, is_direct: bool, team: str | None
-    ) -> list[connections.Connection]:
-        """Return the idle connections that a team may use now.
-
-        The target's pace limits direct ones, except for control statements.
-        """
-        is_held_back = team is not None and self._is_held_back()
-        return [
-            c
-            for c in self._list_usable(is_direct, team)
-            if c.is_idle and (c.relay_host or not is_held_back)
-        ]
-
     def _has_idle(self, team: str) -> bool:
         return bool(self._list_idle(True, team))
 
@@ -191,7 +178,7 @@
 
     def wait_for_connection(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
         team: str,
@@ -202,7 +189,7 @@
         """Queue a request of this host's own callers with the relayed ones.
 
         Args:
-            values: session values that the connection should have.
+            needs: what the statement needs of the connection's session.
             on_idle: called once; it need not use the connection.
             deadline_s: when the wait ends.
             team: name of the team.
@@ -218,13 +205,13 @@
         if not self._holders.is_own(team):
             return False
         self._add_waiting(
-            values, on_idle, deadline_s, team, priority, on_refused, id_
+            needs, on_idle, deadline_s, team, priority, on_refused, id_
         )
         return True
 
     def call_when_idle(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
         team: str = "",
@@ -235,7 +222,7 @@
         """Call back with an idle direct connection of a team, or None.
 
         Args:
-            values: session values that the connection should have.
+            needs: what the statement needs of the connection's session.
             on_idle: called once; with None at the deadline, or if the target
                 can't be reached from here.
             deadline_s: when the wait ends.
@@ -246,7 +233,7 @@
                 control.
             id_: id of the statement, for the log.
         """
-        connection = self.find_idle_connection(values, True, team)
+        connection = self.find_idle_connection(needs, True, team)
         is_overdue = deadline_s <= clock.get_time_s()
         if connection is not None:
             self._wait_queues.record_start(connection, team, priority)
@@ -259,12 +246,12 @@
             on_idle(None)
         else:
             self._add_waiting(
-                values, on_idle, deadline_s, team, priority, on_refused, id_
+                needs, on_idle, deadline_s, team, priority, on_refused, id_
             )
 
     def _add_waiting(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
         team: str,
@@ -273,7 +260,7 @@
         id_: bytes,
     ) -> None:
         self._wait_queues.add_relay_request(
-            values, on_idle, deadline_s, team, priority, on_refused, id_
+            needs, on_idle, deadline_s, team, priority, on_refused, id_
         )
         self._open_waiting()
         reason = "opening" if self._opening_teams[team] else "busy"
--- a/knapweedtally/entry/pools/wait_queues.py
+++ b/knapweedtally/entry/pools/wait_queues.py
@@ -9,31 +9,33 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from knapweedtally.core.groups import session_setup
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import metrics
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.pools import connections
 from knapweedtally.entry.pools import holder_queues
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.platform import line_protocol
 
 # Minimum time for the answer to a control statement that has waited.
 MIN_TIMEOUT_S = 0.05
 
-# Called with session values, whether the connection must be direct, and the
-# team, or None if the connection may belong to any.
+# Called with the needs of a statement, whether the connection must be direct,
+# and the team, or None if the connection may belong to any.
 TakeConnection = Callable[
-    [dict[bytes, bytes], bool, str | None], connections.Connection | None
+    [session_setup.Needs, bool, str | None], connections.Connection | None
 ]
 
 
 class _ControlStatement(NamedTuple):
     text: bytes
-    on_end: connections.OutcomeCallback
+    on_end: line_connections.OutcomeCallback
     deadline_s: float
 
 
 class _RelayRequest(NamedTuple):
-    values: dict[bytes, bytes]
+    needs: session_setup.Needs
     on_idle: Callable[[connections.Connection | None], None]
     deadline_s: float
     team: str
@@ -50,8 +52,8 @@
         """Create empty queues.
 
         Args:
-            take_connection: returns an idle connection for session values, or
-                None; if the second argument is set, only a connection that
+            take_connection: returns an idle connection for a statement's needs,
+                or None; if the second argument is set, only a connection that
                 isn't relayed by another host; if the third is not None, only
                 one of that team.
         """
@@ -93,12 +95,14 @@
         """
 
         def take_team_connection(
-            team: str, values: dict[bytes, bytes]
+            team: str, needs: session_setup.Needs
         ) -> connections.Connection | None:
-            return self._take_connection(values, True, team)
+            return self._take_connection(needs, True, team)
 
         def has_team_connection(team: str) -> bool:
-            return take_team_connection(team, {}) is not None
+            return (
+                take_team_connection(team, session_setup.NO_NEEDS) is not None
+            )
 
         self._holder_queues = holder_queues.HolderQueues(
             target,
@@ -145,7 +149,7 @@
     def add_control_statement(
         self,
         text: bytes,
-        on_end: connections.OutcomeCallback,
+        on_end: line_connections.OutcomeCallback,
         deadline_s: float,
     ) -> None:
         """Queue a control statement.
@@ -161,7 +165,7 @@
 
     def add_relay_request(
         self,
-        values: dict[bytes, bytes],
+        needs: session_setup.Needs,
         on_idle: Callable[[connections.Connection | None], None],
         deadline_s: float,
         team: str = "",
@@ -174,7 +178,7 @@
         The optional arguments have no effect without load control.
 
         Args:
-            values: session values that the connection should hold.
+            needs: what the statement needs of the connection's session.
             on_idle: called once with the connection, or with None if the
                 request is dropped.
             deadline_s: time at which the request is dropped.
@@ -186,11 +190,11 @@
             id_: id of the statement, for the log.
         """
         if self._holder_queues is None:
-            request = _RelayRequest(values, on_idle, deadline_s, team)
+            request = _RelayRequest(needs, on_idle, deadline_s, team)
             self._relay_requests.append(request)
             return
         self._holder_queues.add(
-            holder_queues.Request(values, on_idle, on_refused, id_),
+            holder_queues.Request(needs, on_idle, on_refused, id_),
             deadline_s,
             team,
             priority,
@@ -212,7 +216,9 @@
             # What ended has to be seen before the connection is used again.
             self._holder_queues.record_ends()
         while self._control_statements:
-            connection = self._take_connection({}, False, None)
+            connection = self._take_connection(
+                session_setup.NO_NEEDS, False, None
+            )
             if connection is None:
                 return
             statement = self._control_statements.popleft()
@@ -240,7 +246,7 @@
                 if request.team in blocked:
                     continue
                 connection = self._take_connection(
-                    request.values, True, request.team
+                    request.needs, True, request.team
                 )
                 if connection is None:
                     blocked.add(request.team)
@@ -289,7 +295,7 @@
 
     def _drop_control_statement(self, now_s: float, is_timeout: bool) -> None:
         statement = self._control_statements.popleft()
-        outcome = connections.Outcome(None, now_s, is_timeout)
+        outcome = line_connections.Outcome(None, now_s, is_timeout)
         supervision.contain("control statement", statement.on_end, outcome)
 
     def _drop_relay_request(self) -> None:
--- a/knapweedtally/entry/statements/answers.py
+++ b/knapweedtally/entry/statements/answers.py
@@ -6,6 +6,10 @@
 from knapweedtally.entry.statements import services as services_module
 from knapweedtally.platform import line_protocol
 
+# Histogram of the times for which statements waited for the setup of their
+# caller's session.
+SETUP_HISTOGRAM = "session_setup_seconds"
+
 
 def encode_result(
     result: requests.Result, state: statements.SessionState
@@ -56,6 +60,8 @@
     """
     outcome = result.code.name if result.code else "DONE"
     services.counters.observe(outcome, elapsed_s)
+    if result.setup_s:
+        services.counters.observe(outcome, result.setup_s, SETUP_HISTOGRAM)
     services.counters.increment_team("team_statements", team)
     position = result.position
     services.log.write(
@@ -74,6 +80,7 @@
         member_age_ms=round(result.member_age_s * 1000),
         log_position=_decode_log_position(result.answer),
         waited_ms=round(result.waited_s * 1000, 1),
+        setup_ms=round(result.setup_s * 1000, 1),
         total_ms=round(elapsed_s * 1000, 1),
         attempts=result.attempts,
         **_describe_team(team),
--- a/knapweedtally/entry/statements/attempts.py
+++ b/knapweedtally/entry/statements/attempts.py
@@ -8,6 +8,7 @@
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.members import acknowledgements
 from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pools
 from knapweedtally.entry.pools import requests
 from knapweedtally.entry.statements import pool_waits
@@ -15,6 +16,9 @@
 
 _Code = statements.Code
 
+# Detail of the refusal of a request that was not sent.
+NOT_SET_UP_DETAIL = "the target didn't set up the session; retry after 300 ms"
+
 # Errors that show where a request belongs. The target has done no work for
 # it, so that a second attempt doesn't add to an overload.
 _REDIRECTING_CODES = frozenset(
@@ -36,6 +40,7 @@
         "_position",
         "_request",
         "_router",
+        "_setup_s",
         "_started_s",
     )
 
@@ -53,24 +58,28 @@
         self._pool = pool
         self._connection = connection
         self._position = position
+        self._setup_s = 0.0
         self._started_s = started_s
 
-    def handle_outcome(self, outcome: connections.Outcome) -> None:
+    def handle_outcome(self, outcome: line_connections.Outcome) -> None:
         """Finish the request, or retry it if that is safe."""
         if not supervision.contain("attempt", self._handle_outcome, outcome):
             self._router.fail(self._request)
 
-    def _handle_outcome(self, outcome: connections.Outcome) -> None:
+    def _handle_outcome(self, outcome: line_connections.Outcome) -> None:
         request, pool, router = self._request, self._pool, self._router
         now_s = clock.get_time_s()
         request.running_attempts -= 1
         pool.load.running -= 1
         router.observer.commits_in_flight.pop(request, None)
+        self._setup_s = outcome.setup_s
         answer = outcome.answer
-        if answer is None:
+        if not outcome.is_sent:
+            self._handle_not_sent(outcome, now_s)
+        elif answer is None:
             self._handle_connection_lost(outcome, now_s)
         elif answer.code is None:
-            placement.record_run_time(pool.load, now_s - self._started_s)
+            placement.record_run_time(pool.load, now_s - outcome.asked_s)
             self._handle_success(answer, outcome.asked_s)
         else:
             self._handle_error(answer, now_s)
@@ -122,6 +131,7 @@
                 connection=owned,
                 position=self._position,
                 waited_s=self._started_s - request.arrived_s,
+                setup_s=self._setup_s,
             ),
         )
 
@@ -232,6 +242,7 @@
             relay_host=self._connection.relay_host,
             position=self._position,
             waited_s=self._started_s - self._request.arrived_s,
+            setup_s=self._setup_s,
         )
         self._router.finish(self._request, result)
 
@@ -240,8 +251,28 @@
         if self._request.permit is not None:
             self._request.permit.require_another()
 
+    def _handle_not_sent(
+        self, outcome: line_connections.Outcome, now_s: float
+    ) -> None:
+        """Retry a request whose session couldn't be set up, or refuse it.
+
+        Nothing of it was sent, so that it didn't run, whatever it is.
+        """
+        request = self._request
+        placement.record_failure(self._pool.load, now_s)
+        if (
+            request.attempts < requests.MAX_ATTEMPTS
+            and now_s < request.deadline_s
+            and self._router.may_retry(now_s)
+        ):
+            is_lost = outcome.answer is None
+            excluded = self._pool.entry.target if is_lost else None
+            self._router.retry(request, excluded)
+        elif not request.running_attempts:
+            self._finish_request(None, _Code.BUSY, NOT_SET_UP_DETAIL)
+
     def _handle_connection_lost(
-        self, outcome: connections.Outcome, now_s: float
+        self, outcome: line_connections.Outcome, now_s: float
     ) -> None:
         request = self._request
         placement.record_failure(self._pool.load, now_s)
--- a/knapweedtally/entry/statements/pool_waits.py
+++ b/knapweedtally/entry/statements/pool_waits.py
@@ -74,7 +74,7 @@
         # Set before the call, which may serve the request at once.
         request.waiting_target = target
         is_queued = pool.wait_for_connection(
-            request.session.values,
+            request.find_needs(),
             handle_idle,
             request.deadline_s,
             request.session.team,
--- a/knapweedtally/entry/statements/router.py
+++ b/knapweedtally/entry/statements/router.py
@@ -141,7 +141,7 @@
             return
         pool = self.pools[choice.target]
         connection = pool.find_idle_connection(
-            request.session.values, team=request.session.team
+            request.find_needs(), team=request.session.team
         )
         if connection is None:
             pool.load.idle = 0
@@ -235,6 +235,7 @@
                 attempt.handle_outcome,
                 limit_s,
                 request.priority,
+                request.next_statement,
             )
         else:
             connection.run(
--- a/knapweedtally/entry/statements/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -496,9 +496,7 @@
                 self._record_own_commit(result.answer)
             self._report_result(statement, route, arrived_s, result)
 
-        self._submit_request(
-            statement, route, need, arrived_s, False, handle_result
-        )
+        self._submit_request(statement, route, need, arrived_s, handle_result)
 
     def _submit_begin(
         self,
@@ -532,7 +530,7 @@
             self._run_in_transaction(transaction, statement, arrived_s)
 
         self._submit_request(
-            transaction.begin, route, need, arrived_s, True, handle_result
+            transaction.begin, route, need, arrived_s, handle_result, statement
         )
 
     def _submit_request(
@@ -541,9 +539,10 @@
         route: model.Route,
         need: placement.Requirements,
         arrived_s: float,
-        is_begin: bool,
         on_end: requests.Listener,
+        next_statement: statements.Statement | None = None,
     ) -> None:
+        """Submit a statement, or the begin of the transaction of the next."""
         router = self._services.find_router(route.group)
         if router is None or router.queue_length >= MAX_QUEUED_REQUESTS:
             detail = "too many requests wait; retry after 300 ms"
@@ -553,11 +552,12 @@
             self,
             statement,
             need,
-            is_begin,
+            next_statement is not None,
             route.priority,
             arrived_s,
             arrived_s + route.statement_timeout_s,
             self._guard(on_end),
+            next_statement=next_statement,
         )
         self._services.quotas.admit(
             self.team,
--- a/knapweedtally/entry/statements/transactions.py
+++ b/knapweedtally/entry/statements/transactions.py
@@ -9,6 +9,7 @@
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.members import acknowledgements
 from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import requests
 from knapweedtally.entry.statements import services as services_module
 from knapweedtally.platform import line_protocol
@@ -127,7 +128,7 @@
         transaction.has_written |= is_write
         transaction.is_committing = statement.kind is _Kind.COMMIT
 
-        def handle_outcome(outcome: connections.Outcome) -> None:
+        def handle_outcome(outcome: line_connections.Outcome) -> None:
             answer = outcome.answer
             if answer is None:
                 self._handle_connection_lost(
@@ -147,7 +148,7 @@
                     transaction, statement, arrived_s, outcome
                 )
             else:
-                self._handle_answer(transaction, statement, arrived_s, answer)
+                self._handle_answer(transaction, statement, arrived_s, outcome)
 
         router = self._services.find_router(transaction.route.group)
         is_commit = statement.kind is _Kind.COMMIT
@@ -213,12 +214,19 @@
         transaction: Transaction,
         statement: statements.Statement,
         arrived_s: float,
-        answer: statements.Answer,
+        outcome: line_connections.Outcome,
     ) -> None:
+        answer = outcome.answer
+        assert answer is not None
         if answer.state is not _State.IN_TRANSACTION:
             transaction.is_failed = True
             self.release(transaction, is_busy=True)
-        result = requests.Result(answer, answer.code, target=transaction.target)
+        result = requests.Result(
+            answer,
+            answer.code,
+            target=transaction.target,
+            setup_s=outcome.setup_s,
+        )
         self._on_end(transaction, statement, arrived_s, result)
 
     def _handle_commit_answer(
@@ -226,7 +234,7 @@
         transaction: Transaction,
         statement: statements.Statement,
         arrived_s: float,
-        outcome: connections.Outcome,
+        outcome: line_connections.Outcome,
     ) -> None:
         answer = outcome.answer
         assert answer is not None
@@ -235,7 +243,12 @@
             router.observer.commits_in_flight.pop(transaction, None)
         self.release(transaction, is_busy=True)
         route = transaction.route
-        result = requests.Result(answer, answer.code, target=transaction.target)
+        result = requests.Result(
+            answer,
+            answer.code,
+            target=transaction.target,
+            setup_s=outcome.setup_s,
+        )
         if router is None or answer.code or not transaction.has_written:
             self._on_end(transaction, statement, arrived_s, result)
             return
@@ -261,7 +274,7 @@
         transaction: Transaction,
         statement: statements.Statement,
         arrived_s: float,
-        outcome: connections.Outcome | None,
+        outcome: line_connections.Outcome | None,
     ) -> None:
         """Fail a statement whose connection was lost.
 
@@ -270,9 +283,10 @@
         router = self._services.find_router(transaction.route.group)
         if router is not None:
             router.observer.commits_in_flight.pop(transaction, None)
-        was_sent = outcome is not None and statement.kind is _Kind.COMMIT
+        was_sent = outcome is not None and outcome.is_sent
+        is_commit = statement.kind is _Kind.COMMIT
         code = _Code.ABORTED
-        if was_sent and transaction.has_written:
+        if was_sent and is_commit and transaction.has_written:
             code = _Code.UNKNOWN_OUTCOME
         transaction.connection = None
         transaction.is_failed = True
--- a/standins/line_platform/targets.py
+++ b/standins/line_platform/targets.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import secrets
 from typing import Any
+from typing import NamedTuple
 
 from standins import ports
 from standins.line_platform import monitor as monitor_module
@@ -13,6 +15,42 @@
 STATEMENT_DURATION_S = 0.001
 
 
+class OddAnswer(enum.Enum):
+    """What a target may answer in place of the result of a statement.
+
+    Attributes:
+        REFUSED: it refuses the statement without running it.
+        FAILED: it runs the statement and reports that it failed.
+        LOST: it runs the statement and answers nothing.
+        CUT_OFF: it runs the statement and sends a part of the answer.
+        CLOSED: it runs the statement and closes the connection.
+    """
+
+    REFUSED = enum.auto()
+    FAILED = enum.auto()
+    LOST = enum.auto()
+    CUT_OFF = enum.auto()
+    CLOSED = enum.auto()
+
+
+class Execution(NamedTuple):
+    """A statement that a target executed for a caller.
+
+    Attributes:
+        id: id of the statement.
+        text: the statement.
+        values: session values of the connection.
+        definition: what it executed by a prepared name, or empty.
+        state: transaction state before the statement.
+    """
+
+    id: str
+    text: str
+    values: dict[str, str]
+    definition: str
+    state: str
+
+
 @dataclasses.dataclass
 class LogEntry:
     """One log entry; ``index`` is its position in the log, from 1."""
@@ -43,6 +81,8 @@
         lose_answers: number of answers that are still to be dropped.
         remaining_refusals: number of statements still to be refused as BUSY, by
             the verb of the statement.
+        odd_answers: what the target answers to the next statements, by verb.
+        executions: statements executed for a caller, with their session.
         connections: open connections.
         statements: id and text of each statement executed for a caller.
         user_statements: user name of the connection and text of each statement
@@ -71,6 +111,8 @@
         self.remaining_refusals: collections.Counter[str] = (
             collections.Counter()
         )
+        self.odd_answers: dict[str, list[OddAnswer]] = {}
+        self.executions: list[Execution] = []
         self.connections: set[Connection] = set()
         self.statements: list[tuple[str, str]] = []
         self.user_statements: list[tuple[str, str]] = []
@@ -420,14 +462,30 @@
                 return
             _, id_, text = message.split(" ", 2)
             await asyncio.sleep(STATEMENT_DURATION_S)
+            if not await self._serve_statement(id_, text):
+                return
+
+    async def _serve_statement(self, id_: str, text: str) -> bool:
+        """Run a statement and answer it; return whether to stay connected."""
+        target = self._target
+        odd_answers = target.odd_answers.get(text.partition(" ")[0])
+        odd = odd_answers.pop(0) if odd_answers else None
+        if odd is OddAnswer.REFUSED:
+            answer = "ERROR BUSY full\r\n"
+        else:
             answer = await self._answer_statement(id_, text)
-            if target.is_unresponsive:
-                continue
-            if id_ != "-" and target.lose_answers:
-                target.lose_answers -= 1
-                continue
-            position = target.format_position()
-            await self._send_text(f"{answer}READY {self._state} {position}\r\n")
+        if odd is OddAnswer.FAILED:
+            answer = "ERROR FAIL odd\r\n"
+        is_lost = odd is OddAnswer.LOST or target.is_unresponsive
+        if id_ != "-" and target.lose_answers and not is_lost:
+            target.lose_answers -= 1
+            is_lost = True
+        if odd is OddAnswer.CLOSED or is_lost:
+            return odd is not OddAnswer.CLOSED
+        if odd is not OddAnswer.CUT_OFF:
+            answer += f"READY {self._state} {target.format_position()}\r\n"
+        await self._send_text(answer)
+        return True
 
     async def _receive_line(self) -> str:
         line = await self._reader.readuntil(b"\r\n")
@@ -459,6 +517,11 @@
         )
         executed.append((id_, text))
         if id_ != "-":
+            name = operand.partition(" ")[0] if verb == "EXEC" else ""
+            definition = self._prepared.get(name, "unknown") if name else ""
+            self._target.executions.append(
+                Execution(id_, text, dict(self.values), definition, self._state)
+            )
             self._target.user_statements.append((self._user, text))
             monitor = self._target.group.monitor
             if monitor is not None:
--- a/tests/entry/test_holder_queues.py
+++ b/tests/entry/test_holder_queues.py
@@ -8,6 +8,7 @@
 
 from knapweedtally.core.groups import holder_queue
 from knapweedtally.core.groups import queue_refusals
+from knapweedtally.core.groups import session_setup
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import metrics
@@ -68,7 +69,7 @@
             self.served.append(name)
 
         self.queues.add_relay_request(
-            {},
+            session_setup.NO_NEEDS,
             handle_idle,
             deadline_s,
             team,
@@ -233,12 +234,14 @@
         host = system.entry_hosts[0].host
         self.assertIsNone(host.retry_budget)
         pool = host.routers["g"].pools[primary.id]
-        while (held := pool.find_idle_connection({})) is not None:
+        while (
+            held := pool.find_idle_connection(session_setup.NO_NEEDS)
+        ) is not None:
             held.is_held = True
         outcomes: list[Any] = []
         with mock.patch.object(pool, "open_if_allowed"):
             pool.call_when_idle(
-                {},
+                session_setup.NO_NEEDS,
                 outcomes.append,
                 clock.get_time_s() + 0.2,
                 on_refused=outcomes.append,
@@ -252,13 +255,15 @@
     ) -> None:
         primary = system.platform.groups["g"].get_primary()
         pool = system.entry_hosts[0].host.routers["g"].pools[primary.id]
-        while (held := pool.find_idle_connection({})) is not None:
+        while (
+            held := pool.find_idle_connection(session_setup.NO_NEEDS)
+        ) is not None:
             held.is_held = True
         refusals: list[bytes] = []
         connections: list[Any] = []
         with mock.patch.object(pool, "open_if_allowed"):
             pool.call_when_idle(
-                {},
+                session_setup.NO_NEEDS,
                 connections.append,
                 clock.get_time_s() + 0.2,
                 on_refused=refusals.append,
--- a/tests/entry/test_pacing.py
+++ b/tests/entry/test_pacing.py
@@ -11,7 +11,7 @@
 from knapweedtally.core.groups import statements
 from knapweedtally.entry import process as process_module
 from knapweedtally.entry.common import clock
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pacing
 from knapweedtally.entry.statements import placement_reports
 from knapweedtally.management import exit_codes
@@ -43,7 +43,7 @@
     answer = statements.Answer(
         b"", None, code, b"", statements.SessionState.IDLE, b"-"
     )
-    return connections.Outcome(
+    return line_connections.Outcome(
         answer if is_answered else None, sent_s, is_timeout
     )
 
--- a/tests/entry/test_supervision.py
+++ b/tests/entry/test_supervision.py
@@ -10,6 +10,7 @@
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import load_shedding
 from knapweedtally.core.groups import model
+from knapweedtally.core.groups import session_setup
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import metrics
@@ -18,6 +19,7 @@
 from knapweedtally.entry.members import primary_changes
 from knapweedtally.entry.members import promoter as promoter_module
 from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pools
 from knapweedtally.entry.pools import wait_queues
 from knapweedtally.entry.statements import attempts
@@ -388,7 +390,7 @@
             owner.handle_closed.side_effect = Fault
             connection = connections.Connection(owner, "g", "user", "i-1")
             connection.connection_made(mock.Mock())
-            outcomes: list[connections.Outcome] = []
+            outcomes: list[line_connections.Outcome] = []
             for listener in (raise_fault, outcomes.append):
                 connection.send(b"-", b"STATUS", listener, 1.0)
             connection.connection_lost(None)
@@ -405,7 +407,7 @@
             outcomes: list[Any] = []
             for listener in (raise_fault, outcomes.append):
                 queues.add_control_statement(b"STATUS", listener, 1.0)
-                queues.add_relay_request({}, listener, 1.0)
+                queues.add_relay_request(session_setup.NO_NEEDS, listener, 1.0)
             queues.drop_overdue(2.0)
             self.assertEqual(2, len(outcomes))
             self.assertEqual(
--- a/tests/entry/test_team_queues.py
+++ b/tests/entry/test_team_queues.py
@@ -9,10 +9,11 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
+from knapweedtally.core.groups import session_setup
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import metrics
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import requests
 from knapweedtally.entry.pools import team_pools
 from knapweedtally.entry.pools import wait_queues
@@ -74,7 +75,11 @@
             self.served.append(name)
 
         self.queues.add_relay_request(
-            {}, handle_idle, clock.get_time_s() + 100.0, team, priority
+            session_setup.NO_NEEDS,
+            handle_idle,
+            clock.get_time_s() + 100.0,
+            team,
+            priority,
         )
 
     def test_busy_team_does_not_block_the_teams_behind_it(self) -> None:
@@ -287,7 +292,7 @@
         self.assertFalse(any(task.done() for task in tasks))
         answer = await held.run("COMMIT")
         self.assertTrue(answer[0].startswith("DONE "), answer)
-        ended: list[connections.Outcome] = []
+        ended: list[line_connections.Outcome] = []
         pool.send_control_statement(line_protocol.STATUS, ended.append, 5.0)
         await harness.wait_for(lambda: bool(ended))
         self.assertIsNotNone(ended[0].answer)
--- a/tests/entry/test_transactions.py
+++ b/tests/entry/test_transactions.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.statements import transactions
 from tests.entry import harness
 
@@ -154,7 +154,7 @@
         for connection in tuple(pool._connections):
             if connection.is_idle:
                 connection.close()
-        answered: list[connections.Outcome] = []
+        answered: list[line_connections.Outcome] = []
         # Shorter than the idle timeout of a transaction.
         pool.send_control_statement(b"STATUS", answered.append, 2.0)
         await harness.wait_for(lambda: bool(answered))
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -22,7 +22,7 @@
 from knapweedtally.entry.members import observer
 from knapweedtally.entry.members import primary_changes
 from knapweedtally.entry.members import promoter
-from knapweedtally.entry.pools import connections
+from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.pools import pools as pools_module
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -88,7 +88,7 @@
     def send_control_statement(
         self,
         text: bytes,
-        on_end: Callable[[connections.Outcome], None],
+        on_end: Callable[[line_connections.Outcome], None],
         timeout_s: float,
     ) -> None:
         target = self.host.world.targets.get(self.entry.target)
@@ -102,7 +102,7 @@
     def exchange(
         self,
         run: Callable[[Callable[[statements.Answer], None]], None],
-        on_end: Callable[[connections.Outcome], None],
+        on_end: Callable[[line_connections.Outcome], None],
         timeout_s: float,
         counts_timeout: bool,
     ) -> None:
@@ -149,7 +149,7 @@
     def __init__(
         self,
         pool: Pool,
-        on_end: Callable[[connections.Outcome], None],
+        on_end: Callable[[line_connections.Outcome], None],
         counts_timeout: bool,
     ) -> None:
         self._pool = pool
@@ -193,7 +193,7 @@
         self._is_over = True
         if answer is not None:
             self._pool.record_answer()
-        self._on_end(connections.Outcome(answer, self._asked_s))
+        self._on_end(line_connections.Outcome(answer, self._asked_s))
 
 
 class LeaseManager(lease_manager.LeaseManager):
@@ -514,7 +514,7 @@
         key = object()
         self.observer.commits_in_flight[key] = asked_s
 
-        def handle(outcome: connections.Outcome) -> None:
+        def handle(outcome: line_connections.Outcome) -> None:
             self.observer.commits_in_flight.pop(key, None)
             answer = outcome.answer
             if answer is None or answer.code is not None or not self.is_alive:
