Try again at the primary if no other target may serve a request

Callers saw: a begin whose connection was lost, or a read for the primary that failed, was refused seconds later, at its deadline, with "evidence about the primary is too old", though the primary served all others.

Cause: the next attempt left out the target that had failed. For a request that only the primary may serve nothing was left, and the exclusion is undone only if the reason is that no target may serve it, which isn't the reason found for such requests.

Change: the primary isn't left out if only it may serve the request. The number of attempts and the retry budget bound the attempts as before.

--- a/knapweedtally/entry/statements/router.py
+++ b/knapweedtally/entry/statements/router.py
@@ -291,11 +291,12 @@
 
         Args:
             request: the request.
-            excluded: id of a target to skip from now on, or None.
+            excluded: id of a target to skip from now on, or None. The primary
+                isn't skipped if only it may serve the request.
         """
         if request.is_done:
             return
-        if excluded is not None:
+        if excluded is not None and not request.need.is_primary_only:
             request.excluded = request.excluded | {excluded}
         if request not in self._queue:
             self._queue.append(request)
--- a/tests/entry/test_transactions.py
+++ b/tests/entry/test_transactions.py
@@ -7,6 +7,7 @@
 
 from knapweedtally.entry.pools import line_connections
 from knapweedtally.entry.statements import transactions
+from standins.line_platform import targets
 from tests.entry import harness
 
 
@@ -46,6 +47,30 @@
         primary.remaining_refusals.clear()
         self.assertEqual((await caller.run("READ item"))[0], "ROW -")
 
+    @harness.with_system()
+    async def test_lost_begin_is_tried_again_at_the_primary(
+        self, system: harness.System
+    ) -> None:
+        # The primary was left out of the second attempt, for which no other
+        # target came into question, and the caller waited until its timeout.
+        caller = harness.Caller(system.entry_hosts[0].port)
+        await caller.start("g-primary")
+        primary = system.platform.groups["g"].get_primary()
+        primary.odd_answers["BEGIN"] = [targets.OddAnswer.CLOSED]
+        await caller.run("BEGIN")
+        answer = await caller.run("WRITE item 1")
+        self.assertThat(answer[0], testtools.matchers.StartsWith("DONE g-"))
+
+    @harness.with_system()
+    async def test_failed_read_is_tried_again_at_the_primary(
+        self, system: harness.System
+    ) -> None:
+        caller = harness.Caller(system.entry_hosts[0].port)
+        await caller.start("g-primary")
+        primary = system.platform.groups["g"].get_primary()
+        primary.odd_answers["READ"] = [targets.OddAnswer.FAILED]
+        self.assertEqual("ROW -", (await caller.run("READ item"))[0])
+
     @harness.with_system()
     async def test_disconnect_during_a_statement_is_logged_as_the_reason(
         self, system: harness.System
