--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 
@@ -22,7 +23,7 @@
 
 # Revision of the entry of a member that is known only from its group's record.
 # The store's revisions are higher.
-RECORD_REVISION = 0
+RECORD_REVISION = store_revisions.NO_REVISION
 
 # How long a target that is gone is still checked for answers, in seconds.
 RELEASED_CHECK_S = 30.0
@@ -285,7 +286,7 @@
 
 def _get_age_key(
     entry: model.TargetEntry,
-) -> tuple[int, model.TargetEntry]:
+) -> tuple[store_revisions.Revision, model.TargetEntry]:
     """Return a key that is higher for newer entries, and never equal."""
     return entry.revision, entry
 
@@ -388,7 +389,10 @@
 
 
 def mark_missing(
-    catalog: Catalog, target: str, now_s: float, revision: int | None = None
+    catalog: Catalog,
+    target: str,
+    now_s: float,
+    revision: store_revisions.Revision | None = None,
 ) -> None:
     """Record that the store has no entry of a target.
 
--- a/knapweedtally/core/groups/model.py
+++ b/knapweedtally/core/groups/model.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from knapweedtally.core import store_revisions
+
 
 class Position(NamedTuple):
     """A position in a group's log; positions compare in log order.
@@ -121,7 +123,7 @@
     Attributes:
         target: id of the target.
         revision: the store's revision of the entry, by which entries of one
-            target are ordered.
+            generation of the store are ordered.
         group: name of the target's group.
         address: IP address of the target.
         port: port of the wire protocol.
@@ -135,7 +137,7 @@
     """
 
     target: str
-    revision: int
+    revision: store_revisions.Revision
     group: str
     address: str
     port: int
--- a/knapweedtally/core/groups/promotion_lease.py
+++ b/knapweedtally/core/groups/promotion_lease.py
@@ -13,6 +13,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from knapweedtally.core import store_revisions
+
 # How long a lease lasts unless it is renewed. The next holder of an abandoned
 # lease has to wait this long, which delays a change of primary whose promoter
 # was killed.
@@ -52,16 +54,18 @@
     """The newest known revision of the lease object.
 
     Attributes:
-        revision: the revision.
+        revision: the revision, of the number 0 if the object doesn't exist.
         seen_s: when this host first saw this revision.
     """
 
-    revision: int = -1
+    revision: store_revisions.Revision = store_revisions.NO_REVISION
     seen_s: float = 0.0
 
 
 def record_revision(
-    lease_revision: LeaseRevision, revision: int, now_s: float
+    lease_revision: LeaseRevision,
+    revision: store_revisions.Revision,
+    now_s: float,
 ) -> None:
     """Record that a revision of the lease object was seen."""
     if revision != lease_revision.revision:
--- a/knapweedtally/entry/fleet/host_configuration.py
+++ b/knapweedtally/entry/fleet/host_configuration.py
@@ -11,6 +11,7 @@
 from knapweedtally.entry.fleet import configuration_exchange
 from knapweedtally.entry.fleet import peers as peers_module
 from knapweedtally.entry.fleet import store
+from knapweedtally.entry.fleet import store_watches
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -49,7 +50,7 @@
         self._get_client = get_client
         self._log = log
         self._on_applied = on_applied
-        self._watcher: store.Watcher | None = None
+        self._watcher: store_watches.Watcher | None = None
         self._callbacks: list[Callable[[], None]] = []
         self._last_tick_s = clock.get_time_s()
         self._check = configuration_check.ConfigurationCheck(self._refresh)
@@ -62,9 +63,9 @@
             self._is_store_silent,
         )
 
-    def make_watcher(self) -> store.Watcher:
+    def make_watcher(self) -> store_watches.Watcher:
         """Return the watcher of the configuration."""
-        self._watcher = store.Watcher(
+        self._watcher = store_watches.Watcher(
             self._get_client(),
             records.CONFIGURATION_KIND,
             self.apply_objects,
@@ -77,14 +78,15 @@
         """Apply the configuration among objects of the store."""
         for stored in objects:
             if stored.name == records.CONFIGURATION_NAME:
-                self.apply(stored.spec, stored.revision)
+                self.apply(stored.spec, stored.revision.number)
 
     def apply(self, spec: Any, revision: int = 0) -> bool:
         """Apply a configuration if it is valid and newer.
 
         Args:
             spec: the decoded configuration.
-            revision: the store's revision, or 0 if another host sent it.
+            revision: number of the store's revision, or 0 if another host sent
+                it.
 
         Returns:
             Whether it came into force.
--- a/knapweedtally/entry/fleet/host_registration.py
+++ b/knapweedtally/entry/fleet/host_registration.py
@@ -50,17 +50,16 @@
         store_calls.MalformedResponse: a response can't be parsed.
     """
     request = store_calls.make_create_request(HOSTS_KIND, name, spec)
-    response = await client.send(request)
-    if response.status != 409:
+    answer = await client.send(request)
+    if answer.status != 409:
         return
     # The object was created before a restart of this host, whose address may
     # have changed since.
-    stored = store_calls.parse_object(store_calls.parse_answer(response))
+    stored = store_calls.parse_object(answer)
     if stored.spec != spec:
-        request = store_calls.make_replace_request(
-            HOSTS_KIND, name, spec, stored.revision
+        await store.replace_object(
+            client, HOSTS_KIND, name, spec, stored.revision
         )
-        await client.send(request)
 
 
 async def mark_host(
@@ -75,20 +74,19 @@
         store_calls.MalformedResponse: a response can't be parsed.
     """
     request = store_calls.make_read_request(HOSTS_KIND, name)
-    response = await client.send(request)
-    if response.status != 200:
+    answer = await client.send(request)
+    if answer.status != 200:
         return
-    stored = store_calls.parse_object(store_calls.parse_answer(response))
+    stored = store_calls.parse_object(answer)
     if not isinstance(stored.spec, dict):
         return
     spec = {k: v for k, v in stored.spec.items() if k != SILENT_FIELD}
     if is_silent:
         spec[SILENT_FIELD] = True
     if spec != stored.spec:
-        request = store_calls.make_replace_request(
-            HOSTS_KIND, name, spec, stored.revision
+        await store.replace_object(
+            client, HOSTS_KIND, name, spec, stored.revision
         )
-        await client.send(request)
 
 
 async def list_hosts(client: store.StoreClient) -> list[ListedHost]:
--- a/knapweedtally/entry/fleet/store.py
+++ b/knapweedtally/entry/fleet/store.py
@@ -1,19 +1,15 @@
-"""Client and watchers of the platform's store."""
+"""Client of the platform's store."""
 
-import asyncio
-import random
-from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
 
-from knapweedtally.core import watch_confirmation
+from knapweedtally.core import store_revisions
 from knapweedtally.core import watching
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import supervision
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
-from knapweedtally.utils import backoff
 from knapweedtally.utils import http
 from knapweedtally.utils import http_client
 
@@ -24,20 +20,17 @@
 # Timeout of a call to the store, in seconds, besides a watch's wait.
 CALL_TIMEOUT_S = 1.0
 
-# Time after the end of a call's wait from which its success is overdue, in
-# seconds: its timeout and one retry.
-OVERDUE_S = 1.5
-
-# Bounds of the retry delay after failed calls, in seconds. The upper one is a
-# fraction of the bound for a configuration.
-MIN_RETRY_DELAY_S = 0.05
-MAX_RETRY_DELAY_S = 0.5
+_Sight = store_revisions.Sight
 
 
 class StoreError(Exception):
     """A call to the store failed or had no usable response."""
 
 
+class GenerationEnded(StoreError):  # noqa: N818 - named after the cause
+    """The store came back from an older copy, so that a result doesn't hold."""
+
+
 class StoreClient:
     """Make calls to the store and record whether it is available.
 
@@ -45,6 +38,7 @@
         is_unavailable: whether the last call had no usable response.
         call_count: number of calls made.
         watch_wait_s: how long a watch call waits for a change.
+        generation: the newest generation of the store that was seen.
     """
 
     def __init__(
@@ -70,15 +64,24 @@
         self._log = log
         self.is_unavailable = False
         self.call_count = 0
+        self.generation = store_revisions.Generation()
+        self._listeners: list[Callable[[], None]] = []
+        self._answered_s = clock.get_time_s()
+        self._is_unreadable_logged = False
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a listener when a new generation of the store is seen."""
+        self._listeners.append(listener)
 
     async def send(
         self, request: http.Request, timeout_s: float = CALL_TIMEOUT_S
-    ) -> http.Response:
-        """Make one call and return the response.
+    ) -> store_calls.StoreAnswer:
+        """Make one call and return the answer.
 
         Raises:
-            StoreError: no response arrived, or the store is overloaded or
-                unavailable (status 429 or 503).
+            StoreError: no answer arrived, the store is overloaded or
+                unavailable (status 429 or 503), or the answer is of an earlier
+                generation than one that was seen.
         """
         self.call_count += 1
         try:
@@ -86,6 +89,7 @@
         except http.HttpError as error:
             self._record_failure(str(error))
             raise StoreError(str(error)) from error
+        generation = self._record_generation(response)
         if response.status in (429, 503):
             self._record_failure(
                 f"store refused the call: status {response.status}"
@@ -96,7 +100,44 @@
         if self.is_unavailable:
             self.is_unavailable = False
             self._log.write("dependency_regained", dependency="store")
-        return response
+        return store_calls.StoreAnswer(
+            response.status, response.body, generation
+        )
+
+    def _record_generation(self, response: http.Response) -> int:
+        """Record the generation of an answer, and return it.
+
+        Raises:
+            StoreError: it is earlier than one that was seen.
+        """
+        now_s = clock.get_time_s()
+        known, answered_s = self.generation.number, self._answered_s
+        number = self._parse_generation(response)
+        sight = store_revisions.record_answer(self.generation, number, now_s)
+        if sight is _Sight.OLDER:
+            raise StoreError(
+                f"answer of generation {number} of the store; {known} was seen"
+            )
+        self._answered_s = now_s
+        if sight is _Sight.NEWER:
+            self._log.write(
+                "store_restored",
+                generation=self.generation.number,
+                former=known,
+                silent_s=round(now_s - answered_s, 2),
+            )
+            for listener in self._listeners:
+                supervision.contain("store generation", listener)
+        return self.generation.number
+
+    def _parse_generation(self, response: http.Response) -> int | None:
+        try:
+            return store_calls.parse_generation(response.headers)
+        except store_calls.MalformedResponse as error:
+            if not self._is_unreadable_logged:
+                self._is_unreadable_logged = True
+                self._log.write("generation_unreadable", reason=str(error))
+            return None
 
     def _record_failure(self, reason: str) -> None:
         if not self.is_unavailable:
@@ -106,10 +147,6 @@
             )
 
 
-class WatchAbandoned(StoreError):  # noqa: N818 - named after the cause
-    """Nothing confirmed that a watch waits for a change."""
-
-
 class Listing(NamedTuple):
     """All objects of one kind.
 
@@ -119,7 +156,7 @@
     """
 
     objects: list[store_calls.StoredObject]
-    revision: int
+    revision: store_revisions.Revision
 
 
 async def list_objects(client: StoreClient, kind: str) -> Listing:
@@ -127,6 +164,7 @@
 
     Raises:
         StoreError: a call failed or was refused.
+        GenerationEnded: the pages are of two generations of the store.
         store_calls.MalformedResponse: a response can't be parsed.
     """
     objects: list[store_calls.StoredObject] = []
@@ -140,221 +178,56 @@
         # the listing again.
         if first_revision is None:
             first_revision = page.revision
+        _check_generation(page.revision.generation, first_revision.generation)
         if not page.has_more or not page.objects:
             return Listing(objects, first_revision)
         after = page.objects[-1].name
 
 
-async def _prepare_nothing() -> None:
-    """Return at once, because nothing has to be read before a list."""
+async def replace_object(
+    client: StoreClient,
+    kind: str,
+    name: str,
+    spec: object,
+    revision: store_revisions.Revision,
+) -> store_calls.StoreAnswer:
+    """Replace an object if it still has the revision.
 
-
-class Watcher:
-    """Keep track of the objects of one kind by list and watch calls.
-
-    Attributes:
-        succeeded_s: time of the last successful call, or of the creation.
-        state: what is known of the objects, and how it was confirmed.
-        is_confirming: whether this host asks the store for other hosts.
+    Raises:
+        StoreError: the call failed or was refused.
+        GenerationEnded: the revision is of an earlier generation, in which the
+            same number stood for something else. If the call was made, it may
+            have replaced the object.
     """
+    _check_generation(client.generation.number, revision.generation)
+    request = store_calls.make_replace_request(
+        kind, name, spec, revision.number
+    )
+    answer = await client.send(request)
+    _check_generation(answer.generation, revision.generation)
+    return answer
 
-    def __init__(
-        self,
-        client: StoreClient,
-        kind: str,
-        on_list: Callable[[list[store_calls.StoredObject]], None],
-        on_change: Callable[[store_calls.Change], None],
-        log: logs.Log,
-        prepare: Callable[[], Awaitable[None]] = _prepare_nothing,
-    ) -> None:
-        """Create a watcher that isn't running.
-
-        Args:
-            client: the store's client.
-            kind: kind of the objects.
-            on_list: called with all objects after each complete listing.
-            on_change: called with each change.
-            log: where failed calls and expired watches are written.
-            prepare: called before each listing; may raise what a call to the
-                store raises.
-        """
-        self._client = client
-        self._prepare = prepare
-        self._kind = kind
-        self._on_list = on_list
-        self._on_change = on_change
-        self._log = log
-        self.succeeded_s = clock.get_time_s()
-        self._expected_s = self.succeeded_s
-        self.state = watch_confirmation.State()
-        self.is_confirming = True
-        self._asked_s = self.succeeded_s
-        self._is_checking = False
-        self._watch_timeout: asyncio.Timeout | None = None
-
-    @property
-    def kind(self) -> str:
-        """Return the kind of the objects."""
-        return self._kind
-
-    def is_overdue(self, now_s: float) -> bool:
-        """Return whether no call succeeded for longer than one may take."""
-        return now_s - self._expected_s > OVERDUE_S
-
-    def record_confirmation(
-        self, changed_revision: int, shown_s: float, now_s: float
-    ) -> None:
-        """Record what another host has said, and when this watch ends by it.
-
-        The arguments are those of ``watch_confirmation.record_confirmation``.
-        """
-        watch_confirmation.record_confirmation(
-            self.state, changed_revision, shown_s, now_s
-        )
-        timeout = self._watch_timeout
-        if timeout is not None and not timeout.expired():
-            timeout.reschedule(self._compute_timeout_s(now_s))
-
-    def _compute_timeout_s(self, now_s: float) -> float:
-        """Return the event loop's time at which the watch is abandoned."""
-        deadline_s = watch_confirmation.compute_deadline_s(
-            self.state, self._asked_s
-        )
-        return asyncio.get_running_loop().time() + deadline_s - now_s
-
-    async def run(self) -> None:
-        """List the objects and watch for changes, forever."""
-        revision: int | None = None
-        delay = watching.BatchDelay()
-        retry_backoff = backoff.Backoff(
-            MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S, random.Random()
-        )
-        while True:
-            self._asked_s = clock.get_time_s()
-            is_watch = revision is not None
-            try:
-                if revision is None:
-                    revision = await self._list_objects()
-                    self._record_success(self._client.watch_wait_s)
-                else:
-                    changes = await self._watch_changes(revision)
-                    revision = changes.revision if changes else None
-                    self._record_success(
-                        self._client.watch_wait_s if changes else 0.0
-                    )
-                    if changes and changes.changes:
-                        waited_s = clock.get_time_s() - self._asked_s
-                        await asyncio.sleep(delay.compute_next_s(waited_s))
-                retry_backoff.reset()
-            except (StoreError, store_calls.MalformedResponse) as error:
-                self._log.write(
-                    "store_call_failed",
-                    kind=self._kind,
-                    reason=str(error),
-                    is_watch=is_watch,
-                    waited_s=round(clock.get_time_s() - self._asked_s, 2),
-                )
-                # A watch without a wait says at once what a list would say,
-                # unless the store doesn't answer that either.
-                self._is_checking = isinstance(error, WatchAbandoned)
-                if not self._is_checking:
-                    # The store may have dropped changes from its history
-                    # during the failure, which a watch from the last revision
-                    # tells of only at its end.
-                    revision = None
-                self._expect_list()
-                await asyncio.sleep(retry_backoff.compute_next_delay_s())
-            except Exception as error:
-                # The handler may have applied a part of what the store sent.
-                # A whole list brings the rest.
-                supervision.report("store watcher", error)
-                revision = None
-                self._expect_list()
-                await asyncio.sleep(retry_backoff.compute_next_delay_s())
-
-    def _record_success(self, wait_s: float) -> None:
-        """Record that a call succeeded and the longest wait of the next."""
-        self.succeeded_s = clock.get_time_s()
-        self._expected_s = self.succeeded_s + wait_s
-
-    def _expect_list(self) -> None:
-        """Expect an answer at once, since a failed call is retried so."""
-        self._expected_s = min(self._expected_s, clock.get_time_s())
-
-    async def _list_objects(self) -> int:
-        await self._prepare()
-        asked_s = clock.get_time_s()
-        listing = await list_objects(self._client, self._kind)
-        self._on_list(listing.objects)
-        self._record_answer(listing.revision, listing.objects, asked_s)
-        return listing.revision
-
-    async def _watch_changes(
-        self, revision: int
-    ) -> store_calls.WatchResult | None:
-        """Wait for changes since a revision.
-
-        Returns:
-            The changes, or None if the store no longer keeps all of them.
-
-        Raises:
-            StoreError: the call failed or was refused.
-            WatchAbandoned: nothing confirmed that it waits for a change.
-        """
-        is_checking, self._is_checking = self._is_checking, False
-        wait_s = 0.0
-        if not is_checking:
-            wait_s = watch_confirmation.compute_wait_s(
-                self.state,
-                self._client.watch_wait_s,
-                self.is_confirming,
-                clock.get_time_s(),
-            )
-        send = self._client.send if is_checking else self._send_watch
-        request = store_calls.make_watch_request(self._kind, revision, wait_s)
-        response = await send(request, wait_s + CALL_TIMEOUT_S)
-        if response.status == 410:
-            self._log.write("watch_expired", kind=self._kind)
-            return None
-        if response.status != 200:
-            raise StoreError(f"store answered the watch with {response.status}")
-        changes = store_calls.parse_changes(response)
-        for change in changes.changes:
-            self._on_change(change)
-        # The store answers without a change only once the wait is over.
-        shown_s = self._asked_s + (0.0 if changes.changes else wait_s)
-        self._record_answer(
-            changes.revision,
-            [change.stored for change in changes.changes],
-            min(shown_s, clock.get_time_s()),
-        )
-        return changes
 
-    async def _send_watch(
-        self, request: http.Request, timeout_s: float
-    ) -> http.Response:
-        """Send a watch call that is abandoned if nothing confirms it."""
-        limit_s = self._compute_timeout_s(clock.get_time_s())
-        try:
-            async with asyncio.timeout_at(limit_s) as self._watch_timeout:
-                return await self._client.send(request, timeout_s)
-        except TimeoutError as error:
-            reason = (
-                "another host knows a later change"
-                if self.state.awaited_revision
-                else "no answer of the store to any host confirmed the watch"
-            )
-            raise WatchAbandoned(reason) from error
-        finally:
-            self._watch_timeout = None
+async def create_object(
+    client: StoreClient, kind: str, name: str, spec: object, generation: int
+) -> store_calls.StoreAnswer:
+    """Create an object that wasn't found in a generation of the store.
 
-    def _record_answer(
-        self,
-        position: int,
-        objects: list[store_calls.StoredObject],
-        shown_s: float,
-    ) -> None:
-        changed_revision = max((o.revision for o in objects), default=0)
-        watch_confirmation.record_answer(
-            self.state, position, changed_revision, shown_s
+    Raises:
+        StoreError: the call failed or was refused.
+        GenerationEnded: a later generation has begun. If the call was made, it
+            may have created the object.
+    """
+    _check_generation(client.generation.number, generation)
+    request = store_calls.make_create_request(kind, name, spec)
+    answer = await client.send(request)
+    _check_generation(answer.generation, generation)
+    return answer
+
+
+def _check_generation(present: int, expected: int) -> None:
+    if present != expected:
+        raise GenerationEnded(
+            f"the store came back from an older copy: generation {present} "
+            f"follows {expected}"
         )
--- a/knapweedtally/entry/fleet/watch_confirmations.py
+++ b/knapweedtally/entry/fleet/watch_confirmations.py
@@ -13,7 +13,7 @@
 from knapweedtally.core.groups import distribution
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.fleet import peers as peers_module
-from knapweedtally.entry.fleet import store
+from knapweedtally.entry.fleet import store_watches
 
 # Kind of the datagrams.
 CONFIRMATION_KIND = "store-confirmed"
@@ -46,14 +46,14 @@
         self._data_centre = data_centre
         self._peers = peers
         self._log = log
-        self._watchers: dict[str, store.Watcher] = {}
+        self._watchers: dict[str, store_watches.Watcher] = {}
         self._live_version = -1
         self._receivers: tuple[str, ...] = ()
         self._sent_read_s: dict[str, float | None] = {}
         self._next_send_s = 0.0
         peers.add_listener(CONFIRMATION_KIND, self._receive)
 
-    def add_watchers(self, watchers: Sequence[store.Watcher]) -> None:
+    def add_watchers(self, watchers: Sequence[store_watches.Watcher]) -> None:
         """Exchange confirmations for watchers."""
         self._watchers.update({w.kind: w for w in watchers})
 
@@ -90,11 +90,9 @@
             watch_confirmation.make_confirmation(watcher.state, kind, now_s)
             for kind, watcher in self._watchers.items()
         )
-        items = [
-            watch_confirmation.encode_confirmation(item)
-            for item in made
-            if item is not None
-        ]
+        items = watch_confirmation.encode_confirmations(
+            [item for item in made if item is not None]
+        )
         payload = [self._peers.incarnation, round(now_s * 1e6), items]
         for host in self._receivers:
             self._peers.send_extension(host, CONFIRMATION_KIND, payload)
@@ -103,12 +101,10 @@
         try:
             incarnation, sent_us, items = payload
             is_time = type(sent_us) is int and abs(sent_us) < 2**63
-            parsed = [
-                watch_confirmation.parse_confirmation(item) for item in items
-            ]
+            parsed = watch_confirmation.parse_confirmations(items)
         except (TypeError, ValueError):
             is_time, parsed = False, []
-        if not is_time or None in parsed:
+        if not is_time:
             self._log.write(
                 "peer_message_broken",
                 reason=f"{CONFIRMATION_KIND}: expected incarnation, time and "
@@ -122,8 +118,8 @@
             return
         sent_here_s = min(sent_here_s, now_s)
         for item in parsed:
-            watcher = self._watchers.get(item.kind) if item else None
-            if item is not None and watcher is not None:
+            watcher = self._watchers.get(item.kind)
+            if watcher is not None:
                 watcher.record_confirmation(
                     item.changed_revision, sent_here_s - item.age_s, now_s
                 )
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -19,6 +19,7 @@
 from knapweedtally.entry.fleet import peers
 from knapweedtally.entry.fleet import silent_hosts
 from knapweedtally.entry.fleet import store
+from knapweedtally.entry.fleet import store_watches
 from knapweedtally.entry.fleet import watch_confirmations
 from knapweedtally.entry.limits import quotas
 from knapweedtally.entry.members import evidence_sharing
@@ -86,8 +87,8 @@
         self.store = store.StoreClient(
             host_settings.store, log, host_settings.store_history_s
         )
-        self.watchers: tuple[store.Watcher, ...] = ()
-        self._target_watcher: store.Watcher | None = None
+        self.watchers: tuple[store_watches.Watcher, ...] = ()
+        self._target_watcher: store_watches.Watcher | None = None
         self.peers = peers.Peers(
             host_settings,
             self.store,
@@ -193,9 +194,9 @@
             ("session", self._readiness.check_sessions),
         )
 
-    def make_watchers(self) -> tuple[store.Watcher, ...]:
+    def make_watchers(self) -> tuple[store_watches.Watcher, ...]:
         """Return the watchers of the configuration and of the targets."""
-        self._target_watcher = store.Watcher(
+        self._target_watcher = store_watches.Watcher(
             self.store,
             records.TARGETS_KIND,
             self._apply_entries,
--- a/knapweedtally/entry/members/lease_manager.py
+++ b/knapweedtally/entry/members/lease_manager.py
@@ -2,6 +2,7 @@
 
 import random
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import promotion_lease
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -36,8 +37,7 @@
         self._host = host
         self._incarnation = f"{random.getrandbits(48):x}"
         self._log = log
-        self._revision_seen = promotion_lease.LeaseRevision()
-        self._revision = 0
+        self._revision = promotion_lease.LeaseRevision()
 
     @property
     def fence(self) -> int:
@@ -56,7 +56,7 @@
             now_s = clock.get_time_s()
             if lease is not None:
                 claimable_at_s = promotion_lease.get_claimable_at_s(
-                    lease, self._revision_seen, self._host
+                    lease, self._revision, self._host
                 )
                 if claimable_at_s > now_s:
                     raise LeaseLost(
@@ -66,7 +66,7 @@
             claimed = promotion_lease.make_next_lease(
                 lease, self._host, self._incarnation
             )
-            await self._write(claimed, lease is None)
+            await self._write(claimed)
         except (store.StoreError, store_calls.MalformedResponse) as error:
             raise LeaseLost(str(error)) from error
         self._lease = claimed
@@ -78,15 +78,17 @@
         A failed call to the store is tolerated until the lease expires.
 
         Raises:
-            LeaseLost: another host replaced the lease, or it expired while
-                the store didn't answer.
+            LeaseLost: another host replaced the lease, it expired while the
+                store didn't answer, or the store came back from an older copy.
         """
         if clock.get_time_s() - self.claimed_s < RENEW_AFTER_S:
             return
         lease = promotion_lease.renew_lease(self._lease)
         try:
-            await self._write(lease, False)
+            await self._write(lease)
             self._lease = lease
+        except store.GenerationEnded as error:
+            raise LeaseLost(str(error)) from error
         except (store.StoreError, store_calls.MalformedResponse) as error:
             if not promotion_lease.may_act(self.claimed_s, clock.get_time_s()):
                 raise LeaseLost(str(error)) from error
@@ -102,14 +104,17 @@
         a group without a primary is worse than a proof that rests on memory.
 
         Raises:
-            LeaseLost: another host replaced the lease.
+            LeaseLost: another host replaced the lease, or the store came back
+                from an older copy.
         """
         if self.get_requested_term(group) >= term:
             return
         lease = promotion_lease.record_request(self._lease, group, term)
         try:
-            await self._write(lease, False)
+            await self._write(lease)
             self._lease = lease
+        except store.GenerationEnded as error:
+            raise LeaseLost(str(error)) from error
         except (store.StoreError, store_calls.MalformedResponse) as error:
             self._log.write(
                 "store_call_failed", kind=LEASE_KIND, reason=str(error)
@@ -119,7 +124,7 @@
         """Release the lease, so that other hosts may claim it at once."""
         lease = self._lease._replace(is_held=False)
         try:
-            await self._write(lease, False)
+            await self._write(lease)
         except (
             store.StoreError,
             store_calls.MalformedResponse,
@@ -130,16 +135,17 @@
 
     async def _read(self) -> promotion_lease.Lease | None:
         request = store_calls.make_read_request(LEASE_KIND, LEASE_NAME)
-        response = await self._client.send(request)
-        if response.status == 404:
+        answer = await self._client.send(request)
+        if answer.status == 404:
+            none = store_revisions.Revision(answer.generation, 0)
+            self._record_revision(none)
             return None
-        if response.status != 200:
+        if answer.status != 200:
             raise store.StoreError(
-                f"store answered the lease's read with {response.status}"
+                f"store answered the lease's read with {answer.status}"
             )
-        answer = store_calls.parse_answer(response)
         stored = store_calls.parse_object(answer)
-        self._record_revision(stored)
+        self._record_revision(stored.revision)
         lease = promotion_lease.parse_lease(stored.spec)
         if lease is None:
             raise store_calls.MalformedResponse(
@@ -147,28 +153,28 @@
             )
         return lease
 
-    async def _write(self, lease: promotion_lease.Lease, is_new: bool) -> None:
+    async def _write(self, lease: promotion_lease.Lease) -> None:
+        """Replace what was read or written last, or create the object."""
+        revision = self._revision.revision
         spec = promotion_lease.format_lease(lease)
-        request = (
-            store_calls.make_create_request(LEASE_KIND, LEASE_NAME, spec)
-            if is_new
-            else store_calls.make_replace_request(
-                LEASE_KIND, LEASE_NAME, spec, self._revision
-            )
-        )
         sent_s = clock.get_time_s()
-        response = await self._client.send(request)
-        if response.status not in (200, 201):
+        if revision.number:
+            answer = await store.replace_object(
+                self._client, LEASE_KIND, LEASE_NAME, spec, revision
+            )
+        else:
+            answer = await store.create_object(
+                self._client, LEASE_KIND, LEASE_NAME, spec, revision.generation
+            )
+        if answer.status not in (200, 201):
             raise LeaseLost(
                 "the store rejected the write of the lease: status"
-                f" {response.status}"
+                f" {answer.status}"
             )
-        answer = store_calls.parse_answer(response)
-        self._record_revision(store_calls.parse_object(answer))
+        self._record_revision(store_calls.parse_object(answer).revision)
         self.claimed_s = sent_s
 
-    def _record_revision(self, stored: store_calls.StoredObject) -> None:
-        self._revision = stored.revision
+    def _record_revision(self, revision: store_revisions.Revision) -> None:
         promotion_lease.record_revision(
-            self._revision_seen, stored.revision, clock.get_time_s()
+            self._revision, revision, clock.get_time_s()
         )
--- a/knapweedtally/entry/members/member_records.py
+++ b/knapweedtally/entry/members/member_records.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import member_records
@@ -42,15 +43,15 @@
 
     Attributes:
         members: the recorded members by id.
-        revision: revision of the record, 0 if it doesn't exist, or None if
-            it has to be read.
+        revision: revision of the record, of the number 0 if it doesn't exist,
+            or None if it has to be read.
         next_check_s: when the members are next compared with the record.
         differs_since_s: since when they differ, or None.
         primary: the recorded last primary, or None.
     """
 
     members: member_records.Members = dataclasses.field(default_factory=dict)
-    revision: int | None = None
+    revision: store_revisions.Revision | None = None
     next_check_s: float = 0.0
     differs_since_s: float | None = None
     primary: last_primary.LastPrimary | None = None
@@ -137,7 +138,11 @@
             return True
         self._is_settled = bool(self._records) and all(
             not self.is_recorder(group)
-            or (record.revision and not self._has_other_members(group, record))
+            or (
+                record.revision is not None
+                and record.revision.number
+                and not self._has_other_members(group, record)
+            )
             for group, record in self._records.items()
         )
         return self._is_settled
@@ -194,7 +199,8 @@
 
     async def _sync(self, group: str, record: GroupRecord) -> None:
         if record.revision is None:
-            self._apply(group, record, await self._read(group))
+            answer = await self._read(group)
+            self._apply(group, record, _parse_stored(answer), answer.generation)
         if not self.is_recorder(group):
             return
         for _ in range(MAX_WRITES):
@@ -204,8 +210,9 @@
             members = member_records.apply_change(record.members, change)
             primary = change.primary or record.primary
             spec = member_records.format_record(members, primary)
-            stored = await self._write(group, spec, record.revision or 0)
-            self._apply(group, record, stored)
+            assert record.revision is not None
+            answer = await self._write(group, spec, record.revision)
+            self._apply(group, record, _parse_stored(answer), answer.generation)
             if record.members.keys() == members.keys():
                 self._log.write(
                     "members_recorded",
@@ -219,6 +226,7 @@
         group: str,
         record: GroupRecord,
         stored: store_calls.StoredObject | None,
+        generation: int,
     ) -> None:
         """Take over what the store has, or None if it has no record."""
         members = (
@@ -229,7 +237,11 @@
             members = {}
         record.members = members
         record.primary = self._take_primary(group, stored)
-        record.revision = stored.revision if stored else 0
+        record.revision = (
+            stored.revision
+            if stored
+            else store_revisions.Revision(generation, 0)
+        )
         released = self._catalog.released if self.is_recorder(group) else ()
         self._apply_members(
             group, {t: e for t, e in members.items() if t not in released}
@@ -274,34 +286,42 @@
     async def _list(self) -> list[store_calls.StoredObject]:
         return (await store.list_objects(self._client, MEMBERS_KIND)).objects
 
-    async def _read(self, group: str) -> store_calls.StoredObject | None:
+    async def _read(self, group: str) -> store_calls.StoreAnswer:
         request = store_calls.make_read_request(MEMBERS_KIND, group)
-        response = await self._client.send(request)
-        if response.status == 404:
-            return None
-        if response.status != 200:
+        answer = await self._client.send(request)
+        if answer.status not in (200, 404):
             raise store.StoreError(
-                f"store answered a record's read with {response.status}"
+                f"store answered a record's read with {answer.status}"
             )
-        return store_calls.parse_object(store_calls.parse_answer(response))
+        return answer
 
     async def _write(
-        self, group: str, spec: dict[str, Any], revision: int
-    ) -> store_calls.StoredObject:
+        self,
+        group: str,
+        spec: dict[str, Any],
+        revision: store_revisions.Revision,
+    ) -> store_calls.StoreAnswer:
         """Write a record, and return what the store then has.
 
         That is another record if the revision isn't current.
         """
-        request = (
-            store_calls.make_replace_request(
-                MEMBERS_KIND, group, spec, revision
+        if revision.number:
+            answer = await store.replace_object(
+                self._client, MEMBERS_KIND, group, spec, revision
             )
-            if revision
-            else store_calls.make_create_request(MEMBERS_KIND, group, spec)
-        )
-        response = await self._client.send(request)
-        if response.status not in (200, 201, 409):
+        else:
+            answer = await store.create_object(
+                self._client, MEMBERS_KIND, group, spec, revision.generation
+            )
+        if answer.status not in (200, 201, 409):
             raise store.StoreError(
-                f"store answered a record's write with {response.status}"
+                f"store answered a record's write with {answer.status}"
             )
-        return store_calls.parse_object(store_calls.parse_answer(response))
+        return answer
+
+
+def _parse_stored(
+    answer: store_calls.StoreAnswer,
+) -> store_calls.StoredObject | None:
+    """Return the record in an answer, or None if the store has none."""
+    return None if answer.status == 404 else store_calls.parse_object(answer)
--- a/knapweedtally/platform/records.py
+++ b/knapweedtally/platform/records.py
@@ -3,6 +3,7 @@
 import math
 from typing import Any
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import model
 from knapweedtally.platform import settings
 
@@ -209,7 +210,9 @@
     )
 
 
-def parse_target(name: str, revision: int, spec: Any) -> model.TargetEntry:
+def parse_target(
+    name: str, revision: store_revisions.Revision, spec: Any
+) -> model.TargetEntry:
     """Return the target that an entry in the store describes.
 
     Raises:
--- a/knapweedtally/platform/store_calls.py
+++ b/knapweedtally/platform/store_calls.py
@@ -1,10 +1,12 @@
 """Requests to the platform's store, and parsing of its responses."""
 
 import json
+from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
 
+from knapweedtally.core import store_revisions
 from knapweedtally.utils import bounded_json
 from knapweedtally.utils import http
 
@@ -12,6 +14,26 @@
 # envelope around them.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
+# Header with the store's generation, in all its answers.
+GENERATION_HEADER = "store-era"
+
+# Longest number of a generation, in digits.
+MAX_GENERATION_DIGITS = 9
+
+
+class StoreAnswer(NamedTuple):
+    """Answer of the store to one call.
+
+    Attributes:
+        status: the HTTP status.
+        body: the whole body.
+        generation: the store's generation when it answered.
+    """
+
+    status: int
+    body: bytes = b""
+    generation: int = store_revisions.UNKNOWN_GENERATION
+
 
 class StoredObject(NamedTuple):
     """Object in the store.
@@ -23,7 +45,7 @@
     """
 
     name: str
-    revision: int
+    revision: store_revisions.Revision
     spec: Any
 
 
@@ -37,7 +59,7 @@
     """
 
     objects: list[StoredObject]
-    revision: int
+    revision: store_revisions.Revision
     has_more: bool
 
 
@@ -62,13 +84,37 @@
     """
 
     changes: list[Change]
-    revision: int
+    revision: store_revisions.Revision
 
 
 class MalformedResponse(ValueError):  # noqa: N818 - named after the cause
     """Raised for a malformed response of the store."""
 
 
+def parse_generation(headers: Mapping[str, str]) -> int | None:
+    """Return the generation that an answer's headers name.
+
+    Args:
+        headers: values by name in lower case.
+
+    Returns:
+        The generation, or None without the header.
+
+    Raises:
+        MalformedResponse: the header has no generation.
+    """
+    text = headers.get(GENERATION_HEADER)
+    if text is None:
+        return None
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_GENERATION_DIGITS or int(text) < 1:
+        raise MalformedResponse(
+            f"{GENERATION_HEADER}: expected a number from 1 of at most "
+            f"{MAX_GENERATION_DIGITS} digits, got {text[:40]!r}"
+        )
+    return int(text)
+
+
 def make_list_request(kind: str, after: str | None) -> http.Request:
     """Return the request for one page of the objects of a kind.
 
@@ -81,7 +127,7 @@
 
 
 def make_watch_request(kind: str, revision: int, wait_s: float) -> http.Request:
-    """Return the request that waits for changes after a revision."""
+    """Return the request that waits for changes after a revision's number."""
     query = f"watch={revision}&waitMs={round(wait_s * 1000)}"
     return http.Request("GET", f"/objects/{kind}?{query}")
 
@@ -100,7 +146,14 @@
 def make_replace_request(
     kind: str, name: str, spec: object, revision: int
 ) -> http.Request:
-    """Return the request that replaces an object if it has the revision."""
+    """Return the request that replaces an object if it has the revision.
+
+    Args:
+        kind: kind of the object.
+        name: name of the object.
+        spec: the new value.
+        revision: number of the revision, in the store's present generation.
+    """
     meta = {"name": name, "rev": revision, "finalizers": []}
     path = f"/objects/{kind}/{parse.quote(name)}"
     return _make_write_request("PUT", path, {"meta": meta, "spec": spec})
@@ -115,67 +168,76 @@
     )
 
 
-def parse_object(value: Any) -> StoredObject:
-    """Return the object in a decoded response body.
+def parse_object(answer: StoreAnswer) -> StoredObject:
+    """Return the object that an answer consists of.
 
     Raises:
-        MalformedResponse: the value is not an object of the store.
+        MalformedResponse: the answer is not an object of the store.
     """
+    return _parse_object(_decode(answer), answer.generation)
+
+
+def _parse_object(value: Any, generation: int) -> StoredObject:
     try:
         meta = value["meta"]
-        return StoredObject(
-            str(meta["name"]), int(meta["rev"]), value.get("spec")
-        )
+        revision = store_revisions.Revision(generation, int(meta["rev"]))
+        return StoredObject(str(meta["name"]), revision, value.get("spec"))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise MalformedResponse(
             f"response is not an object: {error!r}"
         ) from error
 
 
-def parse_answer(response: http.Response) -> Any:
-    """Return the decoded body of a response.
+def _decode(answer: StoreAnswer) -> Any:
+    """Return the decoded body of an answer.
 
     Raises:
         MalformedResponse: the body is not JSON.
     """
     try:
-        return bounded_json.decode(response.body)
+        return bounded_json.decode(answer.body)
     except ValueError as error:
         raise MalformedResponse(
             f"response body is not JSON: {error}"
         ) from error
 
 
-def parse_page(response: http.Response) -> Page:
-    """Return the page in the response to a list request.
+def parse_page(answer: StoreAnswer) -> Page:
+    """Return the page in the answer to a list request.
 
     Raises:
-        MalformedResponse: the response has no page.
+        MalformedResponse: the answer has no page.
     """
-    answer = parse_answer(response)
+    value = _decode(answer)
+    generation = answer.generation
     try:
-        items = [parse_object(item) for item in answer["items"]]
+        items = [_parse_object(item, generation) for item in value["items"]]
         # "asOf" is the store's revision, not a time.
-        return Page(items, int(answer["asOf"]), bool(answer.get("more")))
+        revision = store_revisions.Revision(generation, int(value["asOf"]))
+        return Page(items, revision, bool(value.get("more")))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise MalformedResponse(
             f"response is not a page of a list: {error!r}"
         ) from error
 
 
-def parse_changes(response: http.Response) -> WatchResult:
-    """Return the changes in the response to a watch request.
+def parse_changes(answer: StoreAnswer) -> WatchResult:
+    """Return the changes in the answer to a watch request.
 
     Raises:
-        MalformedResponse: the response has no changes.
+        MalformedResponse: the answer has no changes.
     """
-    answer = parse_answer(response)
+    value = _decode(answer)
+    generation = answer.generation
     try:
         changes = [
-            Change(parse_object(item["object"]), bool(item["deleted"]))
-            for item in answer["events"]
+            Change(
+                _parse_object(item["object"], generation), bool(item["deleted"])
+            )
+            for item in value["events"]
         ]
-        return WatchResult(changes, int(answer["asOf"]))
+        revision = store_revisions.Revision(generation, int(value["asOf"]))
+        return WatchResult(changes, revision)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise MalformedResponse(
             f"response is not a list of changes: {error!r}"
--- a/standins/line_platform/store.py
+++ b/standins/line_platform/store.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import copy
 import json
 from typing import Any
+from typing import NamedTuple
 
 from knapweedtally.utils import http
 
@@ -11,10 +13,20 @@
 MAX_WATCH_S = 30.0
 
 
+class StoreCopy(NamedTuple):
+    """Content of the store at one time."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    events: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class Store:
     """Store of objects by kind and name, with one revision counter.
 
     Attributes:
+        generation: how often the store came back from a copy, and one, as it
+            stands in each answer; 0 for a store that doesn't tell.
         is_down: whether every call is answered with 503.
         is_silent: whether calls that arrive are never answered, also not later.
         is_withholding_events: whether watches receive no events, and no error
@@ -30,6 +42,7 @@
 
     def __init__(self) -> None:
         """Create an empty store without faults."""
+        self.generation = 1
         self.is_down = False
         self.is_silent = False
         self.is_withholding_events = False
@@ -77,6 +90,23 @@
             self._revision += 1
             self._record_event(kind, stored, True)
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        return StoreCopy(
+            self._revision, copy.deepcopy(self._objects), list(self._events)
+        )
+
+    def restore(self, content: StoreCopy) -> None:
+        """Come back from a copy, which loses what was written since.
+
+        Waiting watches are cut off. Revisions are given out again.
+        """
+        self.generation += 1
+        self._revision = content.revision
+        self._objects = copy.deepcopy(content.objects)
+        self._events = list(content.events)
+        self.abort_watches()
+
     def drop_history(self) -> None:
         """Drop all past events, so that older watches have to list again."""
         self.oldest_watch_revision = self._revision
@@ -99,6 +129,13 @@
 
     async def answer(self, request: http.Request) -> http.Response:
         """Answer one call."""
+        response = await self._answer(request)
+        if not self.generation:
+            return response
+        headers = {**response.headers, "store-era": str(self.generation)}
+        return response._replace(headers=headers)
+
+    async def _answer(self, request: http.Request) -> http.Response:
         kind, name = [*request.segments[1:], "", ""][:2]
         self.calls += 1
         self.calls_by_kind[kind] += 1
@@ -154,7 +191,7 @@
             if self.is_withholding_events and remaining_s > 0:
                 await self._wait_for_change(remaining_s)
                 continue
-            if since < self.oldest_watch_revision:
+            if since < self.oldest_watch_revision or since > self._revision:
                 return http.Response(410)
             events = [
                 {"object": stored, "deleted": is_deleted}
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from knapweedtally.core import model
+from knapweedtally.core import store_revisions
 from knapweedtally.core import watch_confirmation
 from knapweedtally.core.bundles import codec as bundle_codec
 from knapweedtally.core.bundles import signatures
@@ -89,22 +90,29 @@
 
 
 def _list_extension_messages() -> list[Sample]:
-    confirmation = watch_confirmation.Confirmation("servers", 41, 0.25)
-    payload = [
-        2**31,
-        12_500_000,
-        [watch_confirmation.encode_confirmation(confirmation)],
-    ]
     return [
         Sample(
-            "extension store-confirmed",
-            ("host-1", watch_confirmations.CONFIRMATION_KIND, payload),
+            f"extension store-confirmed{suffix}",
+            (
+                "host-1",
+                watch_confirmations.CONFIRMATION_KIND,
+                _make_confirmation_payload(generation),
+            ),
             lambda value: extension_messages.encode_message(*value).hex(),
             lambda text: extension_messages.decode_message(bytes.fromhex(text)),
         )
+        for generation, suffix in ((0, ""), (3, " with generation"))
     ]
 
 
+def _make_confirmation_payload(generation: int) -> list[Any]:
+    confirmation = watch_confirmation.Confirmation(
+        "servers", store_revisions.Revision(generation, 41), 0.25
+    )
+    items = watch_confirmation.encode_confirmations([confirmation])
+    return [2**31, 12_500_000, items]
+
+
 def make_registers() -> tuple[model.Register, ...]:
     """Return a register of each kind; the one of a group has a record."""
     host = membership_state.Host(
--- a/tests/entry/listing.py
+++ b/tests/entry/listing.py
@@ -63,20 +63,24 @@
         yield
 
 
-class StoreClient:
+class HttpClient:
     """A client that calls the store without a connection."""
 
     def __init__(self, store: store_module.Store) -> None:
         self._store = store
-        self.watch_wait_s = 20.0
-        self.is_unavailable = False
-        self.call_count = 0
 
     async def send(
         self, request: http.Request, timeout_s: float = 0.0
     ) -> http.Response:
-        self.call_count += 1
-        return await self._store.answer(request)
+        try:
+            return await self._store.answer(request)
+        except http.ExchangeDropped as error:
+            raise http.ResponseLost(str(error)) from error
+
+
+def connect_client(client: Any, store: store_module.Store) -> None:
+    """Let a store client call a store in the test's process."""
+    client._client = HttpClient(store)
 
 
 class ListingHost:
@@ -85,9 +89,7 @@
     def __init__(self) -> None:
         self.store = store_module.Store()
         self.host = make_host()
-        client: Any = StoreClient(self.store)
-        self.host.store = client
-        self.host._records._client = client
+        connect_client(self.host.store, self.store)
         self.tasks: list[asyncio.Task[None]] = []
 
     @property
--- a/tests/entry/test_listing_fuzz.py
+++ b/tests/entry/test_listing_fuzz.py
@@ -15,6 +15,7 @@
 import testtools
 from hypothesis import strategies as st
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog as catalog_module
 from knapweedtally.core.groups import model
 from knapweedtally.entry.common import clock
@@ -24,6 +25,7 @@
 from tests.entry import listing
 
 GROUPS = ("g", "h")
+REVISION = store_revisions.Revision(1, 1)
 GRACE_S = catalog_module.MEMBERSHIP_GRACE_S
 
 
@@ -56,7 +58,8 @@
         )
         if self.is_malformed:
             del spec["slots"]
-        return store_calls.StoredObject(self.target, self.revision, spec)
+        revision = store_revisions.Revision(1, self.revision)
+        return store_calls.StoredObject(self.target, revision, spec)
 
     def parse(self) -> model.TargetEntry:
         return records.parse_target(*self.make_object())
@@ -228,7 +231,7 @@
             groups = [{"name": name, "maxConns": 8} for name in GROUPS]
             spec = {**listing.make_configuration(), "backends": groups}
             host.configuration.apply_objects(
-                [store_calls.StoredObject("main", 1, spec)]
+                [store_calls.StoredObject("main", REVISION, spec)]
             )
             host.tick(self.now_s)
 
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -20,7 +20,7 @@
 from knapweedtally.entry import host as host_module
 from knapweedtally.entry import process as process_module
 from knapweedtally.entry.common import logs
-from knapweedtally.entry.fleet import store as store_module
+from knapweedtally.entry.fleet import store_watches
 from knapweedtally.entry.members import lease_manager
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
@@ -338,7 +338,7 @@
         self.check_exit(host_module.Host, "run_ticks", "checks")
 
     def test_process_without_watchers_stops_gracefully(self) -> None:
-        self.check_exit(store_module.Watcher, "run", "configuration watcher")
+        self.check_exit(store_watches.Watcher, "run", "configuration watcher")
 
     def test_lease_is_released(self) -> None:
         async def scenario(
@@ -357,8 +357,10 @@
         request = store_calls.make_read_request(
             lease_manager.LEASE_KIND, lease_manager.LEASE_NAME
         )
-        answer = asyncio.run(stores[0].answer(request))
-        stored = store_calls.parse_object(store_calls.parse_answer(answer))
+        response = asyncio.run(stores[0].answer(request))
+        stored = store_calls.parse_object(
+            store_calls.StoreAnswer(response.status, response.body)
+        )
         lease = promotion_lease.parse_lease(stored.spec)
         assert lease is not None
         self.assertFalse(lease.is_held)
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from knapweedtally.core import store_revisions
 from tests.entry import harness
 
 HOSTS = 7
@@ -124,7 +125,7 @@
         (closed_port,) = harness.find_ports(1)
         members = system.entry_hosts[0].host.catalog.members
         unreachable = members[primary.id].entry._replace(
-            port=closed_port, revision=10**9
+            port=closed_port, revision=store_revisions.Revision(1, 10**9)
         )
         members[primary.id] = members[primary.id]._replace(entry=unreachable)
         pool.restart(unreachable)
--- a/tests/entry/test_silent_store.py
+++ b/tests/entry/test_silent_store.py
@@ -9,6 +9,8 @@
 from knapweedtally.core import watch_confirmation
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.fleet import store
+from knapweedtally.entry.fleet import store_watches
+from knapweedtally.platform import settings
 from knapweedtally.utils import http
 from tests.entry import harness
 
@@ -75,6 +77,9 @@
             )
 
 
+ADDRESS = settings.Address("127.0.0.1", 1)
+
+
 class ScriptedClient:
     """A client whose waiting watches are never answered.
 
@@ -82,8 +87,6 @@
         targets: what was asked for, in order.
     """
 
-    watch_wait_s = 20.0
-
     def __init__(self) -> None:
         self.targets: list[str] = []
 
@@ -102,13 +105,15 @@
     def test_abandoned_watch_is_followed_by_one_without_a_wait(self) -> None:
         # Guards against lists on all hosts of a fleet after each silence.
         async def run() -> list[str]:
-            client: Any = ScriptedClient()
-            watcher = store.Watcher(
-                client,
+            log = logs.Log("host-0", -1)
+            store_client: Any = store.StoreClient(ADDRESS, log)
+            store_client._client = client = ScriptedClient()
+            watcher = store_watches.Watcher(
+                store_client,
                 "config",
                 lambda objects: None,
                 lambda change: None,
-                logs.Log("host-0", -1),
+                log,
             )
             task = asyncio.create_task(watcher.run())
             await harness.wait_for(lambda: len(client.targets) >= 4)
--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import team_connections
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.pools import connections
@@ -257,7 +258,7 @@
     (closed_port,) = harness.find_ports(1)
     members = entry.host.catalog.members
     unreachable = members[target.id].entry._replace(
-        port=closed_port, revision=10**9
+        port=closed_port, revision=store_revisions.Revision(1, 10**9)
     )
     members[target.id] = members[target.id]._replace(entry=unreachable)
     find_pool(entry, target.id).restart(unreachable)
--- a/tests/entry/test_watch_confirmation.py
+++ b/tests/entry/test_watch_confirmation.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core import watch_confirmation
 from knapweedtally.entry.fleet import watch_confirmations
 from tests.entry import harness
@@ -12,10 +13,28 @@
 ASKED_S = 100.0
 
 
+def make_revision(number: int, generation: int = 2) -> store_revisions.Revision:
+    return store_revisions.Revision(generation, number)
+
+
+def confirm(
+    state: watch_confirmation.State,
+    number: int,
+    shown_s: float,
+    now_s: float,
+    generation: int = 2,
+) -> None:
+    """Record what another host has said."""
+    revision = make_revision(number, generation)
+    watch_confirmation.record_confirmation(state, revision, shown_s, now_s)
+
+
 def make_state() -> watch_confirmation.State:
     """Return the state of a host that has listed and then asked at ASKED_S."""
     state = watch_confirmation.State()
-    watch_confirmation.record_answer(state, 50, 40, ASKED_S - 0.1)
+    watch_confirmation.record_answer(
+        state, make_revision(50), make_revision(40), ASKED_S - 0.1
+    )
     return state
 
 
@@ -31,7 +50,7 @@
     def test_confirmation_counts_from_the_answer_of_the_store(self) -> None:
         # Guards against a delayed message that confirms too much.
         state = make_state()
-        watch_confirmation.record_confirmation(state, 50, 104.0, 109.0)
+        confirm(state, 50, 104.0, 109.0)
         self.assertEqual(
             104.0 + watch_confirmation.UNCONFIRMED_AFTER_S,
             watch_confirmation.compute_deadline_s(state, ASKED_S),
@@ -41,7 +60,7 @@
         self,
     ) -> None:
         state = make_state()
-        watch_confirmation.record_confirmation(state, 51, 104.0, 104.0)
+        confirm(state, 51, 104.0, 104.0)
         self.assertEqual(
             104.0 + watch_confirmation.BEHIND_AFTER_S,
             watch_confirmation.compute_deadline_s(state, ASKED_S + 3),
@@ -50,10 +69,12 @@
     def test_revision_that_the_store_lacks_is_asked_for_once(self) -> None:
         # Guards against lists without end for one wrong message.
         state = make_state()
-        watch_confirmation.record_confirmation(state, 10**9, 104.0, 104.0)
-        watch_confirmation.record_answer(state, 50, 40, 104.5)
-        watch_confirmation.record_confirmation(state, 10**9, 105.0, 105.0)
-        self.assertEqual(0, state.awaited_revision)
+        confirm(state, 10**9, 104.0, 104.0)
+        watch_confirmation.record_answer(
+            state, make_revision(50), make_revision(40), 104.5
+        )
+        confirm(state, 10**9, 105.0, 105.0)
+        self.assertIsNone(state.awaited_revision)
         self.assertEqual(104.5, state.confirmed_s)
 
     def test_host_that_nobody_confirms_asks_with_short_waits(self) -> None:
@@ -65,7 +86,7 @@
             (False, True, 15.0),
         ):
             if is_heard:
-                watch_confirmation.record_confirmation(state, 40, 101, 101)
+                confirm(state, 40, 101, 101)
             wait_s = watch_confirmation.compute_wait_s(
                 state, 15.0, is_confirming, 102.0
             )
@@ -73,11 +94,35 @@
 
     def test_malformed_confirmations_are_dropped(self) -> None:
         for item in (None, [], ["k", 1], ["k", -1, 0], ["k", 1, 2**80], "kkk"):
-            self.assertIsNone(watch_confirmation.parse_confirmation(item))
-        confirmation = watch_confirmation.Confirmation("k", 7, 0.25)
-        encoded = watch_confirmation.encode_confirmation(confirmation)
+            self.assertRaises(
+                watch_confirmation.MalformedConfirmation,
+                watch_confirmation.parse_confirmations,
+                [["k", 1, 0], item],
+            )
+
+    def test_confirmation_names_the_generation_of_the_store(self) -> None:
+        for generation in (0, 3):
+            confirmation = watch_confirmation.Confirmation(
+                "k", store_revisions.Revision(generation, 7), 0.25
+            )
+            encoded = watch_confirmation.encode_confirmations([confirmation])
+            self.assertEqual(["k", 7, 250_000], encoded[0])
+            self.assertEqual(
+                [confirmation], watch_confirmation.parse_confirmations(encoded)
+            )
+
+    def test_earlier_generation_of_the_store_confirms_nothing(self) -> None:
+        # Its revisions say nothing about those that were given out again.
+        state = make_state()
+        confirm(state, 50, 104.0, 104.0, 1)
+        self.assertEqual(ASKED_S - 0.1, state.confirmed_s)
+
+    def test_later_generation_of_the_store_ends_the_watch_soon(self) -> None:
+        state = make_state()
+        confirm(state, 1, 104.0, 104.0, 3)
         self.assertEqual(
-            confirmation, watch_confirmation.parse_confirmation(encoded)
+            104.0 + watch_confirmation.BEHIND_AFTER_S,
+            watch_confirmation.compute_deadline_s(state, ASKED_S + 3),
         )
 
 
@@ -117,4 +162,4 @@
             len(payloads), sum(reason.startswith(kind) for reason in reasons)
         )
         for watcher in entry.host.watchers:
-            self.assertEqual(0, watcher.state.awaited_revision)
+            self.assertIsNone(watcher.state.awaited_revision)
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -4,10 +4,12 @@
 simulated.
 """
 
+import json
 import types
 from collections.abc import Callable
 from typing import Any
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import member_records as records_module
@@ -200,25 +202,27 @@
     """Read and write the lease in the simulated store."""
 
     def __init__(
-        self, store: simulated_targets.Store, host: str, log: Any
+        self, client: "StoreClient", store: simulated_targets.Store, log: Any
     ) -> None:
-        super().__init__(None, host, log)  # type: ignore[arg-type]
+        super().__init__(client, client.host, log)  # type: ignore[arg-type]
         self._store = store
 
     async def _read(self) -> promotion_lease.Lease | None:
         await self._store.call(self._host)
+        generation = self._client.generation.number
         if self._store.lease is None:
+            self._record_revision(store_revisions.Revision(generation, 0))
             return None
-        spec, revision = self._store.lease
-        self._record_revision(store_calls.StoredObject("", revision, spec))
+        spec, number = self._store.lease
+        self._record_revision(store_revisions.Revision(generation, number))
         return promotion_lease.parse_lease(spec)
 
-    async def _write(self, lease: promotion_lease.Lease, is_new: bool) -> None:
+    async def _write(self, lease: promotion_lease.Lease) -> None:
         sent_s = self._store.world.now_s
         await self._store.call(self._host)
         stored = self._store.lease
-        known = None if stored is None else stored[1]
-        if known != (None if is_new else self._revision):
+        known = 0 if stored is None else stored[1]
+        if known != self._revision.revision.number:
             raise lease_manager.LeaseLost("the lease was replaced")
         self._store.revision += 1
         self._store.lease = (
@@ -226,11 +230,21 @@
             self._store.revision,
         )
         self._record_revision(
-            store_calls.StoredObject("", self._store.revision, None)
+            store_revisions.Revision(
+                self._client.generation.number, self._store.revision
+            )
         )
         self.claimed_s = sent_s
 
 
+class StoreClient:
+    """What a host's client knows of the simulated store."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.generation = store_revisions.Generation()
+
+
 class MemberRecords(member_records.MemberRecords):
     """Read and write the record in the simulated store."""
 
@@ -250,12 +264,21 @@
         return
 
     async def _list(self) -> list[store_calls.StoredObject]:
-        stored = await self._read(simulated_targets.GROUP)
+        await self._store.call_record(self._host.name)
+        stored = self._get_stored()
         return [stored] if stored else []
 
-    async def _read(self, group: str) -> store_calls.StoredObject | None:
+    async def _read(self, group: str) -> store_calls.StoreAnswer:
         await self._store.call_record(self._host.name)
-        return self._get_stored()
+        return self._make_answer()
+
+    def _make_answer(self) -> store_calls.StoreAnswer:
+        if self._store.members is None:
+            return store_calls.StoreAnswer(404)
+        spec, number = self._store.members
+        meta = {"name": simulated_targets.GROUP, "rev": number}
+        body = json.dumps({"meta": meta, "spec": spec}).encode()
+        return store_calls.StoreAnswer(200, body)
 
     def apply_stored(self) -> None:
         """Add the recorded members, as a host does before its first list."""
@@ -269,23 +292,24 @@
     def _get_stored(self) -> store_calls.StoredObject | None:
         if self._store.members is None:
             return None
-        spec, revision = self._store.members
+        spec, number = self._store.members
+        revision = store_revisions.Revision(
+            store_revisions.UNKNOWN_GENERATION, number
+        )
         return store_calls.StoredObject(simulated_targets.GROUP, revision, spec)
 
     async def _write(
         self,
         group: str,
         spec: dict[str, Any],
-        revision: int,
-    ) -> store_calls.StoredObject:
+        revision: store_revisions.Revision,
+    ) -> store_calls.StoreAnswer:
         await self._store.call_record(self._host.name)
         stored = self._get_stored()
         if stored is None or stored.revision == revision:
             self._store.revision += 1
             self._store.members = (spec, self._store.revision)
-            stored = self._get_stored()
-        assert stored is not None
-        return stored
+        return self._make_answer()
 
 
 class Peers:
@@ -367,7 +391,7 @@
             name,
             self.catalog,
             promoter.Promoter(
-                LeaseManager(store, name, self.log),
+                LeaseManager(StoreClient(name), store, self.log),
                 settings.Address("platform", 1),
                 name,
                 self.log,
--- a/tests/groups/simulated_targets.py
+++ b/tests/groups/simulated_targets.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import member_records
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import statements
@@ -519,7 +520,9 @@
         self.revision += 1
         entry = model.TargetEntry(
             target.name,
-            self.revision,
+            store_revisions.Revision(
+                store_revisions.UNKNOWN_GENERATION, self.revision
+            ),
             GROUP,
             target.address,
             1,
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -4,17 +4,27 @@
 
 import testtools
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import model
 
+REVISION = store_revisions.Revision(1, 5)
+
 
 def make_entry(target: str = "i-1", **changes: object) -> model.TargetEntry:
     entry = model.TargetEntry(
-        target, 5, "g", "10.0.0.1", 80, "dc", 0, 1, False, False, 2
+        target, REVISION, "g", "10.0.0.1", 80, "dc", 0, 1, False, False, 2
     )
+    revision = changes.get("revision")
+    if isinstance(revision, int):
+        changes["revision"] = make_revision(revision)
     return entry._replace(**changes)  # type: ignore[arg-type]
 
 
+def make_revision(number: int, generation: int = 1) -> store_revisions.Revision:
+    return store_revisions.Revision(generation, number)
+
+
 def make_configuration(version: int) -> model.Configuration:
     return model.Configuration(version, {}, {}, 0.0)
 
@@ -119,9 +129,9 @@
     def test_removal_of_an_older_entry_is_past(self) -> None:
         known = catalog.Catalog()
         catalog.update_entry(known, make_entry(revision=9))
-        catalog.mark_missing(known, "i-1", 20.0, revision=8)
+        catalog.mark_missing(known, "i-1", 20.0, make_revision(8))
         self.assertIsNone(known.members["i-1"].missing_since_s)
-        catalog.mark_missing(known, "i-1", 20.0, revision=9)
+        catalog.mark_missing(known, "i-1", 20.0, make_revision(9))
         self.assertEqual(20.0, known.members["i-1"].missing_since_s)
 
     def test_entry_of_the_same_revision_is_no_restart(self) -> None:
--- a/tests/groups/test_promotion_lease.py
+++ b/tests/groups/test_promotion_lease.py
@@ -4,8 +4,14 @@
 
 import testtools
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import promotion_lease
 
+
+def make_revision(number: int) -> store_revisions.Revision:
+    return store_revisions.Revision(1, number)
+
+
 HELD = promotion_lease.Lease("a", "1", 4, True, 0)
 
 
@@ -45,8 +51,8 @@
 
     def test_held_lease_expires_after_its_duration(self) -> None:
         lease_revision = promotion_lease.LeaseRevision()
-        promotion_lease.record_revision(lease_revision, 7, 100.0)
-        promotion_lease.record_revision(lease_revision, 7, 101.0)
+        promotion_lease.record_revision(lease_revision, make_revision(7), 100.0)
+        promotion_lease.record_revision(lease_revision, make_revision(7), 101.0)
         claimable_at_s = promotion_lease.get_claimable_at_s(
             HELD, lease_revision, "b"
         )
@@ -56,8 +62,8 @@
 
     def test_renewal_extends_the_lease(self) -> None:
         lease_revision = promotion_lease.LeaseRevision()
-        promotion_lease.record_revision(lease_revision, 7, 100.0)
-        promotion_lease.record_revision(lease_revision, 8, 101.0)
+        promotion_lease.record_revision(lease_revision, make_revision(7), 100.0)
+        promotion_lease.record_revision(lease_revision, make_revision(8), 101.0)
         claimable_at_s = promotion_lease.get_claimable_at_s(
             HELD, lease_revision, "b"
         )
@@ -72,7 +78,7 @@
 
     def test_released_lease_may_be_claimed_at_once(self) -> None:
         lease_revision = promotion_lease.LeaseRevision()
-        promotion_lease.record_revision(lease_revision, 7, 100.0)
+        promotion_lease.record_revision(lease_revision, make_revision(7), 100.0)
         released = HELD._replace(is_held=False)
         self.assertEqual(
             promotion_lease.get_claimable_at_s(released, lease_revision, "b"),
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -11,7 +11,6 @@
 from knapweedtally.platform import records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
-from knapweedtally.utils import http
 
 ENTRY: dict[str, Any] = {
     "backend": "g",
@@ -276,7 +275,7 @@
                 f'{{"items": [{",".join(objects)}], "asOf": 9, '
                 f'"events": [{",".join(events)}]}}'
             )
-            response = http.Response(200, body.encode())
+            response = store_calls.StoreAnswer(200, body.encode())
             listed = store_calls.parse_page(response).objects
             watched = store_calls.parse_changes(response).changes
             names = ["i-0", "i-1", "i-2"]
