Make fencing numbers of the store's generation and the claim's revision

Cause: the number came from the stored lease alone, which the store had lost. Ruled out: two holders at a time; lost conditional writes.

Change: generation * 10^12 + the revision that the store gave to the claim. Who sees a new generation waits for a lease's duration before a claim; a holder stops before its next call; a lease names its generation, since one that was written before the return may take effect late in place of another. After a return hosts read the lease once, spread by the number of live hosts.

--- a/knapweedtally/core/groups/promotion_lease.py
+++ b/knapweedtally/core/groups/promotion_lease.py
@@ -5,6 +5,13 @@
 holder measures the duration of the lease from before it sent the claim; other
 hosts measure it from when they first saw the claim. Leases therefore never
 overlap, whatever the hosts' clocks show.
+
+A store that comes back from an older copy may have lost the last leases, and a
+write that was sent before may replace one of the new generation late, if its
+revision has been given out again. So a fencing number is made of the generation
+and of the revision that the store gave to the claim, and rests on no content.
+What the holder of a lost lease still does ends within a lease's duration, for
+which the others wait.
 """
 
 import dataclasses
@@ -24,6 +31,12 @@
 # the platform that is already on its way ends in time.
 LEASE_SAFETY_MARGIN_S = 0.8
 
+# Fencing numbers that each generation of the store has for itself, more than it
+# makes changes. Those of 9,000 generations are exact as floating-point numbers.
+FENCES_PER_GENERATION = 10**12
+
+_UNKNOWN = store_revisions.UNKNOWN_GENERATION
+
 
 class Lease(NamedTuple):
     """A promotion lease as stored.
@@ -39,6 +52,8 @@
         requested_terms: highest term, by group, for which this holder or an
             earlier one requested a promotion. A target that led an earlier term
             may have been replaced, even if no host has seen its successor.
+        generation: the store's generation in which the lease was written, or
+            ``UNKNOWN_GENERATION``.
     """
 
     holder: str
@@ -47,6 +62,7 @@
     is_held: bool
     renewals: int
     requested_terms: Mapping[str, int] = types.MappingProxyType({})
+    generation: int = store_revisions.UNKNOWN_GENERATION
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,23 +90,74 @@
 
 
 def get_claimable_at_s(
-    lease: Lease, lease_revision: LeaseRevision, host: str
+    lease: Lease | None,
+    lease_revision: LeaseRevision,
+    host: str,
+    generation: store_revisions.Generation,
 ) -> float:
     """Return from when on a host may claim the lease.
 
     If the lease is held in the name of the host itself, it may be claimed at
-    once: the process that held it has ended, and so have its connections.
-    """
-    if not lease.is_held or lease.holder == host:
-        return lease_revision.seen_s
-    return lease_revision.seen_s + LEASE_DURATION_S
+    once: the process that held it has ended, and so have its connections. A
+    lease of an earlier generation may have replaced one that another host has.
 
+    Args:
+        lease: the stored lease, or None without one.
+        lease_revision: its revision.
+        host: name of the host.
+        generation: the store's generation. Whoever the lease names, another
+            host may hold one that the store has lost.
+    """
+    claimable_at_s = lease_revision.seen_s
+    if lease is not None and (
+        (lease.is_held and lease.holder != host)
+        or lease.generation not in (_UNKNOWN, generation.number)
+    ):
+        claimable_at_s += LEASE_DURATION_S
+    if generation.number == _UNKNOWN or generation.seen_s is None:
+        return claimable_at_s
+    return max(claimable_at_s, generation.seen_s + LEASE_DURATION_S)
+
+
+def make_next_lease(
+    lease: Lease | None,
+    host: str,
+    incarnation: str,
+    generation: int = _UNKNOWN,
+    requested_terms: Mapping[str, int] = types.MappingProxyType({}),
+) -> Lease:
+    """Return the lease to store in order to claim it.
+
+    Its fencing number is final once the store has answered, see
+    ``number_claim``.
 
-def make_next_lease(lease: Lease | None, host: str, incarnation: str) -> Lease:
-    """Return the lease to store in order to claim it."""
+    Args:
+        lease: the stored lease, or None without one.
+        host: name of the host.
+        incarnation: identifies the start of the host's process.
+        generation: the store's generation.
+        requested_terms: the terms that this host knows of, which the store may
+            have lost.
+    """
     fence = lease.fence + 1 if lease is not None else 1
-    requested_terms = lease.requested_terms if lease is not None else {}
-    return Lease(host, incarnation, fence, True, 0, requested_terms)
+    terms = dict(requested_terms)
+    if lease is not None:
+        for group, term in lease.requested_terms.items():
+            terms[group] = max(term, terms.get(group, 0))
+    return Lease(host, incarnation, fence, True, 0, terms, generation)
+
+
+def number_claim(lease: Lease, revision: store_revisions.Revision) -> Lease:
+    """Return a claimed lease with its fencing number.
+
+    Args:
+        lease: the lease as it was stored to claim it.
+        revision: the revision that the store gave to it.
+    """
+    if revision.generation == _UNKNOWN:
+        return lease
+    fence = revision.generation * FENCES_PER_GENERATION + revision.number
+    return lease._replace(fence=max(lease.fence, fence))
 
 
 def renew_lease(lease: Lease) -> Lease:
@@ -133,7 +200,12 @@
         return None
     if not all(type(term) is int for term in terms.values()):
         return None
-    return Lease(holder, incarnation, fence, is_held, renewals, terms)
+    generation = spec.get("generation", _UNKNOWN)
+    if type(generation) is not int:
+        return None
+    return Lease(
+        holder, incarnation, fence, is_held, renewals, terms, generation
+    )
 
 
 def format_lease(lease: Lease) -> dict[str, Any]:
@@ -142,4 +214,6 @@
     fields["requested_terms"] = dict(lease.requested_terms)
     if not lease.requested_terms:
         del fields["requested_terms"]
+    if lease.generation == _UNKNOWN:
+        del fields["generation"]
     return fields
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -19,6 +19,7 @@
 from knapweedtally.entry.fleet import peers
 from knapweedtally.entry.fleet import silent_hosts
 from knapweedtally.entry.fleet import store
+from knapweedtally.entry.fleet import store_returns
 from knapweedtally.entry.fleet import store_watches
 from knapweedtally.entry.fleet import watch_confirmations
 from knapweedtally.entry.limits import quotas
@@ -98,6 +99,9 @@
         self._confirmations = watch_confirmations.WatchConfirmations(
             host_settings.host, host_settings.data_centre, self.peers, log
         )
+        self._returns = store_returns.StoreReturns(
+            self.store, lambda: len(self.peers.get_live_hosts()), log
+        )
         self.quotas = quotas.Quotas(
             host_settings, self.peers, self.catalog, log, self.counters
         )
@@ -157,8 +161,12 @@
         self._settings = host_settings
         self._changes: primary_changes.PrimaryChanges | None = None
         if host_settings.promotion_api is not None:
+            manager = lease_manager.LeaseManager(
+                self.store, host_settings.host, log
+            )
+            self._returns.add(lease_manager.LEASE_KIND, manager.observe)
             primary_promoter = promoter.Promoter(
-                lease_manager.LeaseManager(self.store, host_settings.host, log),
+                manager,
                 host_settings.promotion_api,
                 host_settings.host,
                 log,
--- a/knapweedtally/entry/members/promoter.py
+++ b/knapweedtally/entry/members/promoter.py
@@ -11,7 +11,6 @@
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
-from knapweedtally.core.groups import promotion_lease
 from knapweedtally.core.groups import steps
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -257,6 +256,7 @@
         attempt: steps.Attempt,
         router: group_module.Group,
     ) -> None:
+        self._lease_manager.check_generation()
         if isinstance(step, steps.Wait):
             await asyncio.sleep(min(step.delay_s, lease_manager.RENEW_AFTER_S))
         elif isinstance(step, steps.ListTargets):
@@ -296,9 +296,7 @@
         targets = primary_change.list_members_to_resume(attempt)
         if not targets:
             return
-        if promotion_lease.may_act(
-            self._lease_manager.claimed_s, clock.get_time_s()
-        ):
+        if self._lease_manager.may_act():
             step = steps.SendOrder(steps.Order.RESUME, targets)
             await self._send_orders(step, attempt, router)
 
@@ -382,9 +380,8 @@
             # Connecting before the check of the lease keeps the time between
             # the check and the request short.
             await client.connect()
-            if not promotion_lease.may_act(
-                self._lease_manager.claimed_s, clock.get_time_s()
-            ):
+            self._lease_manager.check_generation()
+            if not self._lease_manager.may_act():
                 raise lease_manager.LeaseLost(
                     "the lease expired before the promotion was requested"
                 )
