Order entries across returns of the store by what the targets say

Cause: entries were ordered by the store's revision alone. The entry that the store had lost had a higher one than what the target wrote afterwards.

Change: within a generation the revision orders, as before. An entry that is listed in a later one may be from the copy: a later start of the target, or a higher count of its own updates, shows that it is newer; else what is known stays. What a watch brings after the list was written in that generation. The same decides which life at an address counts, and whether an entry of a target that had left makes it a member again.

The fuzz of listings passes unchanged.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -1,6 +1,7 @@
 """The current configuration and the known targets."""
 
 import dataclasses
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -163,6 +164,9 @@
 
 _Address = tuple[str, str, int]
 
+# Returns whether an entry was written after a known one.
+IsNewer = Callable[[model.TargetEntry, model.TargetEntry], bool]
+
 
 def apply_configuration(
     catalog: Catalog, configuration: model.Configuration
@@ -192,14 +196,15 @@
     listed: Collection[str] | None = None,
     expired: Collection[str] = (),
     now_s: float = 0.0,
+    is_event: bool = False,
 ) -> Update:
     """Return the members after an update, without changing the catalog.
 
     Entries with the same group and address are lives of one member, since only
-    one process can listen there. The life with the highest revision counts, but
-    none that was replaced before: its last write may arrive late. The others
-    are hidden, and one of them counts only if the member is no longer known
-    otherwise. A known target that moves to another member's address replaces
+    one process can listen there. The newest life counts, but none that was
+    replaced before: its last write may arrive late. The others are hidden, and
+    one of them counts only if the member is no longer known otherwise. A known
+    target that moves to another member's address replaces
     nobody, so that no group gets smaller. The order of the entries doesn't
     matter.
 
@@ -210,16 +215,22 @@
             read or not, or None if the entries are not a complete list.
         expired: ids of members that were missing for too long.
         now_s: the current time.
+        is_event: whether the entries are those of a watch, which the targets
+            have written since the last list.
     """
+    newest_entries = _find_newest_entries(entries)
+    is_newer = _make_order(newest_entries.keys() if is_event else ())
     members = dict(catalog.members)
     lives = dict(catalog.hidden)
     restarted = []
-    for target, entry in _find_newest_entries(entries).items():
+    for target, entry in newest_entries.items():
         known = members.get(target)
         if known is not None:
-            members[target] = _update_member(known, entry)
+            members[target] = _update_member(known, entry, is_newer)
             if members[target].restart_count > known.restart_count:
                 restarted.append(target)
+        elif _is_past(catalog, entry, is_newer):
+            continue
         elif target not in lives or lives[target].revision < entry.revision:
             lives[target] = entry
     if listed is not None:
@@ -238,7 +249,9 @@
         for entry in lives.values()
         if (_get_address(entry), entry.target) not in former
     )
-    succeeded = _replace_members(members, lives, newest_lives, expired)
+    succeeded = _replace_members(
+        members, lives, newest_lives, expired, is_newer
+    )
     gone = tuple(target for target in expired if members.pop(target, None))
     occupied = _find_newest_lives(m.entry for m in members.values())
     added = tuple(
@@ -291,13 +304,67 @@
     return entry.revision, entry
 
 
-def _update_member(member: Member, entry: model.TargetEntry) -> Member:
+def _make_order(written: Collection[str]) -> IsNewer:
+    """Return what tells whether an entry was written after a known one.
+
+    Args:
+        written: ids of the targets whose entries have just been written.
+    """
+
+    def is_newer(entry: model.TargetEntry, known: model.TargetEntry) -> bool:
+        if entry.target in written:
+            return entry.revision > known.revision
+        return is_listed_newer(entry, known)
+
+    return is_newer
+
+
+def is_listed_newer(entry: model.TargetEntry, known: model.TargetEntry) -> bool:
+    """Return whether an entry in the store was written after a known one.
+
+    Both are of one target, or of two at one address. Entries that were read in
+    one generation of the store are ordered by revision. One that is read in a
+    later generation may be from the copy with which the store came back, and
+    older than one that the store has lost: what the targets say themselves
+    orders them. Two targets of which neither tells when it started have no
+    order.
+    """
+    if entry.revision.generation == known.revision.generation:
+        return entry.revision > known.revision
+    if known.revision.number == RECORD_REVISION.number:
+        return True
+    has_started_again = entry.started_ms != known.started_ms
+    if entry.started_ms and known.started_ms and has_started_again:
+        return entry.started_ms > known.started_ms
+    return entry.target == known.target and (
+        entry.update_count > known.update_count
+    )
+
+
+def _is_past(
+    catalog: Catalog, entry: model.TargetEntry, is_newer: IsNewer
+) -> bool:
+    """Return whether an entry is of a time before its target had left.
+
+    Only a store that came back from an older copy has such entries.
+    """
+    gone = catalog.departed.get(entry.target) or catalog.released.get(
+        entry.target
+    )
+    if gone is None:
+        return False
+    generation = gone.entry.revision.generation
+    is_later = entry.revision.generation > generation
+    return is_later and not is_newer(entry, gone.entry)
+
+
+def _update_member(
+    member: Member, entry: model.TargetEntry, is_newer: IsNewer
+) -> Member:
     """Return a member with an entry of its id, unless that is older."""
     known = member.entry
-    if entry.revision < known.revision:
-        return member
-    if entry.revision == known.revision:
-        return member._replace(missing_since_s=None)
+    if not is_newer(entry, known):
+        return _confirm_member(member, entry)
     has_moved = (entry.address, entry.port) != (known.address, known.port)
     is_restart = has_moved or has_restarted(known, entry)
     return member._replace(
@@ -307,11 +374,29 @@
     )
 
 
+def _confirm_member(member: Member, entry: model.TargetEntry) -> Member:
+    """Return a member whose entry in the store is no newer than that known.
+
+    An entry that is read in a later generation of the store is there again, as
+    it was when the copy was made, and its target writes it anew.
+    """
+    known = member.entry
+    if entry.revision < known.revision:
+        return member
+    is_same = entry.update_count == known.update_count and (
+        entry.started_ms == known.started_ms
+    )
+    if is_same:
+        known = known._replace(revision=entry.revision)
+    return member._replace(entry=known, missing_since_s=None)
+
+
 def _replace_members(
     members: dict[str, Member],
     lives: dict[str, model.TargetEntry],
     newest_lives: Mapping[_Address, model.TargetEntry],
     expired: Collection[str],
+    is_newer: IsNewer,
 ) -> tuple[Succession, ...]:
     """Replace the members whose address a newer life has.
 
@@ -324,7 +409,7 @@
         old = occupied.get(address)
         if old is None:
             continue
-        if old.revision >= entry.revision and old.target not in expired:
+        if not is_newer(entry, old) and old.target not in expired:
             continue
         member = members.pop(old.target)
         former = (old.target, *member.former)[:MAX_FORMER_LIVES]
@@ -361,9 +446,18 @@
     return update
 
 
-def update_entry(catalog: Catalog, entry: model.TargetEntry) -> Update:
-    """Update a target's entry unless a newer one is known."""
-    return _apply_update(catalog, compute_update(catalog, [entry]))
+def update_entry(
+    catalog: Catalog, entry: model.TargetEntry, is_event: bool = True
+) -> Update:
+    """Update a target's entry unless a newer one is known.
+
+    Args:
+        catalog: what is known.
+        entry: the entry.
+        is_event: whether a watch has brought it, and not a list.
+    """
+    update = compute_update(catalog, [entry], is_event=is_event)
+    return _apply_update(catalog, update)
 
 
 def update_entries(
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -231,7 +231,9 @@
         listing = await store.list_objects(self.store, records.TARGETS_KIND)
         for stored in listing.objects:
             if stored.name not in self.catalog.members:
-                self._apply_entry_change(store_calls.Change(stored, False))
+                self._apply_entry_change(
+                    store_calls.Change(stored, False), is_event=False
+                )
         await self._records.refresh()
         self._sync_routers()
 
@@ -284,7 +286,9 @@
         self._record_leaving([entry for _, entry in parsed if entry])
         self._sync_routers()
 
-    def _apply_entry_change(self, change: store_calls.Change) -> None:
+    def _apply_entry_change(
+        self, change: store_calls.Change, is_event: bool = True
+    ) -> None:
         stored = change.stored
         if change.is_removed:
             self.log.write("target_missing", target=stored.name)
@@ -295,7 +299,9 @@
             entry = self._parse_entry(stored)
             if entry is None:
                 return
-            self._log_listed(catalog.update_entry(self.catalog, entry))
+            self._log_listed(
+                catalog.update_entry(self.catalog, entry, is_event)
+            )
             self._record_leaving([entry])
         self._sync_routers()
 
