Keep members and last primaries over returns of the store

Seen in tests: a group got smaller by a member that only its record named, when the store came back with an older record; and hosts that had restarted took the last primary's log for a proof, although the store had lost the term for which a later promotion had been requested, so that the commits of the later primary would be lost.

Change: a record counts in the generation in which it was read. Recorders read theirs again in a new one, record again what it has lost, and no record of a later generation drops a member that an earlier one named. The last primary is recorded with the generation in which it was seen to lead for 8 s, the longest time until a request takes effect; only with the present one it is a proof. A record without the generation (earlier builds) is none until it is written again.

For 8 s after the first start of a deployment, and after a return, a group isn't led again from the last primary's log alone; its tests wait for that record now.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -22,9 +22,9 @@
 # Number of former lives that are remembered for a member.
 MAX_FORMER_LIVES = 8
 
-# Revision of the entry of a member that is known only from its group's record.
+# Number of the revision of an entry that is known only from its group's record.
 # The store's revisions are higher.
-RECORD_REVISION = store_revisions.NO_REVISION
+RECORD_NUMBER = 0
 
 # How long a target that is gone is still checked for answers, in seconds.
 RELEASED_CHECK_S = 30.0
@@ -331,7 +331,7 @@
     """
     if entry.revision.generation == known.revision.generation:
         return entry.revision > known.revision
-    if known.revision.number == RECORD_REVISION.number:
+    if known.revision.number == RECORD_NUMBER:
         return True
     has_started_again = entry.started_ms != known.started_ms
     if entry.started_ms and known.started_ms and has_started_again:
@@ -581,7 +581,7 @@
 
 def is_from_record(member: Member) -> bool:
     """Return whether a member is known only from its group's record."""
-    return member.entry.revision == RECORD_REVISION
+    return member.entry.revision.number == RECORD_NUMBER
 
 
 def add_unlisted(
@@ -593,7 +593,7 @@
 
     Args:
         catalog: what is known.
-        entries: the last known entries of the targets.
+        entries: the last known entries of the targets, from a group's record.
         now_s: the current time.
 
     Returns:
@@ -603,6 +603,7 @@
     known = {*catalog.members, *catalog.hidden, *catalog.departed}
     added = []
     for entry in entries:
+        _confirm_recorded(catalog, entry)
         if entry.target in known or _get_address(entry) in occupied:
             continue
         catalog.released.pop(entry.target, None)
@@ -611,19 +612,37 @@
     return tuple(added)
 
 
+def _confirm_recorded(catalog: Catalog, entry: model.TargetEntry) -> None:
+    """Record in which generation of the store a record last named a member."""
+    member = catalog.members.get(entry.target)
+    if member is not None and is_from_record(member):
+        confirmed = member.entry._replace(revision=entry.revision)
+        catalog.members[entry.target] = member._replace(entry=confirmed)
+
+
 def drop_unrecorded(
-    catalog: Catalog, group: str, recorded: Collection[str]
+    catalog: Catalog, group: str, recorded: Collection[str], generation: int
 ) -> tuple[str, ...]:
     """Drop members that were known only from a record which now lacks them.
 
+    A record that was read in a later generation of the store may be older than
+    the one that named them, which the store has lost.
+
+    Args:
+        catalog: what is known.
+        group: name of the group.
+        recorded: ids of the targets in the record.
+        generation: the store's generation in which the record was read.
+
     Returns:
         The ids of the targets that were dropped.
     """
+    revision = store_revisions.Revision(generation, RECORD_NUMBER)
     dropped = tuple(
         target
         for target, member in catalog.members.items()
         if member.entry.group == group
-        and is_from_record(member)
+        and member.entry.revision == revision
         and target not in recorded
     )
     for target in dropped:
@@ -632,7 +651,7 @@
         target
         for target, member in catalog.departed.items()
         if member.entry.group == group
-        and member.entry.revision == RECORD_REVISION
+        and member.entry.revision == revision
         and target not in recorded
     ]
     for target in departed:
@@ -643,7 +662,7 @@
 def has_unconfirmed(catalog: Catalog, group: str) -> bool:
     """Return whether members of a group are known only from its record."""
     return any(
-        entry.group == group and entry.revision == RECORD_REVISION
+        entry.group == group and entry.revision.number == RECORD_NUMBER
         for entry in (
             *(member.entry for member in catalog.members.values()),
             *(member.entry for member in catalog.departed.values()),
--- a/knapweedtally/core/groups/member_records.py
+++ b/knapweedtally/core/groups/member_records.py
@@ -13,6 +13,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
@@ -50,6 +51,7 @@
     released: Collection[str],
     recorded_primary: last_primary.LastPrimary | None = None,
     primary: last_primary.LastPrimary | None = None,
+    generation: int = store_revisions.UNKNOWN_GENERATION,
 ) -> RecordChange | None:
     """Return the change that a group's record needs, or None.
 
@@ -60,13 +62,14 @@
             has.
         recorded_primary: the recorded last primary, or None.
         primary: the last primary that is known, or None.
+        generation: the store's generation in which the record was read.
     """
     known = {member.entry.target: member for member in members}
     former = {life for member in known.values() for life in member.former}
     added = tuple(
         member.entry
         for target, member in known.items()
-        if target not in recorded and not catalog.is_from_record(member)
+        if target not in recorded and not _is_unrecorded(member, generation)
     )
     removed = tuple(
         target
@@ -79,6 +82,18 @@
     return RecordChange(added, removed, new_primary)
 
 
+def _is_unrecorded(member: catalog.Member, generation: int) -> bool:
+    """Return whether a member is known only from a record that dropped it.
+
+    A record of an earlier generation of the store hasn't dropped it: the store
+    has lost that record.
+    """
+    return (
+        catalog.is_from_record(member)
+        and member.entry.revision.generation == generation
+    )
+
+
 def _find_new_primary(
     recorded: last_primary.LastPrimary | None,
     known: last_primary.LastPrimary | None,
@@ -90,7 +105,10 @@
     is_successor = (
         known.term == recorded.term and known.target != recorded.target
     )
-    return known if is_newer or is_successor else None
+    is_confirmed = (
+        known.term == recorded.term and known.generation > recorded.generation
+    )
+    return known if is_newer or is_successor or is_confirmed else None
 
 
 def apply_change(recorded: Members, change: RecordChange) -> Members:
@@ -103,7 +121,11 @@
     recorded: Members, primary: last_primary.LastPrimary | None = None
 ) -> dict[str, Any]:
     """Return a record as it is stored."""
-    fields = {} if primary is None else {"primary": primary._asdict()}
+    fields = (
+        {}
+        if primary is None
+        else {"primary": last_primary.format_last_primary(primary)}
+    )
     return fields | {
         "members": {
             target: {
@@ -117,15 +139,25 @@
     }
 
 
-def parse_record(group: str, spec: Any) -> Members | None:
+def parse_record(
+    group: str,
+    spec: Any,
+    generation: int = store_revisions.UNKNOWN_GENERATION,
+) -> Members | None:
     """Return the members in a stored record, or None if it is invalid.
 
     Earlier builds recorded targets whose entry named an impossible port.
     Nothing runs there, so these are no members.
+
+    Args:
+        group: name of the group.
+        spec: the stored value.
+        generation: the store's generation in which it was read.
     """
     try:
+        revision = store_revisions.Revision(generation, catalog.RECORD_NUMBER)
         members = (
-            _parse_member(group, str(target), fields)
+            _parse_member(group, str(target), fields, revision)
             for target, fields in spec["members"].items()
         )
         return {
@@ -144,10 +176,12 @@
     return last_primary.parse_last_primary(spec.get("primary"))
 
 
-def _parse_member(group: str, target: str, fields: Any) -> model.TargetEntry:
+def _parse_member(
+    group: str, target: str, fields: Any, revision: store_revisions.Revision
+) -> model.TargetEntry:
     return model.TargetEntry(
         target=target,
-        revision=catalog.RECORD_REVISION,
+        revision=revision,
         group=group,
         address=str(fields["address"]),
         port=int(fields["port"]),
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -465,6 +465,7 @@
 
     def _check_group(self, router: router_module.Router, now_s: float) -> None:
         router.tick(now_s)
+        router.observer.confirm_last_primary(self.store.generation)
         if self._changes is not None and not self.is_draining:
             self._changes.start_if_needed(router, now_s)
             self._absence_reporter.report_if_due(
--- a/knapweedtally/entry/members/member_records.py
+++ b/knapweedtally/entry/members/member_records.py
@@ -114,6 +114,12 @@
                 task.add_done_callback(self._tasks.discard)
 
     def _is_due(self, group: str, record: GroupRecord, now_s: float) -> bool:
+        if (
+            record.revision is not None
+            and record.revision.generation != self._client.generation.number
+        ):
+            # The store may have come back without the last writes.
+            record.revision = None
         if self.is_recorder(group):
             return self._is_change_due(group, record, now_s)
         # The record may have changed when this host becomes a recorder.
@@ -169,6 +175,7 @@
             self._catalog.released,
             record.primary,
             self._find_last_primary(group),
+            self._client.generation.number,
         )
 
     def _has_other_members(self, group: str, record: GroupRecord) -> bool:
@@ -230,7 +237,9 @@
     ) -> None:
         """Take over what the store has, or None if it has no record."""
         members = (
-            member_records.parse_record(group, stored.spec) if stored else {}
+            member_records.parse_record(group, stored.spec, generation)
+            if stored
+            else {}
         )
         if members is None:
             self._log.write("member_record_unreadable", group=group)
@@ -244,7 +253,9 @@
         )
         released = self._catalog.released if self.is_recorder(group) else ()
         self._apply_members(
-            group, {t: e for t, e in members.items() if t not in released}
+            group,
+            {t: e for t, e in members.items() if t not in released},
+            generation,
         )
 
     def _take_primary(
@@ -257,9 +268,11 @@
         return primary
 
     def _apply_members(
-        self, group: str, members: member_records.Members
+        self, group: str, members: member_records.Members, generation: int
     ) -> None:
-        dropped = catalog_module.drop_unrecorded(self._catalog, group, members)
+        dropped = catalog_module.drop_unrecorded(
+            self._catalog, group, members, generation
+        )
         added = catalog_module.add_unlisted(
             self._catalog, members.values(), clock.get_time_s()
         )
@@ -276,12 +289,15 @@
             store_calls.MalformedResponse: a response can't be parsed.
         """
         for stored in await self._list():
-            members = member_records.parse_record(stored.name, stored.spec)
+            generation = stored.revision.generation
+            members = member_records.parse_record(
+                stored.name, stored.spec, generation
+            )
             if members is None:
                 self._log.write("member_record_unreadable", group=stored.name)
             else:
                 self._take_primary(stored.name, stored)
-                self._apply_members(stored.name, members)
+                self._apply_members(stored.name, members, generation)
 
     async def _list(self) -> list[store_calls.StoredObject]:
         return (await store.list_objects(self._client, MEMBERS_KIND)).objects
--- a/knapweedtally/entry/members/observer.py
+++ b/knapweedtally/entry/members/observer.py
@@ -6,6 +6,7 @@
 from typing import Concatenate
 from typing import ParamSpec
 
+from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import change_notices
 from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import last_primary
@@ -112,6 +113,7 @@
         self._status_requests: set[str] = set()
         self._polling = status_polling.PollingState()
         self._next_check_s = 0.0
+        self._generation = store_revisions.Generation()
 
     @_discard_evidence_on_error
     def tick(self, now_s: float) -> None:
@@ -285,9 +287,12 @@
         self.commits_in_flight.clear()
         pool = self._pools.get(target)
         if pool is not None:
-            self.last_primary = last_primary.LastPrimary(
+            found = last_primary.LastPrimary(
                 target, term, max(position, pool.received)
             )
+            self.last_primary = last_primary.confirm(
+                found, self.leadership, self._generation
+            )
         load_shedding.reset_refused_share(self.load_shedding)
         self._log.write(
             "primary_known",
@@ -421,6 +426,15 @@
             self.last_primary, found, self._pools
         )
 
+    def confirm_last_primary(
+        self, generation: store_revisions.Generation
+    ) -> None:
+        """Record that the last primary leads in the store's generation."""
+        self._generation = generation
+        self.last_primary = last_primary.confirm(
+            self.last_primary, self.leadership, generation
+        )
+
     def replace_last_primary(self, old: str, new: str) -> None:
         """Record that a target goes on under another id."""
         if self.last_primary is not None and self.last_primary.target == old:
@@ -437,7 +451,9 @@
         known_term = max(self.known_term, self.leadership.term)
         if self.leadership.target is not None or last is None:
             return None
-        if not last_primary.can_prove_log(last, known_term):
+        if not last_primary.can_prove_log(
+            last, known_term, self._generation.number
+        ):
             return None
         pool = self._pools.get(last.target)
         if pool is None or not pool.is_answering:
--- a/tests/entry/test_member_records.py
+++ b/tests/entry/test_member_records.py
@@ -6,6 +6,7 @@
 import testtools
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import change_notices
 from knapweedtally.entry.members import member_records
 from standins.line_platform import targets
 from tests.entry import harness
@@ -115,14 +116,26 @@
         self.assertEqual(writer.list_lost(group), [])
 
 
+def read_generation(system: harness.System) -> int | None:
+    """Return the generation with which the last primary is recorded."""
+    records = system.platform.store.get_objects(member_records.MEMBERS_KIND)
+    primary = records["g"]["spec"].get("primary") or {}
+    generation: int | None = primary.get("generation")
+    return generation
+
+
 class LastPrimaryTest(testtools.TestCase):
     """A group without a primary whose record has members that are gone."""
 
     async def lose_primary_and_hosts(
-        self, system: harness.System
+        self, system: harness.System, has_returned: bool = False
     ) -> tuple[harness.EntryHost, targets.Target]:
         """End two members for good, then the primary's lead, then the hosts.
 
+        Args:
+            system: the system.
+            has_returned: whether the store then comes back from a copy.
+
         Returns:
             A host that started afterwards, and the last primary. Three of
             five recorded members answer.
@@ -140,6 +153,9 @@
         await caller.start("g-primary")
         await caller.run("WRITE item 1")
         caller.close()
+        # Its length isn't under test.
+        with mock.patch.object(change_notices, "REQUEST_VALIDITY_S", 0.5):
+            await harness.wait_for(lambda: read_generation(system) == 1)
         primary.is_primary = False
         for target in gone:
             target.has_platform_entry = False
@@ -147,6 +163,9 @@
             await target.stop()
         for host in tuple(system.entry_hosts):
             await host.stop()
+        if has_returned:
+            store = system.platform.store
+            store.restore(store.make_copy())
         return await harness.add_host(system), primary
 
     # Guards against a group that stays without a primary for ever.
@@ -161,6 +180,18 @@
         started = host.find_lines("change_started")[0]
         self.assertTrue(started["has_log_proof"])
 
+    # Guards against the loss of commits of a later primary, if the store has
+    # lost the term for which its promotion was requested.
+    @harness.with_system()
+    async def test_last_primary_of_before_a_return_is_no_proof(
+        self, system: harness.System
+    ) -> None:
+        host, _ = await self.lose_primary_and_hosts(system, has_returned=True)
+        await harness.wait_for(
+            lambda: len(host.find_lines("group_without_primary")) > 3
+        )
+        self.assertIsNone(system.platform.groups["g"].find_primary())
+
     # Guards against the loss of commits that only the gone members had.
     @harness.with_system()
     async def test_log_that_was_lost_is_no_proof(
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -250,7 +250,7 @@
 
     def __init__(self, host: "Host") -> None:
         super().__init__(
-            None,  # type: ignore[arg-type]
+            StoreClient(host.name),  # type: ignore[arg-type]
             host.catalog,
             host.sharer.get_rank,
             self._return_at_once,
@@ -287,7 +287,11 @@
             simulated_targets.GROUP, stored.spec
         )
         self._take_primary(simulated_targets.GROUP, stored)
-        self._apply_members(simulated_targets.GROUP, members or {})
+        self._apply_members(
+            simulated_targets.GROUP,
+            members or {},
+            store_revisions.UNKNOWN_GENERATION,
+        )
 
     def _get_stored(self) -> store_calls.StoredObject | None:
         if self._store.members is None:
--- a/tests/groups/test_last_primary.py
+++ b/tests/groups/test_last_primary.py
@@ -2,7 +2,10 @@
 
 import testtools
 
+from knapweedtally.core import store_revisions
+from knapweedtally.core.groups import change_notices
 from knapweedtally.core.groups import change_reports
+from knapweedtally.core.groups import evidence
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import primary_change
@@ -84,9 +87,36 @@
 
     def test_later_term_is_no_proof(self) -> None:
         last = last_primary.LastPrimary("p", 3, FLOOR)
-        self.assertTrue(last_primary.can_prove_log(last, 3))
-        self.assertFalse(last_primary.can_prove_log(last, 4))
-        self.assertFalse(last_primary.can_prove_log(None, 0))
+        self.assertTrue(last_primary.can_prove_log(last, 3, 0))
+        self.assertFalse(last_primary.can_prove_log(last, 4, 0))
+        self.assertFalse(last_primary.can_prove_log(None, 0, 0))
+
+
+class GenerationTest(testtools.TestCase):
+    """The store may have lost the term of a promotion that was requested."""
+
+    def confirm(self, primary_seen_s: float) -> int:
+        """Return the generation for a primary that was seen at a time."""
+        leadership = evidence.Leadership(
+            target="p", term=3, primary_seen_s=primary_seen_s
+        )
+        last = last_primary.confirm(
+            last_primary.LastPrimary("p", 3, FLOOR),
+            leadership,
+            store_revisions.Generation(2, NOW_S),
+        )
+        assert last is not None
+        return last.generation
+
+    def test_counts_once_no_request_of_before_can_take_effect(self) -> None:
+        settled_s = NOW_S + change_notices.REQUEST_VALIDITY_S
+        self.assertEqual(0, self.confirm(settled_s - 0.1))
+        self.assertEqual(2, self.confirm(settled_s))
+
+    def test_another_generation_is_no_proof(self) -> None:
+        last = last_primary.LastPrimary("p", 3, FLOOR, 1)
+        self.assertTrue(last_primary.can_prove_log(last, 3, 1))
+        self.assertFalse(last_primary.can_prove_log(last, 3, 2))
 
 
 class ChoiceTest(testtools.TestCase):
--- a/tests/groups/test_member_records.py
+++ b/tests/groups/test_member_records.py
@@ -167,12 +167,30 @@
         known = make_catalog("i-1")
         record = read_record(make_catalog("i-1", "i-2"))
         catalog.add_unlisted(known, record.values(), 10.0)
-        dropped = catalog.drop_unrecorded(known, "g", ("i-1",))
+        dropped = catalog.drop_unrecorded(known, "g", ("i-1",), 0)
         self.assertEqual((dropped, list(known.members)), (("i-2",), ["i-1"]))
 
+    def test_member_that_the_store_has_lost_is_recorded_again(self) -> None:
+        # The group got smaller by a member without an entry.
+        known = make_catalog("i-1")
+        spec = member_records.format_record(
+            read_record(make_catalog("i-1", "i-2"))
+        )
+        record = member_records.parse_record("g", spec, 1)
+        assert record is not None
+        catalog.add_unlisted(known, record.values(), 10.0)
+        self.assertEqual((), catalog.drop_unrecorded(known, "g", ("i-1",), 2))
+        older = read_record(make_catalog("i-1"))
+        members = catalog.list_members(known, "g")
+        change = member_records.plan_change(older, members, (), generation=2)
+        assert change is not None
+        self.assertEqual(["i-2"], [entry.target for entry in change.added])
+        same = member_records.plan_change(older, members, (), generation=1)
+        self.assertIsNone(same)
+
     def test_listed_member_stays_if_the_record_lacks_it(self) -> None:
         known = make_catalog("i-1")
-        self.assertEqual(catalog.drop_unrecorded(known, "g", ()), ())
+        self.assertEqual(catalog.drop_unrecorded(known, "g", (), 0), ())
 
     def test_released_member_is_checked_for_a_limited_time(self) -> None:
         known = make_catalog("i-1")
