Write hosts' entries and marks again that the store has lost

A host that starts after a return of the store didn't find hosts that had registered in the lost seconds, and a mark on a silent host that was lost stayed so, since the writer took it for set.

Change: on each new generation a host reads its own entry and writes it if it is missing or older, and the writer of the marks reads them again; the calls are spread over the hosts. One read a host after a return, and a write only for what was lost.

--- a/knapweedtally/entry/fleet/host_registration.py
+++ b/knapweedtally/entry/fleet/host_registration.py
@@ -62,6 +62,29 @@
         )
 
 
+async def restore_host(
+    client: store.StoreClient, name: str, spec: dict[str, Any]
+) -> None:
+    """Write a host's entry if the store has lost or changed it.
+
+    Raises:
+        store.StoreError: a call failed or was refused.
+        store_calls.MalformedResponse: a response can't be parsed.
+    """
+    request = store_calls.make_read_request(HOSTS_KIND, name)
+    answer = await client.send(request)
+    if answer.status == 404:
+        await store.create_object(
+            client, HOSTS_KIND, name, spec, answer.generation
+        )
+        return
+    stored = store_calls.parse_object(answer)
+    if stored.spec != spec:
+        await store.replace_object(
+            client, HOSTS_KIND, name, spec, stored.revision
+        )
+
+
 async def mark_host(
     client: store.StoreClient, name: str, is_silent: bool
 ) -> None:
--- a/knapweedtally/entry/fleet/peers.py
+++ b/knapweedtally/entry/fleet/peers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from typing import Any
 
 from knapweedtally.core.groups import distribution
 from knapweedtally.core.groups import sharing
@@ -104,11 +105,7 @@
             try:
                 await self._open_socket()
                 await host_registration.register_host(
-                    self._client,
-                    self._host,
-                    host_registration.make_spec(
-                        self._address, self._data_centre
-                    ),
+                    self._client, self._host, self._make_spec(self._address)
                 )
                 listed = await host_registration.list_hosts(self._client)
                 self._add_listed_hosts(listed)
@@ -121,6 +118,21 @@
                 supervision.report("peer discovery", error)
             await asyncio.sleep(retry_backoff.compute_next_delay_s())
 
+    def _make_spec(self, address: settings.Address) -> dict[str, Any]:
+        return host_registration.make_spec(address, self._data_centre)
+
+    async def restore(self) -> None:
+        """Write this host's entry again if the store has lost it.
+
+        Raises:
+            store.StoreError: a call failed or was refused.
+            store_calls.MalformedResponse: a response can't be parsed.
+        """
+        if self._address is not None:
+            await host_registration.restore_host(
+                self._client, self._host, self._make_spec(self._address)
+            )
+
     async def wait_until_listed(self) -> None:
         """Return once the other hosts were listed."""
         await self._listed.wait()
--- a/knapweedtally/entry/fleet/silent_hosts.py
+++ b/knapweedtally/entry/fleet/silent_hosts.py
@@ -70,6 +70,16 @@
         if marks:
             self._task = asyncio.create_task(self._write(marks, now_s))
 
+    async def restore(self) -> None:
+        """Read the marks again, so that those that the store lost are written.
+
+        Raises:
+            store.StoreError: a call failed or was refused.
+            store_calls.MalformedResponse: a response can't be parsed.
+        """
+        for listed in await host_registration.list_hosts(self._client):
+            self._peers.record_mark(listed.name, listed.is_silent)
+
     async def _write(self, marks: Mapping[str, bool], now_s: float) -> None:
         try:
             for name, is_silent in marks.items():
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -16,6 +16,7 @@
 from knapweedtally.entry.common import metrics
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.fleet import host_configuration
+from knapweedtally.entry.fleet import host_registration
 from knapweedtally.entry.fleet import peers
 from knapweedtally.entry.fleet import silent_hosts
 from knapweedtally.entry.fleet import store
@@ -102,6 +103,7 @@
         self._returns = store_returns.StoreReturns(
             self.store, lambda: len(self.peers.get_live_hosts()), log
         )
+        self._returns.add(host_registration.HOSTS_KIND, self.peers.restore)
         self.quotas = quotas.Quotas(
             host_settings, self.peers, self.catalog, log, self.counters
         )
@@ -114,6 +116,7 @@
                 self.store,
                 log,
             )
+            self._returns.add("marks", self._silent_hosts.restore)
         self._sharer = evidence_sharing.EvidenceSharer(
             host_settings.host, self.peers, self.routers
         )
--- a/tests/entry/test_store_generations.py
+++ b/tests/entry/test_store_generations.py
@@ -11,8 +11,11 @@
 import testtools
 
 from knapweedtally.core import store_revisions
+from knapweedtally.entry.common import clock
+from knapweedtally.entry.fleet import host_registration
 from knapweedtally.entry.fleet import store
 from knapweedtally.entry.fleet import store_watches
+from knapweedtally.entry.members import member_records
 from knapweedtally.platform import settings
 from knapweedtally.platform import store_calls
 from knapweedtally.utils import http
@@ -247,3 +250,71 @@
             [sight.name for sight in sights],
         )
         self.assertEqual((6, 3.0), (generation.number, generation.seen_s))
+
+
+def has_restored(system: harness.System) -> bool:
+    """Return whether each host has seen the store's present generation."""
+    generation = system.platform.store.generation
+    return all(
+        entry.host.store.generation.number == generation
+        for entry in system.entry_hosts
+    )
+
+
+class FleetTest(testtools.TestCase):
+    """Hosts before a store that comes back, several times."""
+
+    @harness.with_system(hosts=3)
+    async def test_what_the_store_lost_is_written_again(
+        self, system: harness.System
+    ) -> None:
+        # A host that started afterwards didn't find those that had registered
+        # in the lost seconds.
+        kinds = (host_registration.HOSTS_KIND, member_records.MEMBERS_KIND)
+        server = system.platform.store
+        content = server.make_copy()
+        for name in kinds:
+            content.objects.pop(name, None)
+        for _ in range(2):
+            server.restore(content)
+            await harness.wait_for(lambda: has_restored(system))
+            await harness.wait_for(
+                lambda: len(server.get_objects(kinds[0])) == 3
+            )
+            await harness.wait_for(lambda: bool(server.get_objects(kinds[1])))
+        recorded = server.get_objects(kinds[1])["g"]["spec"]["members"]
+        self.assertEqual(3, len(recorded))
+
+    @harness.with_system(hosts=2, contracts=("tenants", "quota"))
+    async def test_mark_that_the_store_lost_is_written_again(
+        self, system: harness.System
+    ) -> None:
+        host = system.entry_hosts[0].host
+        peer = system.entry_hosts[1].host.name
+        host.peers.record_mark(peer, True)
+        assert host._silent_hosts is not None
+        await host._silent_hosts.restore()
+        self.assertEqual({}, host.peers.list_wrong_marks(clock.get_time_s()))
+
+    @harness.with_system(hosts=3)
+    async def test_planned_changes_around_returns_use_rising_numbers(
+        self, system: harness.System
+    ) -> None:
+        platform = system.platform
+        group = platform.groups["g"]
+        for _ in range(3):
+            content = platform.store.make_copy()
+            primary = group.get_primary()
+            platform.leaving.add(primary.id)
+            await harness.wait_for(
+                lambda old=primary: group.find_primary() not in (None, old)
+            )
+            platform.leaving.discard(primary.id)
+            platform.store.restore(content)
+            await harness.wait_for(lambda: has_restored(system))
+        numbers = [number for number, _, _ in platform.promotions]
+        self.assertEqual(sorted(numbers), numbers)
+        holders: dict[int, set[str]] = {}
+        for number, holder, _ in platform.promotions:
+            holders.setdefault(number, set()).add(holder)
+        self.assertEqual({1}, {len(names) for names in holders.values()})
