Let the soak's store come back from an older copy

Change: a fault of the soak, last in the list so that earlier plans can be drawn again: the store is away for a moment and comes back from a copy of up to 4 s ago, in half of the cases twice; the operator writes its configuration again, and entries of targets that have left expire. Runs with an earlier build leave it out, since those give fencing numbers out twice.

--- a/standins/line_platform/platform.py
+++ b/standins/line_platform/platform.py
@@ -86,6 +86,10 @@
     def write_configuration(self) -> None:
         """Write the next version of the configuration."""
         self._version += 3
+        self.rewrite_configuration()
+
+    def rewrite_configuration(self) -> None:
+        """Write the version of the configuration that was written last."""
         groups = [
             {
                 "name": name,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -54,6 +54,11 @@
 # seconds.
 MAX_REJOIN_DELAY_S = 0.8
 
+# Longest absence of a store that comes back from a copy, and longest time until
+# the operator has written its configuration again, in seconds.
+MAX_ABSENCE_S = 1.0
+MAX_REWRITE_DELAY_S = 0.5
+
 
 # A link that delivers nothing.
 CUT = links.LinkFault(blocks_to_server=True, blocks_from_server=True)
@@ -609,6 +614,31 @@
         await host.start()
 
 
+async def restore_store(
+    system: System, rng: random.Random, duration_s: float
+) -> None:
+    """Let the store come back from an older copy, in half of the cases twice.
+
+    Entries of targets that have left since the copy was made expire again.
+    """
+    platform = system.platform
+    store = platform.store
+    content = store.make_copy()
+    await asyncio.sleep(duration_s)
+    for _ in range(rng.randint(1, 2)):
+        store.is_down = True
+        await asyncio.sleep(rng.uniform(0.0, MAX_ABSENCE_S))
+        store.is_down = False
+        store.restore(content)
+        await asyncio.sleep(rng.uniform(0.0, MAX_REWRITE_DELAY_S))
+        platform.rewrite_configuration()
+        await asyncio.sleep(rng.uniform(0.0, ENTRY_EXPIRY_S))
+    await asyncio.sleep(ENTRY_EXPIRY_S)
+    known = {id_ for group in platform.groups.values() for id_ in group.targets}
+    for id_ in set(store.get_objects("servers")) - known:
+        store.remove("servers", id_)
+
+
 FAULT_FUNCTIONS: dict[str, FaultFunction] = {
     "kill_host": kill_host,
     "stop_host": stop_host,
@@ -642,11 +672,16 @@
     "lower_limit": team_faults.lower_limit,
     "send_surge": team_faults.send_surge,
     "silence_store": silence_store,
+    "restore_store": restore_store,
 }
 
 # Number of the kinds from before callers belonged to teams.
 KIND_COUNT_WITHOUT_TEAMS = tuple(FAULT_FUNCTIONS).index("revoke_key")
 
+# Number of the kinds that hosts of builds which know no generation of the store
+# bear.
+KIND_COUNT_WITHOUT_RETURNS = tuple(FAULT_FUNCTIONS).index("restore_store")
+
 
 def draw_plan(
     seed: int, duration_s: float, kind_count: int | None = None
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -75,6 +75,8 @@
         self.record = callers.RunRecord()
         self.problems: list[str] = []
         self._host_count = host_count
+        if production is not None and kind_count is None:
+            kind_count = faults.KIND_COUNT_WITHOUT_RETURNS
         self._kind_count = kind_count
         self._folder = folder
         self._production = production
