Keep a replaced member in the record until another one has its log

Cause: the store came back with the record of before a planned replacement, and the hosts had restarted since. A recorder may only remove what its host has seen to be gone; this one had never known the former member, whose address was taken, so that it stayed beside its successor. Hosts that started later counted both. Found besides, by asking when a former member may go: a host that had restarted counted a fence of any successor, though it may have started without the log, and a recorder dropped a former member as soon as it saw the successor.

Change: a target whose address another member has is a replaced member. It is no member, but stays in the record until a member has its log, the rule for departed ones. Recorded targets at one address count once: the one that is listed or answers is the member. A successor's fence counts if it has what its predecessor is known to have reached; where this host doesn't know that, if it has a log and no fenced member, nor the recorded last primary, is ahead of it.

test_former_life_is_removed demanded the removal at the first sight of the successor, which is the fault; its replacement demands that it isn't removed then and is removed after the release.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -1,9 +1,11 @@
 """The current configuration and the known targets."""
 
 import dataclasses
+import itertools
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -65,6 +67,22 @@
     silent_since_s: float
 
 
+class ReplacedMember(NamedTuple):
+    """A target whose address another member of its group has.
+
+    It doesn't run, since only one process can listen there. The other member
+    may have started without its log.
+
+    Attributes:
+        entry: its last entry.
+        replaced_s: when it was known to be replaced, or None before the next
+            check.
+    """
+
+    entry: model.TargetEntry
+    replaced_s: float | None = None
+
+
 class ReleasedMember(NamedTuple):
     """A target that is gone and whose log another member has.
 
@@ -88,6 +106,8 @@
             life at the same address does.
         departed: targets that are gone, by id, until another member is known
             to have their log.
+        replaced: targets whose address another member has, by id, until a
+            member is known to have their log.
         released: targets that are gone and whose log another member has, by
             id. One that answers again is a member again.
         listed_s: when all targets were first listed, or None.
@@ -102,6 +122,9 @@
     departed: dict[str, DepartedMember] = dataclasses.field(
         default_factory=dict
     )
+    replaced: dict[str, ReplacedMember] = dataclasses.field(
+        default_factory=dict
+    )
     released: dict[str, ReleasedMember] = dataclasses.field(
         default_factory=dict
     )
@@ -197,6 +220,7 @@
     expired: Collection[str] = (),
     now_s: float = 0.0,
     is_event: bool = False,
+    running: Collection[str] = (),
 ) -> Update:
     """Return the members after an update, without changing the catalog.
 
@@ -217,6 +241,7 @@
         now_s: the current time.
         is_event: whether the entries are those of a watch, which the targets
             have written since the last list.
+        running: ids of the targets without an entry that have answered.
     """
     newest_entries = _find_newest_entries(entries)
     is_newer = _make_order(newest_entries.keys() if is_event else ())
@@ -260,12 +285,15 @@
         if address not in occupied
     )
     members.update((target, Member(lives[target])) for target in added)
+    replaced = _find_replaced(members, running)
+    for succession in replaced:
+        del members[succession.old]
     return Update(
         members,
         {t: entry for t, entry in lives.items() if t not in members},
         added,
         tuple(target for target in restarted if target in members),
-        succeeded,
+        (*succeeded, *replaced),
         gone,
     )
 
@@ -348,8 +376,11 @@
 
     Only a store that came back from an older copy has such entries.
     """
-    gone = catalog.departed.get(entry.target) or catalog.released.get(
-        entry.target
+    target = entry.target
+    gone = (
+        catalog.departed.get(target)
+        or catalog.replaced.get(target)
+        or catalog.released.get(target)
     )
     if gone is None:
         return False
@@ -420,6 +451,31 @@
     return tuple(succeeded)
 
 
+def _find_replaced(
+    members: Mapping[str, Member], running: Collection[str]
+) -> tuple[Succession, ...]:
+    """Return the members whose address another one has.
+
+    A record may name several lives of one member, in no order. The one that
+    runs replaces the others.
+
+    Args:
+        members: the known members by id.
+        running: ids of the targets without an entry that have answered.
+    """
+    occupants = {
+        _get_address(member.entry): target
+        for target, member in members.items()
+        if not is_from_record(member) or target in running
+    }
+    return tuple(
+        Succession(target, occupants[_get_address(member.entry)])
+        for target, member in members.items()
+        if is_from_record(member)
+        and occupants.get(_get_address(member.entry), target) != target
+    )
+
+
 def _succeed_departed(catalog: Catalog, target: str) -> None:
     """Let a new member at a departed one's address take its place."""
     member = catalog.members[target]
@@ -430,16 +486,23 @@
         if _get_address(departed.entry) == address
     ]
     for old in succeeded:
-        del catalog.departed[old]
+        departed = catalog.departed.pop(old)
+        catalog.replaced[old] = ReplacedMember(
+            departed.entry, departed.silent_since_s
+        )
     former = (*succeeded, *member.former)[:MAX_FORMER_LIVES]
     catalog.members[target] = member._replace(former=former)
 
 
 def _apply_update(catalog: Catalog, update: Update) -> Update:
+    for succession in update.succeeded:
+        entry = catalog.members[succession.old].entry
+        catalog.replaced[succession.old] = ReplacedMember(entry)
     catalog.members = update.members
     catalog.hidden = update.hidden
     for target in update.members:
         catalog.departed.pop(target, None)
+        catalog.replaced.pop(target, None)
         catalog.released.pop(target, None)
     for target in update.added:
         _succeed_departed(catalog, target)
@@ -542,11 +605,12 @@
         for target, since_s in silent_since_s.items()
         if now_s - since_s > MEMBERSHIP_GRACE_S
     ]
-    if not expired:
+    running = [target for target, at_s in answered_s.items() if at_s > 0.0]
+    if not expired and not _find_replaced(catalog.members, running):
         return Update(catalog.members, catalog.hidden)
     entries = {t: catalog.members[t].entry for t in expired}
     update = _apply_update(
-        catalog, compute_update(catalog, (), expired=expired)
+        catalog, compute_update(catalog, (), expired=expired, running=running)
     )
     for target in update.gone:
         catalog.departed[target] = DepartedMember(
@@ -558,13 +622,16 @@
 def release_departed(catalog: Catalog, target: str, now_s: float) -> None:
     """Stop counting on a departed member whose log another member has."""
     departed = catalog.departed.pop(target)
-    catalog.released[target] = ReleasedMember(departed.entry, now_s)
+    _release(catalog, departed.entry, now_s)
 
 
-def list_released(
-    catalog: Catalog, group: str, now_s: float
-) -> dict[str, model.TargetEntry]:
-    """Return the released members of a group that are still checked."""
+def release_replaced(catalog: Catalog, target: str, now_s: float) -> None:
+    """Forget a replaced member whose log another member has."""
+    replaced = catalog.replaced.pop(target)
+    _release(catalog, replaced.entry, now_s)
+
+
+def _release(catalog: Catalog, entry: model.TargetEntry, now_s: float) -> None:
     expired = [
         target
         for target, released in catalog.released.items()
@@ -572,16 +639,98 @@
     ]
     for target in expired:
         del catalog.released[target]
+    catalog.released[entry.target] = ReleasedMember(entry, now_s)
+
+
+def list_released(
+    catalog: Catalog, group: str, now_s: float
+) -> dict[str, model.TargetEntry]:
+    """Return the released members of a group that may still answer.
+
+    One whose address another member has doesn't run.
+    """
+    occupied = _list_occupied(catalog)
     return {
         target: released.entry
         for target, released in catalog.released.items()
         if released.entry.group == group
+        and now_s - released.released_s <= RELEASED_CHECK_S
+        and _get_address(released.entry) not in occupied
+    }
+
+
+def check_replaced(
+    catalog: Catalog, group: str, now_s: float
+) -> dict[str, ReplacedMember]:
+    """Return the replaced members of a group whose log may be missing."""
+    for target, replaced in catalog.replaced.items():
+        if replaced.replaced_s is None:
+            catalog.replaced[target] = replaced._replace(replaced_s=now_s)
+    return {
+        target: replaced
+        for target, replaced in catalog.replaced.items()
+        if replaced.entry.group == group
+    }
+
+
+def list_successors(catalog: Catalog, group: str) -> frozenset[str]:
+    """Return the members that may lack the log of one that they replaced."""
+    former = [
+        *(replaced.entry for replaced in catalog.replaced.values()),
+        *_list_recorded(catalog, group),
+    ]
+    lives = {(_get_address(entry), entry.target) for entry in former}
+    return frozenset(
+        member.entry.target
+        for member in list_members(catalog, group)
+        if any(
+            address == _get_address(member.entry)
+            and target != member.entry.target
+            for address, target in lives
+        )
+    )
+
+
+def list_duplicates(
+    catalog: Catalog, group: str, answering: Collection[str]
+) -> frozenset[str]:
+    """Return the recorded targets for whose place another one stands.
+
+    Targets at one address are lives of one member. Which of them was the last
+    isn't known if neither has an entry: one that answers, or any, stands for
+    all of them.
+
+    Args:
+        catalog: what is known.
+        group: name of the group.
+        answering: ids of the targets that answer.
+    """
+    lives = sorted(
+        _list_recorded(catalog, group),
+        key=lambda entry: (entry.target not in answering, entry.target),
+    )
+    occupied = _list_occupied(catalog)
+    duplicates = set()
+    for entry in lives:
+        address = _get_address(entry)
+        if address in occupied:
+            duplicates.add(entry.target)
+        occupied.add(address)
+    return frozenset(duplicates)
+
+
+def _list_occupied(catalog: Catalog) -> set[_Address]:
+    """Return the addresses of the members that have an entry."""
+    return {
+        _get_address(member.entry)
+        for member in catalog.members.values()
+        if not is_from_record(member)
     }
 
 
 def is_from_record(member: Member) -> bool:
     """Return whether a member is known only from its group's record."""
-    return member.entry.revision.number == RECORD_NUMBER
+    return _is_recorded(member.entry)
 
 
 def add_unlisted(
@@ -589,7 +738,8 @@
 ) -> tuple[str, ...]:
     """Add targets without an entry in the store that may be members.
 
-    A target whose address another member has by now is none.
+    A target whose address another member has by now is none, but its log may be
+    needed.
 
     Args:
         catalog: what is known.
@@ -599,31 +749,41 @@
     Returns:
         The ids of the targets that were added.
     """
-    occupied = {_get_address(m.entry) for m in catalog.members.values()}
-    known = {*catalog.members, *catalog.hidden, *catalog.departed}
+    occupied = _list_occupied(catalog)
+    known = {*catalog.members, *catalog.departed, *catalog.replaced}
     added = []
     for entry in entries:
+        target = entry.target
         _confirm_recorded(catalog, entry)
-        if entry.target in known or _get_address(entry) in occupied:
+        if target in known:
+            continue
+        if target in catalog.hidden or _get_address(entry) in occupied:
+            if target not in catalog.released:
+                catalog.replaced[target] = ReplacedMember(entry, now_s)
             continue
-        catalog.released.pop(entry.target, None)
-        catalog.members[entry.target] = Member(entry, missing_since_s=now_s)
-        added.append(entry.target)
+        catalog.released.pop(target, None)
+        catalog.members[target] = Member(entry, missing_since_s=now_s)
+        added.append(target)
     return tuple(added)
 
 
 def _confirm_recorded(catalog: Catalog, entry: model.TargetEntry) -> None:
-    """Record in which generation of the store a record last named a member."""
-    member = catalog.members.get(entry.target)
+    """Record in which generation of the store a record last named a target."""
+    target = entry.target
+    member = catalog.members.get(target)
     if member is not None and is_from_record(member):
         confirmed = member.entry._replace(revision=entry.revision)
-        catalog.members[entry.target] = member._replace(entry=confirmed)
+        catalog.members[target] = member._replace(entry=confirmed)
+    replaced = catalog.replaced.get(target)
+    if replaced is not None and _is_recorded(replaced.entry):
+        confirmed = replaced.entry._replace(revision=entry.revision)
+        catalog.replaced[target] = replaced._replace(entry=confirmed)
 
 
 def drop_unrecorded(
     catalog: Catalog, group: str, recorded: Collection[str], generation: int
 ) -> tuple[str, ...]:
-    """Drop members that were known only from a record which now lacks them.
+    """Drop targets that were known only from a record which now lacks them.
 
     A record that was read in a later generation of the store may be older than
     the one that named them, which the store has lost.
@@ -639,35 +799,39 @@
     """
     revision = store_revisions.Revision(generation, RECORD_NUMBER)
     dropped = tuple(
-        target
-        for target, member in catalog.members.items()
-        if member.entry.group == group
-        and member.entry.revision == revision
-        and target not in recorded
+        entry.target
+        for entry in _list_recorded(catalog, group)
+        if entry.revision == revision and entry.target not in recorded
     )
     for target in dropped:
-        del catalog.members[target]
-    departed = [
-        target
-        for target, member in catalog.departed.items()
-        if member.entry.group == group
-        and member.entry.revision == revision
-        and target not in recorded
-    ]
-    for target in departed:
-        del catalog.departed[target]
-    return (*dropped, *departed)
+        catalog.members.pop(target, None)
+        catalog.departed.pop(target, None)
+        catalog.replaced.pop(target, None)
+    return dropped
 
 
 def has_unconfirmed(catalog: Catalog, group: str) -> bool:
-    """Return whether members of a group are known only from its record."""
-    return any(
-        entry.group == group and entry.revision.number == RECORD_NUMBER
-        for entry in (
-            *(member.entry for member in catalog.members.values()),
-            *(member.entry for member in catalog.departed.values()),
-        )
+    """Return whether targets of a group are known only from its record."""
+    return any(_list_recorded(catalog, group))
+
+
+def _list_recorded(catalog: Catalog, group: str) -> Iterator[model.TargetEntry]:
+    """Return the entries of a group that are known only from its record."""
+    entries = itertools.chain(
+        (member.entry for member in catalog.members.values()),
+        (departed.entry for departed in catalog.departed.values()),
+        (replaced.entry for replaced in catalog.replaced.values()),
     )
+    return (
+        entry
+        for entry in entries
+        if entry.group == group and _is_recorded(entry)
+    )
+
+
+def _is_recorded(entry: model.TargetEntry) -> bool:
+    """Return whether an entry is known only from its group's record."""
+    return entry.revision.number == RECORD_NUMBER
 
 
 def list_departed(catalog: Catalog, group: str) -> list[DepartedMember]:
--- a/knapweedtally/core/groups/fences.py
+++ b/knapweedtally/core/groups/fences.py
@@ -27,4 +27,20 @@
 def has_fenced_enough(attempt: steps.Attempt) -> bool:
     """Return whether the fenced members have every acknowledged commit."""
     needed_fences = max(1, count_fences_needed(attempt))
-    return attempt.is_settled and len(attempt.fenced) >= needed_fences
+    return attempt.is_settled and _count_proofs(attempt) >= needed_fences
+
+
+def _count_proofs(attempt: steps.Attempt) -> int:
+    """Return how many fenced members stand for all that had their place.
+
+    A member that replaced one whose position isn't known may have started with
+    an empty log, or with a part of the other's. It counts if it has a log, and
+    neither a fenced member nor the last primary was known to be ahead of it.
+    """
+    received = {t: r.status.received for t, r in attempt.fenced.items()}
+    floor = max((attempt.successor_floor, *received.values()))
+    return sum(
+        target not in attempt.successors
+        or (position.number > 0 and position >= floor)
+        for target, position in received.items()
+    )
--- a/knapweedtally/core/groups/member_records.py
+++ b/knapweedtally/core/groups/member_records.py
@@ -65,7 +65,6 @@
         generation: the store's generation in which the record was read.
     """
     known = {member.entry.target: member for member in members}
-    former = {life for member in known.values() for life in member.former}
     added = tuple(
         member.entry
         for target, member in known.items()
@@ -74,7 +73,7 @@
     removed = tuple(
         target
         for target in recorded
-        if target not in known and (target in former or target in released)
+        if target not in known and target in released
     )
     new_primary = _find_new_primary(recorded_primary, primary)
     if not added and not removed and new_primary is None:
--- a/knapweedtally/core/groups/steps.py
+++ b/knapweedtally/core/groups/steps.py
@@ -92,6 +92,10 @@
         reason: why the attempt was given up.
         log_floor: position that the last primary's log has to reach, if the
             attempt rests on that log, or None.
+        successors: ids of the members that may lack the log of one that they
+            replaced.
+        successor_floor: position that the log of such a member has to reach at
+            least.
     """
 
     group: str
@@ -119,6 +123,8 @@
     has_objection: bool = False
     reason: str = ""
     log_floor: model.Position | None = None
+    successors: frozenset[str] = frozenset()
+    successor_floor: model.Position = model.Position(0, 0)
 
 
 def enter_phase(attempt: Attempt, phase: Phase, now_s: float) -> None:
--- a/knapweedtally/entry/group_members.py
+++ b/knapweedtally/entry/group_members.py
@@ -24,6 +24,8 @@
 # reported that it leaves, in seconds. A change of primary takes less.
 UNKNOWN_DRAIN_S = 3.0
 
+_NO_POSITION = model.Position(0, 0)
+
 
 class GroupMembers:
     """Keep the routers' members as the catalog has them."""
@@ -173,15 +175,54 @@
         for target in kept:
             catalog_module.release_departed(self._catalog, target, now_s)
             self._departed_positions.pop(target, None)
+            self._log_release(router, target)
         router.departed = tuple(
             member.target for member in departed if member.target not in kept
         )
+        self._sync_replaced(router, now_s)
         has_missing = any(
             not self._is_listed(target) for target in router.members
         )
-        if has_missing:
+        if has_missing or router.successors:
             router.observer.check_members(now_s)
 
+    def _sync_replaced(
+        self, router: router_module.Router, now_s: float
+    ) -> None:
+        """Forget replaced members once another member has their log.
+
+        Until then, a member that took the place of one whose position isn't
+        known here may lack commits.
+        """
+        name = router.settings.name
+        router.successors = router.duplicates = frozenset()
+        if not self._catalog.replaced and not catalog_module.has_unconfirmed(
+            self._catalog, name
+        ):
+            return
+        replaced = catalog_module.check_replaced(self._catalog, name, now_s)
+        for target, member in replaced.items():
+            since_s = member.replaced_s
+            if since_s is not None and router.observer.is_log_kept(since_s):
+                catalog_module.release_replaced(self._catalog, target, now_s)
+                self._log_release(router, target)
+        router.successors = frozenset(
+            target
+            for target in catalog_module.list_successors(self._catalog, name)
+            if target in router.pools
+            and router.pools[target].position_before_restart == _NO_POSITION
+        )
+        router.duplicates = catalog_module.list_duplicates(
+            self._catalog,
+            name,
+            [t for t, pool in router.pools.items() if pool.is_answering],
+        )
+
+    def _log_release(self, router: router_module.Router, target: str) -> None:
+        self._log.write(
+            "member_released", group=router.settings.name, target=target
+        )
+
     def _is_listed(self, target: str) -> bool:
         member = self._catalog.members.get(target)
         return member is not None and member.missing_since_s is None
--- a/knapweedtally/entry/members/group.py
+++ b/knapweedtally/entry/members/group.py
@@ -31,5 +31,9 @@
     def departed(self) -> tuple[str, ...]:
         """Return the ids of departed members whose log may be needed."""
 
+    @property
+    def successors(self) -> frozenset[str]:
+        """Return the ids of members that may lack a replaced one's log."""
+
     def dispatch(self) -> None:
         """Start what the group's evidence now allows."""
--- a/knapweedtally/entry/members/primary_absence.py
+++ b/knapweedtally/entry/members/primary_absence.py
@@ -55,6 +55,7 @@
             ],
             members=list(router.pools),
             departed=list(router.departed),
+            successors=sorted(router.successors),
             last_primary=last and last.target,
             last_term=last and last.term,
         )
--- a/knapweedtally/entry/members/promoter.py
+++ b/knapweedtally/entry/members/promoter.py
@@ -179,6 +179,9 @@
             log_floor,
         )
         attempt.is_settled = is_settled(attempt.started_s)
+        recorded = router.observer.last_primary
+        if recorded is not None:
+            attempt.successor_floor = recorded.position
         self._log.write(
             "change_started",
             group=attempt.group,
@@ -186,6 +189,7 @@
             old_primary=old_primary,
             others=list(attempt.others),
             leaving=sorted(leaving),
+            successors=sorted(router.successors),
             failing=[
                 target
                 for target, pool in router.pools.items()
@@ -214,6 +218,7 @@
         while True:
             now_s = clock.get_time_s()
             primary_change.update_members(attempt, router.members, now_s)
+            attempt.successors = router.successors
             primary_change.record_known_term(
                 attempt, _get_known_term(router), now_s
             )
@@ -420,7 +425,10 @@
         router: the group's router.
         requested_term: highest term for which a promotion was requested.
     """
-    answering = sum(1 for pool in router.pools.values() if pool.is_answering)
+    answering = sum(
+        pool.is_answering and target not in router.successors
+        for target, pool in router.pools.items()
+    )
     needed = fences.count_fences_without_primary(len(router.members))
     last = router.observer.find_last_primary()
     if answering >= needed or last is None or last.term < requested_term:
--- a/knapweedtally/entry/statements/group_pools.py
+++ b/knapweedtally/entry/statements/group_pools.py
@@ -31,6 +31,9 @@
         pools: connection pools by id of the target.
         departed: ids of former members whose log may hold commits that no
             other member has.
+        successors: ids of members that may lack the log of one that they
+            replaced.
+        duplicates: ids of recorded targets for whose place another one stands.
         observer: the evidence about the primary.
         retry_budget: limit on the host's second attempts, or None without load
             control.
@@ -59,6 +62,8 @@
         self.settings = settings
         self.pools: dict[str, pools.Pool] = {}
         self.departed: tuple[str, ...] = ()
+        self.successors: frozenset[str] = frozenset()
+        self.duplicates: frozenset[str] = frozenset()
         self.has_teams = False
         self.observer = observer.Observer(
             settings.name, self.pools, log, self.dispatch
@@ -129,7 +134,8 @@
     @property
     def members(self) -> tuple[str, ...]:
         """Return the ids of all targets that a promotion has to consider."""
-        return (*self.pools, *self.departed)
+        members = (*self.pools, *self.departed)
+        return tuple(t for t in members if t not in self.duplicates)
 
     def _choose_target(
         self, request: requests.Request, now_s: float
--- a/tests/groups/multi_host_simulation.py
+++ b/tests/groups/multi_host_simulation.py
@@ -48,6 +48,8 @@
     KILLED_HOSTS = "a host is killed while it changes the primary"
     LEADS_AGAIN = "a primary that stepped down leads again after a restart"
     FENCE_CHECK = "the platform rejects lower fencing tokens"
+    STORE_RETURNS = "the store comes back from an older copy"
+    EMPTY_SUCCESSORS = "a successor starts without the log"
 
 
 RESTARTS = frozenset({Fault.RESTARTS})
@@ -124,6 +126,7 @@
             Fault.NEW_HOSTS: self._start_host,
             Fault.STORE_CUTS: self._cut_store,
             Fault.KILLED_HOSTS: self._replace_host,
+            Fault.STORE_RETURNS: self._restore_store,
         }
 
     def run(self) -> simulated_targets.World:
@@ -261,9 +264,20 @@
         successor.has_stepped_down = target.has_stepped_down
         del self.world.targets[target.name]
         self.world.note(f"{successor.name} takes over {target.name}'s log")
+        is_replica = not target.is_primary
+        if Fault.EMPTY_SUCCESSORS in self.faults and is_replica:
+            self._empty(successor)
         successor.restart(Fault.LEADS_AGAIN in self.faults)
         self.store.publish(successor)
 
+    def _empty(self, successor: simulated_targets.Target) -> None:
+        """Let a successor start without the log, at times also cut off."""
+        self.world.note(f"{successor.name} starts empty")
+        successor.log, successor.log_term = [], 0
+        primary = self.world.find_newest_primary()
+        if primary is not None and self.random.random() < 0.7:
+            self.world.cut_link(successor.name, primary.name)
+
     async def _stall(self, primary: simulated_targets.Target) -> None:
         """Cut the primary from most of its replicas."""
         others = [n for n in self.world.targets if n != primary.name]
@@ -373,6 +387,16 @@
             self.random.uniform(1.0, 5.0), self.store.reconnect, host
         )
 
+    async def _restore_store(self) -> None:
+        """Let the store come back, and at times restart all hosts."""
+        self.store.restore()
+        if self.random.random() < 0.5:
+            hosts = [host for host in self.store.hosts if host.is_alive]
+            for host in hosts:
+                self._kill(host)
+            for _ in hosts:
+                await self._start_host()
+
     async def _replace_host(self) -> None:
         """Kill a host, at best one that is changing the primary."""
         hosts = [h for h in self.store.hosts if h.is_alive]
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -273,33 +273,33 @@
         return self._make_answer()
 
     def _make_answer(self) -> store_calls.StoreAnswer:
+        generation = self._store.generation
         if self._store.members is None:
-            return store_calls.StoreAnswer(404)
+            return store_calls.StoreAnswer(404, b"", generation)
         spec, number = self._store.members
         meta = {"name": simulated_targets.GROUP, "rev": number}
         body = json.dumps({"meta": meta, "spec": spec}).encode()
-        return store_calls.StoreAnswer(200, body)
+        return store_calls.StoreAnswer(200, body, generation)
 
     def apply_stored(self) -> None:
         """Add the recorded members, as a host does before its first list."""
         stored = self._get_stored()
+        generation = self._store.generation
         members = stored and records_module.parse_record(
-            simulated_targets.GROUP, stored.spec
+            simulated_targets.GROUP, stored.spec, generation
         )
         self._take_primary(simulated_targets.GROUP, stored)
-        self._apply_members(
-            simulated_targets.GROUP,
-            members or {},
-            store_revisions.UNKNOWN_GENERATION,
-        )
+        self._apply_members(simulated_targets.GROUP, members or {}, generation)
+
+    def record_generation(self, number: int) -> None:
+        """Record that the store came back from a copy."""
+        self._client.generation.number = number
 
     def _get_stored(self) -> store_calls.StoredObject | None:
         if self._store.members is None:
             return None
         spec, number = self._store.members
-        revision = store_revisions.Revision(
-            store_revisions.UNKNOWN_GENERATION, number
-        )
+        revision = store_revisions.Revision(self._store.generation, number)
         return store_calls.StoredObject(simulated_targets.GROUP, revision, spec)
 
     async def _write(
@@ -311,8 +311,7 @@
         await self._store.call_record(self._host.name)
         stored = self._get_stored()
         if stored is None or stored.revision == revision:
-            self._store.revision += 1
-            self._store.members = (spec, self._store.revision)
+            self._store.write_members(spec)
         return self._make_answer()
 
 
@@ -384,6 +383,7 @@
             observer=self.observer,
             members=(),
             departed=(),
+            successors=frozenset(),
             dispatch=lambda: None,
         )
         peers: Any = Peers(self)
@@ -407,6 +407,7 @@
         )
         self._last_primary: str | None = None
         store.hosts.append(self)
+        self.records.record_generation(store.generation)
         self.records.apply_stored()
         self.apply_list(entries)
         world.loop.call_later(world.random.uniform(0.0, 0.05), self._tick)
@@ -419,6 +420,11 @@
             catalog.update_entries(self.catalog, entries, self.world.now_s)
             self._sync_pools()
 
+    def apply_return(self, generation: int) -> None:
+        """List all entries, of a store that may have come back from a copy."""
+        self.records.record_generation(generation)
+        self.apply_list(list(self.store.entries.values()))
+
     async def _refresh_targets(self) -> None:
         await self.store.call(self.name)
         for entry in list(self.store.entries.values()):
@@ -482,10 +488,38 @@
             for member in departed
             if member.target in self.catalog.departed
         )
-        self.router.members = (*self.pools, *self.router.departed)
-        if not all(self._is_listed(name) for name in self.router.members):
+        self._sync_replaced()
+        duplicates = catalog.list_duplicates(
+            self.catalog,
+            simulated_targets.GROUP,
+            [t for t, pool in self.pools.items() if pool.is_answering],
+        )
+        self.router.members = tuple(
+            target
+            for target in (*self.pools, *self.router.departed)
+            if target not in duplicates
+        )
+        has_missing = not all(
+            self._is_listed(name) for name in self.router.members
+        )
+        if has_missing or self.router.successors:
             self.observer.check_members(self.world.now_s)
 
+    def _sync_replaced(self) -> None:
+        group, now_s = simulated_targets.GROUP, self.world.now_s
+        replaced = catalog.check_replaced(self.catalog, group, now_s)
+        for target, member in replaced.items():
+            since_s = member.replaced_s
+            if since_s is not None and self.observer.is_log_kept(since_s):
+                catalog.release_replaced(self.catalog, target, now_s)
+        self.router.successors = frozenset(
+            target
+            for target in catalog.list_successors(self.catalog, group)
+            if target in self.pools
+            and self.pools[target].position_before_restart
+            == model.Position(0, 0)
+        )
+
     def _is_listed(self, target: str) -> bool:
         member = self.catalog.members.get(target)
         return member is not None and member.missing_since_s is None
--- a/tests/groups/simulated_targets.py
+++ b/tests/groups/simulated_targets.py
@@ -484,6 +484,8 @@
         self.hosts: list[Any] = []
         self.cut_hosts: set[str] = set()
         self.watch_delays_s: dict[str, float] = {}
+        self.generation = store_revisions.UNKNOWN_GENERATION
+        self._copies: list[tuple[dict[str, Any], int]] = []
 
     async def call(self, host: str) -> None:
         """Wait for the store's answer to a host.
@@ -511,18 +513,39 @@
 
     def record_members(self) -> None:
         """Record the listed targets, as hosts did that ran before."""
+        self.write_members(member_records.format_record(self.entries))
+
+    def write_members(self, spec: dict[str, Any]) -> None:
+        """Write the record of the members."""
         self.revision += 1
-        spec = member_records.format_record(self.entries)
         self.members = (spec, self.revision)
+        self._copies.append(self.members)
+
+    def restore(self) -> None:
+        """Come back with the record before the last one.
+
+        The targets have written their entries again, and the hosts list them.
+        """
+        self.generation += 1
+        self.members = self._copies[-2:][0]
+        self.world.note(
+            f"the record is back: {list(self.members[0]['members'])}"
+        )
+        for name, entry in self.entries.items():
+            revision = store_revisions.Revision(
+                self.generation, entry.revision.number
+            )
+            self.entries[name] = entry._replace(revision=revision)
+        for host in self.hosts:
+            if host.is_alive and host.name not in self.cut_hosts:
+                host.apply_return(self.generation)
 
     def publish(self, target: Target) -> None:
         """Write a target's entry and notify the hosts."""
         self.revision += 1
         entry = model.TargetEntry(
             target.name,
-            store_revisions.Revision(
-                store_revisions.UNKNOWN_GENERATION, self.revision
-            ),
+            store_revisions.Revision(self.generation, self.revision),
             GROUP,
             target.address,
             1,
@@ -555,4 +578,4 @@
             return
         self.cut_hosts.discard(host.name)
         self.world.note(f"{host.name} reaches the store again")
-        host.apply_list(list(self.entries.values()))
+        host.apply_return(self.generation)
--- a/tests/groups/test_member_records.py
+++ b/tests/groups/test_member_records.py
@@ -97,7 +97,8 @@
         change = self.plan(make_catalog("i-1", "i-2"), make_catalog("i-1"))
         self.assertIsNone(change)
 
-    def test_former_life_is_removed(self) -> None:
+    def test_former_life_is_removed_once_its_log_is_kept(self) -> None:
+        # The successor may have started without the log.
         known = make_catalog("i-1")
         successor = test_catalog.make_entry(
             "i-2", revision=9, address="10.0.0.0"
@@ -105,6 +106,10 @@
         catalog.update_entry(known, successor)
         change = self.plan(make_catalog("i-1"), known)
         assert change is not None
+        self.assertEqual(change.removed, ())
+        catalog.release_replaced(known, "i-1", 20.0)
+        change = self.plan(make_catalog("i-1"), known)
+        assert change is not None
         self.assertEqual(change.removed, ("i-1",))
 
     def test_released_member_is_removed(self) -> None:
@@ -154,6 +159,51 @@
         known = make_catalog("i-2")
         record = read_record(make_catalog("i-1"))
         self.assertEqual(catalog.add_unlisted(known, record.values(), 1.0), ())
+        replaced = catalog.check_replaced(known, "g", 2.0)
+        self.assertEqual(
+            {"i-1": 1.0}, {t: r.replaced_s for t, r in replaced.items()}
+        )
+        self.assertEqual({"i-2"}, catalog.list_successors(known, "g"))
+
+    # Guards against a group that counts two members at one address, of which
+    # one never answers.
+    def test_of_two_targets_at_one_address_the_one_that_runs_is_one(
+        self,
+    ) -> None:
+        for running in ("i-1", "i-2"):
+            listed, answering = catalog.Catalog(), catalog.Catalog()
+            entry = test_catalog.make_entry(
+                running, revision=9, address="10.0.0.0"
+            )
+            record = [*read_record(make_catalog("i-1")).values()]
+            record += read_record(make_catalog("i-2")).values()
+            for known in (listed, answering):
+                catalog.add_unlisted(known, record, 10.0)
+                self.assertEqual(2, len(known.members))
+            catalog.update_entries(listed, [entry], 11.0)
+            catalog.remove_expired(answering, {running: 11.0}, 11.0)
+            for known in (listed, answering):
+                self.assertEqual([running], list(known.members))
+                self.assertEqual(1, len(known.replaced))
+
+    def test_replaced_target_that_left_the_record_is_forgotten(self) -> None:
+        known = make_catalog("i-2")
+        record = read_record(make_catalog("i-1"))
+        catalog.add_unlisted(known, record.values(), 1.0)
+        self.assertTrue(catalog.has_unconfirmed(known, "g"))
+        catalog.drop_unrecorded(known, "g", ("i-2",), 0)
+        self.assertFalse(catalog.has_unconfirmed(known, "g"))
+        self.assertEqual(frozenset(), catalog.list_successors(known, "g"))
+
+    def test_released_target_at_an_occupied_address_is_not_asked(self) -> None:
+        known = make_catalog("i-2")
+        record = read_record(make_catalog("i-1"))
+        catalog.add_unlisted(known, record.values(), 1.0)
+        catalog.release_replaced(known, "i-1", 2.0)
+        self.assertEqual({}, catalog.list_released(known, "g", 3.0))
+        # Nor is it a member again if a record still names it.
+        self.assertEqual(catalog.add_unlisted(known, record.values(), 4.0), ())
+        self.assertEqual({}, known.replaced)
 
     def test_entry_replaces_what_the_record_says(self) -> None:
         known = catalog.Catalog()
--- a/tests/groups/test_multi_host_simulation.py
+++ b/tests/groups/test_multi_host_simulation.py
@@ -108,5 +108,25 @@
         seeds = [18, 62, 213, 21559, 22092, *SEEDS]
         self.assert_keeps_commits(faults, seeds)
 
+    def test_no_commit_is_lost_if_a_successor_starts_empty(self) -> None:
+        # 100876: hosts that had restarted counted a fenced successor for the
+        # member whose log it lacked.
+        faults = {
+            _Fault.MEMBER_DRAINS,
+            _Fault.STORE_RETURNS,
+            _Fault.KILLED_HOSTS,
+            _Fault.EMPTY_SUCCESSORS,
+        }
+        self.assert_keeps_commits(faults, [100876, *MORE_SEEDS])
+
+    def test_no_commit_is_lost_if_the_record_is_older(self) -> None:
+        faults = {
+            _Fault.MEMBER_DRAINS,
+            _Fault.STORE_RETURNS,
+            _Fault.KILLED_HOSTS,
+            _Fault.NEW_HOSTS,
+        }
+        self.assert_keeps_commits(faults, SEEDS)
+
     def test_no_commit_is_lost_if_a_primary_leads_again(self) -> None:
         self.assert_keeps_commits({_Fault.LEADS_AGAIN}, SEEDS)
