End callers' sessions with an answer when a host stops

Cause: a stopping host took on whatever came until it exited. A check every 50 ms closed the sessions that it found idle, and a busy one hardly ever is. Ruled out: slow targets (no statement of the record took 0.3 s).

Change: one table of phases says what a stopping host takes on. Sessions end, evenly over a tenth of the grace time, each with its next answer outside a transaction; then statements are refused and open transactions aborted, at half of the grace time; then what waits for a connection, a primary, a token or the configuration is refused; what a target runs is awaited, and at the very end answered with what is certain. The last answers are sent before the process exits. Statements that another host relays through it are refused as not run, by which that host takes another way, instead of being served until the connection is found idle. All idle sessions used to be closed in one check.

Tests changed: Host.is_draining became Host.phase in two tests.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -8,6 +8,7 @@
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
+from knapweedtally.core.groups import shutdown
 from knapweedtally.entry import group_members
 from knapweedtally.entry import readiness
 from knapweedtally.entry import target_paths
@@ -57,11 +58,13 @@
         log: where decisions are written.
         counters: counters and histograms.
         quotas: admission within the limits of teams.
-        is_draining: whether the process is about to stop.
+        phase: phase of the planned stop.
         retry_budget: limit on the second attempts of all routers, or None
             without load control.
         routers: routers by name of the group.
         sessions: open sessions of callers.
+        closing_sessions: sessions that have ended and whose last answer may
+            not have been sent.
         store: client of the platform's store.
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
@@ -78,7 +81,7 @@
         self.catalog = catalog.Catalog()
         self.log = log
         self.counters = metrics.Metrics()
-        self.is_draining = False
+        self.phase = shutdown.Phase.SERVING
         self.retry_budget = (
             retry_budget.RetryBudget()
             if host_settings.has_load_control
@@ -86,6 +89,7 @@
         )
         self.routers: dict[str, router_module.Router] = {}
         self.sessions: set[sessions.CallerSession] = set()
+        self.closing_sessions: set[sessions.CallerSession] = set()
         self.store = store.StoreClient(
             host_settings.store, log, host_settings.store_history_s
         )
@@ -251,8 +255,18 @@
         self.sessions.add(session)
 
     def remove_session(self, session: sessions.CallerSession) -> None:
-        """Unregister a session."""
-        self.sessions.discard(session)
+        """Unregister a session that has ended."""
+        if session in self.sessions:
+            self.sessions.discard(session)
+            self.closing_sessions.add(session)
+
+    def remove_connection(self, session: sessions.CallerSession) -> None:
+        """Unregister a session whose connection is closed."""
+        self.closing_sessions.discard(session)
+
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop was requested."""
+        return self.phase is not shutdown.Phase.SERVING
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
@@ -386,7 +400,7 @@
         """
         router = self.routers.get(group)
         pool = router.pools.get(target) if router else None
-        if pool is None or pool.path_selector.relay_hosts or self.is_draining:
+        if pool is None or pool.path_selector.relay_hosts or self.is_stopping():
             return None
         if pool.has_teams:
             return None if pool.is_unreachable_for_others() else pool
@@ -459,7 +473,7 @@
         self._pacers.publish(now_s)
 
     def _check_silent_hosts(self, now_s: float) -> None:
-        if self._silent_hosts is not None and not self.is_draining:
+        if self._silent_hosts is not None and not self.is_stopping():
             self._silent_hosts.check(now_s)
 
     def _check_groups(self, now_s: float) -> None:
@@ -469,7 +483,7 @@
     def _check_group(self, router: router_module.Router, now_s: float) -> None:
         router.tick(now_s)
         router.observer.confirm_last_primary(self.store.generation)
-        if self._changes is not None and not self.is_draining:
+        if self._changes is not None and not self.is_stopping():
             self._changes.start_if_needed(router, now_s)
             self._absence_reporter.report_if_due(
                 router, self._changes.make_view(router, now_s), now_s
@@ -498,6 +512,6 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
-        return not self.is_draining and self._readiness.is_ready(
+        return not self.is_stopping() and self._readiness.is_ready(
             clock.get_time_s()
         )
--- a/knapweedtally/entry/limits/quotas.py
+++ b/knapweedtally/entry/limits/quotas.py
@@ -163,6 +163,16 @@
             effects = self._borrower.give_back(team, expires_s, now_s)
             self._apply(team, effects, now_s)
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse the operations that wait for a token.
+
+        Args:
+            reason: detail of the refusals.
+        """
+        waiting, self._waiting = self._waiting, {}
+        for *_, on_refused in waiting.values():
+            supervision.contain("quota", on_refused, reason)
+
     def tick(self, now_s: float) -> None:
         """Take over changes of the configuration and of the other hosts."""
         if self._quota is None:
@@ -277,7 +287,10 @@
     def _end_wait(
         self, effect: outcomes.Admitted | outcomes.Refused, now_s: float
     ) -> None:
-        waiting = self._waiting.pop(effect.id)
+        waiting = self._waiting.pop(effect.id, None)
+        if waiting is None:
+            # It was refused for the planned stop.
+            return
         team, id_, deadline_s, on_admitted, on_refused = waiting
         if isinstance(effect, outcomes.Admitted):
             self._count("quota_used", team)
--- a/knapweedtally/entry/members/observer.py
+++ b/knapweedtally/entry/members/observer.py
@@ -383,6 +383,10 @@
         )
         self._acknowledgements.add(pending, now_s)
 
+    def settle_commits(self, now_s: float) -> None:
+        """Settle the commits whose callers wait no longer than until a time."""
+        self._acknowledgements.settle(now_s)
+
     def start_commit(self, commit: object) -> None:
         """Record that a commit of another host is sent to the primary."""
         self.commits_in_flight[commit] = clock.get_time_s()
--- a/knapweedtally/entry/pools/relays.py
+++ b/knapweedtally/entry/pools/relays.py
@@ -16,6 +16,7 @@
 from knapweedtally.core.groups import session_setup
 from knapweedtally.core.groups import statements
 from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import half_close
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.pools import connections
 from knapweedtally.entry.pools import line_connections
@@ -58,6 +59,7 @@
         find_pool: FindPool,
         sessions: "set[RelaySession]",
         get_configuration: GetConfiguration = lambda: None,
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a session that waits for its first message.
 
@@ -68,6 +70,7 @@
             sessions: the open sessions, which this one joins and leaves.
             get_configuration: returns the configuration to send to a host
                 that asks for it, or None.
+            is_stopping: returns whether this host's planned stop was requested.
         """
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, bytes] = {}
@@ -77,6 +80,7 @@
         self._find_pool = find_pool
         self._sessions = sessions
         self._get_configuration = get_configuration
+        self._is_stopping = is_stopping
         self._buffer = line_protocol.MessageBuffer()
         self._messages: collections.deque[bytes] = collections.deque()
         self._transport: asyncio.Transport | None = None
@@ -84,6 +88,7 @@
         self._held_connection: connections.Connection | None = None
         self._running_connection: connections.Connection | None = None
         self._is_busy = False
+        self._is_waiting = False
         self._is_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -141,6 +146,17 @@
             self._transport.abort()
         self._clean_up()
 
+    def refuse_waiting(self) -> None:
+        """Refuse a statement that waits for a connection to the target."""
+        if self._is_waiting:
+            self._refuse_statement(b"")
+
+    def _end(self) -> None:
+        """End the connection after an answer to another host."""
+        if self._transport is not None:
+            half_close.end(self._transport)
+        self._clean_up()
+
     def close(self) -> None:
         """Close the connection gracefully."""
         if self._transport is not None:
@@ -309,6 +325,10 @@
         if self._held_connection is not None:
             self._run_statement(self._held_connection, statement, position)
             return
+        if self._is_stopping():
+            self._refuse_statement(b"")
+            return
+        self._is_waiting = True
         self._pool.call_when_idle(
             connections.find_needs(self, statement),
             self._guard(
@@ -329,6 +349,9 @@
         statement: statements.Statement,
         position: bytes,
     ) -> None:
+        if not self._is_waiting:
+            return
+        self._is_waiting = False
         # This host may not know of the teams yet.
         if connection is None or connection.team != self.team:
             self._refuse_statement(b"no connection in time")
@@ -339,9 +362,11 @@
         """Refuse a statement of which nothing was sent to the target."""
         if self._is_closed:
             return
-        self._is_busy = False
+        self._is_busy = self._is_waiting = False
         assert self._pool is not None
-        is_unreachable = self._pool.is_unreachable_for_others()
+        is_unreachable = (
+            self._is_stopping() or self._pool.is_unreachable_for_others()
+        )
         if is_unreachable:
             # Tells the other host to use the next holder at once: it may have
             # more connections to this one than attempts.
@@ -351,7 +376,7 @@
             + line_protocol.encode_ready(_State.IDLE)
         )
         if is_unreachable:
-            self.close()
+            self._end()
             return
         # The queue may refuse at once, while the messages are being served.
         asyncio.get_running_loop().call_soon(self._guard(self._serve_next))
--- a/knapweedtally/entry/process.py
+++ b/knapweedtally/entry/process.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from knapweedtally.entry import graceful_stop
 from knapweedtally.entry import host as host_module
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
@@ -25,19 +26,6 @@
 METRICS_PATH = "/metrics"
 EXPLAIN_PATH = "/explain"
 
-# Fraction of the grace time for which a stopping host accepts connections. The
-# load balancer needs two readiness checks, one second apart, to notice it.
-ACCEPT_FRACTION = 0.4
-
-# Fraction of the grace time after which open transactions are aborted.
-ABORT_FRACTION = 0.55
-
-# Fraction of the grace time after which the process exits at the latest.
-EXIT_FRACTION = 0.85
-
-# Interval of the checks during a graceful shutdown, in seconds.
-DRAIN_CHECK_INTERVAL_S = 0.05
-
 # Connections that may wait to be accepted, on each listener.
 BACKLOG = 512
 
@@ -94,6 +82,7 @@
                     self._host.find_direct_pool,
                     self._host.relay_sessions,
                     self._host.configuration.exchange.get_source,
+                    self._host.is_stopping,
                 ),
                 self._settings.peers.host,
                 self._settings.peers.port,
@@ -114,11 +103,18 @@
         if stop_task not in done:
             error = self._find_cause(next(t for t in tasks if t.done()))
         discovery_task.cancel()
-        await self._drain(server)
+        await self._stop(server)
         self._log.write("stopped", left_sessions=len(self._host.sessions))
         if error is not None:
             raise BackgroundTaskEnded from error
 
+    async def _stop(self, server: asyncio.AbstractServer) -> None:
+        host = self._host
+        self._log.write("stopping", sessions=len(host.sessions))
+        grace_s = self._settings.grace_s
+        stop = graceful_stop.GracefulStop(host, server, grace_s, self._log)
+        await stop.run()
+
     def _start_background_tasks(self) -> list[asyncio.Task[None]]:
         """Start the tasks without which the process must not go on.
 
@@ -258,40 +254,6 @@
             return
         self._log.write("reloaded")
 
-    async def _drain(self, server: asyncio.AbstractServer) -> None:
-        """Close the sessions within the grace time.
-
-        Idle connections of other hosts are closed at once. Callers may still
-        connect until ``ACCEPT_FRACTION`` of the grace time. After that idle
-        sessions are closed, and after ``ABORT_FRACTION`` sessions with an
-        open transaction too.
-        """
-        host = self._host
-        host.is_draining = True
-        self._log.write("stopping", sessions=len(host.sessions))
-        grace_s = self._settings.grace_s
-        started_s = clock.get_time_s()
-        is_accepting = True
-        while host.sessions or host.relay_sessions or is_accepting:
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-            now_s = clock.get_time_s()
-            elapsed_s = now_s - started_s
-            if elapsed_s > grace_s * EXIT_FRACTION:
-                break
-            if is_accepting and elapsed_s > grace_s * ACCEPT_FRACTION:
-                is_accepting = False
-                server.close()
-            for relay_session in tuple(host.relay_sessions):
-                if relay_session.is_idle():
-                    relay_session.close()
-            if is_accepting:
-                continue
-            for session in tuple(host.sessions):
-                if session.is_idle():
-                    session.close()
-                elif elapsed_s > grace_s * ABORT_FRACTION:
-                    session.close_unless_busy("the entry host is shutting down")
-
 
 def main() -> None:
     """Run the process of an entry host."""
--- a/knapweedtally/entry/statements/attempts.py
+++ b/knapweedtally/entry/statements/attempts.py
@@ -158,10 +158,10 @@
             router.observer.discard_primary(target, now_s, "it refused a write")
             self._retry_or_finish(answer, None, now_s)
         elif code in statements.NOT_RUN_CODES:
-            if not self._is_holder_refusal(answer):
-                placement.record_failure(pool.load, now_s)
-            elif answer.detail == line_protocol.NOT_REACHED_DETAIL:
+            if answer.detail == line_protocol.NOT_REACHED_DETAIL:
                 pool.handle_unreachable_holder(self._connection.relay_host)
+            elif not self._is_holder_refusal(answer):
+                placement.record_failure(pool.load, now_s)
             self._retry_or_finish(answer, None, now_s)
         elif code is _Code.FAILED and not request.need.is_write:
             placement.record_failure(pool.load, now_s)
--- a/knapweedtally/entry/statements/router.py
+++ b/knapweedtally/entry/statements/router.py
@@ -72,6 +72,7 @@
         super().__init__(settings, data_centre, log, counters, budget)
         self._hedge_candidates: set[requests.Request] = set()
         self._is_dispatching = False
+        self._stop_reason = ""
 
     @property
     def queue_length(self) -> int:
@@ -88,7 +89,7 @@
         if request.permit is not None:
             request.permit.attach(
                 self.dispatch,
-                lambda detail: self._refuse_over_limit(request, detail),
+                lambda detail: self._refuse_unsent(request, detail),
             )
         self._queue.append(request)
         self._queue.sort(key=_get_queue_key)
@@ -122,6 +123,9 @@
             self._is_dispatching = False
 
     def _place_request(self, request: requests.Request, now_s: float) -> None:
+        if self._stop_reason:
+            self._refuse_unsent(request, self._stop_reason)
+            return
         if self._keeps_waiting(request, now_s):
             return
         choice = self._choose_target(request, now_s)
@@ -274,15 +278,26 @@
         self.observer.record_evidence_ages(result)
         request.on_end(result)
 
-    def fail(self, request: requests.Request) -> None:
-        """Answer a request that an error stopped.
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse the requests that wait, and from now on all that would.
+
+        Args:
+            reason: detail of the refusals.
+        """
+        self._stop_reason = reason
+        self.dispatch()
+
+    def fail(
+        self, request: requests.Request, detail: str = ERROR_DETAIL
+    ) -> None:
+        """Answer a request that was stopped by an error or a planned stop.
 
-        The answer says that it didn't run only if nothing was sent.
+        The answer says that nothing is kept only if no write was sent.
         """
         if request.attempts and request.need.is_write:
-            result = requests.Result(None, _Code.UNKNOWN_OUTCOME, ERROR_DETAIL)
+            result = requests.Result(None, _Code.UNKNOWN_OUTCOME, detail)
         else:
-            detail = f"{ERROR_DETAIL}; retry after {FAILOVER_HINT_MS} ms"
+            detail = f"{detail}; retry after {FAILOVER_HINT_MS} ms"
             result = requests.Result(None, _Code.BUSY, detail)
         self.finish(request, result)
 
@@ -348,9 +363,7 @@
             requests.Result(None, _Code.BUSY, detail, waited_s=waited_s),
         )
 
-    def _refuse_over_limit(
-        self, request: requests.Request, detail: str
-    ) -> None:
+    def _refuse_unsent(self, request: requests.Request, detail: str) -> None:
         """Refuse a queued request, unless an attempt of it still runs."""
         if request.is_done:
             return
--- a/knapweedtally/entry/statements/services.py
+++ b/knapweedtally/entry/statements/services.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import shutdown
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.common import metrics
 from knapweedtally.entry.fleet import host_configuration
@@ -20,7 +21,7 @@
         log: where decisions are written.
         counters: counters and histograms.
         quotas: admission within the limits of teams.
-        is_draining: whether the host is about to stop.
+        phase: phase of the planned stop.
         configuration: reads, confirms and exchanges the configuration.
     """
 
@@ -28,7 +29,7 @@
     log: logs.Log
     counters: metrics.Metrics
     quotas: quotas.Quotas
-    is_draining: bool
+    phase: shutdown.Phase
     configuration: host_configuration.HostConfiguration
 
     def is_configuration_expected(self) -> bool:
@@ -41,7 +42,10 @@
         """Register a session."""
 
     def remove_session(self, session: Any) -> None:
-        """Unregister a session."""
+        """Unregister a session that has ended."""
+
+    def remove_connection(self, session: Any) -> None:
+        """Unregister a session whose connection is closed."""
 
     def call_when_configured(self, callback: Callable[[], None]) -> None:
         """Call back once a configuration is applied, or none is expected."""
--- a/knapweedtally/entry/statements/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -8,8 +8,10 @@
 
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
+from knapweedtally.core.groups import shutdown
 from knapweedtally.core.groups import statements
 from knapweedtally.entry.common import clock
+from knapweedtally.entry.common import half_close
 from knapweedtally.entry.common import message_queue
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.pools import requests
@@ -29,6 +31,10 @@
     "no configuration from the store yet; retry after 300 ms"
 )
 
+# Error detail for callers of a host that stops. Other hosts serve them at once;
+# the delay spreads those that were refused together.
+STOPPING_DETAIL = "the entry host is shutting down; retry after 50 ms"
+
 # Queued requests of one group beyond which this host refuses new ones.
 MAX_QUEUED_REQUESTS = 400
 
@@ -68,6 +74,8 @@
             self, services, self._handle_statement_end, self._guard
         )
         self._is_busy = False
+        self._is_confirming = False
+        self._is_leaving = False
         self._is_closed = False
 
     # Transport.
@@ -100,6 +108,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Roll back the caller's transaction and cancel its request."""
         self._clean_up()
+        self._services.remove_connection(self)
 
     def tick(self, now_s: float, idle_limit_s: float) -> None:
         """Enforce the timeouts of messages and of idle transactions.
@@ -121,7 +130,7 @@
         if transaction.connection is None:
             return
         if now_s - transaction.inactive_since_s > idle_limit_s:
-            self._abort_transaction("idle in transaction for too long")
+            self._abort_transaction("idle in transaction for too long", "idle")
 
     def is_idle(self) -> bool:
         """Return whether the session has no request and no transaction."""
@@ -144,7 +153,61 @@
             self._services.log.write(
                 "transaction_aborted", database=self._database, reason=reason
             )
-        self.close()
+        self._end()
+
+    # Planned stop of the host.
+
+    def leave(self) -> None:
+        """End the session once it has no request and no transaction."""
+        self._is_leaving = True
+        self._end_if_left()
+
+    def _end_if_left(self) -> None:
+        # A caller that has just connected waits for an answer.
+        has_started = self._database is not None
+        if self._is_leaving and has_started and self.is_idle():
+            self._end()
+
+    def _end(self) -> None:
+        """End the connection after its last answer."""
+        if self._transport is not None and not self._is_closed:
+            half_close.end(self._transport)
+        self._clean_up()
+
+    def abort_transaction(self, reason: str) -> None:
+        """Abort the open transaction unless a statement of it runs.
+
+        The caller's next statement is answered with it.
+
+        Args:
+            reason: why, for the caller and the log.
+        """
+        transaction = self._transaction
+        if transaction is None or self._is_busy:
+            return
+        if not transaction.is_failed and not transaction.abort_reason:
+            self._abort_transaction(reason, "shutdown")
+
+    def refuse_waiting(self) -> None:
+        """Refuse what waits for the configuration."""
+        if self._is_confirming:
+            self._resume()
+        elif self._is_busy and self._database is None:
+            self._close_with_error(_Code.BUSY, STOPPING_DETAIL)
+
+    def end_running(self, reason: str) -> None:
+        """Answer the running statement as it stands, and end the session.
+
+        Args:
+            reason: why, for the caller and the log.
+        """
+        transaction = self._transaction
+        if self._request is not None and self._router is not None:
+            self._router.fail(self._request, reason)
+        elif self._is_busy and transaction and transaction.connection:
+            # The target rolls back unless it has received a commit.
+            transaction.connection.abort()
+        self._end()
 
     def abort(self) -> None:
         """Close the session at once, since an outcome is unknown."""
@@ -192,8 +255,8 @@
 
     def _serve_queued_messages(self) -> None:
         while self._messages and not self._is_busy and not self._is_closed:
-            if self._services.configuration.is_confirmation_due():
-                self._is_busy = True
+            if self._is_confirmation_due():
+                self._is_busy = self._is_confirming = True
                 self._services.configuration.call_when_confirmed(
                     self._guard(self._resume)
                 )
@@ -209,10 +272,20 @@
                 self.close()
             else:
                 self._close_with_error(_Code.MALFORMED, "unknown message")
+        self._end_if_left()
+
+    def _is_confirmation_due(self) -> bool:
+        """Return whether statements wait for the configuration."""
+        return (
+            self._services.phase < shutdown.Phase.FINISHING
+            and self._services.configuration.is_confirmation_due()
+        )
 
     def _resume(self) -> None:
         """Serve what has waited for the configuration's confirmation."""
-        self._is_busy = False
+        if not self._is_confirming:
+            return
+        self._is_busy = self._is_confirming = False
         if not self._is_closed:
             self._serve_queued_messages()
 
@@ -221,6 +294,9 @@
         if database is None:
             self._close_with_error(_Code.MALFORMED, "START expected")
             return
+        if self._is_leaving or self._services.phase >= shutdown.Phase.REFUSING:
+            self._close_with_error(_Code.BUSY, STOPPING_DETAIL)
+            return
         if self._services.catalog.configuration is None:
             # The process has just started and knows no databases yet, so the
             # caller waits instead of getting an unknown-database error.
@@ -354,6 +430,11 @@
         if transaction is not None and transaction.abort_reason:
             self._report_abort(statement, transaction)
             return
+        if transaction is None and shutdown.is_refused(
+            self._services.phase, statement.kind
+        ):
+            self._answer_error(statement, _Code.BUSY, STOPPING_DETAIL)
+            return
         handler = _HANDLERS[statement.kind]
         handler(self, statement, arrived_s)
 
@@ -618,13 +699,13 @@
             known = self._own_position
             self._own_position = max(known, position) if known else position
 
-    def _abort_transaction(self, reason: str) -> None:
+    def _abort_transaction(self, reason: str, label: str) -> None:
         transaction = self._transaction
         assert transaction is not None
         self._services.log.write(
             "transaction_aborted", database=self._database, reason=reason
         )
-        self._services.counters.increment("transactions_aborted", "idle")
+        self._services.counters.increment("transactions_aborted", label)
         self._runner.release(transaction, self._is_busy)
         transaction.abort_reason = reason
 
@@ -691,6 +772,8 @@
         )
         if not self._is_closed:
             self._write(answers.encode_result(result, self._get_state()))
+            if self._services.phase >= shutdown.Phase.REFUSING:
+                self.abort_transaction("the entry host is shutting down")
             self._serve_queued_messages()
 
     def _write(self, data: bytes) -> None:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -58,6 +58,7 @@
                 self.host.find_direct_pool,
                 self.host.relay_sessions,
                 self.host.configuration.exchange.get_source,
+                self.host.is_stopping,
             ),
             peers.host,
             peers.port,
@@ -115,8 +116,14 @@
     def __init__(self, port: int) -> None:
         self._port = port
         self._ids = 0
+        self.prefix = "q"
         self.state = ""
 
+    @property
+    def last_id(self) -> str:
+        """Return the id of the statement that was sent last."""
+        return f"{self.prefix}{self._ids}"
+
     async def start(self, database: str, key: str = "tests") -> str:
         self._reader, self._writer = await asyncio.open_connection(
             "127.0.0.1", self._port
@@ -135,7 +142,7 @@
 
     async def send(self, text: str) -> None:
         self._ids += 1
-        await self.send_raw(f"QUERY q{self._ids} {text}\r\n".encode())
+        await self.send_raw(f"QUERY {self.last_id} {text}\r\n".encode())
 
     async def receive(self) -> list[str]:
         """Return an answer's messages, and store the state that ends it."""
--- a/tests/entry/test_identification.py
+++ b/tests/entry/test_identification.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from knapweedtally.core.groups import shutdown
 from knapweedtally.entry.fleet import configuration_check
 from standins.line_platform import platform as platform_module
 from standins.line_platform import targets
@@ -308,7 +309,7 @@
         # Guards against a stop that takes a team's session for a refused one.
         caller = await start_caller(system)
         await caller.run("BEGIN")
-        system.entry_hosts[0].host.is_draining = True
+        system.entry_hosts[0].host.phase = shutdown.Phase.ANNOUNCING
         await apply_teams(system, TEAM)
         await caller.run("WRITE item 1")
         self.assertIn("DONE", (await caller.run("COMMIT"))[0])
--- a/tests/entry/test_rooms.py
+++ b/tests/entry/test_rooms.py
@@ -47,6 +47,7 @@
         modules = {path.stem for path in ENTRY.glob("*.py")}
         expected = {
             "__init__",
+            "graceful_stop",
             "group_members",
             "host",
             "process",
--- a/tests/entry/test_team_pools.py
+++ b/tests/entry/test_team_pools.py
@@ -11,6 +11,7 @@
 import testtools
 
 from knapweedtally.core import store_revisions
+from knapweedtally.core.groups import shutdown
 from knapweedtally.core.groups import team_connections
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.pools import connections
@@ -449,7 +450,7 @@
         caller = await start_caller(others[0], "t0")
         await caller.run("BEGIN")
         await caller.run("WRITE t0-item 7")
-        first.host.is_draining = True
+        first.host.phase = shutdown.Phase.ANNOUNCING
         for session in tuple(first.host.relay_sessions):
             if session.is_idle():
                 session.close()
