Abort transactions before a stopping proxy ends (PostgreSQL side)

Cause, from the source: the timeout stopped the process without regard for what it had taken on after it had begun to stop.

Change: a phase before the timeout, as early as a request of any group may take, but not in the first half. In it a session ends with its running request, or at once if none runs; its transaction is rolled back and 57P01 answers what comes next. Idle callers are asked to leave over a second.

Evidence: tests/draining and tests/callers/test_session have a test each that fails without; the drain test that was there passes unchanged.

--- a/knapweedtally/callers/adapter.py
+++ b/knapweedtally/callers/adapter.py
@@ -43,6 +43,7 @@
         effects.DeliverError,
         effects.StopAccepting,
         effects.CloseIdleCallers,
+        effects.AbortTransactions,
     )
 
     def __init__(
@@ -65,6 +66,7 @@
         self._sessions: dict[int, session_module.Session] = {}
         self._listen_scope: anyio.CancelScope | None = None
         self._is_closing = False
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._connection_count = 0
         self._effect_handlers: dict[type, Callable[[Any], None]] = {
             effects.RunStatement: self._executor.deliver_effect,
@@ -72,6 +74,7 @@
             effects.DeliverError: self._executor.deliver_effect,
             effects.StopAccepting: self._stop_accepting,
             effects.CloseIdleCallers: self._close_idle_callers,
+            effects.AbortTransactions: self._abort_transactions,
         }
 
     async def serve(
@@ -85,6 +88,7 @@
             local_host=host, local_port=port, reuse_port=False
         )
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             with anyio.CancelScope() as scope:
                 self._listen_scope = scope
                 task_status.started()
@@ -102,10 +106,21 @@
 
     def _close_idle_callers(self, effect: effects.CloseIdleCallers) -> None:
         self._is_closing = True
-        for session in self._sessions.values():
-            session.close_when_idle()
+        if self._tasks is not None:
+            self._tasks.start_soon(self._ask_to_leave, effect.spread_s)
         self._report_callers_gone()
 
+    async def _ask_to_leave(self, spread_s: float) -> None:
+        """Ask the open sessions in turn to end."""
+        sessions = tuple(self._sessions.values())
+        for session in sessions:
+            session.close_when_idle()
+            await anyio.sleep(spread_s / len(sessions))
+
+    def _abort_transactions(self, effect: effects.AbortTransactions) -> None:
+        for session in self._sessions.values():
+            session.close_between_requests()
+
     def _report_callers_gone(self) -> None:
         if self._is_closing and not self._connection_count:
             self._submit(draining_events.CallersGone())
--- a/knapweedtally/callers/session.py
+++ b/knapweedtally/callers/session.py
@@ -70,6 +70,7 @@
         self._is_answering_flush = False
         self._is_skipping_to_sync = False
         self._is_closing = False
+        self._is_aborting = False
         self._receive_scope: anyio.CancelScope | None = None
 
     @property
@@ -110,15 +111,26 @@
         if self.is_idle and self._receive_scope is not None:
             self._receive_scope.cancel()
 
+    def close_between_requests(self) -> None:
+        """Close the connection once no request runs, with its transaction."""
+        self._is_closing = self._is_aborting = True
+        if self.is_between_requests and self._receive_scope is not None:
+            self._receive_scope.cancel()
+
+    def _is_over(self) -> bool:
+        """Return whether the planned stop ends the session now."""
+        is_aborted = self._is_aborting and self.is_between_requests
+        return is_aborted or (self._is_closing and self.is_idle)
+
     async def _serve_messages(self) -> None:
         """Handle messages until the caller or a planned stop ends the session.
 
-        The scope is cancelled only while the session is idle, which means
-        that it waits for a message.
+        The scope is cancelled only between requests, which means that the
+        session waits for a message.
         """
         with anyio.CancelScope() as scope:
             self._receive_scope = scope
-            while not (self._is_closing and self.is_idle):
+            while not self._is_over():
                 message = await self._stream.receive_message()
                 if message is None or isinstance(message, messages.Terminate):
                     return
--- a/knapweedtally/conf/setting_definitions.py
+++ b/knapweedtally/conf/setting_definitions.py
@@ -159,7 +159,8 @@
         "drain-timeout-s",
         parsers.parse_seconds,
         "1 to 3600 seconds",
-        "time that open transactions get when the host stops",
+        "time for callers to leave when the host stops; transactions that are "
+        "open are aborted so early that a request can still end",
         "30",
     ),
     Setting(
--- a/knapweedtally/core/draining/decisions.py
+++ b/knapweedtally/core/draining/decisions.py
@@ -7,6 +7,7 @@
 from knapweedtally.core import model
 from knapweedtally.core import state as state_module
 from knapweedtally.core.draining import events as draining_events
+from knapweedtally.core.draining import rules
 from knapweedtally.core.draining import state as draining_state
 from knapweedtally.core.draining import targets
 from knapweedtally.core.explanations import decisions as explanations
@@ -39,7 +40,7 @@
     event: draining_events.CallersGone,
 ) -> Effects:
     """Stop the process once the last caller has disconnected."""
-    if state.draining.phase is not Phase.CLOSING:
+    if state.draining.phase not in (Phase.CLOSING, Phase.ABORTING):
         return []
     _enter_phase(state, moment, Phase.STOPPED, "no caller connection is left")
     return [effects.StopProcess()]
@@ -65,11 +66,23 @@
     _enter_phase(
         state, moment, Phase.CLOSING, "the announcement period has passed"
     )
-    return [effects.StopAccepting(), effects.CloseIdleCallers()]
+    spread_s = draining.settings.spread_s
+    return [effects.StopAccepting(), effects.CloseIdleCallers(spread_s)]
 
 
 def _tick_closing(
     state: state_module.ProxyState, moment: model.Moment
+) -> Effects:
+    if moment.at < rules.find_abort_time(state):
+        return []
+    _enter_phase(
+        state, moment, Phase.ABORTING, "open transactions have had their time"
+    )
+    return [effects.AbortTransactions(), *_tick_aborting(state, moment)]
+
+
+def _tick_aborting(
+    state: state_module.ProxyState, moment: model.Moment
 ) -> Effects:
     draining = state.draining
     timeout_s = draining.settings.timeout_s
@@ -103,6 +116,7 @@
 ] = {
     Phase.ANNOUNCING: _tick_announcing,
     Phase.CLOSING: _tick_closing,
+    Phase.ABORTING: _tick_aborting,
 }
 
 HANDLERS: dict[type, Callable[..., Effects]] = {
--- a/knapweedtally/core/draining/rules.py
+++ b/knapweedtally/core/draining/rules.py
@@ -4,6 +4,8 @@
 from knapweedtally.core import state as state_module
 from knapweedtally.core.draining import state as draining_state
 
+MILLISECONDS_PER_S = 1000
+
 
 def is_leaving(
     state: state_module.ProxyState, target: str, group: model.Group
@@ -31,6 +33,26 @@
     )
 
 
+def find_abort_time(state: state_module.ProxyState) -> float:
+    """Return when open transactions are aborted, in seconds.
+
+    The requests that run then can still end before the process stops. Half of
+    the time is left to transactions in any case.
+    """
+    draining = state.draining
+    timeout_s = draining.settings.timeout_s
+    bundle = state.directory.bundle
+    longest_ms = max(
+        (
+            group.request_timeout_ms
+            for group in (bundle.groups.values() if bundle else ())
+        ),
+        default=0,
+    )
+    kept_s = max(timeout_s / 2, timeout_s - longest_ms / MILLISECONDS_PER_S)
+    return draining.requested_at + kept_s
+
+
 def is_ready(state: state_module.ProxyState) -> bool:
     """Return whether the load balancer may send callers here."""
     is_serving = state.draining.phase is draining_state.Phase.SERVING
--- a/knapweedtally/core/draining/state.py
+++ b/knapweedtally/core/draining/state.py
@@ -11,6 +11,7 @@
     SERVING = "serving"
     ANNOUNCING = "announcing"
     CLOSING = "closing"
+    ABORTING = "aborting"
     STOPPED = "stopped"
 
 
@@ -60,10 +61,13 @@
             ready, before the proxy refuses connections.
         timeout_s: time for requests in flight to finish, counted from the
             request to stop.
+        spread_s: time over which idle callers are asked to leave, so that they
+            don't all connect to other hosts at one moment.
     """
 
     announce_s: float = 1.0
     timeout_s: float = 30.0
+    spread_s: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/knapweedtally/core/effects.py
+++ b/knapweedtally/core/effects.py
@@ -120,6 +120,18 @@
     A connection is idle when it has no open transaction and no request in
     flight; the caller receives 57P01 before the connection is closed. Once no
     caller connection is left, the adapter reports ``CallersGone``.
+
+    Attributes:
+        spread_s: time over which the connections are asked to end, in turn.
+    """
+
+    spread_s: float = 0.0
+
+
+class AbortTransactions(NamedTuple):
+    """Close each caller connection at the end of its running request.
+
+    An open transaction is rolled back; the caller receives 57P01.
     """
 
 
@@ -259,6 +271,7 @@
     | SetWatching
     | StopAccepting
     | CloseIdleCallers
+    | AbortTransactions
     | StopProcess
     | ProbeTarget
     | ControlTarget
--- a/tests/callers/test_session.py
+++ b/tests/callers/test_session.py
@@ -44,13 +44,14 @@
     def __init__(self) -> None:
         self.started = anyio.Event()
         self.released = anyio.Event()
+        self.status = "I"
 
     async def execute(
         self, request: execution.ExecutionRequest
     ) -> execution.ExecutionResult:
         self.started.set()
         await self.released.wait()
-        return execution.ExecutionResult([ROW], "I", None, "d-1")
+        return execution.ExecutionResult([ROW], self.status, None, "d-1")
 
 
 class PlannedStopTest(testtools.TestCase):
@@ -111,3 +112,36 @@
         sent = self.run_session(interact)
         self.assertIn(ROW, sent[-2])
         self.assertIn(SHUTDOWN_ERROR, sent[-1])
+
+    # Guards against a transaction that the process's end cuts off without an
+    # answer.
+    def test_open_transaction_ends_with_shutdown_error_in_time(self) -> None:
+        async def interact(
+            session_under_test: Any, stream: Any, executor: Any
+        ) -> None:
+            executor.status = "T"
+            await stream.incoming.send(messages.Query(query_string="BEGIN"))
+            await executor.started.wait()
+            session_under_test.close_between_requests()
+            await anyio.wait_all_tasks_blocked()
+            executor.released.set()
+
+        sent = self.run_session(interact)
+        self.assertIn(ROW, sent[-2])
+        self.assertIn(SHUTDOWN_ERROR, sent[-1])
+
+    def test_paused_transaction_ends_with_shutdown_error(self) -> None:
+        async def interact(
+            session_under_test: Any, stream: Any, executor: Any
+        ) -> None:
+            executor.status = "T"
+            executor.released.set()
+            await stream.incoming.send(messages.Query(query_string="BEGIN"))
+            await anyio.wait_all_tasks_blocked()
+            session_under_test.close_when_idle()
+            await anyio.wait_all_tasks_blocked()
+            self.assertNotIn(SHUTDOWN_ERROR, b"".join(stream.sent))
+            session_under_test.close_between_requests()
+
+        sent = self.run_session(interact)
+        self.assertIn(SHUTDOWN_ERROR, sent[-1])
--- a/tests/draining/test_draining.py
+++ b/tests/draining/test_draining.py
@@ -79,6 +79,25 @@
             [effects.StopProcess], self.submit(15.0, events.Ticked())
         )
 
+    # Guards against requests of transactions that are cut off at the timeout.
+    def test_transactions_are_aborted_while_a_request_can_still_end(
+        self,
+    ) -> None:
+        group = model.Group("fog", (), request_timeout_ms=2_000)
+        self.state.directory.bundle = model.Bundle(2, "", {"fog": group})
+        self.drain(5.0)
+        self.submit(6.0, events.Ticked())
+        decided = reducer.decide(
+            self.state, model.Moment(12.9, 0.5), events.Ticked()
+        )
+        self.assertNotIn(effects.AbortTransactions(), decided)
+        decided = reducer.decide(
+            self.state, model.Moment(13.0, 0.5), events.Ticked()
+        )
+        self.assertIn(effects.AbortTransactions(), decided)
+        gone = draining_events.CallersGone()
+        self.assertEqual([effects.StopProcess], self.submit(13.1, gone))
+
     def test_a_second_request_has_no_effect(self) -> None:
         self.drain(5.0)
         self.submit(6.0, events.Ticked())
--- a/tests/driver/proxy.py
+++ b/tests/driver/proxy.py
@@ -308,6 +308,7 @@
     effects.DeliverError: Proxy._deliver_error,
     effects.StopAccepting: Proxy._stop_accepting,
     effects.CloseIdleCallers: Proxy._close_idle_callers,
+    effects.AbortTransactions: lambda proxy, effect: None,
     effects.StopProcess: Proxy._stop_process,
     effects.WriteLog: Proxy._write_log,
 }
