End the session of a refused begin on a stopping host

Cause: the refusal left the session open until its turn to end.

Change: a refused statement's session ends with the refusal, so that the next attempt reaches another host.

--- a/knapweedtally/entry/statements/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -434,6 +434,8 @@
             self._services.phase, statement.kind
         ):
             self._answer_error(statement, _Code.BUSY, STOPPING_DETAIL)
+            # The caller's next attempt shouldn't come here.
+            self._is_leaving = True
             return
         handler = _HANDLERS[statement.kind]
         handler(self, statement, arrived_s)
--- a/tests/entry/test_graceful_stop.py
+++ b/tests/entry/test_graceful_stop.py
@@ -222,6 +222,22 @@
         lone = sum(len(entry.writes) == 1 for entry in log)
         self.assertEqual(committed + lone, len(log))
 
+    # Guards against a caller that spends all its attempts on this host.
+    @harness.with_system()
+    async def test_refused_begin_ends_its_session(
+        self, system: harness.System
+    ) -> None:
+        entry = system.entry_hosts[0]
+        caller = harness.Caller(entry.port)
+        await caller.start("g-primary")
+        entry.host.phase = shutdown.Phase.LEAVING
+        answer = await caller.run("WRITE item 1")
+        self.assertTrue(answer[0].startswith("DONE "), answer)
+        answer = await caller.run("BEGIN")
+        self.assertTrue(answer[0].startswith("ERROR BUSY"), answer)
+        self.assertEqual("I", caller.state)
+        self.assertTrue(await caller.wait_for_close())
+
     @harness.with_system()
     async def test_prepared_names_are_served_to_the_end(
         self, system: harness.System
