Reset the connections of HTTP requests whose sender is killed

Cause: a request that a partition holds up is lost only if its sender resets the connection. The client set SO_LINGER when it closed a connection. A process that is killed doesn't close it so, and the kernel goes on to deliver the request for minutes, long after the lease has expired.

Change: the option is set when a connection is made, for promotions and for all calls to the store.

--- a/knapweedtally/entry/members/promoter.py
+++ b/knapweedtally/entry/members/promoter.py
@@ -374,7 +374,11 @@
         Returns:
             The HTTP status, or 0 where no response arrived.
         """
-        client = http_client.Client(self._address.host, self._address.port)
+        client = http_client.Client(
+            self._address.host,
+            self._address.port,
+            unacknowledged_limit_s=PROMOTE_TIMEOUT_S,
+        )
         request = promotion_call.make_request(
             attempt.group, target, self._host, self._lease_manager.fence
         )
--- a/knapweedtally/utils/http_client.py
+++ b/knapweedtally/utils/http_client.py
@@ -30,6 +30,7 @@
         source_host: str | None = None,
         max_body_bytes: int = 64 * 1024 * 1024,
         keepalive_interval_s: int | None = None,
+        unacknowledged_limit_s: float | None = None,
     ) -> None:
         """Initialise the client without connecting.
 
@@ -42,12 +43,16 @@
                 keepalive probe, and between probes; None for no probes. An
                 unresponsive connection is lost after three times this interval,
                 even while a slow response is awaited.
+            unacknowledged_limit_s: time after which a connection is lost on
+                which sent data wasn't received, even if this process stands
+                still; None for the system's limit.
         """
         self._host = host
         self._port = port
         self._source_host = source_host
         self._max_body_bytes = max_body_bytes
         self._keepalive_interval_s = keepalive_interval_s
+        self._unacknowledged_limit_s = unacknowledged_limit_s
         self._idle: list[_Connection] = []
 
     async def send(
@@ -125,8 +130,13 @@
             raise http.ConnectionRefused(
                 f"cannot connect to {self._host}:{self._port}"
             ) from error
+        sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        # Holds for a process that is killed, too: a request must not be
+        # delivered long after its sender has ended.
+        sockets.reset_on_close(sock)
+        if self._unacknowledged_limit_s is not None:
+            sockets.limit_unacknowledged(sock, self._unacknowledged_limit_s)
         if self._keepalive_interval_s is not None:
-            sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
             sockets.enable_keepalive(sock, self._keepalive_interval_s)
         return _Connection(stream, self._host, self._max_body_bytes)
 
@@ -172,13 +182,6 @@
 
     async def close(self) -> None:
         """Reset the connection and discard data the server has not received."""
-        try:
-            sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        except (AttributeError, OSError, anyio.TypedAttributeLookupError):
-            # The stream first looks up the peer's address, which is no longer
-            # available.
-            sock = None
-        sockets.reset_on_close(sock)
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
--- a/knapweedtally/utils/sockets.py
+++ b/knapweedtally/utils/sockets.py
@@ -26,6 +26,21 @@
         pass
 
 
+def limit_unacknowledged(sock: socket.socket, limit_s: float) -> None:
+    """Limit the time for which sent data may stay without acknowledgement.
+
+    The system then resets the connection and discards the data, also while the
+    process is stopped.
+
+    Args:
+        sock: the socket.
+        limit_s: the time.
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(limit_s * 1000)
+    )
+
+
 def enable_keepalive(sock: socket.socket, interval_s: int) -> None:
     """Enable TCP keepalive probes on a connection.
 
--- a/tests/groups/multi_host_simulation.py
+++ b/tests/groups/multi_host_simulation.py
@@ -135,7 +135,9 @@
         with (
             mock.patch.object(clock, "get_time_s", lambda: world.now_s),
             mock.patch.object(
-                promoter.http_client, "Client", lambda *_: Client(self.platform)
+                promoter.http_client,
+                "Client",
+                lambda *_, **__: Client(self.platform),
             ),
         ):
             world.loop.set_exception_handler(self._record_error)
