Let the tests of odd answers begin with a primary that is known

Cause, from a trace: lost answers to a begin use all four connections until their deadline, so that no status arrives, and the next kind of odd answer begins while the host has no evidence about the primary. It refuses each statement at once, truly, and the test's demand that the odd answer was met fails.

Change: each kind begins once the host has evidence. The demands are the same.

--- a/tests/entry/test_session_setup.py
+++ b/tests/entry/test_session_setup.py
@@ -10,6 +10,7 @@
 import testtools
 
 from knapweedtally.core.groups import statements
+from knapweedtally.entry.common import clock
 from knapweedtally.entry.pools import connections
 from knapweedtally.entry.pools import line_connections
 from standins.line_platform import targets
@@ -129,6 +130,12 @@
         ]
         for session in sessions:
             await session.start()
+        # Answers that were lost before have used all connections for a while.
+        # Without evidence about the primary nothing is sent to a target.
+        observer = system.entry_hosts[0].host.routers["g"].observer
+        await harness.wait_for(
+            lambda: observer.is_primary_confirmed(clock.get_time_s())
+        )
         is_met = False
         for number in range(ROUNDS):
             # A primary that doesn't answer may be replaced.
