Refuse sessions for which a host has no descriptor

Cause: a host took on every connection, and an error of accept on the listener for readiness checks ended the task without which the process ends on purpose. Ruled out: the listeners for callers and other hosts, which the event loop keeps.

Change: sessions are limited by the settings' descriptors, less those for files, targets, the store, other hosts and readiness. Further callers get BUSY, and the host reports for 3 s that it isn't ready, so that the balancer sends them to hosts with room. A lack of descriptors no longer ends the HTTP server.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -8,6 +8,7 @@
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
+from knapweedtally.core.groups import session_limit
 from knapweedtally.core.groups import shutdown
 from knapweedtally.entry import group_members
 from knapweedtally.entry import readiness
@@ -44,6 +45,11 @@
 # Interval of the periodic checks, in seconds.
 TICK_INTERVAL_S = 0.05
 
+# A host that has refused a session for lack of room reports that it isn't ready
+# for this long, in seconds. The load balancer takes two checks, one second
+# apart, to send callers elsewhere.
+FULL_NOTICE_S = 3.0
+
 # A longer time between two ticks, in seconds, means that the process or its
 # machine was suspended, and that failures recorded before prove nothing.
 SUSPENSION_S = 0.5
@@ -90,6 +96,9 @@
         self.routers: dict[str, router_module.Router] = {}
         self.sessions: set[sessions.CallerSession] = set()
         self.closing_sessions: set[sessions.CallerSession] = set()
+        self._max_sessions = session_limit.compute_max_sessions(
+            host_settings.max_descriptors
+        )
         self.store = store.StoreClient(
             host_settings.store, log, host_settings.store_history_s
         )
@@ -191,6 +200,7 @@
             log, self.counters
         )
         self._last_tick_s = clock.get_time_s()
+        self._full_until_s = float("-inf")
         # Each check is contained by itself; the order matters.
         self._checks: tuple[tuple[str, Callable[[float], None]], ...] = (
             ("suspension", self._check_suspension),
@@ -250,9 +260,33 @@
         """Return the router of a group."""
         return self.routers.get(group)
 
-    def add_session(self, session: sessions.CallerSession) -> None:
-        """Register a session."""
+    def add_session(self, session: sessions.CallerSession) -> bool:
+        """Register a session, and return whether there is room for it.
+
+        Without room the caller is refused, so that those that are connected can
+        be served on.
+        """
+        has_room = not self._is_full()
         self.sessions.add(session)
+        if not has_room:
+            self.counters.increment("refused", "FULL")
+            now_s = clock.get_time_s()
+            is_new = now_s >= self._full_until_s
+            self._full_until_s = now_s + FULL_NOTICE_S
+            if is_new:
+                self.log.write(
+                    "host_full",
+                    sessions=len(self.sessions) - 1,
+                    limit=self._max_sessions,
+                )
+        return has_room
+
+    def _is_full(self) -> bool:
+        """Return whether no further session has room."""
+        if self._max_sessions is None:
+            return False
+        count = len(self.sessions) + len(self.closing_sessions)
+        return count >= self._max_sessions
 
     def remove_session(self, session: sessions.CallerSession) -> None:
         """Unregister a session that has ended."""
@@ -512,6 +546,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
-        return not self.is_stopping() and self._readiness.is_ready(
-            clock.get_time_s()
-        )
+        now_s = clock.get_time_s()
+        if self.is_stopping() or now_s < self._full_until_s:
+            return False
+        return self._readiness.is_ready(now_s)
--- a/knapweedtally/entry/statements/services.py
+++ b/knapweedtally/entry/statements/services.py
@@ -38,8 +38,8 @@
     def find_router(self, group: str) -> router_module.Router | None:
         """Return the router of a group."""
 
-    def add_session(self, session: Any) -> None:
-        """Register a session."""
+    def add_session(self, session: Any) -> bool:
+        """Register a session, and return whether there is room for it."""
 
     def remove_session(self, session: Any) -> None:
         """Unregister a session that has ended."""
--- a/knapweedtally/entry/statements/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -35,6 +35,9 @@
 # the delay spreads those that were refused together.
 STOPPING_DETAIL = "the entry host is shutting down; retry after 50 ms"
 
+# Error detail for callers for whose session a host has no descriptor.
+FULL_DETAIL = "the entry host has no room for a session; retry after 300 ms"
+
 # Queued requests of one group beyond which this host refuses new ones.
 MAX_QUEUED_REQUESTS = 400
 
@@ -88,7 +91,16 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        self._services.add_session(self)
+        if not self._services.add_session(self):
+            self._refuse_session(FULL_DETAIL)
+
+    def _refuse_session(self, detail: str) -> None:
+        """Refuse a caller that has just connected."""
+        assert self._transport is not None
+        self._transport.write(
+            line_protocol.encode_error(_Code.BUSY, detail.encode())
+        )
+        self._end()
 
     def data_received(self, data: bytes) -> None:
         """Queue the complete messages and serve them unless one is running."""
--- a/knapweedtally/platform/settings.py
+++ b/knapweedtally/platform/settings.py
@@ -66,6 +66,8 @@
         link_mbps: bandwidth of the machine's link, or 0 if it isn't known.
         store_history_s: how long the store keeps changes, or 0 if it isn't
             known.
+        max_descriptors: number of descriptors that the process may have, or 0
+            if it isn't known.
     """
 
     host: str
@@ -84,6 +86,7 @@
     cores: float = 1.0
     link_mbps: float = 0.0
     store_history_s: float = 0.0
+    max_descriptors: int = 0
 
 
 def parse_address(text: object) -> Address:
@@ -161,6 +164,7 @@
             has_load_control="pressure" in contracts,
             cores=cores,
             link_mbps=float(limits.get("linkMbps") or 0),
+            max_descriptors=int(limits.get("maxFds") or 0),
             store_history_s=float(content["platform"].get("historyS") or 0),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
--- a/knapweedtally/utils/http_server.py
+++ b/knapweedtally/utils/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server with keep-alive and limits on message sizes and times."""
 
+import errno
 import logging
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -13,6 +14,12 @@
 
 _logger = logging.getLogger(__name__)
 
+# Delay after a connection couldn't be accepted, in seconds.
+ACCEPT_RETRY_S = 0.1
+
+# Errors of accepting that end by themselves.
+_LACKS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
 Handler = Callable[[http.Request], Awaitable[http.Response]]
 
 
@@ -71,7 +78,13 @@
         async with listener:
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started()
-            await listener.serve(self._serve_connection)
+            # One address has one socket.
+            (socket_listener,) = listener.listeners
+            assert isinstance(socket_listener, anyio.abc.SocketListener)
+            async with anyio.create_task_group() as tasks:
+                while True:
+                    stream = await _accept(socket_listener)
+                    tasks.start_soon(self._serve_connection, stream)
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         if self._connections >= self._limits.max_connections:
@@ -97,6 +110,20 @@
             self._connections -= 1
 
 
+async def _accept(
+    listener: anyio.abc.SocketListener,
+) -> anyio.abc.SocketStream:
+    """Return the next connection, also after a lack of descriptors."""
+    while True:
+        try:
+            return await listener.accept()
+        except OSError as error:
+            if error.errno not in _LACKS:
+                raise
+            _logger.warning("http: cannot accept a connection: %s", error)
+            await anyio.sleep(ACCEPT_RETRY_S)
+
+
 class _ConnectionHandler:
     """Serve the requests of one connection, one at a time."""
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
@@ -243,6 +244,7 @@
     max_connections: int = 16,
     contracts: tuple[str, ...] = (),
     teams: Sequence[dict[str, Any]] = (),
+    limits: Mapping[str, int] | None = None,
 ) -> AsyncIterator[System]:
     """Run the stand-ins, and entry hosts that are ready to serve."""
     platform = platform_module.Platform()
@@ -253,7 +255,7 @@
     entries: list[EntryHost] = []
     try:
         for _ in range(hosts):
-            await add_host(System(platform, entries), contracts)
+            await add_host(System(platform, entries), contracts, limits)
         for entry in entries:
             await wait_for(entry.host.is_ready)
         yield System(platform, entries)
@@ -264,12 +266,15 @@
 
 
 async def add_host(
-    system: System, contracts: tuple[str, ...] = ()
+    system: System,
+    contracts: tuple[str, ...] = (),
+    limits: Mapping[str, int] | None = None,
 ) -> EntryHost:
     """Start another entry host and return it."""
     number = len(system.entry_hosts)
     content = system.platform.make_settings(f"host-{number}", find_ports(4))
     content["contracts"] = [*content["contracts"], *contracts]
+    content["limits"] = dict(limits or {})
     entry = EntryHost(settings.parse_settings(content))
     system.entry_hosts.append(entry)
     await entry.start()
@@ -292,6 +297,7 @@
     prepare: Callable[[System], Awaitable[None]] = _prepare_nothing,
     contracts: tuple[str, ...] = (),
     teams: Sequence[dict[str, Any]] = (),
+    limits: Mapping[str, int] | None = None,
 ) -> Callable[
     [Callable[[Any, System], Awaitable[None]]], Callable[[Any], None]
 ]:
@@ -303,6 +309,7 @@
         prepare: called with the system before the test.
         contracts: contracts in the settings of the entry hosts.
         teams: teams of the first configuration.
+        limits: limits of the entry hosts' machines.
     """
 
     def decorate(
@@ -312,7 +319,7 @@
         def run_test(case: Any) -> None:
             async def run() -> None:
                 async with run_system(
-                    hosts, max_connections, contracts, teams
+                    hosts, max_connections, contracts, teams, limits
                 ) as system:
                     await prepare(system)
                     await test(case, system)
--- a/tests/utils/test_http.py
+++ b/tests/utils/test_http.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server and client, together and with invalid input."""
 
 import asyncio
+import errno
 from collections.abc import Awaitable
 from collections.abc import Callable
 from unittest import mock
@@ -243,3 +244,28 @@
             server.close()
 
         asyncio.run(run())
+
+
+class DescriptorTest(testtools.TestCase):
+    """A process that has no descriptor left for a while."""
+
+    # Guards against a host that ends because it can't be asked if it is ready.
+    def test_lack_of_descriptors_does_not_end_the_server(self) -> None:
+        errors = [OSError(errno.EMFILE, "too many"), OSError(errno.ENFILE, "")]
+
+        async def scenario(port: int) -> None:
+            client = http_client.Client("127.0.0.1", port)
+            response = await send(client, "POST", "/", b"a")
+            self.assertEqual(b"a", response.body)
+
+        kind = anyio._backends._asyncio.TCPSocketListener
+        original = kind.accept
+
+        async def accept(listener: object) -> object:
+            if errors:
+                raise errors.pop()
+            return await original(listener)
+
+        with mock.patch.object(kind, "accept", accept):
+            run_with_server(scenario)
+        self.assertEqual([], errors)
