Bound what a host receives from callers by its size

Cause: the queue of a caller was bounded by its messages, not by their bytes, and nothing bounded what all callers had sent.

Change: a caller's connection isn't read while 128 KiB of it wait; callers of which the host holds more than 64 KiB take turns, eight at a time; and a caller that doesn't read its answers is served no further.

Not measured: the cost without a flood, and one large write of 152 callers each.

--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -15,6 +15,7 @@
 from knapweedtally.entry import target_paths
 from knapweedtally.entry.common import clock
 from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import message_queue
 from knapweedtally.entry.common import metrics
 from knapweedtally.entry.common import supervision
 from knapweedtally.entry.fleet import host_configuration
@@ -71,6 +72,7 @@
         sessions: open sessions of callers.
         closing_sessions: sessions that have ended and whose last answer may
             not have been sent.
+        large_messages: room for the large messages of all callers.
         store: client of the platform's store.
         peers: exchanges evidence with the other hosts.
         relay_sessions: open connections of other hosts.
@@ -99,6 +101,7 @@
         self._max_sessions = session_limit.compute_max_sessions(
             host_settings.max_descriptors
         )
+        self.large_messages = message_queue.LargeMessages()
         self.store = store.StoreClient(
             host_settings.store, log, host_settings.store_history_s
         )
--- a/knapweedtally/entry/statements/services.py
+++ b/knapweedtally/entry/statements/services.py
@@ -7,6 +7,7 @@
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import shutdown
 from knapweedtally.entry.common import logs
+from knapweedtally.entry.common import message_queue
 from knapweedtally.entry.common import metrics
 from knapweedtally.entry.fleet import host_configuration
 from knapweedtally.entry.limits import quotas
@@ -23,6 +24,7 @@
         quotas: admission within the limits of teams.
         phase: phase of the planned stop.
         configuration: reads, confirms and exchanges the configuration.
+        large_messages: room for the large messages of all callers.
     """
 
     catalog: catalog.Catalog
@@ -31,6 +33,7 @@
     quotas: quotas.Quotas
     phase: shutdown.Phase
     configuration: host_configuration.HostConfiguration
+    large_messages: message_queue.LargeMessages
 
     def is_configuration_expected(self) -> bool:
         """Return whether a first configuration is to be expected soon."""
--- a/knapweedtally/entry/statements/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -66,7 +66,9 @@
         self.idle_since_s = clock.get_time_s()
         self._services = services
         self._identity = session_identity.SessionIdentity(services)
-        self._messages = message_queue.MessageQueue(self.idle_since_s)
+        self._messages = message_queue.MessageQueue(
+            self.idle_since_s, services.large_messages
+        )
         self._transport: asyncio.Transport | None = None
         self._database: str | None = None
         self._transaction: transactions.Transaction | None = None
@@ -80,6 +82,7 @@
         self._is_confirming = False
         self._is_leaving = False
         self._is_closed = False
+        self._is_write_paused = False
 
     # Transport.
 
@@ -117,6 +120,16 @@
         if not self._is_busy:
             self._serve_queued_messages()
 
+    def pause_writing(self) -> None:
+        """Serve nothing more to a caller that doesn't read its answers."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on once the caller has read its answers."""
+        self._is_write_paused = False
+        if not supervision.contain("session", self._serve_queued_messages):
+            self.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Roll back the caller's transaction and cancel its request."""
         self._clean_up()
@@ -266,7 +279,10 @@
     # Messages.
 
     def _serve_queued_messages(self) -> None:
-        while self._messages and not self._is_busy and not self._is_closed:
+        while not self._is_busy and not self._is_closed:
+            self._messages.finish()
+            if not self._messages or self._is_write_paused:
+                break
             if self._is_confirmation_due():
                 self._is_busy = self._is_confirming = True
                 self._services.configuration.call_when_confirmed(
