--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -1,11 +1,9 @@
 """The current configuration and the known targets."""
 
 import dataclasses
-import itertools
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -185,7 +183,7 @@
     gone: tuple[str, ...] = ()
 
 
-_Address = tuple[str, str, int]
+Address = tuple[str, str, int]
 
 # Returns whether an entry was written after a known one.
 IsNewer = Callable[[model.TargetEntry, model.TargetEntry], bool]
@@ -264,7 +262,7 @@
             if target not in listed and member.missing_since_s is None:
                 members[target] = member._replace(missing_since_s=now_s)
     former = {
-        (_get_address(member.entry), life)
+        (get_address(member.entry), life)
         for target, member in members.items()
         if target not in expired
         for life in member.former
@@ -272,7 +270,7 @@
     newest_lives = _find_newest_lives(
         entry
         for entry in lives.values()
-        if (_get_address(entry), entry.target) not in former
+        if (get_address(entry), entry.target) not in former
     )
     succeeded = _replace_members(
         members, lives, newest_lives, expired, is_newer
@@ -298,7 +296,8 @@
     )
 
 
-def _get_address(entry: model.TargetEntry) -> _Address:
+def get_address(entry: model.TargetEntry) -> Address:
+    """Return where a target of its group listens."""
     return entry.group, entry.address, entry.port
 
 
@@ -315,11 +314,11 @@
 
 def _find_newest_lives(
     entries: Iterable[model.TargetEntry],
-) -> dict[_Address, model.TargetEntry]:
+) -> dict[Address, model.TargetEntry]:
     """Return the entry with the highest revision at each address."""
-    newest: dict[_Address, model.TargetEntry] = {}
+    newest: dict[Address, model.TargetEntry] = {}
     for entry in entries:
-        address = _get_address(entry)
+        address = get_address(entry)
         known = newest.get(address, entry)
         newest[address] = max(known, entry, key=_get_age_key)
     return newest
@@ -425,7 +424,7 @@
 def _replace_members(
     members: dict[str, Member],
     lives: dict[str, model.TargetEntry],
-    newest_lives: Mapping[_Address, model.TargetEntry],
+    newest_lives: Mapping[Address, model.TargetEntry],
     expired: Collection[str],
     is_newer: IsNewer,
 ) -> tuple[Succession, ...]:
@@ -464,26 +463,26 @@
         running: ids of the targets without an entry that have answered.
     """
     occupants = {
-        _get_address(member.entry): target
+        get_address(member.entry): target
         for target, member in members.items()
         if not is_from_record(member) or target in running
     }
     return tuple(
-        Succession(target, occupants[_get_address(member.entry)])
+        Succession(target, occupants[get_address(member.entry)])
         for target, member in members.items()
         if is_from_record(member)
-        and occupants.get(_get_address(member.entry), target) != target
+        and occupants.get(get_address(member.entry), target) != target
     )
 
 
 def _succeed_departed(catalog: Catalog, target: str) -> None:
     """Let a new member at a departed one's address take its place."""
     member = catalog.members[target]
-    address = _get_address(member.entry)
+    address = get_address(member.entry)
     succeeded = [
         departed.target
         for departed in catalog.departed.values()
-        if _get_address(departed.entry) == address
+        if get_address(departed.entry) == address
     ]
     for old in succeeded:
         departed = catalog.departed.pop(old)
@@ -619,230 +618,6 @@
     return update
 
 
-def release_departed(catalog: Catalog, target: str, now_s: float) -> None:
-    """Stop counting on a departed member whose log another member has."""
-    departed = catalog.departed.pop(target)
-    _release(catalog, departed.entry, now_s)
-
-
-def release_replaced(catalog: Catalog, target: str, now_s: float) -> None:
-    """Forget a replaced member whose log another member has."""
-    replaced = catalog.replaced.pop(target)
-    _release(catalog, replaced.entry, now_s)
-
-
-def _release(catalog: Catalog, entry: model.TargetEntry, now_s: float) -> None:
-    expired = [
-        target
-        for target, released in catalog.released.items()
-        if now_s - released.released_s > RELEASED_CHECK_S
-    ]
-    for target in expired:
-        del catalog.released[target]
-    catalog.released[entry.target] = ReleasedMember(entry, now_s)
-
-
-def list_released(
-    catalog: Catalog, group: str, now_s: float
-) -> dict[str, model.TargetEntry]:
-    """Return the released members of a group that may still answer.
-
-    One whose address another member has doesn't run.
-    """
-    occupied = _list_occupied(catalog)
-    return {
-        target: released.entry
-        for target, released in catalog.released.items()
-        if released.entry.group == group
-        and now_s - released.released_s <= RELEASED_CHECK_S
-        and _get_address(released.entry) not in occupied
-    }
-
-
-def check_replaced(
-    catalog: Catalog, group: str, now_s: float
-) -> dict[str, ReplacedMember]:
-    """Return the replaced members of a group whose log may be missing."""
-    for target, replaced in catalog.replaced.items():
-        if replaced.replaced_s is None:
-            catalog.replaced[target] = replaced._replace(replaced_s=now_s)
-    return {
-        target: replaced
-        for target, replaced in catalog.replaced.items()
-        if replaced.entry.group == group
-    }
-
-
-def list_successors(catalog: Catalog, group: str) -> frozenset[str]:
-    """Return the members that may lack the log of one that they replaced."""
-    former = [
-        *(replaced.entry for replaced in catalog.replaced.values()),
-        *_list_recorded(catalog, group),
-    ]
-    lives = {(_get_address(entry), entry.target) for entry in former}
-    return frozenset(
-        member.entry.target
-        for member in list_members(catalog, group)
-        if any(
-            address == _get_address(member.entry)
-            and target != member.entry.target
-            for address, target in lives
-        )
-    )
-
-
-def list_duplicates(
-    catalog: Catalog, group: str, answering: Collection[str]
-) -> frozenset[str]:
-    """Return the recorded targets for whose place another one stands.
-
-    Targets at one address are lives of one member. Which of them was the last
-    isn't known if neither has an entry: one that answers, or any, stands for
-    all of them.
-
-    Args:
-        catalog: what is known.
-        group: name of the group.
-        answering: ids of the targets that answer.
-    """
-    lives = sorted(
-        _list_recorded(catalog, group),
-        key=lambda entry: (entry.target not in answering, entry.target),
-    )
-    occupied = _list_occupied(catalog)
-    duplicates = set()
-    for entry in lives:
-        address = _get_address(entry)
-        if address in occupied:
-            duplicates.add(entry.target)
-        occupied.add(address)
-    return frozenset(duplicates)
-
-
-def _list_occupied(catalog: Catalog) -> set[_Address]:
-    """Return the addresses of the members that have an entry."""
-    return {
-        _get_address(member.entry)
-        for member in catalog.members.values()
-        if not is_from_record(member)
-    }
-
-
-def is_from_record(member: Member) -> bool:
-    """Return whether a member is known only from its group's record."""
-    return _is_recorded(member.entry)
-
-
-def add_unlisted(
-    catalog: Catalog, entries: Iterable[model.TargetEntry], now_s: float
-) -> tuple[str, ...]:
-    """Add targets without an entry in the store that may be members.
-
-    A target whose address another member has by now is none, but its log may be
-    needed.
-
-    Args:
-        catalog: what is known.
-        entries: the last known entries of the targets, from a group's record.
-        now_s: the current time.
-
-    Returns:
-        The ids of the targets that were added.
-    """
-    occupied = _list_occupied(catalog)
-    known = {*catalog.members, *catalog.departed, *catalog.replaced}
-    added = []
-    for entry in entries:
-        target = entry.target
-        _confirm_recorded(catalog, entry)
-        if target in known:
-            continue
-        if target in catalog.hidden or _get_address(entry) in occupied:
-            if target not in catalog.released:
-                catalog.replaced[target] = ReplacedMember(entry, now_s)
-            continue
-        catalog.released.pop(target, None)
-        catalog.members[target] = Member(entry, missing_since_s=now_s)
-        added.append(target)
-    return tuple(added)
-
-
-def _confirm_recorded(catalog: Catalog, entry: model.TargetEntry) -> None:
-    """Record in which generation of the store a record last named a target."""
-    target = entry.target
-    member = catalog.members.get(target)
-    if member is not None and is_from_record(member):
-        confirmed = member.entry._replace(revision=entry.revision)
-        catalog.members[target] = member._replace(entry=confirmed)
-    replaced = catalog.replaced.get(target)
-    if replaced is not None and _is_recorded(replaced.entry):
-        confirmed = replaced.entry._replace(revision=entry.revision)
-        catalog.replaced[target] = replaced._replace(entry=confirmed)
-
-
-def drop_unrecorded(
-    catalog: Catalog, group: str, recorded: Collection[str], generation: int
-) -> tuple[str, ...]:
-    """Drop targets that were known only from a record which now lacks them.
-
-    A record that was read in a later generation of the store may be older than
-    the one that named them, which the store has lost.
-
-    Args:
-        catalog: what is known.
-        group: name of the group.
-        recorded: ids of the targets in the record.
-        generation: the store's generation in which the record was read.
-
-    Returns:
-        The ids of the targets that were dropped.
-    """
-    revision = store_revisions.Revision(generation, RECORD_NUMBER)
-    dropped = tuple(
-        entry.target
-        for entry in _list_recorded(catalog, group)
-        if entry.revision == revision and entry.target not in recorded
-    )
-    for target in dropped:
-        catalog.members.pop(target, None)
-        catalog.departed.pop(target, None)
-        catalog.replaced.pop(target, None)
-    return dropped
-
-
-def has_unconfirmed(catalog: Catalog, group: str) -> bool:
-    """Return whether targets of a group are known only from its record."""
-    return any(_list_recorded(catalog, group))
-
-
-def _list_recorded(catalog: Catalog, group: str) -> Iterator[model.TargetEntry]:
-    """Return the entries of a group that are known only from its record."""
-    entries = itertools.chain(
-        (member.entry for member in catalog.members.values()),
-        (departed.entry for departed in catalog.departed.values()),
-        (replaced.entry for replaced in catalog.replaced.values()),
-    )
-    return (
-        entry
-        for entry in entries
-        if entry.group == group and _is_recorded(entry)
-    )
-
-
-def _is_recorded(entry: model.TargetEntry) -> bool:
-    """Return whether an entry is known only from its group's record."""
-    return entry.revision.number == RECORD_NUMBER
-
-
-def list_departed(catalog: Catalog, group: str) -> list[DepartedMember]:
-    """Return the departed members of a group whose log may be missing."""
-    return [
-        member
-        for member in catalog.departed.values()
-        if member.entry.group == group
-    ]
-
-
 def is_usable(member: Member, now_s: float) -> bool:
     """Return whether a target may get work, leaving aside draining."""
     missing_since_s = member.missing_since_s
@@ -859,3 +634,22 @@
         for member in catalog.members.values()
         if member.entry.group == group
     ]
+
+
+def is_recorded(entry: model.TargetEntry) -> bool:
+    """Return whether an entry is known only from its group's record."""
+    return entry.revision.number == RECORD_NUMBER
+
+
+def is_from_record(member: Member) -> bool:
+    """Return whether a member is known only from its group's record."""
+    return is_recorded(member.entry)
+
+
+def list_occupied(catalog: Catalog) -> set[Address]:
+    """Return the addresses of the members that have an entry."""
+    return {
+        get_address(member.entry)
+        for member in catalog.members.values()
+        if not is_from_record(member)
+    }
--- a/knapweedtally/entry/group_members.py
+++ b/knapweedtally/entry/group_members.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 
 from knapweedtally.core.groups import catalog as catalog_module
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import model
 from knapweedtally.entry import target_paths
 from knapweedtally.entry.common import clock
@@ -164,7 +165,7 @@
 
     def sync_departed(self, router: router_module.Router, now_s: float) -> None:
         """Forget departed members once another member has their log."""
-        departed = catalog_module.list_departed(
+        departed = former_members.list_departed(
             self._catalog, router.settings.name
         )
         kept = [
@@ -173,7 +174,7 @@
             if router.observer.is_log_kept(member.silent_since_s)
         ]
         for target in kept:
-            catalog_module.release_departed(self._catalog, target, now_s)
+            former_members.release_departed(self._catalog, target, now_s)
             self._departed_positions.pop(target, None)
             self._log_release(router, target)
         router.departed = tuple(
@@ -196,23 +197,23 @@
         """
         name = router.settings.name
         router.successors = router.duplicates = frozenset()
-        if not self._catalog.replaced and not catalog_module.has_unconfirmed(
+        if not self._catalog.replaced and not former_members.has_unconfirmed(
             self._catalog, name
         ):
             return
-        replaced = catalog_module.check_replaced(self._catalog, name, now_s)
+        replaced = former_members.check_replaced(self._catalog, name, now_s)
         for target, member in replaced.items():
             since_s = member.replaced_s
             if since_s is not None and router.observer.is_log_kept(since_s):
-                catalog_module.release_replaced(self._catalog, target, now_s)
+                former_members.release_replaced(self._catalog, target, now_s)
                 self._log_release(router, target)
         router.successors = frozenset(
             target
-            for target in catalog_module.list_successors(self._catalog, name)
+            for target in former_members.list_successors(self._catalog, name)
             if target in router.pools
             and router.pools[target].position_before_restart == _NO_POSITION
         )
-        router.duplicates = catalog_module.list_duplicates(
+        router.duplicates = former_members.list_duplicates(
             self._catalog,
             name,
             [t for t, pool in router.pools.items() if pool.is_answering],
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import retry_budget
@@ -491,7 +492,7 @@
                 entry
                 for group in self.routers
                 if self._records.is_recorder(group)
-                for entry in catalog.list_released(
+                for entry in former_members.list_released(
                     self.catalog, group, now_s
                 ).values()
             ]
--- a/knapweedtally/entry/members/member_probes.py
+++ b/knapweedtally/entry/members/member_probes.py
@@ -1,6 +1,7 @@
 """Checks whether released members run after all."""
 
 from knapweedtally.core.groups import catalog as catalog_module
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import model
 from knapweedtally.entry.common import logs
 from knapweedtally.entry.pools import line_connections
@@ -50,7 +51,7 @@
         """
         self._next_probe_s = now_s + PROBE_INTERVAL_S
         answered = self._close_probes()
-        readmitted = catalog_module.add_unlisted(
+        readmitted = former_members.add_unlisted(
             self._catalog,
             [entry for entry in released if entry.target in answered],
             now_s,
--- a/knapweedtally/entry/members/member_records.py
+++ b/knapweedtally/entry/members/member_records.py
@@ -9,6 +9,7 @@
 
 from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog as catalog_module
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import member_records
 from knapweedtally.entry.common import clock
@@ -124,7 +125,7 @@
             return self._is_change_due(group, record, now_s)
         # The record may have changed when this host becomes a recorder.
         record.revision = None
-        if catalog_module.has_unconfirmed(self._catalog, group):
+        if former_members.has_unconfirmed(self._catalog, group):
             record.next_check_s = now_s + UNCONFIRMED_INTERVAL_S
             return True
         return False
@@ -186,7 +187,7 @@
     async def _run_sync(self, group: str, record: GroupRecord) -> None:
         try:
             await self._wait_for_ranks()
-            if self.is_recorder(group) or catalog_module.has_unconfirmed(
+            if self.is_recorder(group) or former_members.has_unconfirmed(
                 self._catalog, group
             ):
                 await self._sync(group, record)
@@ -270,10 +271,10 @@
     def _apply_members(
         self, group: str, members: member_records.Members, generation: int
     ) -> None:
-        dropped = catalog_module.drop_unrecorded(
+        dropped = former_members.drop_unrecorded(
             self._catalog, group, members, generation
         )
-        added = catalog_module.add_unlisted(
+        added = former_members.add_unlisted(
             self._catalog, members.values(), clock.get_time_s()
         )
         if added or dropped:
--- a/tests/groups/simulated_hosts.py
+++ b/tests/groups/simulated_hosts.py
@@ -12,6 +12,7 @@
 from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog
 from knapweedtally.core.groups import distribution
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import member_records as records_module
 from knapweedtally.core.groups import model
 from knapweedtally.core.groups import placement
@@ -477,10 +478,12 @@
         return pool
 
     def _sync_departed(self) -> None:
-        departed = catalog.list_departed(self.catalog, simulated_targets.GROUP)
+        departed = former_members.list_departed(
+            self.catalog, simulated_targets.GROUP
+        )
         for member in departed:
             if self.observer.is_log_kept(member.silent_since_s):
-                catalog.release_departed(
+                former_members.release_departed(
                     self.catalog, member.target, self.world.now_s
                 )
         self.router.departed = tuple(
@@ -489,7 +492,7 @@
             if member.target in self.catalog.departed
         )
         self._sync_replaced()
-        duplicates = catalog.list_duplicates(
+        duplicates = former_members.list_duplicates(
             self.catalog,
             simulated_targets.GROUP,
             [t for t, pool in self.pools.items() if pool.is_answering],
@@ -507,14 +510,14 @@
 
     def _sync_replaced(self) -> None:
         group, now_s = simulated_targets.GROUP, self.world.now_s
-        replaced = catalog.check_replaced(self.catalog, group, now_s)
+        replaced = former_members.check_replaced(self.catalog, group, now_s)
         for target, member in replaced.items():
             since_s = member.replaced_s
             if since_s is not None and self.observer.is_log_kept(since_s):
-                catalog.release_replaced(self.catalog, target, now_s)
+                former_members.release_replaced(self.catalog, target, now_s)
         self.router.successors = frozenset(
             target
-            for target in catalog.list_successors(self.catalog, group)
+            for target in former_members.list_successors(self.catalog, group)
             if target in self.pools
             and self.pools[target].position_before_restart
             == model.Position(0, 0)
--- a/tests/groups/test_catalog.py
+++ b/tests/groups/test_catalog.py
@@ -6,6 +6,7 @@
 
 from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import model
 
 REVISION = store_revisions.Revision(1, 5)
@@ -159,13 +160,15 @@
         catalog.update_entries(known, [make_entry()], 10.0)
         catalog.mark_missing(known, "i-1", 20.0)
         catalog.remove_expired(known, {"i-1": 21.0}, 40.0)
-        departed = catalog.list_departed(known, make_entry().group)
+        departed = former_members.list_departed(known, make_entry().group)
         self.assertEqual(
             departed,
             [catalog.DepartedMember("i-1", make_entry(), 21.0)],
         )
         catalog.update_entry(known, make_entry(revision=9))
-        self.assertEqual(catalog.list_departed(known, make_entry().group), [])
+        self.assertEqual(
+            former_members.list_departed(known, make_entry().group), []
+        )
 
 
 class SuccessionTest(testtools.TestCase):
--- a/tests/groups/test_catalog_returns.py
+++ b/tests/groups/test_catalog_returns.py
@@ -16,6 +16,7 @@
 
 from knapweedtally.core import store_revisions
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import model
 from tests.groups import test_catalog
 
@@ -211,7 +212,7 @@
         catalog.update_entry(known, entry)
         catalog.mark_missing(known, "i-1", 1.0)
         catalog.remove_expired(known, {}, 100.0)
-        catalog.release_departed(known, "i-1", 100.0)
+        former_members.release_departed(known, "i-1", 100.0)
         later = test_catalog.make_revision(4, 2)
         restored = entry._replace(revision=later, update_count=7)
         catalog.update_entries(known, [restored], 101.0)
--- a/tests/groups/test_member_records.py
+++ b/tests/groups/test_member_records.py
@@ -5,6 +5,7 @@
 import testtools
 
 from knapweedtally.core.groups import catalog
+from knapweedtally.core.groups import former_members
 from knapweedtally.core.groups import last_primary
 from knapweedtally.core.groups import member_records
 from knapweedtally.core.groups import model
@@ -107,7 +108,7 @@
         change = self.plan(make_catalog("i-1"), known)
         assert change is not None
         self.assertEqual(change.removed, ())
-        catalog.release_replaced(known, "i-1", 20.0)
+        former_members.release_replaced(known, "i-1", 20.0)
         change = self.plan(make_catalog("i-1"), known)
         assert change is not None
         self.assertEqual(change.removed, ("i-1",))
@@ -117,7 +118,7 @@
         catalog.mark_missing(known, "i-2", 10.0)
         catalog.remove_expired(known, {}, 11.0 + catalog.MEMBERSHIP_GRACE_S)
         self.assertIsNone(self.plan(make_catalog("i-1", "i-2"), known))
-        catalog.release_departed(known, "i-2", 20.0)
+        former_members.release_departed(known, "i-2", 20.0)
         change = self.plan(make_catalog("i-1", "i-2"), known)
         assert change is not None
         self.assertEqual(change.removed, ("i-2",))
@@ -151,19 +152,21 @@
     def test_recorded_target_without_an_entry_is_a_member(self) -> None:
         known = make_catalog("i-1")
         record = read_record(make_catalog("i-1", "i-2"))
-        added = catalog.add_unlisted(known, record.values(), 10.0)
+        added = former_members.add_unlisted(known, record.values(), 10.0)
         self.assertEqual(added, ("i-2",))
         self.assertEqual(known.members["i-2"].missing_since_s, 10.0)
 
     def test_target_whose_address_another_member_has_is_none(self) -> None:
         known = make_catalog("i-2")
         record = read_record(make_catalog("i-1"))
-        self.assertEqual(catalog.add_unlisted(known, record.values(), 1.0), ())
-        replaced = catalog.check_replaced(known, "g", 2.0)
+        self.assertEqual(
+            former_members.add_unlisted(known, record.values(), 1.0), ()
+        )
+        replaced = former_members.check_replaced(known, "g", 2.0)
         self.assertEqual(
             {"i-1": 1.0}, {t: r.replaced_s for t, r in replaced.items()}
         )
-        self.assertEqual({"i-2"}, catalog.list_successors(known, "g"))
+        self.assertEqual({"i-2"}, former_members.list_successors(known, "g"))
 
     # Guards against a group that counts two members at one address, of which
     # one never answers.
@@ -178,7 +181,7 @@
             record = [*read_record(make_catalog("i-1")).values()]
             record += read_record(make_catalog("i-2")).values()
             for known in (listed, answering):
-                catalog.add_unlisted(known, record, 10.0)
+                former_members.add_unlisted(known, record, 10.0)
                 self.assertEqual(2, len(known.members))
             catalog.update_entries(listed, [entry], 11.0)
             catalog.remove_expired(answering, {running: 11.0}, 11.0)
@@ -189,26 +192,30 @@
     def test_replaced_target_that_left_the_record_is_forgotten(self) -> None:
         known = make_catalog("i-2")
         record = read_record(make_catalog("i-1"))
-        catalog.add_unlisted(known, record.values(), 1.0)
-        self.assertTrue(catalog.has_unconfirmed(known, "g"))
-        catalog.drop_unrecorded(known, "g", ("i-2",), 0)
-        self.assertFalse(catalog.has_unconfirmed(known, "g"))
-        self.assertEqual(frozenset(), catalog.list_successors(known, "g"))
+        former_members.add_unlisted(known, record.values(), 1.0)
+        self.assertTrue(former_members.has_unconfirmed(known, "g"))
+        former_members.drop_unrecorded(known, "g", ("i-2",), 0)
+        self.assertFalse(former_members.has_unconfirmed(known, "g"))
+        self.assertEqual(
+            frozenset(), former_members.list_successors(known, "g")
+        )
 
     def test_released_target_at_an_occupied_address_is_not_asked(self) -> None:
         known = make_catalog("i-2")
         record = read_record(make_catalog("i-1"))
-        catalog.add_unlisted(known, record.values(), 1.0)
-        catalog.release_replaced(known, "i-1", 2.0)
-        self.assertEqual({}, catalog.list_released(known, "g", 3.0))
+        former_members.add_unlisted(known, record.values(), 1.0)
+        former_members.release_replaced(known, "i-1", 2.0)
+        self.assertEqual({}, former_members.list_released(known, "g", 3.0))
         # Nor is it a member again if a record still names it.
-        self.assertEqual(catalog.add_unlisted(known, record.values(), 4.0), ())
+        self.assertEqual(
+            former_members.add_unlisted(known, record.values(), 4.0), ()
+        )
         self.assertEqual({}, known.replaced)
 
     def test_entry_replaces_what_the_record_says(self) -> None:
         known = catalog.Catalog()
         record = read_record(make_catalog("i-1"))
-        catalog.add_unlisted(known, record.values(), 10.0)
+        former_members.add_unlisted(known, record.values(), 10.0)
         entry = test_catalog.make_entry("i-1", revision=5, address="10.0.0.0")
         catalog.update_entry(known, entry)
         self.assertEqual(known.members["i-1"], catalog.Member(entry))
@@ -216,8 +223,8 @@
     def test_member_that_left_the_record_is_dropped(self) -> None:
         known = make_catalog("i-1")
         record = read_record(make_catalog("i-1", "i-2"))
-        catalog.add_unlisted(known, record.values(), 10.0)
-        dropped = catalog.drop_unrecorded(known, "g", ("i-1",), 0)
+        former_members.add_unlisted(known, record.values(), 10.0)
+        dropped = former_members.drop_unrecorded(known, "g", ("i-1",), 0)
         self.assertEqual((dropped, list(known.members)), (("i-2",), ["i-1"]))
 
     def test_member_that_the_store_has_lost_is_recorded_again(self) -> None:
@@ -228,8 +235,10 @@
         )
         record = member_records.parse_record("g", spec, 1)
         assert record is not None
-        catalog.add_unlisted(known, record.values(), 10.0)
-        self.assertEqual((), catalog.drop_unrecorded(known, "g", ("i-1",), 2))
+        former_members.add_unlisted(known, record.values(), 10.0)
+        self.assertEqual(
+            (), former_members.drop_unrecorded(known, "g", ("i-1",), 2)
+        )
         older = read_record(make_catalog("i-1"))
         members = catalog.list_members(known, "g")
         change = member_records.plan_change(older, members, (), generation=2)
@@ -240,13 +249,15 @@
 
     def test_listed_member_stays_if_the_record_lacks_it(self) -> None:
         known = make_catalog("i-1")
-        self.assertEqual(catalog.drop_unrecorded(known, "g", (), 0), ())
+        self.assertEqual(former_members.drop_unrecorded(known, "g", (), 0), ())
 
     def test_released_member_is_checked_for_a_limited_time(self) -> None:
         known = make_catalog("i-1")
         catalog.mark_missing(known, "i-1", 10.0)
         catalog.remove_expired(known, {}, 20.0)
-        catalog.release_departed(known, "i-1", 20.0)
-        self.assertEqual(list(catalog.list_released(known, "g", 21.0)), ["i-1"])
+        former_members.release_departed(known, "i-1", 20.0)
+        self.assertEqual(
+            list(former_members.list_released(known, "g", 21.0)), ["i-1"]
+        )
         later_s = 21.0 + catalog.RELEASED_CHECK_S
-        self.assertEqual(catalog.list_released(known, "g", later_s), {})
+        self.assertEqual(former_members.list_released(known, "g", later_s), {})
