Let all hosts of the soak see one address of a target

In the soak each host reaches a target at an address of its own, and the record had that of its writer, so that no host recognized a successor in it. On the platform all hosts see one address.

Change: records have the targets' own ports in the soak's store, as entries do.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -6,8 +6,10 @@
 import pathlib
 import signal
 import sys
+from collections.abc import Mapping
 from typing import Any
 
+from knapweedtally.entry.members import member_records
 from knapweedtally.platform import settings
 from knapweedtally.utils import http
 from standins.line_platform import platform as platform_module
@@ -24,6 +26,23 @@
 PORT_COUNT = 4
 
 
+def replace_ports(body: bytes, ports: Mapping[int, int]) -> bytes:
+    """Replace the values of all fields ``port`` in a body.
+
+    Args:
+        body: JSON.
+        ports: new ports by old one; others stay.
+    """
+
+    def replace(fields: dict[str, Any]) -> dict[str, Any]:
+        if "port" in fields:
+            port = fields["port"]
+            return fields | {"port": ports.get(port, port)}
+        return fields
+
+    return json.dumps(json.loads(body, object_hook=replace)).encode()
+
+
 class Host:
     """One entry host with its links and its process.
 
@@ -83,9 +102,23 @@
     async def _answer_store_request(
         self, request: http.Request
     ) -> http.Response:
-        """Answer from the store, with this host's links as target addresses."""
+        """Answer from the store, with this host's links as target addresses.
+
+        What hosts record about targets has the targets' own ports in the store,
+        so that all hosts see one address of a target.
+        """
+        own_ports = {
+            link.port: link.server_port for link in self.target_links.values()
+        }
+        if member_records.MEMBERS_KIND in request.segments and request.body:
+            request = request._replace(
+                body=replace_ports(request.body, own_ports)
+            )
         response = await self._platform.store.answer(request)
         body = response.body
+        if member_records.MEMBERS_KIND in request.segments and body:
+            link_ports = {own: link for link, own in own_ports.items()}
+            return response._replace(body=replace_ports(body, link_ports))
         for group in self._platform.groups.values():
             for target in group.targets.values():
                 link = self.target_links[target.id]
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -31,13 +31,14 @@
 
     Attributes:
         port: port that the link listens on, once started.
+        server_port: port that connections are forwarded to.
         fault: fault that is in force.
     """
 
     def __init__(self, port: int) -> None:
         self.port = 0
         self.fault = LinkFault()
-        self._server_port = port
+        self.server_port = port
         self._server: asyncio.Server | None = None
         self._fault_changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -83,7 +84,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         server_reader, server_writer = await asyncio.open_connection(
-            "127.0.0.1", self._server_port
+            "127.0.0.1", self.server_port
         )
         self._writers.add(server_writer)
         tasks = [
