--- a/tests/entry/test_graceful_stop.py
+++ b/tests/entry/test_graceful_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 from collections.abc import AsyncIterator
@@ -449,3 +450,107 @@
     ) -> None:
         holders = test_team_pools.rank_entries(system, "t0")[:2]
         self.assert_served(system, await self.stop_holders(system, holders))
+
+
+class Drawn(Recorder):
+    """A caller that draws its statements, each write with a value of its own.
+
+    Attributes:
+        written: the answer to each write, or to the commit that follows it, by
+            its value.
+    """
+
+    def __init__(self, port: int, name: str, rng: random.Random) -> None:
+        super().__init__(port)
+        self.prefix = f"{name}."
+        self.written: dict[str, str] = {}
+        self._rng = rng
+        self._is_prepared = False
+
+    async def use(self) -> None:
+        """Use a session until its connection ends."""
+        while await self.run_operation():
+            await asyncio.sleep(self._rng.choice((0.0, 0.0, 0.05, 0.3)))
+
+    async def run_operation(self) -> bool:
+        """Run a statement or a transaction; return whether it was answered."""
+        kind = self._rng.choice(("read", "write", "execute", "transaction"))
+        if kind == "read":
+            return await self.record("READ item")
+        if kind == "execute" and not self._is_prepared:
+            if not await self.record("PREPARE w WRITE item"):
+                return False
+            self._is_prepared = True
+        if kind != "transaction":
+            return await self.write("EXEC w" if kind == "execute" else "WRITE")
+        if not await self.record("BEGIN"):
+            return False
+        if self.state != "T":
+            return True
+        values = []
+        for _ in range(self._rng.randint(1, 3)):
+            is_answered = await self.write("WRITE")
+            values.append(self.last_id)
+            # What becomes of them is told by the answer to the commit.
+            self.written.update(dict.fromkeys(values, ""))
+            if not is_answered:
+                return False
+            await asyncio.sleep(self._rng.choice((0.0, 0.1, 0.4)))
+        # Rolled back, they aren't kept, whatever they were answered.
+        ending = "COMMIT" if self.state == "T" else "ROLLBACK"
+        is_answered = await self.record(ending)
+        answer = self.ended[-1][2][-1] if is_answered else ""
+        if ending == "ROLLBACK":
+            answer = PROMISES[1]
+        self.written.update(dict.fromkeys(values, answer))
+        return is_answered
+
+    async def write(self, verb: str) -> bool:
+        """Write the id of the statement as its value."""
+        value = f"{self.prefix}{self._ids + 1}"
+        is_answered = await self.record(f"{verb} item {value}")
+        self.written[value] = self.ended[-1][2][-1] if is_answered else ""
+        return is_answered
+
+
+async def play(system: harness.System, seed: int) -> list[str]:
+    """Stop a host beside drawn callers, and return what was wrong."""
+    rng = random.Random(seed)
+    entry = system.entry_hosts[0]
+    longest_s = rng.choice((0.005, 0.05, 0.3, 0.9))
+    callers = [
+        Drawn(entry.port, f"s{seed}c{number}", random.Random(rng.random()))
+        for number in range(rng.choice((2, 8, 24)))
+    ]
+    async with slow_statements(
+        lambda text: rng.uniform(0.0, longest_s)
+    ) as received:
+        for caller in callers:
+            await caller.start("g-primary")
+        tasks = [asyncio.create_task(caller.use()) for caller in callers]
+        await asyncio.sleep(rng.uniform(0.2, 1.0))
+        await stop(entry)
+        await asyncio.wait_for(asyncio.gather(*tasks), 5.0)
+    wrong = [
+        f"{caller.last_id} was passed on and has no answer"
+        for caller in callers
+        if not caller.ended[-1][2] and caller.last_id in received
+    ]
+    log = system.platform.groups["g"].get_primary().read_all("item")
+    for caller in callers:
+        for value, answer in caller.written.items():
+            if answer.startswith(PROMISES) and value in log:
+                wrong.append(f"{value} is kept: {answer}")
+            if answer.startswith("DONE ") and log.count(value) != 1:
+                wrong.append(f"{value} is kept {log.count(value)} times")
+    return wrong
+
+
+class DrawnTest(testtools.TestCase):
+    """Drawn callers, statements and times of targets."""
+
+    @harness.with_system(max_connections=6)
+    async def test_what_is_passed_on_is_answered_with_the_truth(
+        self, system: harness.System
+    ) -> None:
+        self.assertEqual([], await play(system, 1))
