Read the stop, the full host and the record once more

From reading the diff: refused callers' connections linger only while they are few, since each keeps a descriptor that is set aside; the periodic check of members looks for lives at one address only if a record has named one that isn't listed; the reason of a planned stop stands in one place.

--- a/knapweedtally/core/groups/catalog.py
+++ b/knapweedtally/core/groups/catalog.py
@@ -462,6 +462,8 @@
         members: the known members by id.
         running: ids of the targets without an entry that have answered.
     """
+    if not any(is_from_record(member) for member in members.values()):
+        return ()
     occupants = {
         get_address(member.entry): target
         for target, member in members.items()
--- a/knapweedtally/entry/graceful_stop.py
+++ b/knapweedtally/entry/graceful_stop.py
@@ -21,8 +21,6 @@
 # Interval of the checks, in seconds.
 CHECK_INTERVAL_S = 0.05
 
-REASON = "the entry host is shutting down"
-
 _Phase = shutdown.Phase
 _Parameters = ParamSpec("_Parameters")
 
@@ -103,12 +101,16 @@
     def _abort_transactions(self) -> None:
         self._ask_to_leave(0)
         for session in tuple(self._host.sessions):
-            _contain(session, session.abort_transaction, REASON)
+            _contain(
+                session, session.abort_transaction, sessions.STOPPING_REASON
+            )
 
     def _refuse_waiting(self) -> None:
         for router in self._host.routers.values():
-            supervision.contain("group", router.refuse_waiting, REASON)
-        self._host.quotas.refuse_waiting(REASON)
+            supervision.contain(
+                "group", router.refuse_waiting, sessions.STOPPING_REASON
+            )
+        self._host.quotas.refuse_waiting(sessions.STOPPING_REASON)
         for session in tuple(self._host.sessions):
             _contain(session, session.refuse_waiting)
         for relay_session in tuple(self._host.relay_sessions):
@@ -119,7 +121,7 @@
             # What no evidence has confirmed by now ends in doubt.
             router.observer.settle_commits(math.inf)
         for session in tuple(self._host.sessions):
-            _contain(session, session.end_running, REASON)
+            _contain(session, session.end_running, sessions.STOPPING_REASON)
 
     def _check_sessions(self, elapsed_s: float) -> None:
         host = self._host
@@ -132,7 +134,9 @@
         if host.phase < _Phase.FINISHING:
             return
         for session in tuple(host.sessions):
-            _contain(session, session.close_unless_busy, REASON)
+            _contain(
+                session, session.close_unless_busy, sessions.STOPPING_REASON
+            )
         for relay_session in tuple(host.relay_sessions):
             if relay_session.is_idle():
                 relay_session.close()
--- a/knapweedtally/entry/host.py
+++ b/knapweedtally/entry/host.py
@@ -52,6 +52,10 @@
 # apart, to send callers elsewhere.
 FULL_NOTICE_S = 3.0
 
+# Connections of refused callers that may stay until these have read why. More
+# of them would use the descriptors that are set aside.
+MAX_LINGERING = 64
+
 # A longer time between two ticks, in seconds, means that the process or its
 # machine was suspended, and that failures recorded before prove nothing.
 SUSPENSION_S = 0.5
@@ -298,6 +302,10 @@
             self.sessions.discard(session)
             self.closing_sessions.add(session)
 
+    def can_linger(self) -> bool:
+        """Return whether a refused caller's connection may stay for a while."""
+        return len(self.closing_sessions) < MAX_LINGERING
+
     def remove_connection(self, session: sessions.CallerSession) -> None:
         """Unregister a session whose connection is closed."""
         self.closing_sessions.discard(session)
--- a/knapweedtally/entry/statements/services.py
+++ b/knapweedtally/entry/statements/services.py
@@ -47,6 +47,9 @@
     def remove_session(self, session: Any) -> None:
         """Unregister a session that has ended."""
 
+    def can_linger(self) -> bool:
+        """Return whether a refused caller's connection may stay for a while."""
+
     def remove_connection(self, session: Any) -> None:
         """Unregister a session whose connection is closed."""
 
--- a/knapweedtally/entry/statements/sessions.py
+++ b/knapweedtally/entry/statements/sessions.py
@@ -33,7 +33,8 @@
 
 # Error detail for callers of a host that stops. Other hosts serve them at once;
 # the delay spreads those that were refused together.
-STOPPING_DETAIL = "the entry host is shutting down; retry after 50 ms"
+STOPPING_REASON = "the entry host is shutting down"
+STOPPING_DETAIL = f"{STOPPING_REASON}; retry after 50 ms"
 
 # Error detail for callers for whose session a host has no descriptor.
 FULL_DETAIL = "the entry host has no room for a session; retry after 300 ms"
@@ -103,7 +104,10 @@
         self._transport.write(
             line_protocol.encode_error(_Code.BUSY, detail.encode())
         )
-        self._end()
+        if self._services.can_linger():
+            self._end()
+        else:
+            self.close()
 
     def data_received(self, data: bytes) -> None:
         """Queue the complete messages and serve them unless one is running."""
@@ -803,7 +807,7 @@
         if not self._is_closed:
             self._write(answers.encode_result(result, self._get_state()))
             if self._services.phase >= shutdown.Phase.REFUSING:
-                self.abort_transaction("the entry host is shutting down")
+                self.abort_transaction(STOPPING_REASON)
             self._serve_queued_messages()
 
     def _write(self, data: bytes) -> None:
