--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -221,7 +221,9 @@
     system.platform.leaving.add(target.id)
     await asyncio.sleep(max(2.0, duration_s))
     system.platform.leaving.discard(target.id)
-    if all(other.is_running for other in target.group.targets.values()):
+    members = target.group.targets.values()
+    # Another target may have taken its address meanwhile.
+    if target in members and all(other.is_running for other in members):
         await target.stop()
         await asyncio.sleep(0.3)
         await target.start()
