Forget released members after the time for which they are checked

A recorder would have removed one that came back much later from the record for a moment, before it had its entry.

--- a/knapweedtally/core/groups/former_members.py
+++ b/knapweedtally/core/groups/former_members.py
@@ -34,6 +34,12 @@
 def _release(
     catalog: catalog_module.Catalog, entry: model.TargetEntry, now_s: float
 ) -> None:
+    _forget_released(catalog, now_s)
+    catalog.released[entry.target] = catalog_module.ReleasedMember(entry, now_s)
+
+
+def _forget_released(catalog: catalog_module.Catalog, now_s: float) -> None:
+    """Forget the members that were released too long ago to be checked."""
     expired = [
         target
         for target, released in catalog.released.items()
@@ -41,7 +47,6 @@
     ]
     for target in expired:
         del catalog.released[target]
-    catalog.released[entry.target] = catalog_module.ReleasedMember(entry, now_s)
 
 
 def list_released(
@@ -51,12 +56,12 @@
 
     One whose address another member has doesn't run.
     """
+    _forget_released(catalog, now_s)
     occupied = catalog_module.list_occupied(catalog)
     return {
         target: released.entry
         for target, released in catalog.released.items()
         if released.entry.group == group
-        and now_s - released.released_s <= catalog_module.RELEASED_CHECK_S
         and catalog_module.get_address(released.entry) not in occupied
     }
 
