Let the test of the explain command begin with a primary that is known

Its output is the trace: the host was ready and knew the primary for 0.14 s, but no member had reported yet (member_age_s 9999), so that the command's true answer was that the evidence is too old, and not the target that the test expects.

Change: the commands begin once the host has evidence. The demands are the same.

--- a/tests/entry/test_pacing.py
+++ b/tests/entry/test_pacing.py
@@ -398,6 +398,11 @@
             async def handle(request):
                 return describe(process, request)
 
+            # A host that has just started is ready before it has evidence.
+            observer = entry.host.routers["g"].observer
+            await harness.wait_for(
+                lambda: observer.is_primary_confirmed(clock.get_time_s())
+            )
             (port,) = harness.find_ports(1)
             server = http_server.Server(handle, "127.0.0.1", port)
             task = asyncio.create_task(server.serve())
