--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -24,6 +24,7 @@
 
 
 def free_port():
+    """Return a port that is free now."""
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
@@ -33,13 +34,15 @@
     """The file with what was sent, answered and run."""
 
     def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w")
+        self._path = pathlib.Path(folder) / "record.txt"
+        self._path.write_text("")
         self._started = time.monotonic()
 
     def __call__(self, *words):
+        """Write a line."""
         text = " ".join(str(word) for word in words)
-        self._file.write(f"{time.monotonic() - self._started:8.3f} {text}\n")
-        self._file.flush()
+        with self._path.open("a") as file:
+            file.write(f"{time.monotonic() - self._started:8.3f} {text}\n")
 
 
 # HTTP.
@@ -98,6 +101,7 @@
         self.port = 0
 
     async def start(self):
+        """Listen on a free port."""
         self.server, self.port = await serve_http(self.handle)
 
     def _notify(self):
@@ -105,6 +109,7 @@
         self.changed = asyncio.Event()
 
     def put(self, kind, name, spec, status=None):
+        """Write an object and return it."""
         old = self.objects.setdefault(kind, {}).get(name)
         if old is not None and old["spec"] == spec:
             return old
@@ -113,7 +118,9 @@
             "meta": {
                 "name": name,
                 "rev": self.revision,
-                "createdRev": old["meta"]["createdRev"] if old else self.revision,
+                "createdRev": old["meta"]["createdRev"]
+                if old
+                else self.revision,
                 "finalizers": [],
                 "deleting": False,
             },
@@ -126,6 +133,7 @@
         return made
 
     def remove(self, kind, name):
+        """Remove an object."""
         old = self.objects.get(kind, {}).pop(name, None)
         if old is not None:
             self.revision += 1
@@ -133,6 +141,7 @@
             self._notify()
 
     async def handle(self, method, target, headers, body):
+        """Answer one call."""
         if self.is_silent:
             return None
         answer = await self._handle(method, target, body)
@@ -157,8 +166,11 @@
         if method == "GET":
             after = query.get("after", "")
             items = [kept[k] for k in sorted(kept) if k > after]
-            return 200, {"items": items[:500], "more": len(items) > 500,
-                         "asOf": self.revision}
+            return 200, {
+                "items": items[:500],
+                "more": len(items) > 500,
+                "asOf": self.revision,
+            }
         if method == "DELETE":
             self.remove(kind, name)
             return 200, {}
@@ -232,6 +244,7 @@
 
     @property
     def name(self):
+        """Return the name in the record."""
         return f"{self.service}/{self.number}"
 
     async def start(self, keeps_log=True):
@@ -243,12 +256,14 @@
         self.paused, self.seq = 0, 0
         self.born = int(time.time() * 1000)
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port, limit=1 << 22)
+            self._serve, "127.0.0.1", self.port, limit=1 << 22
+        )
         self.is_up = True
         self.write_entry()
         self.follow()
 
     def stop(self):
+        """Crash."""
         self.is_up = False
         self._server.close()
         for writer in tuple(self.connections):
@@ -271,19 +286,50 @@
             return
         self.seq += 1
         self.listed_s = time.monotonic()
-        self.world.store.put("servers", self.id, {
-            "backend": self.service, "addr": f"127.0.0.1:{self.port}",
-            "zone": "zone-a", "version": "v1", "slots": 3, "state": self.state,
-            "coldLeftMs": 0, "seq": self.seq, "born": self.born,
-            "dbRole": "primary" if self.is_primary else "replica"})
+        self.world.store.put(
+            "servers",
+            self.id,
+            {
+                "backend": self.service,
+                "addr": f"127.0.0.1:{self.port}",
+                "zone": "zone-a",
+                "version": "v1",
+                "slots": 3,
+                "state": self.state,
+                "coldLeftMs": 0,
+                "seq": self.seq,
+                "born": self.born,
+                "dbRole": "primary" if self.is_primary else "replica",
+            },
+        )
 
     def position(self):
+        """Return the end of the log as text."""
         return f"{self.term}.{len(self.log)}"
 
     def status(self):
+        """Return the answer to STATUS."""
         role = "primary" if self.is_primary else "replica"
-        return (f"ROW {role} {self.term} {self.position()} {self.paused} 0 1 "
-                f"{len(self.connections)}\r\nDONE -\r\n")
+        return (
+            f"ROW {role} {self.term} {self.position()} {self.paused} 0 1 "
+            f"{len(self.connections)}\r\nDONE -\r\n"
+        )
+
+    def pause(self, term):
+        """Stop receiving until a resume, a promotion or a restart."""
+        if not self.is_primary and int(term) > self.term:
+            self.paused = int(term)
+
+    def resume(self, _):
+        """Receive again."""
+        self.paused = 0
+        self.follow()
+
+    def step_down(self, term):
+        """Become a replica, as a primary of a lower term."""
+        if self.is_primary and self.term < int(term):
+            self.is_primary = False
+            self.write_entry()
 
     async def _serve(self, reader, writer):
         self.connections.add(writer)
@@ -315,7 +361,9 @@
             await asyncio.sleep(0.002)
             if not self.is_up or not self.is_primary or self.term != entry.term:
                 raise OSError("no longer the primary")
-            others = [o for o in self.world.instances[self.service] if o is not self]
+            others = [
+                o for o in self.world.instances[self.service] if o is not self
+            ]
             received = [o.receive(entry) for o in others]
             if any(received):
                 return entry
@@ -333,12 +381,17 @@
         self.prepared = {}
 
     async def line(self):
+        """Return the next message."""
         return (await self.reader.readuntil(b"\r\n"))[:-2].decode()
 
     async def run(self):
+        """Serve until the connection ends."""
         instance = self.instance
         start = (await self.line()).split(" ")
-        if start[1] != instance.service or start[3:4] not in ([], [instance.id]):
+        if start[1] != instance.service or start[3:4] not in (
+            [],
+            [instance.id],
+        ):
             self.writer.write(b"ERROR WRONGNODE id\r\n")
             await self.writer.drain()
             return
@@ -356,12 +409,14 @@
             self.answer(await self.serve(id_, text))
 
     def answer(self, text):
+        """Send an answer with its READY."""
         if not self.instance.is_up:
             raise OSError("down")
         end = f"READY {self.state} {self.instance.position()}\r\n"
         self.writer.write((text + end).encode())
 
     async def serve(self, id_, text):
+        """Run a statement and return its answer without the READY."""
         instance = self.instance
         if text.startswith("SINCE "):
             _, position, text = text.split(" ", 2)
@@ -371,79 +426,94 @@
         word, _, rest = text.partition(" ")
         if id_ != "-":
             instance.executed.append((time.monotonic(), id_, text))
-            instance.world.record("run", instance.name, id_, text,
-                                  "at", instance.position())
-        done = f"DONE {instance.id}.{id_}\r\n"
-        if word == "STATUS":
-            return instance.status()
-        if word == "PAUSE":
-            if not instance.is_primary and int(rest) > instance.term:
-                instance.paused = int(rest)
-            return instance.status()
-        if word == "RESUME":
-            instance.paused = 0
-            instance.follow()
+            instance.world.record(
+                "run", instance.name, id_, text, "at", instance.position()
+            )
+        if word in _ORDERS:
+            _ORDERS[word](instance, rest)
             return instance.status()
-        if word == "STEPDOWN":
-            if instance.is_primary and instance.term < int(rest):
-                instance.is_primary = False
-                instance.write_entry()
-            return instance.status()
-        if word == "SET":
-            name, _, value = rest.partition(" ")
-            self.values[name] = value
-            return done
-        if word == "RESET":
-            self.values.clear()
-            self.prepared.clear()
-            return done
-        if word == "PREPARE":
-            name, _, definition = rest.partition(" ")
-            self.prepared[name] = definition
-            return done
-        if word == "CLOSE":
-            self.prepared.pop(rest, None)
-            return done
-        if word == "ROLLBACK":
-            self.state, self.writes = "I", []
-            return done
-        if word == "BEGIN":
-            if rest != "READ" and not instance.is_primary:
-                return f"ERROR READONLY {instance.id}\r\n"
-            self.state, self.is_read_only, self.writes = "T", rest == "READ", []
-            return done
-        if self.state == "T" and not self.is_read_only and not instance.is_primary:
-            if not (word == "COMMIT" and not self.writes):
-                self.state = "E"
-                return f"ERROR READONLY {instance.id}\r\n"
-        if word == "COMMIT":
-            self.state, writes, self.writes = "I", self.writes, []
-            if writes:
-                await instance.commit(id_, writes)
-            return done
+        if word in _SETUPS:
+            _SETUPS[word](self, *rest.split(" ", 1))
+            return self._done(id_)
         if word == "EXEC":
             name, _, rest = rest.partition(" ")
             if name not in self.prepared:
                 return f"ERROR NOSTMT {name}\r\n"
             word = self.prepared[name].split(" ")[0]
-        if word == "READ":
-            data = "-"
-            for entry in instance.log:
-                for item, value in entry.writes:
-                    data = value if item == rest else data
-            return f"ROW {data}\r\n" + done
-        if word == "WRITE":
-            if not instance.is_primary:
-                if self.state == "T":
-                    self.state = "E"
-                return f"ERROR READONLY {instance.id}\r\n"
-            item, _, data = rest.partition(" ")
-            if self.state == "T":
-                self.writes.append((item, data))
-            else:
-                await instance.commit(id_, [(item, data)])
-            return done
-        return "ERROR MALFORMED text\r\n"
+        if word not in _STATEMENTS:
+            return "ERROR MALFORMED text\r\n"
+        if self._has_lost_lead() and not (word == "COMMIT" and not self.writes):
+            return self._refuse()
+        return await _STATEMENTS[word](self, id_, rest)
+
+    def _done(self, id_):
+        return f"DONE {self.instance.id}.{id_}\r\n"
+
+    def _has_lost_lead(self):
+        is_plain = self.state == "T" and not self.is_read_only
+        return is_plain and not self.instance.is_primary
+
+    def _refuse(self):
+        if self.state == "T":
+            self.state = "E"
+        return f"ERROR READONLY {self.instance.id}\r\n"
+
+    def _reset(self, *_):
+        self.values.clear()
+        self.prepared.clear()
+
+    def _roll_back(self, *_):
+        self.state, self.writes = "I", []
+
+    async def _begin(self, id_, rest):
+        if rest != "READ" and not self.instance.is_primary:
+            return self._refuse()
+        self.state, self.is_read_only, self.writes = "T", rest == "READ", []
+        return self._done(id_)
+
+    async def _commit(self, id_, rest):
+        self.state, writes, self.writes = "I", self.writes, []
+        if writes:
+            await self.instance.commit(id_, writes)
+        return self._done(id_)
+
+    async def _read(self, id_, rest):
+        data = "-"
+        for entry in self.instance.log:
+            for item, value in entry.writes:
+                data = value if item == rest else data
+        return f"ROW {data}\r\n" + self._done(id_)
+
+    async def _write(self, id_, rest):
+        if not self.instance.is_primary:
+            return self._refuse()
+        item, _, data = rest.partition(" ")
+        if self.state == "T":
+            self.writes.append((item, data))
+        else:
+            await self.instance.commit(id_, [(item, data)])
+        return self._done(id_)
+
+
+_ORDERS = {
+    "STATUS": lambda instance, term: None,
+    "PAUSE": Instance.pause,
+    "RESUME": Instance.resume,
+    "STEPDOWN": Instance.step_down,
+}
+_SETUPS = {
+    "SET": lambda c, name, value="": c.values.update({name: value}),
+    "RESET": Connection._reset,
+    "PREPARE": lambda c, name, text: c.prepared.update({name: text}),
+    "CLOSE": lambda c, name: c.prepared.pop(name, None),
+    "ROLLBACK": Connection._roll_back,
+}
+_STATEMENTS = {
+    "BEGIN": Connection._begin,
+    "COMMIT": Connection._commit,
+    "READ": Connection._read,
+    "WRITE": Connection._write,
+}
 
 
 # The whole deployment.
@@ -474,31 +544,60 @@
     def primary_of(self, service):
         """Return the instance that leads the newest term and runs, or None."""
         for instance in self.instances[service]:
-            if (instance.is_up and instance.is_primary
-                    and instance.term == self.terms[service]):
+            if (
+                instance.is_up
+                and instance.is_primary
+                and instance.term == self.terms[service]
+            ):
                 return instance
         return None
 
     def routes(self):
+        """Return one route of each type for each service."""
         kinds = {"primary": 0, "bounded_stale": 1500, "read_your_writes": 2500}
         return [
-            {"name": f"r-{s}-{k}", "host": f"{s}-{k}", "pathPrefix": "/",
-             "type": k, "timeoutMs": 2000, "targetLatencyMs": 200,
-             "priority": 1, "backend": s, "attempts": 2, "maxStalenessMs": m}
-            for s in self.services for k, m in kinds.items()
+            {
+                "name": f"r-{s}-{k}",
+                "host": f"{s}-{k}",
+                "pathPrefix": "/",
+                "type": k,
+                "timeoutMs": 2000,
+                "targetLatencyMs": 200,
+                "priority": 1,
+                "backend": s,
+                "attempts": 2,
+                "maxStalenessMs": m,
+            }
+            for s in self.services
+            for k, m in kinds.items()
         ]
 
     def write_configuration(self):
+        """Write the next version."""
         self.version += 4
-        self.store.put("config", "main", {
-            "version": self.version, "routes": self.routes(),
-            "backends": [
-                {"name": s, "healthPath": "/healthz", "maxConns": 46,
-                 "proto": "h1", "tls": False, "syncReplicas": 1}
-                for s in self.services],
-            "limits": {"txIdleMs": 3000}})
+        self.store.put(
+            "config",
+            "main",
+            {
+                "version": self.version,
+                "routes": self.routes(),
+                "backends": [
+                    {
+                        "name": s,
+                        "healthPath": "/healthz",
+                        "maxConns": 46,
+                        "proto": "h1",
+                        "tls": False,
+                        "syncReplicas": 1,
+                    }
+                    for s in self.services
+                ],
+                "limits": {"txIdleMs": 3000},
+            },
+        )
 
     async def start(self):
+        """Start everything, and wait until the hosts are ready."""
         await self.store.start()
         self.cloud, self.cloud_port = await serve_http(self._promote)
         for service in self.services:
@@ -521,21 +620,28 @@
             for instance in sum(self.instances.values(), []):
                 if instance.is_up and now - instance.listed_s > HEARTBEAT_S:
                     instance.write_entry()
-                elif (now - instance.listed_s > 3 * HEARTBEAT_S
-                      and instance.id in self.store.objects.get("servers", {})):
+                elif (
+                    now - instance.listed_s > 3 * HEARTBEAT_S
+                    and instance.id in self.store.objects.get("servers", {})
+                ):
                     self.store.remove("servers", instance.id)
 
     async def _promote(self, method, target, headers, body):
         sent = json.loads(body)
         fence = int(headers["x-fence-token"])
         holder = headers["x-duty-holder"]
-        self.calls.append((time.monotonic(), sent["backend"], sent["id"], holder, fence))
+        self.calls.append(
+            (time.monotonic(), sent["backend"], sent["id"], holder, fence)
+        )
         self.record("promote", sent, holder, fence)
-        found = [i for i in self.instances[sent["backend"]] if i.id == sent["id"]]
+        found = [
+            i for i in self.instances[sent["backend"]] if i.id == sent["id"]
+        ]
         if not found or not found[0].is_up:
             return 409, {}, None
         asyncio.get_running_loop().call_later(
-            self.promote_s, self._take_effect, found[0])
+            self.promote_s, self._take_effect, found[0]
+        )
         return 200, {}, {}
 
     def _take_effect(self, instance):
@@ -546,15 +652,23 @@
             return
         self.terms[service] += 1
         missing = [
-            a for a in self.acked
+            a
+            for a in self.acked
             if a[0] == service and all(e.id != a[1] for e in instance.log)
         ]
         self.promotions.append((instance, list(instance.log), missing))
         instance.term, instance.is_primary = self.terms[service], True
         instance.paused, instance.is_deaf = 0, False
-        self.record("promoted", instance.name, "term", instance.term, "with",
-                    len(instance.log), "commits; acknowledged and missing:",
-                    [a[1] for a in missing])
+        self.record(
+            "promoted",
+            instance.name,
+            "term",
+            instance.term,
+            "with",
+            len(instance.log),
+            "commits; acknowledged and missing:",
+            [a[1] for a in missing],
+        )
         instance.write_entry()
         for other in self.instances[service]:
             if other is not instance and other.is_up:
@@ -563,6 +677,7 @@
                 other.write_entry()
 
     async def close(self):
+        """End what was started."""
         for task in self._tasks:
             task.cancel()
         for host in self.hosts:
@@ -579,57 +694,115 @@
         self.zone = "zone-a"
         self.front, self.ready, peers, last = (free_port() for _ in range(4))
         self.settings = {
-            "node": self.name, "role": "entry", "machineClass": "front",
-            "serves": ["front"], "ip": "127.0.0.1", "zone": self.zone,
-            "region": "region-a", "zones": {"zone-a": "region-a"},
-            "listen": {"front": f"127.0.0.1:{self.front}",
-                       "ready": f"127.0.0.1:{self.ready}"},
-            "internalPorts": [peers, last], "seeds": [], "bootstrap": True,
+            "node": self.name,
+            "role": "entry",
+            "machineClass": "front",
+            "serves": ["front"],
+            "ip": "127.0.0.1",
+            "zone": self.zone,
+            "region": "region-a",
+            "zones": {"zone-a": "region-a"},
+            "listen": {
+                "front": f"127.0.0.1:{self.front}",
+                "ready": f"127.0.0.1:{self.ready}",
+            },
+            "internalPorts": [peers, last],
+            "seeds": [],
+            "bootstrap": True,
             "inTolerance": False,
-            "limits": {"cpuShare": 1.0, "cores": 1, "ramMb": 300,
-                       "maxFds": 4200, "linkMbps": 1000.0, "diskMb": 0},
-            "dataDir": None, "discovery": "platform", "entry": "vip",
+            "limits": {
+                "cpuShare": 1.0,
+                "cores": 1,
+                "ramMb": 300,
+                "maxFds": 4200,
+                "linkMbps": 1000.0,
+                "diskMb": 0,
+            },
+            "dataDir": None,
+            "discovery": "platform",
+            "entry": "vip",
             "heartbeatMs": 1200,
-            "contracts": ["base", "drain", "config", "cost", "recover", "sql",
-                          "platform"],
+            "contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "sql",
+                "platform",
+            ],
             "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
-            "bounds": {"seedLagS": 3, "addrReuseS": 2, "stableMs": 4000,
-                       "ackMs": 5000, "catchUpS": 4, "drainMs": 7000,
-                       "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000,
-                       "revertSlackMs": 250, "outerMs": 12000, "recoverS": 12,
-                       "enforceFencing": False, "thawMs": 300},
-            "platform": {"addr": f"127.0.0.1:{world.store.port}",
-                         "form": "objects", "writesPerS": 400,
-                         "readsPerS": 2000, "historyS": 20,
-                         "valueBytes": 1048576, "ttlMinMs": 1000},
-            "cloudApi": {"addr": f"127.0.0.1:{world.cloud_port}",
-                         "ratePerS": 50.0, "duties": ["failover"],
-                         "dutyPerS": 50.0},
+            "bounds": {
+                "seedLagS": 3,
+                "addrReuseS": 2,
+                "stableMs": 4000,
+                "ackMs": 5000,
+                "catchUpS": 4,
+                "drainMs": 7000,
+                "graceS": 6,
+                "lossSlackMs": 200,
+                "configApplyMs": 3000,
+                "revertSlackMs": 250,
+                "outerMs": 12000,
+                "recoverS": 12,
+                "enforceFencing": False,
+                "thawMs": 300,
+            },
+            "platform": {
+                "addr": f"127.0.0.1:{world.store.port}",
+                "form": "objects",
+                "writesPerS": 400,
+                "readsPerS": 2000,
+                "historyS": 20,
+                "valueBytes": 1048576,
+                "ttlMinMs": 1000,
+            },
+            "cloudApi": {
+                "addr": f"127.0.0.1:{world.cloud_port}",
+                "ratePerS": 50.0,
+                "duties": ["failover"],
+                "dutyPerS": 50.0,
+            },
         }
         self.process = None
 
     def start(self):
+        """Start the process."""
         path = pathlib.Path(self.world.temp) / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
-        log = open(pathlib.Path(self.world.temp) / f"{self.name}.log", "ab")
-        deps = ROOT / "target" / "deps"
-        environment = {
-            "PATH": os.environ.get("PATH", ""), "HOME": self.world.temp,
-            "KNAPWEEDTALLY_SETTINGS": str(path), "PYTHONPATH": str(deps),
-            "PYTHONDONTWRITEBYTECODE": "1"}
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "knapweedtally", "entry"], cwd=ROOT,
-            env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-        log.close()
+        path_of_log = pathlib.Path(self.world.temp) / f"{self.name}.log"
+        with path_of_log.open("ab") as log:
+            deps = ROOT / "target" / "deps"
+            environment = {
+                "PATH": os.environ.get("PATH", ""),
+                "HOME": self.world.temp,
+                "KNAPWEEDTALLY_SETTINGS": str(path),
+                "PYTHONPATH": str(deps),
+                "PYTHONDONTWRITEBYTECODE": "1",
+            }
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "knapweedtally", "entry"],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
 
     def log_text(self):
+        """Return what the process has written."""
         path = pathlib.Path(self.world.temp) / f"{self.name}.log"
         return path.read_text(errors="replace")
 
     async def is_ready(self):
+        """Return whether the readiness probe gets a 200."""
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
-            writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ready
+            )
+            writer.write(
+                b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            )
             line = await asyncio.wait_for(reader.readline(), 1.0)
             writer.close()
             return b" 200 " in line
@@ -637,18 +810,21 @@
             return False
 
     async def wait_ready(self, limit_s=20.0):
+        """Wait until the host is ready."""
         end = time.monotonic() + limit_s
         while time.monotonic() < end:
             if await self.is_ready():
                 return
             await asyncio.sleep(0.1)
-        raise NotRun(f"{self.name} was not ready in time")
+        raise NotRunError(f"{self.name} was not ready in time")
 
     def signal(self, number):
+        """Send a signal unless the process has ended."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     def end(self):
+        """Kill the process, and wait for its end."""
         if self.process is None:
             return
         self.signal(signal.SIGCONT)
@@ -656,7 +832,7 @@
         self.process.wait()
 
 
-class NotRun(Exception):
+class NotRunError(Exception):
     """The case couldn't run."""
 
 
@@ -671,8 +847,10 @@
         self.reader = self.writer = None
 
     async def open(self):
+        """Connect and return the answer to START."""
         self.reader, self.writer = await asyncio.open_connection(
-            "127.0.0.1", self.host.front, limit=1 << 22)
+            "127.0.0.1", self.host.front, limit=1 << 22
+        )
         self.writer.write(f"START {self.database} app\r\n".encode())
         return await asyncio.wait_for(self._line(), 3.0)
 
@@ -711,6 +889,7 @@
         return False
 
     def close(self):
+        """Close the connection at once."""
         if self.writer is not None:
             self.writer.transport.abort()
 
@@ -726,7 +905,7 @@
                 await world.start()
                 world.record("started; trouble:", has_trouble)
                 broken = await play(world, has_trouble)
-        except (NotRun, TimeoutError, OSError) as error:
+        except (NotRunError, TimeoutError, OSError) as error:
             world.record("not run:", repr(error))
             print("not run:", repr(error))
             return 2
