--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -905,7 +905,7 @@
                 await world.start()
                 world.record("started; trouble:", has_trouble)
                 broken = await play(world, has_trouble)
-        except (NotRunError, TimeoutError, OSError) as error:
+        except Exception as error:
             world.record("not run:", repr(error))
             print("not run:", repr(error))
             return 2
